Log the turns of the event loop, the age of the endpoint list and the wait before a send

The logs cannot tell whether a request reached a leaving endpoint because it was sent long after it was placed, because the router was late to learn, or because its link was full (docs/incidents/drain-leaving-endpoints.md).

Event 1010 and the histogram loop_turn_seconds show the turns of the event loop; 7003 tells how old the list of endpoints was, 7004 and the histogram send_seconds how long the request waited between the choice of the endpoint and the sending. No decision changes. Tests: kernel (catalogue and counters against the docs), gateway, net pass.

--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -1,6 +1,7 @@
 #include "kernel/error.h"
 #include "kernel/kernel.h"
 #include "kernel/log.h"
+#include "kernel/loop_monitor.h"
 #include "platform/dialect.h"
 #include "platform/store.h"
 #include "services/budgets.h"
@@ -33,6 +34,7 @@
 typedef struct
 {
   DyKernel kernel;
+  DyLoopMonitor loop_monitor;
   DyPlatform platform;
   DyEndpoints endpoints;
   DyPeers peers;
@@ -288,6 +290,7 @@
 {
   struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
   dy_kernel_init (&daemon->kernel, loop, settings);
+  dy_loop_monitor_init (&daemon->loop_monitor, loop, &daemon->kernel.counters);
   add_services (daemon);
   watch_signal (daemon, &daemon->sigterm, on_terminate, SIGTERM);
   watch_signal (daemon, &daemon->sigint, on_terminate, SIGINT);
@@ -308,6 +311,7 @@
   if (!error)
     ev_run (loop, 0);
   dy_kernel_finish (&daemon->kernel);
+  dy_loop_monitor_finish (&daemon->loop_monitor);
   dy_log (DY_EVENT_STOPPED, "node=%s", settings->node_name);
   return error;
 }
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -68,7 +68,10 @@
   X (EVENT_GAP, "dogwoodyoke_event_pause_seconds", "", "pause between parts of a stream")          \
   X (RESERVE, "dogwoodyoke_reserve_seconds", "", "wait for the reservation of a budget")           \
   X (PLATFORM_CALL, "dogwoodyoke_platform_call_seconds", "",                                       \
-     "time of a platform call, watches excepted")
+     "time of a platform call, watches excepted")                                                  \
+  X (SEND, "dogwoodyoke_send_seconds", "",                                                         \
+     "time from the choice of an endpoint to the sending of the request")                          \
+  X (LOOP_TURN, "dogwoodyoke_loop_turn_seconds", "", "time of a turn of the event loop")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -30,6 +30,7 @@
   X (SETTINGS_INVALID, 1007, WARNING, "settings invalid")                                          \
   X (SETTINGS_RELOADED, 1008, MESSAGE, "settings read again")                                      \
   X (LINES_DROPPED, 1009, WARNING, "log lines dropped")                                            \
+  X (LOOP_DELAYED, 1010, WARNING, "event loop delayed")                                            \
   X (PLATFORM_DOWN, 2001, WARNING, "platform unreachable")                                         \
   X (PLATFORM_UP, 2002, MESSAGE, "platform reachable")                                             \
   X (PLATFORM_THROTTLED, 2003, WARNING, "platform calls held back")                                \
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -26,6 +26,7 @@
   void *ctx;
   uint64_t etag;
   int64_t read_timeout_ms;
+  int64_t sent_us;
   bool connected;
   bool stale;             /* the reused connection had unread bytes or was closed by the server */
   bool on_new_connection; /* was restarted on a new connection */
@@ -77,7 +78,8 @@
 {
   DyHttpResult result = { .error = transfer->resend_prevented ? DY_UNAVAILABLE : error,
                           .connected = transfer->connected,
-                          .etag = transfer->etag };
+                          .etag = transfer->etag,
+                          .sent_us = transfer->sent_us };
   result.status = dy_http_transfer_status (transfer);
   const DyHttpTransferWatcher *watcher = transfer->watcher;
   void *ctx = transfer->ctx;
@@ -347,6 +349,7 @@
       return CURL_PREREQFUNC_ABORT;
     }
   transfer->connected = true;
+  transfer->sent_us = g_get_monotonic_time ();
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -55,6 +55,7 @@
   bool connected;  /* false: no byte of the request can have reached the server */
   unsigned status; /* HTTP status code, 0 when no answer began */
   uint64_t etag;   /* ETag of the answer, a decimal number; 0 when absent */
+  int64_t sent_us; /* monotonic time at which the request was sent; 0: it was not */
 } DyHttpResult;
 
 typedef struct
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -211,6 +211,7 @@
   if (watch->failing)
     watch->recovered_us = now_us (directory);
   watch->failing = false;
+  watch->replied_us = now_us (directory);
   for (uint32_t i = 0; i < reply->n_objects; i++)
     watch->apply_watched (directory, &reply->objects[i]);
   if (watch->listing && watch == &directory->endpoints_watch)
@@ -384,3 +385,9 @@
 {
   return directory->has_routes && g_hash_table_size (directory->endpoints) > 0;
 }
+
+int64_t
+dy_directory_endpoints_age_ms (const DyDirectory *directory)
+{
+  return (now_us (directory) - directory->endpoints_watch.replied_us) / 1000;
+}
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -43,6 +43,7 @@
   bool listing;         /* the call in progress lists all objects instead of waiting for changes */
   bool failing;         /* the latest call failed */
   int64_t recovered_us; /* monotonic time of the first success after failures */
+  int64_t replied_us;   /* monotonic time of the latest success */
   ev_timer retry;       /* delays the next call after a failure or a change */
 } DyObjectWatch;
 
@@ -79,4 +80,8 @@
  * endpoint. */
 bool dy_directory_ready (const DyDirectory *directory);
 
+/* Returns the milliseconds since the store last answered a call for the endpoint records. The store
+ * answers at once when there are changes, and otherwise when the watch's waiting time ends. */
+int64_t dy_directory_endpoints_age_ms (const DyDirectory *directory);
+
 #endif
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -143,6 +143,12 @@
   DyGatewayAttemptResult out = { 0 };
   attempt->transfer = NULL;
   attempt->sent = result->connected;
+  if (result->sent_us)
+    {
+      attempt->send_us = result->sent_us - attempt->placed_us;
+      dy_counters_observe (&attempt->gateway->kernel->counters, DY_HISTOGRAM_SEND,
+                           attempt->send_us);
+    }
   DyPlacementOutcome outcome = classify (attempt, result, &out);
   if (outcome != DY_PLACEMENT_ANSWERED)
     log_failure (attempt, result, outcome);
@@ -226,11 +232,13 @@
   attempt->request_id = g_strdup (spec->request_id);
   attempt->service = g_strdup (spec->service);
   attempt->work = spec->work;
+  attempt->placed_us = now_us (attempt);
+  attempt->send_us = -1;
   attempt->lines = g_ptr_array_new_with_free_func (g_free);
   attempt->headers = headers ? headers : g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_set_size (attempt->headers, 0);
   build_lines (attempt, &spec->head);
-  dy_placement_begin (&gateway->directory->placement, endpoint, &attempt->work, now_us (attempt));
+  dy_placement_begin (&gateway->directory->placement, endpoint, &attempt->work, attempt->placed_us);
   start (attempt);
 }
 
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -115,10 +115,11 @@
 {
   dy_log (DY_EVENT_REQUEST_ENDED,
           "request=%s account=%s service=%s outcome=%s ms=%" G_GINT64_FORMAT
-          " started=%u refused=%u events=%" G_GUINT64_FORMAT,
+          " started=%u refused=%u events=%" G_GUINT64_FORMAT " send_ms=%" G_GINT64_FORMAT,
           request->plan.id, request->plan.account ? request->plan.account : "-",
           request->plan.service, outcome, (now_us (request) - request->plan.arrived_us) / 1000,
-          request->n_started, request->n_refused, request->events.n_events);
+          request->n_started, request->n_refused, request->events.n_events,
+          request->attempt.send_us < 0 ? -1 : request->attempt.send_us / 1000);
 }
 
 /* Ends the request without a complete answer: answers ERROR, or aborts a stream that was begun. */
@@ -422,10 +423,12 @@
                                           .priority = request->plan.priority,
                                           .has_priority = request->plan.kind == DY_ROUTE_STREAM } };
   dy_log (DY_EVENT_REQUEST_PLACED,
-          "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT " attempt=%u resume=%s",
+          "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
+          " attempt=%u resume=%s list_ms=%" G_GINT64_FORMAT,
           request->plan.id, dy_placement_endpoint_id (endpoint), predicted_us,
           request->n_started + request->n_refused + 1,
-          spec.head.resume_from ? spec.head.resume_from : "-");
+          spec.head.resume_from ? spec.head.resume_from : "-",
+          dy_directory_endpoints_age_ms (gateway->directory));
   count (request, DY_COUNTER_ATTEMPTS);
   request->attempt_open = true;
   dy_gateway_attempt_init (&request->attempt, gateway, endpoint, &spec, &attempt_watcher, request);
