Log platform calls that failed or were slow, and calls that the breaker rejected

On a crowded router the list of endpoints was 3.3 s old while no turn of the loop took 400 ms (docs/incidents). Which calls failed, how long they took and which ones the breaker held off could not be seen. Event 2004 tells it. No decision changes.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -34,6 +34,7 @@
   X (PLATFORM_DOWN, 2001, WARNING, "platform unreachable")                                         \
   X (PLATFORM_UP, 2002, MESSAGE, "platform reachable")                                             \
   X (PLATFORM_THROTTLED, 2003, WARNING, "platform calls held back")                                \
+  X (PLATFORM_CALL_SLOW, 2004, INFO, "platform call failed or slow")                               \
   X (DECLARATION_APPLIED, 3001, MESSAGE, "declaration in force")                                   \
   X (DECLARATION_REJECTED, 3002, WARNING, "declaration rejected")                                  \
   X (PEER_UP, 4001, MESSAGE, "peer connected")                                                     \
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -40,6 +40,7 @@
 {
   FAILURES_TO_OPEN = 2, /* a single failure may be a lost reply */
   DEFAULT_PROBE_INTERVAL_US = 500 * 1000,
+  SLOW_CALL_US = 250 * 1000,
 };
 
 static bool
@@ -64,14 +65,34 @@
           dy_error_info (error)->kind);
 }
 
+static bool
+is_watch (const Call *call)
+{
+  return call->kind == CALL_LIST && call->version > 0;
+}
+
+/* Logs a call that failed or took long; watches wait for changes and may take long. */
+static void
+log_slow_call (const Call *call, int error, bool rejected)
+{
+  static const char *const names[] = { "get", "put", "list", "vms" };
+  int64_t time_us = g_get_monotonic_time () - call->sent_us;
+  if (!is_failure (error) && (is_watch (call) || time_us < SLOW_CALL_US))
+    return;
+  dy_log (DY_EVENT_PLATFORM_CALL_SLOW, "call=%s key=%s kind=%s rejected=%d ms=%" G_GINT64_FORMAT,
+          is_watch (call) ? "watch" : names[call->kind], call->key ? call->key : "-",
+          dy_error_info (error)->kind, rejected, rejected ? 0 : time_us / 1000);
+}
+
 static void
 on_reply (void *ctx, const DyPlatformReply *reply)
 {
   Call *call = ctx;
   DyPlatform *platform = call->platform;
   g_hash_table_steal (platform->calls, call);
+  log_slow_call (call, reply->error, false);
   update_reachability (platform, reply->error);
-  if (call->kind != CALL_LIST || call->version == 0)
+  if (!is_watch (call))
     dy_counters_observe (platform->counters, DY_HISTOGRAM_PLATFORM_CALL,
                          g_get_monotonic_time () - call->sent_us);
   call->done (call->ctx, reply);
@@ -162,6 +183,7 @@
       static const DyPlatformReply reply = { .error = DY_UNAVAILABLE };
       Call *call = g_queue_pop_head (&platform->rejected);
       g_hash_table_steal (platform->calls, call);
+      log_slow_call (call, reply.error, true);
       call->done (call->ctx, &reply);
       free_call (call);
     }
