--- /dev/null
+++ b/test/test_gateway_request.c
@@ -0,0 +1,290 @@
+/* Requests of the gateway in the test's own process, with its event loop in the test's hands: the test can change what
+ * the router knows, or hold the loop up, between any two turns. Endpoints are stand-ins on loopback. */
+
+#include "kernel/error.h"
+#include "platform/dialect.h"
+#include "services/gateway_request.h"
+#include "support/fleet.h"
+#include "support/suite.h"
+
+#include <signal.h>
+#include <string.h>
+
+enum
+{
+  N_ENDPOINTS = 2,
+  MAX_BODY_BYTES = 65536,
+  MAX_HEADER_BYTES = 32768,
+  CALL_TIMEOUT_MS = 5000,
+};
+
+static const char routes_text[]
+    = "{\"version\":1,\"routes\":[{\"name\":\"once\",\"host\":\"h.example\",\"pathPrefix\":\"/\","
+      "\"routeType\":\"non_idempotent\",\"timeoutMs\":4000,\"targetLatencyMs\":100,\"service\":"
+      "\"app\",\"maxAttempts\":1}],\"services\":[{\"name\":\"app\"}],\"limits\":{}}";
+
+typedef struct
+{
+  char *address;
+  DyHttpServer server;
+  int n_requests;
+} Endpoint;
+
+typedef struct
+{
+  DyKernel kernel;
+  DySettings settings;
+  DyPlatform platform;
+  DyBudgets budgets;
+  DyDirectory directory;
+  DyGateway gateway;
+  char *address; /* where the gateway accepts callers */
+  Endpoint endpoints[N_ENDPOINTS];
+  /* Called with the gateway right after it has taken a request; may be NULL. */
+  void (*on_taken) (void *fixture);
+} Fixture;
+
+typedef struct
+{
+  DyHttpResult result;
+  GString *head; /* "name: value" lines of the answer */
+  bool done;
+} Answer;
+
+static void
+answer_request (void *ctx, DyHttpCall *call)
+{
+  Endpoint *endpoint = ctx;
+  endpoint->n_requests++;
+  dy_http_call_add_header (call, "X-Request-Id", dy_http_call_header (call, "X-Request-Id"));
+  dy_http_call_add_header (call, "X-Server-Seal", "5ea1.0.0");
+  dy_http_call_reply (call, 200, "text/plain", "ok", 2);
+}
+
+static const DyHttpServerHandler endpoint_handler
+    = { .handle = answer_request, .too_large = answer_request };
+
+static void
+take_request (void *ctx, DyHttpCall *call)
+{
+  Fixture *fixture = ctx;
+  dy_gateway_request_start (&fixture->gateway, call);
+  if (fixture->on_taken)
+    fixture->on_taken (fixture);
+}
+
+static const DyHttpServerHandler caller_handler
+    = { .handle = take_request, .too_large = take_request };
+
+static void
+put_endpoint (Fixture *fixture, int i, bool leaving)
+{
+  char id[] = { 'e', (char) ('0' + i), '\0' };
+  DyEndpointRecord record = { .id = id,
+                              .service = "app",
+                              .address = fixture->endpoints[i].address,
+                              .data_centre = "dc-a",
+                              .slots = 8,
+                              .leaving = leaving };
+  dy_placement_put (&fixture->directory.placement, &record);
+  g_hash_table_add (fixture->directory.endpoints, g_strdup (id));
+}
+
+static void
+start_directory (Fixture *fixture)
+{
+  DyDirectory *directory = &fixture->directory;
+  directory->kernel = &fixture->kernel;
+  directory->dialect = &dy_platform_dialect;
+  directory->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  dy_placement_init (&directory->placement, &dy_placement_policy, "dc-a", 1);
+  ck_assert_int_eq (
+      dy_platform_dialect.decode_routes (routes_text, strlen (routes_text), &directory->routes),
+      DY_OK);
+  directory->has_routes = true;
+}
+
+static void
+start_gateway (Fixture *fixture)
+{
+  DyGateway *gateway = &fixture->gateway;
+  gateway->kernel = &fixture->kernel;
+  gateway->dialect = &dy_platform_dialect;
+  gateway->directory = &fixture->directory;
+  gateway->budgets = &fixture->budgets;
+  gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
+  gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gateway->rng = g_rand_new_with_seed (1);
+  dy_http_client_init (&gateway->client, fixture->kernel.loop);
+  dy_quarantine_init (&gateway->quarantine, 3, 1000 * 1000);
+  dy_resend_budget_init (&gateway->resend_budget, 0.2, 100.0, 10 * 1000 * 1000);
+  ck_assert_int_eq (dy_http_server_init (&gateway->server, fixture->kernel.loop, fixture->address,
+                                         MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_BODY_BYTES,
+                                         &caller_handler, fixture),
+                    DY_OK);
+}
+
+static void
+fixture_init (Fixture *fixture)
+{
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  memset (fixture, 0, sizeof *fixture);
+  dy_kernel_init (&fixture->kernel, loop, &fixture->settings);
+  fixture->budgets.platform = &fixture->platform;
+  fixture->address = fleet_free_address ();
+  start_directory (fixture);
+  for (int i = 0; i < N_ENDPOINTS; i++)
+    {
+      Endpoint *endpoint = &fixture->endpoints[i];
+      endpoint->address = fleet_free_address ();
+      ck_assert_int_eq (dy_http_server_init (&endpoint->server, loop, endpoint->address,
+                                             MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_BODY_BYTES,
+                                             &endpoint_handler, endpoint),
+                        DY_OK);
+    }
+  start_gateway (fixture);
+}
+
+static void
+fixture_finish (Fixture *fixture)
+{
+  DyGateway *gateway = &fixture->gateway;
+  dy_http_server_finish (&gateway->server);
+  g_hash_table_unref (gateway->requests);
+  g_hash_table_unref (gateway->max_idle_by_service);
+  dy_http_client_finish (&gateway->client);
+  dy_quarantine_finish (&gateway->quarantine);
+  dy_resend_budget_finish (&gateway->resend_budget);
+  g_rand_free (gateway->rng);
+  for (int i = 0; i < N_ENDPOINTS; i++)
+    {
+      dy_http_server_finish (&fixture->endpoints[i].server);
+      g_free (fixture->endpoints[i].address);
+    }
+  dy_placement_finish (&fixture->directory.placement);
+  dy_route_table_finish (&fixture->directory.routes);
+  g_hash_table_unref (fixture->directory.endpoints);
+  dy_kernel_finish (&fixture->kernel);
+  g_free (fixture->address);
+}
+
+static bool
+on_head (void *ctx, unsigned status, const DyHttpHeader *headers, uint32_t n)
+{
+  Answer *answer = ctx;
+  (void) status;
+  for (uint32_t i = 0; i < n; i++)
+    g_string_append_printf (answer->head, "%s: %s\n", headers[i].name, headers[i].value);
+  return true;
+}
+
+static void
+on_done (void *ctx, const DyHttpResult *result)
+{
+  Answer *answer = ctx;
+  answer->result = *result;
+  answer->done = true;
+}
+
+/* Sends N requests at once, each on a connection of its own, and waits for their answers. */
+static void
+send_requests (Fixture *fixture, Answer *answers, int n)
+{
+  static const DyHttpTransferWatcher watcher = { .head = on_head, .done = on_done };
+  DyHttpClient client;
+  char *url = g_strdup_printf ("http://%s/x", fixture->address);
+  dy_http_client_init (&client, fixture->kernel.loop);
+  for (int i = 0; i < n; i++)
+    {
+      char *id = g_strdup_printf ("X-Request-Id: q%d", i);
+      const char *headers[] = { "Host: h.example", id, "X-Deadline-Ms: 4000", NULL };
+      DyHttpSpec spec = { .method = "POST",
+                          .url = url,
+                          .headers = headers,
+                          .body = "b",
+                          .n_body = 1,
+                          .connect_timeout_ms = CALL_TIMEOUT_MS,
+                          .timeout_ms = CALL_TIMEOUT_MS };
+      memset (&answers[i], 0, sizeof answers[i]);
+      answers[i].head = g_string_new (NULL);
+      dy_http_client_start (&client, &spec, &watcher, &answers[i]);
+      g_free (id);
+    }
+  for (int i = 0; i < n; i++)
+    while (!answers[i].done)
+      ev_run (fixture->kernel.loop, EVRUN_ONCE);
+  dy_http_client_finish (&client);
+  g_free (url);
+}
+
+static void
+free_answers (Answer *answers, int n)
+{
+  for (int i = 0; i < n; i++)
+    g_string_free (answers[i].head, TRUE);
+}
+
+/* Makes the first endpoint leave after a request was placed there and before it is sent, and adds the second. */
+static void
+replace_first_endpoint (void *ctx)
+{
+  put_endpoint (ctx, 0, true);
+  put_endpoint (ctx, 1, false);
+}
+
+static void
+remove_first_endpoint (void *ctx)
+{
+  Fixture *fixture = ctx;
+  dy_placement_remove (&fixture->directory.placement, "e0");
+  put_endpoint (fixture, 1, false);
+}
+
+static void
+mark_first_leaving (void *ctx)
+{
+  put_endpoint (ctx, 0, true);
+}
+
+static const struct
+{
+  const char *name;
+  void (*on_taken) (void *fixture);
+  unsigned status;
+  int n_requests[N_ENDPOINTS]; /* that reach each endpoint */
+} departure_cases[] = {
+  { "stays", NULL, 200, { 1, 0 } },
+  { "leaves, another one is there", replace_first_endpoint, 200, { 0, 1 } },
+  { "is removed, another one is there", remove_first_endpoint, 200, { 0, 1 } },
+  { "leaves, no other one", mark_first_leaving, 503, { 0, 0 } },
+};
+
+START_TEST (request_is_not_sent_to_an_endpoint_that_left_after_the_choice)
+{
+  Fixture fixture;
+  Answer answer;
+  fixture_init (&fixture);
+  put_endpoint (&fixture, 0, false);
+  fixture.on_taken = departure_cases[_i].on_taken;
+  send_requests (&fixture, &answer, 1);
+  ck_assert_msg (answer.result.status == departure_cases[_i].status, "%s: status %u",
+                 departure_cases[_i].name, answer.result.status);
+  for (int i = 0; i < N_ENDPOINTS; i++)
+    ck_assert_msg (fixture.endpoints[i].n_requests == departure_cases[_i].n_requests[i],
+                   "%s: endpoint %d got %d requests", departure_cases[_i].name, i,
+                   fixture.endpoints[i].n_requests);
+  free_answers (&answer, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tcase = tcase_create ("gateway_request");
+  signal (SIGPIPE, SIG_IGN);
+  tcase_set_timeout (tcase, 30);
+  tcase_add_loop_test (tcase, request_is_not_sent_to_an_endpoint_that_left_after_the_choice, 0,
+                       (int) G_N_ELEMENTS (departure_cases));
+  return suite_run ("gateway_request", tcase);
+}
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -347,6 +347,128 @@
 }
 END_TEST
 
+/* The loop is held up for longer than the time limit while the connection is being opened, or while
+ * the answer waits in the socket. Neither is the server's delay. */
+static const struct
+{
+  const char *name;
+  bool answered; /* the loop is held up after the answer was sent, and not before the connection is
+                    used */
+} delay_cases[] = {
+  { "connection", false },
+  { "answer", true },
+};
+
+START_TEST (a_held_up_loop_is_not_a_timeout_of_the_server)
+{
+  enum
+  {
+    TIMEOUT_MS = 200,
+    HELD_UP_US = 400 * 1000,
+  };
+  static const DyHttpTransferWatcher watcher = { .done = on_done };
+  static const char *const answers[] = { OK_ANSWER };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  char *url = g_strdup_printf ("http://%s/p", address);
+  ScriptedServer server = { .loop = loop, .fd = -1, .script = answers };
+  Outcome outcome = { .loop = loop };
+  DyHttpSpec spec
+      = { .method = "GET", .url = url, .connect_timeout_ms = TIMEOUT_MS, .timeout_ms = TIMEOUT_MS };
+  DyHttpClient client;
+  server.listen_fd = open_socket (address, true);
+  ev_io_init (&server.accept_io, on_accept, server.listen_fd, EV_READ);
+  server.accept_io.data = &server;
+  dy_http_client_init (&client, loop);
+  dy_http_client_start (&client, &spec, &watcher, &outcome);
+  ev_io_start (loop, &server.accept_io);
+  while (delay_cases[_i].answered ? server.n_requests == 0 : client.n_connections == 0)
+    ev_run (loop, EVRUN_ONCE);
+  g_usleep (HELD_UP_US);
+  while (!outcome.done)
+    ev_run (loop, EVRUN_ONCE);
+  ck_assert_msg (outcome.result.error == DY_OK, "%s: error %d", delay_cases[_i].name,
+                 outcome.result.error);
+  dy_http_client_finish (&client);
+  end_connection (&server, false);
+  ev_io_stop (loop, &server.accept_io);
+  close (server.listen_fd);
+  g_free (url);
+  g_free (address);
+}
+END_TEST
+
+typedef struct
+{
+  DyHttpServer server;
+  int n_handled;
+} SlowReceiver;
+
+static void
+spin (int64_t us)
+{
+  int64_t end_us = g_get_monotonic_time () + us;
+  while (g_get_monotonic_time () < end_us)
+    continue;
+}
+
+static void
+handle_slowly (void *ctx, DyHttpCall *call)
+{
+  enum
+  {
+    HANDLER_US = 5 * 1000
+  };
+  SlowReceiver *receiver = ctx;
+  receiver->n_handled++;
+  spin (HANDLER_US);
+  dy_http_call_reply (call, 200, "text/plain", "ok", 2);
+}
+
+static const DyHttpServerHandler slow_handler
+    = { .handle = handle_slowly, .too_large = handle_slowly };
+
+/* All other work of the router, such as reading the list of endpoints, waits for the end of the
+ * turn of the loop in which a burst of requests is handled. */
+START_TEST (a_burst_of_requests_does_not_hold_up_the_loop)
+{
+  enum
+  {
+    N_REQUESTS = 60,
+    MAX_TURN_US = 100 * 1000,
+  };
+  static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  SlowReceiver receiver = { 0 };
+  int fds[N_REQUESTS];
+  int64_t longest_us = 0;
+  ck_assert_int_eq (dy_http_server_init (&receiver.server, loop, address, MAX_BODY_BYTES,
+                                         MAX_HEADER_BYTES, MAX_BODY_BYTES, &slow_handler,
+                                         &receiver),
+                    DY_OK);
+  for (int i = 0; i < N_REQUESTS; i++)
+    {
+      fds[i] = open_socket (address, false);
+      ev_run (loop, EVRUN_ONCE);
+    }
+  for (int i = 0; i < N_REQUESTS; i++)
+    ck_assert_int_eq (send (fds[i], request, strlen (request), MSG_NOSIGNAL),
+                      (ssize_t) strlen (request));
+  while (receiver.n_handled < N_REQUESTS)
+    {
+      int64_t started_us = g_get_monotonic_time ();
+      ev_run (loop, EVRUN_ONCE);
+      longest_us = MAX (longest_us, g_get_monotonic_time () - started_us);
+    }
+  ck_assert_int_le (longest_us, MAX_TURN_US);
+  for (int i = 0; i < N_REQUESTS; i++)
+    close (fds[i]);
+  dy_http_server_finish (&receiver.server);
+  g_free (address);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -356,5 +478,8 @@
   tcase_add_loop_test (tcase, ambiguous_framing_is_rejected, 0, (int) G_N_ELEMENTS (framing_cases));
   tcase_add_loop_test (tcase, a_call_is_sent_once, 0, (int) G_N_ELEMENTS (call_cases));
   tcase_add_test (tcase, a_connection_with_unread_bytes_is_not_reused);
+  tcase_add_loop_test (tcase, a_held_up_loop_is_not_a_timeout_of_the_server, 0,
+                       (int) G_N_ELEMENTS (delay_cases));
+  tcase_add_test (tcase, a_burst_of_requests_does_not_hold_up_the_loop);
   return suite_run ("net", tcase);
 }
