Check the endpoint again right before a request is sent

What callers saw: requests ran on endpoints that had left; on the users' platform such a send breaks DRAIN.

Change: the HTTP client asks right before the first byte goes out. If the endpoint has left, nothing is sent and the request is placed again; this counts neither as an attempt nor as a resend, as no endpoint saw it. If there is none left, it is refused as not run.

Test: gateway_request/request_is_not_sent_to_an_endpoint_that_left_after_the_choice; three of its four cases failed before (the request reached the endpoint that had left), all pass now.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -12,6 +12,7 @@
   uint32_t slots;
   int64_t start_ms;
   bool leaving;
+  bool removed;
   uint32_t n_references;   /* one of the table by_id and one of each request in flight */
   uint32_t in_flight;      /* requests of this router */
   int64_t pending_tokens;  /* own_tokens of the prompts in flight that it has not processed */
@@ -143,10 +144,17 @@
   DyPlacementEndpoint *endpoint = g_hash_table_lookup (placement->by_id, id);
   if (!endpoint)
     return;
+  endpoint->removed = true;
   g_ptr_array_remove (get_list (placement, endpoint->service), endpoint);
   g_hash_table_remove (placement->by_id, id);
 }
 
+bool
+dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint)
+{
+  return endpoint->leaving || endpoint->removed;
+}
+
 uint32_t
 dy_placement_count (const DyPlacement *placement, const char *service)
 {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -130,6 +130,9 @@
                        DyPlacementOutcome outcome,
                        int64_t now_us);
 
+/* Returns whether ENDPOINT is leaving or was removed, possibly after it was chosen. */
+bool dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint);
+
 const char *dy_placement_endpoint_id (const DyPlacementEndpoint *endpoint);
 const char *dy_placement_endpoint_address (const DyPlacementEndpoint *endpoint);
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -31,6 +31,7 @@
   bool stale;             /* the reused connection had unread bytes or was closed by the server */
   bool on_new_connection; /* was restarted on a new connection */
   bool resend_prevented;  /* libcurl was about to send the request a second time */
+  bool withheld;          /* the before_send callback returned false */
   GPtrArray *head;        /* header fields of the answer: name, value, name, value ... */
   ev_timer read_timer;    /* runs while bytes of the answer are awaited */
 };
@@ -76,7 +77,8 @@
 static void
 finish_transfer (DyHttpTransfer *transfer, int error)
 {
-  DyHttpResult result = { .error = transfer->resend_prevented ? DY_UNAVAILABLE : error,
+  bool aborted = transfer->resend_prevented || transfer->withheld;
+  DyHttpResult result = { .error = aborted ? DY_UNAVAILABLE : error,
                           .connected = transfer->connected,
                           .etag = transfer->etag,
                           .sent_us = transfer->sent_us };
@@ -348,6 +350,11 @@
       transfer->stale = true;
       return CURL_PREREQFUNC_ABORT;
     }
+  if (transfer->watcher->before_send && !transfer->watcher->before_send (transfer->ctx))
+    {
+      transfer->withheld = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
   transfer->connected = true;
   transfer->sent_us = g_get_monotonic_time ();
   return CURL_PREREQFUNC_OK;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -60,6 +60,10 @@
 
 typedef struct
 {
+  /* Called right before the request is sent, which may be long after the start: a connection may
+   * have to be opened first. Returns false to end the transfer with DY_UNAVAILABLE, with nothing
+   * sent. May be NULL. */
+  bool (*before_send) (void *ctx);
   /* Called when the answer's header is complete. Returns false to end the transfer with
    * DY_PROTOCOL. May be NULL. */
   bool (*head) (void *ctx, unsigned status, const DyHttpHeader *headers, uint32_t n_headers);
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -32,6 +32,14 @@
       g_hash_table_lookup (attempt->gateway->max_idle_by_service, attempt->service));
 }
 
+static bool
+on_before_send (void *ctx)
+{
+  DyGatewayAttempt *attempt = ctx;
+  attempt->endpoint_left = dy_placement_endpoint_has_left (attempt->endpoint);
+  return !attempt->endpoint_left;
+}
+
 static bool
 on_head (void *ctx, unsigned status, const DyHttpHeader *headers, uint32_t n)
 {
@@ -79,6 +87,12 @@
 static DyPlacementOutcome
 classify (const DyGatewayAttempt *attempt, const DyHttpResult *result, DyGatewayAttemptResult *out)
 {
+  if (attempt->endpoint_left)
+    {
+      out->endpoint_left = true;
+      out->outcome = DY_ATTEMPT_NOT_SENT;
+      return DY_PLACEMENT_CANCELLED;
+    }
   if (!attempt->sent)
     {
       out->outcome = DY_ATTEMPT_NOT_SENT;
@@ -130,10 +144,12 @@
              DyPlacementOutcome outcome)
 {
   dy_log (DY_EVENT_ENDPOINT_FAILED,
-          "request=%s endpoint=%s error=%s status=%u sent=%d head=%d foreign=%d not_run=%d end=%d",
+          "request=%s endpoint=%s error=%s status=%u sent=%d left=%d head=%d foreign=%d not_run=%d "
+          "end=%d",
           attempt->request_id, dy_placement_endpoint_id (attempt->endpoint),
           dy_error_info (result->error)->kind, attempt->status, attempt->sent,
-          attempt->head_received, attempt->foreign, attempt->answer.not_run, outcome);
+          attempt->endpoint_left, attempt->head_received, attempt->foreign, attempt->answer.not_run,
+          outcome);
 }
 
 static void
@@ -157,7 +173,7 @@
 }
 
 static const DyHttpTransferWatcher transfer_watcher
-    = { .head = on_head, .data = on_data, .done = on_done };
+    = { .before_send = on_before_send, .head = on_head, .data = on_data, .done = on_done };
 
 static void
 start (DyGatewayAttempt *attempt)
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -13,6 +13,9 @@
  *   An answer with another request's id is rejected, and so is a success (2xx) that lacks the
  *   request's id or the endpoint's signature, or whose body is encoded: it is not the endpoint's
  *   answer to this request.
+ *
+ *   If the endpoint leaves after it was chosen and before the request is sent, the attempt ends
+ *   without sending it.
  */
 
 #include "services/gateway.h"
@@ -22,6 +25,7 @@
   bool complete;            /* the endpoint's answer is complete */
   bool endpoint_error;      /* its status, 500 or above, reports a failure of the endpoint */
   bool crashed;             /* the connection broke before the answer was complete */
+  bool endpoint_left;       /* not sent, as the endpoint left after it was chosen */
   DyAttemptOutcome outcome; /* of an attempt without a complete answer */
 } DyGatewayAttemptResult;
 
@@ -61,6 +65,7 @@
   unsigned status;
   DyAnswerHead answer; /* its texts are invalid once the header has been handled */
   bool sent;           /* bytes may have reached the endpoint; set when the attempt ends */
+  bool endpoint_left;  /* nothing was sent, as the endpoint has left */
   bool paused;
   bool head_received; /* the answer's header has been received */
   bool foreign;       /* the answer is rejected: it is not the endpoint's to this request */
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -325,6 +325,12 @@
       retry_or_fail (request, DY_ATTEMPT_BROKEN, false);
       return;
     }
+  /* Nothing was sent, so it counts neither as an attempt nor against the limits on resends. */
+  if (result->endpoint_left)
+    {
+      send_attempt (request);
+      return;
+    }
   if (!result->complete)
     {
       if (result->crashed)
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -1,5 +1,5 @@
-/* The endpoint records as the router sees them through a stand-in of the platform's store, whose replies the test gives
- * by hand. */
+/* The endpoint records as the router sees them through a stand-in of the platform's store, whose
+ * replies the test gives by hand. */
 
 #include "kernel/error.h"
 #include "platform/dialect.h"
@@ -43,7 +43,7 @@
 record_call (Store *store, char kind, const char *key, DyPlatformDone done, void *ctx)
 {
   ck_assert_int_lt (store->n_calls, MAX_CALLS);
-  store->calls[store->n_calls++] = (StoreCall) { kind, g_strdup (key), done, ctx };
+  store->calls[store->n_calls++] = (StoreCall){ kind, g_strdup (key), done, ctx };
 }
 
 static void
@@ -156,7 +156,8 @@
 
 static const DyPlatformReply timed_out = { .error = DY_TIMEOUT };
 
-/* The list of endpoints must be read again as soon as possible after a failure, whatever other calls fail meanwhile. */
+/* The list of endpoints must be read again as soon as possible after a failure, whatever other
+ * calls fail meanwhile. */
 START_TEST (ledger_calls_that_time_out_do_not_hold_off_the_endpoint_watch)
 {
   Fixture fixture;
@@ -179,8 +180,8 @@
 
 static const char record[] = "{\"service\":\"app\",\"address\":\"127.0.0.1:1\",\"zone\":\"dc-a\","
                              "\"slots\":6,\"state\":\"ready\",\"sequence\":1}";
-static const DyObject listed[]
-    = { { "servers/e0", 1, record, sizeof record - 1 }, { "servers/e1", 2, record, sizeof record - 1 } };
+static const DyObject listed[] = { { "servers/e0", 1, record, sizeof record - 1 },
+                                   { "servers/e1", 2, record, sizeof record - 1 } };
 static const DyObject removal[] = { { "servers/e0", 3, NULL, 0 } };
 
 /* A record can expire only in an outage that lasts as long as several renewals. */
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -1,5 +1,6 @@
-/* Requests of the gateway in the test's own process, with its event loop in the test's hands: the test can change what
- * the router knows, or hold the loop up, between any two turns. Endpoints are stand-ins on loopback. */
+/* Requests of the gateway in the test's own process, with its event loop in the test's hands: the
+ * test can change what the router knows, or hold the loop up, between any two turns. Endpoints are
+ * stand-ins on loopback. */
 
 #include "kernel/error.h"
 #include "platform/dialect.h"
@@ -224,7 +225,8 @@
     g_string_free (answers[i].head, TRUE);
 }
 
-/* Makes the first endpoint leave after a request was placed there and before it is sent, and adds the second. */
+/* Makes the first endpoint leave after a request was placed there and before it is sent, and adds
+ * the second. */
 static void
 replace_first_endpoint (void *ctx)
 {
