Do not take the router's own delay for a timeout of the other side

What callers saw: on a crowded router, requests to endpoints that had left, refusals as no_endpoint, and refusals for want of a budget that could not be checked.

Cause: libcurl checks a transfer's time limit before it reads the socket. After a turn of the event loop of some hundred milliseconds the answer lies in the socket, but the call ends as a timeout, its connection is closed and the next call needs a new one, whose opening is limited in the same way.

Change: the limits are timers of the HTTP client whose priority is below that of the sockets, so what has arrived is read before a limit is applied. connect_timeout_ms ends with the sending of the request, where timeout_ms begins; the other side gets its time in full.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "kernel/error.h"
+#include "kernel/priority.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -25,6 +26,7 @@
   const DyHttpTransferWatcher *watcher;
   void *ctx;
   uint64_t etag;
+  int64_t timeout_ms;
   int64_t read_timeout_ms;
   int64_t sent_us;
   bool connected;
@@ -33,7 +35,8 @@
   bool resend_prevented;  /* libcurl was about to send the request a second time */
   bool withheld;          /* the before_send callback returned false */
   GPtrArray *head;        /* header fields of the answer: name, value, name, value ... */
-  ev_timer read_timer;    /* runs while bytes of the answer are awaited */
+  ev_timer limit_timer; /* limits the time until the request is sent, then the time of the answer */
+  ev_timer read_timer;  /* runs while bytes of the answer are awaited */
 };
 
 typedef struct
@@ -45,6 +48,7 @@
 static void
 free_transfer (DyHttpTransfer *transfer)
 {
+  ev_timer_stop (transfer->client->loop, &transfer->limit_timer);
   ev_timer_stop (transfer->client->loop, &transfer->read_timer);
   curl_multi_remove_handle (transfer->client->multi, transfer->easy);
   curl_easy_cleanup (transfer->easy);
@@ -89,6 +93,18 @@
   watcher->done (ctx, &result);
 }
 
+/* Starts the limit on the next phase of the transfer; 0: no limit. */
+static void
+set_limit (DyHttpTransfer *transfer, int64_t limit_ms)
+{
+  struct ev_loop *loop = transfer->client->loop;
+  ev_timer_stop (loop, &transfer->limit_timer);
+  if (limit_ms == 0)
+    return;
+  ev_timer_set (&transfer->limit_timer, (double) limit_ms / 1000.0, 0.0);
+  ev_timer_start (loop, &transfer->limit_timer);
+}
+
 /* Restarts the transfer; nothing was sent on the stale connection. */
 static void
 restart_on_new_connection (DyHttpTransfer *transfer)
@@ -357,11 +373,12 @@
     }
   transfer->connected = true;
   transfer->sent_us = g_get_monotonic_time ();
+  set_limit (transfer, transfer->timeout_ms);
   return CURL_PREREQFUNC_OK;
 }
 
 static void
-on_read_timeout (struct ev_loop *loop, ev_timer *w, int events)
+on_timeout (struct ev_loop *loop, ev_timer *w, int events)
 {
   (void) loop;
   (void) events;
@@ -392,8 +409,6 @@
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long) spec->connect_timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) spec->timeout_ms);
   transfer->headers = curl_slist_append (NULL, "Expect:");
   for (const char *const *h = spec->headers; h && *h; h++)
     transfer->headers = curl_slist_append (transfer->headers, *h);
@@ -447,11 +462,17 @@
   transfer->ctx = ctx;
   transfer->easy = curl_easy_init ();
   transfer->head = g_ptr_array_new_with_free_func (g_free);
+  transfer->timeout_ms = spec->timeout_ms;
   transfer->read_timeout_ms = spec->read_timeout_ms;
-  ev_init (&transfer->read_timer, on_read_timeout);
+  ev_init (&transfer->limit_timer, on_timeout);
+  ev_init (&transfer->read_timer, on_timeout);
+  ev_set_priority (&transfer->limit_timer, DY_PRIORITY_TIMEOUT);
+  ev_set_priority (&transfer->read_timer, DY_PRIORITY_TIMEOUT);
+  transfer->limit_timer.data = transfer;
   transfer->read_timer.data = transfer;
   transfer->read_timer.repeat = (double) spec->read_timeout_ms / 1000.0;
   set_options (transfer, spec);
+  set_limit (transfer, spec->connect_timeout_ms);
   client->n_transfers++;
   if (spec->read_timeout_ms)
     ev_timer_again (client->loop, &transfer->read_timer);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -14,6 +14,8 @@
  *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, or that the
  *   server has closed, is not reused: the request is sent on a new connection.
  *
+ *   A limit is checked after the sockets were read: what arrived while the loop was busy counts.
+ *
  * ERRORS
  *   DY_UNAVAILABLE: connecting, sending or receiving failed, or the server closed the connection
  *   without an answer.
@@ -82,8 +84,8 @@
   const char *const *headers; /* "Name: value" strings, NULL-terminated; may be NULL */
   const char *body;           /* copied; may be NULL */
   size_t n_body;
-  int64_t connect_timeout_ms; /* 0: libcurl's default */
-  int64_t timeout_ms;         /* limit for the entire transfer; 0: no limit */
+  int64_t connect_timeout_ms; /* limit on the time until the request is sent; 0: libcurl's */
+  int64_t timeout_ms;         /* limit on the time from then to the end of the answer; 0: none */
   int64_t read_timeout_ms;    /* limit on each wait for bytes of the answer; 0: no limit */
   int64_t max_idle_s;         /* connections idle for longer are not reused; 0: libcurl's default */
 } DyHttpSpec;
