Read what has arrived before an attempt, a peer or a reservation is given up

What callers saw: answers that came twice at a cost to the endpoints, and refusals as budget_unavailable, on a crowded router.

Change: the timers that end a silent attempt or a request, that judge the peers, time reservations out, and remove expired endpoint records run after the sockets of the same turn.

Test: gateway_request/answer_is_read_before_its_attempt_is_abandoned; before, two endpoints ran the request, now one. The timers of peers, reservations and records are changed by the same rule; they have no test of their own.

--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -2,6 +2,7 @@
 
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "kernel/priority.h"
 
 #include <string.h>
 
@@ -263,6 +264,7 @@
                         (uint32_t) kernel->incarnation_id, &actions, budgets);
   dy_peers_watch (budgets->peers, &peers_watcher, budgets);
   ev_timer_init (&budgets->tick, on_tick, TICK_S, TICK_S);
+  ev_set_priority (&budgets->tick, DY_PRIORITY_TIMEOUT);
   budgets->tick.data = budgets;
   ev_timer_start (kernel->loop, &budgets->tick);
   return DY_OK;
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -2,6 +2,7 @@
 
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "kernel/priority.h"
 
 #include <string.h>
 
@@ -317,6 +318,7 @@
                      (uint32_t) kernel->incarnation_id);
   dy_peers_watch (directory->peers, &peers_watcher, directory);
   ev_timer_init (&directory->expiry_timer, remove_expired, EXPIRY_CHECK_S, EXPIRY_CHECK_S);
+  ev_set_priority (&directory->expiry_timer, DY_PRIORITY_TIMEOUT);
   directory->expiry_timer.data = directory;
   ev_timer_start (kernel->loop, &directory->expiry_timer);
   start_watch (directory, &directory->routes_watch, directory->dialect->routes_prefix, apply_routes,
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -3,6 +3,7 @@
 #include "core/event_stream.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "kernel/priority.h"
 #include "services/gateway_attempt.h"
 #include "services/gateway_plan.h"
 #include "services/gateway_refusal.h"
@@ -576,6 +577,8 @@
 {
   ev_timer_init (&request->deadline_timer, on_deadline, 0.0, 0.0);
   ev_timer_init (&request->read_timer, on_read_timeout, 0.0, 0.0);
+  ev_set_priority (&request->deadline_timer, DY_PRIORITY_TIMEOUT);
+  ev_set_priority (&request->read_timer, DY_PRIORITY_TIMEOUT);
   request->deadline_timer.data = request;
   request->read_timer.data = request;
   if (request->plan.end_us == INT64_MAX)
--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -1,5 +1,6 @@
 #include "services/peers_private.h"
 
+#include "kernel/priority.h"
 #include "net/address.h"
 
 #include <errno.h>
@@ -219,6 +220,7 @@
                  (double) settings->heartbeat_ms / 1000.0);
   ev_timer_init (&peers->vm_list_timer, on_vm_list_timer, 0.0,
                  (double) settings->vm_list_interval_ms / 1000.0);
+  ev_set_priority (&peers->heartbeat_timer, DY_PRIORITY_TIMEOUT);
   peers->heartbeat_timer.data = peers;
   peers->vm_list_timer.data = peers;
   ev_timer_start (peers->kernel->loop, &peers->vm_list_timer);
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -22,13 +22,16 @@
 static const char routes_text[]
     = "{\"version\":1,\"routes\":[{\"name\":\"once\",\"host\":\"h.example\",\"pathPrefix\":\"/\","
       "\"routeType\":\"non_idempotent\",\"timeoutMs\":4000,\"targetLatencyMs\":100,\"service\":"
-      "\"app\",\"maxAttempts\":1}],\"services\":[{\"name\":\"app\"}],\"limits\":{}}";
+      "\"app\",\"maxAttempts\":1},{\"name\":\"ok\",\"host\":\"h.example\",\"pathPrefix\":\"/ok/\","
+      "\"routeType\":\"idempotent\",\"timeoutMs\":4000,\"targetLatencyMs\":50,\"service\":"
+      "\"app\",\"maxAttempts\":2}],\"services\":[{\"name\":\"app\"}],\"limits\":{}}";
 
 typedef struct
 {
   char *address;
   DyHttpServer server;
   int n_requests;
+  int64_t hold_up_us; /* time for which a request to the endpoint holds up the loop of the test */
 } Endpoint;
 
 typedef struct
@@ -60,6 +63,7 @@
   dy_http_call_add_header (call, "X-Request-Id", dy_http_call_header (call, "X-Request-Id"));
   dy_http_call_add_header (call, "X-Server-Seal", "5ea1.0.0");
   dy_http_call_reply (call, 200, "text/plain", "ok", 2);
+  g_usleep ((gulong) endpoint->hold_up_us);
 }
 
 static const DyHttpServerHandler endpoint_handler
@@ -187,13 +191,14 @@
   answer->done = true;
 }
 
-/* Sends N requests at once, each on a connection of its own, and waits for their answers. */
+/* Sends N requests for TARGET at once, each on a connection of its own, and waits for their
+ * answers. */
 static void
-send_requests (Fixture *fixture, Answer *answers, int n)
+send_requests (Fixture *fixture, const char *target, Answer *answers, int n)
 {
   static const DyHttpTransferWatcher watcher = { .head = on_head, .done = on_done };
   DyHttpClient client;
-  char *url = g_strdup_printf ("http://%s/x", fixture->address);
+  char *url = g_strdup_printf ("http://%s%s", fixture->address, target);
   dy_http_client_init (&client, fixture->kernel.loop);
   for (int i = 0; i < n; i++)
     {
@@ -268,7 +273,7 @@
   fixture_init (&fixture);
   put_endpoint (&fixture, 0, false);
   fixture.on_taken = departure_cases[_i].on_taken;
-  send_requests (&fixture, &answer, 1);
+  send_requests (&fixture, "/x", &answer, 1);
   ck_assert_msg (answer.result.status == departure_cases[_i].status, "%s: status %u",
                  departure_cases[_i].name, answer.result.status);
   for (int i = 0; i < N_ENDPOINTS; i++)
@@ -280,6 +285,26 @@
 }
 END_TEST
 
+/* The answer is in the socket when the loop continues, after the time of silence that ends an
+ * attempt. */
+START_TEST (answer_is_read_before_its_attempt_is_abandoned)
+{
+  Fixture fixture;
+  Answer answer;
+  fixture_init (&fixture);
+  for (int i = 0; i < N_ENDPOINTS; i++)
+    {
+      put_endpoint (&fixture, i, false);
+      fixture.endpoints[i].hold_up_us = 400 * 1000;
+    }
+  send_requests (&fixture, "/ok/x", &answer, 1);
+  ck_assert_uint_eq (answer.result.status, 200);
+  ck_assert_int_eq (fixture.endpoints[0].n_requests + fixture.endpoints[1].n_requests, 1);
+  free_answers (&answer, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -288,5 +313,6 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, request_is_not_sent_to_an_endpoint_that_left_after_the_choice, 0,
                        (int) G_N_ELEMENTS (departure_cases));
+  tcase_add_test (tcase, answer_is_read_before_its_attempt_is_abandoned);
   return suite_run ("gateway_request", tcase);
 }
