Do not let failed ledger calls hold off the watch of the endpoints

What callers saw: requests sent to endpoints that had left up to 3.1 s earlier.

Change: lists and watches have a probe of their own in each interval. In an outage of the store a router makes at most two calls in an interval instead of one.

Test: directory/ledger_calls_that_time_out_do_not_hold_off_the_endpoint_watch failed before (the watch was rejected), passes now.

--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -160,14 +160,16 @@
 /* Returns whether the breaker rejects a call that is made now. A call that it lets through while it
  * is open counts as the probe of this interval. */
 static bool
-breaker_rejects (DyPlatform *platform)
+breaker_rejects (DyPlatform *platform, CallKind kind)
 {
   int64_t now_us = g_get_monotonic_time ();
+  int64_t *probe_sent_us
+      = kind == CALL_LIST ? &platform->list_probe_sent_us : &platform->probe_sent_us;
   if (platform->n_failures < FAILURES_TO_OPEN)
     return false;
-  if (now_us - platform->last_probe_sent_us < platform->probe_interval_us)
+  if (now_us - *probe_sent_us < platform->probe_interval_us)
     return true;
-  platform->last_probe_sent_us = now_us;
+  *probe_sent_us = now_us;
   return false;
 }
 
@@ -207,7 +209,7 @@
   call->key = g_strdup (key);
   call->value = g_strdup (value);
   g_hash_table_add (platform->calls, call);
-  if (breaker_rejects (platform))
+  if (breaker_rejects (platform, call->kind))
     {
       reject_later (platform, call);
       return;
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -14,8 +14,8 @@
  *   counts as one call.
  *
  *   After two consecutive failed calls a circuit breaker opens: calls fail with DY_UNAVAILABLE
- *   without being sent, except for one probe in each probe interval, until a call succeeds. An
- *   outage thus costs few calls and is reported to the calling code at once.
+ *   without being sent, except for one list and one other call in each probe interval, until a call
+ *   succeeds. An outage thus costs few calls and is reported to the calling code at once.
  *
  * ERRORS
  *   DY_NOT_FOUND     the object does not exist
@@ -94,8 +94,11 @@
   ev_timer timer;      /* sends held calls */
   uint32_t n_failures; /* consecutive; from two on the breaker is open */
   int64_t probe_interval_us;
-  /* Monotonic time of the latest probe through the open breaker; 0: none. */
-  int64_t last_probe_sent_us;
+  /* Monotonic time of the latest probe through the open breaker; 0: none. Lists have probes of
+   * their own: what the router knows of routes and endpoints must not grow old because other calls
+   * fail. */
+  int64_t list_probe_sent_us;
+  int64_t probe_sent_us;
   GQueue rejected; /* calls rejected by the open breaker whose callbacks are still to be made */
   ev_timer rejection_timer; /* makes these callbacks */
   bool down;                /* the platform is unreachable */
