--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -2,11 +2,16 @@
  * replies the test gives by hand. */
 
 #include "kernel/error.h"
+#include "net/address.h"
 #include "platform/dialect.h"
+#include "platform/store.h"
 #include "services/directory.h"
+#include "support/fleet.h"
 #include "support/suite.h"
 
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -215,12 +220,139 @@
 }
 END_TEST
 
+/* A stand-in of the store on a socket, which knows on which connection a call arrives. It answers
+ * watches at once and other calls never. */
+typedef struct
+{
+  struct ev_loop *loop;
+  int listen_fd;
+  ev_io accept_io;
+  GPtrArray *connections; /* of ev_io */
+  int watch_fd;           /* connection of the latest watch */
+  int n_watches;
+} SocketStore;
+
+static void
+on_call (struct ev_loop *loop, ev_io *w, int events)
+{
+  static const char body[] = "{\"events\":[],\"at\":9}";
+  SocketStore *store = w->data;
+  char text[4096];
+  (void) events;
+  ssize_t n = recv (w->fd, text, sizeof text - 1, 0);
+  if (n <= 0)
+    {
+      ev_io_stop (loop, w);
+      return;
+    }
+  text[n] = '\0';
+  if (!strstr (text, "watch="))
+    return;
+  store->watch_fd = w->fd;
+  store->n_watches++;
+  char *answer
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen (body), body);
+  send (w->fd, answer, strlen (answer), MSG_NOSIGNAL);
+  g_free (answer);
+}
+
+static void
+on_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  SocketStore *store = w->data;
+  (void) events;
+  ev_io *io = g_new0 (ev_io, 1);
+  ev_io_init (io, on_call, accept (store->listen_fd, NULL, NULL), EV_READ);
+  io->data = store;
+  ev_io_start (loop, io);
+  g_ptr_array_add (store->connections, io);
+}
+
+static void
+socket_store_init (SocketStore *store, struct ev_loop *loop, const char *address)
+{
+  struct sockaddr_in addr;
+  memset (store, 0, sizeof *store);
+  store->loop = loop;
+  store->connections = g_ptr_array_new_with_free_func (g_free);
+  store->listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (dy_address_parse (address, &addr), DY_OK);
+  ck_assert_int_eq (bind (store->listen_fd, (struct sockaddr *) &addr, sizeof addr), 0);
+  ck_assert_int_eq (listen (store->listen_fd, 8), 0);
+  ev_io_init (&store->accept_io, on_accept, store->listen_fd, EV_READ);
+  store->accept_io.data = store;
+  ev_io_start (loop, &store->accept_io);
+}
+
+static void
+socket_store_finish (SocketStore *store)
+{
+  for (guint i = 0; i < store->connections->len; i++)
+    {
+      ev_io *io = g_ptr_array_index (store->connections, i);
+      ev_io_stop (store->loop, io);
+      close (io->fd);
+    }
+  g_ptr_array_unref (store->connections);
+  ev_io_stop (store->loop, &store->accept_io);
+  close (store->listen_fd);
+}
+
+static void
+store_error (void *ctx, const DyPlatformReply *reply)
+{
+  *(int *) ctx = reply->error;
+}
+
+static void
+run_until_answered (struct ev_loop *loop, const int *error)
+{
+  while (*error == 1)
+    ev_run (loop, EVRUN_ONCE);
+}
+
+/* Opening a connection takes longest when the router is crowded, which is when other calls time
+ * out. */
+START_TEST (watch_keeps_its_connection_when_other_calls_time_out)
+{
+  enum
+  {
+    TIMEOUT_MS = 100,
+    N_ROUNDS = 3,
+  };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  SocketStore server;
+  socket_store_init (&server, loop, address);
+  void *store = dy_store_new (loop, address, TIMEOUT_MS, TIMEOUT_MS);
+  int first_fd = 0;
+  for (int i = 0; i < N_ROUNDS; i++)
+    {
+      int error = 1;
+      dy_store_ops.list (store, "servers/", 7, store_error, &error);
+      run_until_answered (loop, &error);
+      ck_assert_int_eq (error, DY_OK);
+      first_fd = first_fd ? first_fd : server.watch_fd;
+      ck_assert_int_eq (server.watch_fd, first_fd);
+      error = 1;
+      dy_store_ops.get (store, "ledger/a", store_error, &error);
+      run_until_answered (loop, &error);
+      ck_assert_int_eq (error, DY_TIMEOUT);
+    }
+  ck_assert_int_eq (server.n_watches, N_ROUNDS);
+  dy_store_ops.free (store);
+  socket_store_finish (&server);
+  g_free (address);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tcase = tcase_create ("directory");
   tcase_set_timeout (tcase, 30);
   tcase_add_test (tcase, ledger_calls_that_time_out_do_not_hold_off_the_endpoint_watch);
+  tcase_add_test (tcase, watch_keeps_its_connection_when_other_calls_time_out);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
                        (int) G_N_ELEMENTS (removal_cases));
   return suite_run ("directory", tcase);
