Do not keep removed endpoints after a call that merely timed out

What callers saw: requests sent for 1.2 s more to endpoints whose records were gone.

Cause: a record that disappears within four seconds after an outage stays in use for a grace period, as it may have expired because the endpoint could not renew it. Any failed call of the watch counted as an outage.

Change: the grace period follows only if the store did not answer the watch for two seconds or more; in a shorter time no record expires.

Test: directory/removed_endpoint_is_not_kept_after_a_call_that_timed_out; its first case failed before (2 endpoints instead of 1). Its second case, an outage of four seconds, still keeps the endpoint.

--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -14,8 +14,10 @@
   ENDPOINTS_BATCH_DELAY_MS = 600,
   RETRY_MS = 200,                        /* between calls while the store is unreachable */
   PEER_REQUEST_INTERVAL_US = 300 * 1000, /* between requests for a peer's route table */
-  /* A record that disappears this soon after an outage may have expired during the outage. */
+  /* A record that disappears this soon after an outage may have expired during the outage, unless
+   * that was shorter than a record's lifetime without renewals. */
   EXPIRY_WINDOW_US = 4000 * 1000,
+  MIN_EXPIRY_OUTAGE_US = 2000 * 1000,
   EXPIRY_GRACE_US = 1200 * 1000, /* endpoints renew expired records within two seconds */
 };
 
@@ -209,10 +211,11 @@
       handle_list_failure (watch, reply->error);
       return;
     }
-  if (watch->failing)
-    watch->recovered_us = now_us (directory);
+  int64_t now = now_us (directory);
+  if (watch->failing && now - watch->replied_us >= MIN_EXPIRY_OUTAGE_US)
+    watch->recovered_us = now;
   watch->failing = false;
-  watch->replied_us = now_us (directory);
+  watch->replied_us = now;
   for (uint32_t i = 0; i < reply->n_objects; i++)
     watch->apply_watched (directory, &reply->objects[i]);
   if (watch->listing && watch == &directory->endpoints_watch)
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -16,6 +16,7 @@
  *   Endpoint records are leases that expire unless the endpoint renews them, which it cannot do
  *   while the store is unreachable. When a record disappears shortly after an outage, the endpoint
  *   therefore stays in use for a grace period and is removed only if the record does not return.
+ *   Calls that fail for a shorter time than a record lives are no outage in this sense.
  *
  * ERRORS
  *   A route table or an endpoint record that cannot be decoded is logged and ignored; the one in
@@ -42,7 +43,7 @@
   uint64_t version;       /* store version up to which changes were received; 0: list all objects */
   bool listing;         /* the call in progress lists all objects instead of waiting for changes */
   bool failing;         /* the latest call failed */
-  int64_t recovered_us; /* monotonic time of the first success after failures */
+  int64_t recovered_us; /* monotonic time of the first success after an outage */
   int64_t replied_us;   /* monotonic time of the latest success */
   ev_timer retry;       /* delays the next call after a failure or a change */
 } DyObjectWatch;
