Bound the time that a turn of the loop spends on new requests

What callers saw: on a router with more requests than processor time, streams stalled, refusals, and requests to endpoints that had left.

Cause: libmicrohttpd runs the handler for every request that is complete when it is called, so a turn of the event loop lasts as long as there are requests; the list of endpoints, the heartbeats and the answers of endpoints wait meanwhile. The logs of entry show turns of up to 515 ms on a router with 0.12 cores.

Change: a turn passes requests to the handler for 20 ms; the others wait in a queue, in the order of arrival. Handling is not delayed while there is room.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -7,14 +7,24 @@
 #include <string.h>
 #include <sys/socket.h>
 
+enum
+{
+  /* Time that a turn of the loop spends in the handler. Sockets and timers of all other work wait
+   * for the end of the turn. */
+  TURN_BUDGET_US = 20 * 1000,
+};
+
 struct DyHttpCall
 {
   DyHttpServer *server;
+  GList
+      pending_link; /* in the server's queue of complete requests; data: NULL if it is not there */
   struct MHD_Connection *connection;
   char *method;
   char *path;
   char *target;
   int64_t arrived_us;
+  int64_t complete_us; /* monotonic time at which the request was complete */
   GString *body;
   GString *out;    /* stream buffer */
   size_t out_sent; /* number of bytes at the start of out that were sent */
@@ -25,7 +35,7 @@
   void *ctx;
   ev_io disconnect_io; /* active while the connection is suspended */
   bool header_read;
-  bool handled;   /* the handler was called */
+  bool complete;  /* the request was passed to the handler or is in the server's queue */
   bool too_large; /* the body exceeds max_body_bytes */
   bool suspended;
   bool queued;              /* the answer was passed to libmicrohttpd */
@@ -57,6 +67,15 @@
   call->server->run_needed = true;
 }
 
+static void
+remove_pending (DyHttpCall *call)
+{
+  if (!call->pending_link.data)
+    return;
+  g_queue_unlink (&call->server->pending, &call->pending_link);
+  call->pending_link.data = NULL;
+}
+
 /* libmicrohttpd does not poll suspended connections, so a caller that disconnects is detected
  * here. Bytes that arrive are left to libmicrohttpd. */
 static void
@@ -70,6 +89,7 @@
   if (n > 0)
     return;
   call->aborted = true;
+  remove_pending (call);
   resume (call);
 }
 
@@ -216,6 +236,47 @@
     g_string_append_len (call->body, data, (gssize) n);
 }
 
+static void
+run_handler (DyHttpCall *call)
+{
+  DyHttpServer *server = call->server;
+  int64_t started_us = g_get_monotonic_time ();
+  if (call->too_large)
+    server->handler->too_large (server->ctx, call);
+  else
+    server->handler->handle (server->ctx, call);
+  server->turn_spent_us += g_get_monotonic_time () - started_us;
+}
+
+/* Passes the request to the handler, or to the queue if the time of this turn is used up. */
+static void
+take_request (DyHttpCall *call)
+{
+  DyHttpServer *server = call->server;
+  call->complete = true;
+  call->complete_us = g_get_monotonic_time ();
+  if (server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US)
+    {
+      run_handler (call);
+      return;
+    }
+  call->pending_link.data = call;
+  g_queue_push_tail_link (&server->pending, &call->pending_link);
+}
+
+/* Passes queued requests to the handler while time of this turn is left. */
+static void
+run_pending (DyHttpServer *server)
+{
+  while (server->pending.length > 0 && server->turn_spent_us < TURN_BUDGET_US)
+    {
+      DyHttpCall *call = g_queue_peek_head (&server->pending);
+      remove_pending (call);
+      run_handler (call);
+    }
+  server->turn_spent_us = 0;
+}
+
 static enum MHD_Result
 handle_connection (void *cls,
                    struct MHD_Connection *conn,
@@ -226,8 +287,8 @@
                    size_t *n_data,
                    void **state)
 {
-  DyHttpServer *server = cls;
   DyHttpCall *call = *state;
+  (void) cls;
   (void) version;
   (void) conn;
   if (!call)
@@ -240,14 +301,8 @@
       *n_data = 0;
       return MHD_YES;
     }
-  if (!call->handled)
-    {
-      call->handled = true;
-      if (call->too_large)
-        server->handler->too_large (server->ctx, call);
-      else
-        server->handler->handle (server->ctx, call);
-    }
+  if (!call->complete)
+    take_request (call);
   if (call->aborted)
     return MHD_NO;
   if (call->response)
@@ -268,6 +323,7 @@
   if (!call)
     return;
   ev_io_stop (server->loop, &call->disconnect_io);
+  remove_pending (call);
   g_hash_table_remove (server->calls, call);
   if (call->watcher && call->watcher->closed)
     call->watcher->closed (call->ctx, call,
@@ -319,14 +375,15 @@
 {
   DyHttpServer *server = w->data;
   (void) events;
+  run_pending (server);
   while (server->run_needed)
     {
       server->run_needed = false;
       MHD_run (server->daemon);
     }
-  MHD_UNSIGNED_LONG_LONG timeout_ms;
+  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
   ev_timer_stop (loop, &server->timer);
-  if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
+  if (server->pending.length == 0 && MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
     return;
   ev_timer_set (&server->timer, (double) timeout_ms / 1000.0, 0.0);
   ev_timer_start (loop, &server->timer);
@@ -433,6 +490,12 @@
   return call->arrived_us;
 }
 
+int64_t
+dy_http_call_waited_us (const DyHttpCall *call)
+{
+  return g_get_monotonic_time () - call->complete_us;
+}
+
 const GString *
 dy_http_call_body (const DyHttpCall *call)
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,9 @@
  *   request body, which is limited in size, is complete. It answers at once or later, with a
  *   complete body or with a stream.
  *
+ *   Each turn of the loop passes requests to the handler for a limited time; the others wait in the
+ *   order of their arrival. Thus a burst of requests does not hold up the other work of the loop.
+ *
  *   Unsent bytes of a stream are buffered per call. For flow control the writer checks
  *   dy_http_call_unsent_bytes() and continues on the drained callback, so a slow reader delays its
  *   own stream only.
@@ -55,6 +58,8 @@
   uint64_t max_body_bytes;
   uint64_t buffer_bytes;
   GHashTable *calls;       /* set of the calls that have not ended */
+  GQueue pending;          /* complete requests that wait for the handler */
+  int64_t turn_spent_us;   /* time spent in the handler in this turn of the loop */
   uint32_t idle_timeout_s; /* applies to connections opened later; 0: no timeout */
   bool closing;            /* answers carry "Connection: close" */
   bool run_needed;         /* MHD_run() is due before the loop waits */
@@ -91,6 +96,9 @@
 /* Returns the monotonic time at which the request line was read, in microseconds. */
 int64_t dy_http_call_arrived_us (const DyHttpCall *call);
 
+/* Returns the microseconds since the request was complete. */
+int64_t dy_http_call_waited_us (const DyHttpCall *call);
+
 const GString *dy_http_call_body (const DyHttpCall *call);
 
 /* Return the value of the request header or query parameter NAME, or NULL. */
