Refuse requests that waited too long for an overloaded router

What callers saw: on a router with more requests than processor time, answers after seconds or none before their deadlines.

Cause: the router took every request, however long it had waited for its turn, and worked on all of them at once.

Change: a request that has waited more than 250 ms for the handler, counted from the turn of the loop that read its end, is refused as overloaded (503, not run) with a Retry-After of 20 to 40 ms, as a retry reaches another router.

Test: gateway_request/requests_that_waited_too_long_are_refused_at_once; before, all three requests were sent to the endpoint after a hold-up of 400 ms.

--- a/src/kernel/error.h
+++ b/src/kernel/error.h
@@ -77,7 +77,9 @@
   X (SUSPENDED, -34, "suspended", 503, 7, NOT_RUN, 0,                                              \
      "endpoints failed under requests like this one; it is not run for now")                       \
   X (KEY_UNCHECKED, -35, "key_unchecked", 503, 7, NOT_RUN, 2,                                      \
-     "those who may know of the idempotency key cannot be asked now")
+     "those who may know of the idempotency key cannot be asked now")                              \
+  X (OVERLOADED, -36, "overloaded", 503, 7, NOT_RUN, 1,                                            \
+     "this router has more requests than it can handle")
 
 typedef enum
 {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -24,7 +24,7 @@
   char *path;
   char *target;
   int64_t arrived_us;
-  int64_t complete_us; /* monotonic time at which the request was complete */
+  int64_t ready_us; /* monotonic start of the turn of the loop that read the request's end */
   GString *body;
   GString *out;    /* stream buffer */
   size_t out_sent; /* number of bytes at the start of out that were sent */
@@ -254,7 +254,7 @@
 {
   DyHttpServer *server = call->server;
   call->complete = true;
-  call->complete_us = g_get_monotonic_time ();
+  call->ready_us = server->turn_started_us;
   if (server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US)
     {
       run_handler (call);
@@ -274,7 +274,6 @@
       remove_pending (call);
       run_handler (call);
     }
-  server->turn_spent_us = 0;
 }
 
 static enum MHD_Result
@@ -370,6 +369,16 @@
   MHD_run (server->daemon);
 }
 
+static void
+on_turn_start (struct ev_loop *loop, ev_check *w, int events)
+{
+  DyHttpServer *server = w->data;
+  (void) loop;
+  (void) events;
+  server->turn_started_us = g_get_monotonic_time ();
+  server->turn_spent_us = 0;
+}
+
 static void
 on_prepare (struct ev_loop *loop, ev_prepare *w, int events)
 {
@@ -423,11 +432,15 @@
   int fd = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   ev_io_init (&server->io, on_readable, fd, EV_READ);
   ev_timer_init (&server->timer, on_timer, 0.0, 0.0);
+  ev_check_init (&server->turn_start, on_turn_start);
   ev_prepare_init (&server->prepare, on_prepare);
   server->io.data = server;
   server->timer.data = server;
+  server->turn_start.data = server;
   server->prepare.data = server;
+  ev_set_priority (&server->turn_start, EV_MAXPRI);
   ev_io_start (loop, &server->io);
+  ev_check_start (loop, &server->turn_start);
   ev_prepare_start (loop, &server->prepare);
   return DY_OK;
 }
@@ -453,6 +466,7 @@
     return;
   ev_io_stop (server->loop, &server->io);
   ev_timer_stop (server->loop, &server->timer);
+  ev_check_stop (server->loop, &server->turn_start);
   ev_prepare_stop (server->loop, &server->prepare);
   abort_calls (server);
   MHD_stop_daemon (server->daemon);
@@ -493,7 +507,7 @@
 int64_t
 dy_http_call_waited_us (const DyHttpCall *call)
 {
-  return g_get_monotonic_time () - call->complete_us;
+  return g_get_monotonic_time () - call->ready_us;
 }
 
 const GString *
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -59,12 +59,14 @@
   uint64_t buffer_bytes;
   GHashTable *calls;       /* set of the calls that have not ended */
   GQueue pending;          /* complete requests that wait for the handler */
-  int64_t turn_spent_us;   /* time spent in the handler in this turn of the loop */
+  int64_t turn_started_us; /* monotonic time at which this turn of the loop began */
+  int64_t turn_spent_us;   /* time spent in the handler in this turn */
   uint32_t idle_timeout_s; /* applies to connections opened later; 0: no timeout */
   bool closing;            /* answers carry "Connection: close" */
   bool run_needed;         /* MHD_run() is due before the loop waits */
   ev_io io;
   ev_timer timer;
+  ev_check turn_start;
   ev_prepare prepare;
 } DyHttpServer;
 
@@ -96,7 +98,8 @@
 /* Returns the monotonic time at which the request line was read, in microseconds. */
 int64_t dy_http_call_arrived_us (const DyHttpCall *call);
 
-/* Returns the microseconds since the request was complete. */
+/* Returns the microseconds for which the complete request has waited, counted from the start of the
+ * turn of the loop that read its end. */
 int64_t dy_http_call_waited_us (const DyHttpCall *call);
 
 const GString *dy_http_call_body (const DyHttpCall *call);
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -5,6 +5,12 @@
 #include <string.h>
 #include <xxhash.h>
 
+enum
+{
+  /* Wait for the handler after which another router is likely to serve the request sooner. */
+  MAX_HANDLER_WAIT_US = 250 * 1000,
+};
+
 /* All parts of a prompt but the last are shared with other requests. */
 static DyPromptWork
 work_of_prompt (const DyRequestHead *head)
@@ -60,6 +66,8 @@
   const DyRouteTable *routes = &gateway->directory->routes;
   if (dy_gateway_is_closing (gateway))
     return DY_DRAINING;
+  if (dy_http_call_waited_us (call) > MAX_HANDLER_WAIT_US)
+    return DY_OVERLOADED;
   if (!dy_directory_ready (gateway->directory))
     return DY_STARTING;
   *route = dy_route_table_find (routes, head->host ? head->host : "", dy_http_call_target (call));
--- a/src/services/gateway_refusal.c
+++ b/src/services/gateway_refusal.c
@@ -7,7 +7,7 @@
 enum
 {
   RETRY_WAIT_MS = 300,      /* shortest Retry-After; up to the same again is added as jitter */
-  DRAINING_WAIT_MS = 20,    /* the same while draining: another router can serve the request */
+  ELSEWHERE_WAIT_MS = 20,   /* the same when another router can serve the request */
   MAX_RETRY_WAIT_MS = 4000, /* callers wait at most a third of their time limit */
 };
 
@@ -20,7 +20,8 @@
   if (info->run != DY_RUN_NOT_RUN || info->retry_after_s == 0)
     return 0;
   const DyPlatform *platform = gateway->budgets->platform;
-  int64_t wait_ms = error == DY_DRAINING ? DRAINING_WAIT_MS : RETRY_WAIT_MS;
+  bool elsewhere = error == DY_DRAINING || error == DY_OVERLOADED;
+  int64_t wait_ms = elsewhere ? ELSEWHERE_WAIT_MS : RETRY_WAIT_MS;
   /* The platform outage is assumed to last as long again as it has lasted so far. */
   if (error == DY_BUDGET_UNAVAILABLE && platform->down)
     wait_ms = CLAMP ((dy_kernel_now_us (gateway->kernel) - platform->down_since_us) / 1000,
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -3,6 +3,7 @@
  * stand-ins on loopback. */
 
 #include "kernel/error.h"
+#include "net/address.h"
 #include "platform/dialect.h"
 #include "services/gateway_request.h"
 #include "support/fleet.h"
@@ -10,6 +11,8 @@
 
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -305,6 +308,79 @@
 }
 END_TEST
 
+/* Connects to the gateway and sends a complete request, before the gateway's loop runs. */
+static int
+send_raw (const Fixture *fixture)
+{
+  static const char text[] = "GET /x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                             "X-Deadline-Ms: 4000\r\nConnection: close\r\n\r\n";
+  struct sockaddr_in addr;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (dy_address_parse (fixture->address, &addr), DY_OK);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *) &addr, sizeof addr), 0);
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+  return fd;
+}
+
+/* Runs the loop until the gateway closes FD, and returns what it sent. */
+static char *
+receive_raw (const Fixture *fixture, int fd)
+{
+  char block[4096];
+  ssize_t n;
+  GString *text = g_string_new (NULL);
+  while ((n = recv (fd, block, sizeof block, MSG_DONTWAIT)) != 0)
+    {
+      if (n > 0)
+        g_string_append_len (text, block, n);
+      else
+        ev_run (fixture->kernel.loop, EVRUN_NOWAIT);
+    }
+  close (fd);
+  return g_string_free (text, FALSE);
+}
+
+/* Holds the loop up for longer than a request may wait for its turn. */
+static void
+hold_up_once (void *ctx)
+{
+  Fixture *fixture = ctx;
+  fixture->on_taken = NULL;
+  g_usleep (400 * 1000);
+}
+
+/* The requests are read in the same turn of the loop. The first takes so long that the others
+ * waited too long when it is their turn; another router can serve them sooner. */
+START_TEST (requests_that_waited_too_long_are_refused_at_once)
+{
+  enum
+  {
+    N_REQUESTS = 3,
+  };
+  Fixture fixture;
+  int fds[N_REQUESTS];
+  int n_answered = 0;
+  int n_refused = 0;
+  fixture_init (&fixture);
+  put_endpoint (&fixture, 0, false);
+  fixture.on_taken = hold_up_once;
+  for (int i = 0; i < N_REQUESTS; i++)
+    fds[i] = send_raw (&fixture);
+  for (int i = 0; i < N_REQUESTS; i++)
+    {
+      char *text = receive_raw (&fixture, fds[i]);
+      n_answered += g_str_has_prefix (text, "HTTP/1.1 200 ");
+      n_refused += g_str_has_prefix (text, "HTTP/1.1 503 ") && strstr (text, "Retry-After: 0.0")
+                   && strstr (text, "\"overloaded\"");
+      g_free (text);
+    }
+  ck_assert_int_eq (n_answered, 1);
+  ck_assert_int_eq (n_refused, N_REQUESTS - 1);
+  ck_assert_int_eq (fixture.endpoints[0].n_requests, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -313,6 +389,7 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, request_is_not_sent_to_an_endpoint_that_left_after_the_choice, 0,
                        (int) G_N_ELEMENTS (departure_cases));
+  tcase_add_test (tcase, requests_that_waited_too_long_are_refused_at_once);
   tcase_add_test (tcase, answer_is_read_before_its_attempt_is_abandoned);
   return suite_run ("gateway_request", tcase);
 }
