Cut off answers of endpoints that never end

What callers saw: with an endpoint whose answer does not end, the request hung until a deadline while the router kept all bytes in memory; without a deadline both went on for ever.

Cause: the bytes of an answer's header, body, and of an incomplete event were not limited, and an idle connection on which bytes arrive stayed open until it was used again.

Change: the header and trailer fields of an answer and of its interim answers are limited to 64 KiB, an answer that is kept in memory to 4 MiB, an incomplete event to 256 KiB, an answer in whole to 64 MiB and ten minutes. Beyond that the connection is closed and the attempt counts as broken: the request may have run, so callers get 502, or the stream breaks off. libcurl discards the extension of a chunk without telling; there the time limit holds. Idle connections are watched and shut down when bytes or the end arrive.

--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -101,6 +101,12 @@
   g_string_truncate (stream->partial, 0);
 }
 
+size_t
+dy_event_stream_partial_bytes (const DyEventStream *stream)
+{
+  return stream->partial->len;
+}
+
 bool
 dy_event_stream_at_boundary (const DyEventStream *stream)
 {
--- a/src/core/event_stream.h
+++ b/src/core/event_stream.h
@@ -36,6 +36,9 @@
 /* Discards the bytes of an incomplete event. */
 void dy_event_stream_drop_partial (DyEventStream *stream);
 
+/* Returns the number of bytes held of an incomplete event. */
+size_t dy_event_stream_partial_bytes (const DyEventStream *stream);
+
 /* Returns whether all bytes so far belong to complete events. */
 bool dy_event_stream_at_boundary (const DyEventStream *stream);
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -12,6 +12,8 @@
 
 enum
 {
+  MAX_HEAD_BYTES
+  = 64 * 1024, /* of the header and trailer fields of an answer and of its interim answers */
   USER_TIMEOUT_MS = 2000, /* TCP drops a connection whose bytes stay unacknowledged this long */
   KEEP_ALIVE_IDLE_S = 1,  /* idle time before the first keep-alive probe */
   KEEP_ALIVE_INTERVAL_S = 1,
@@ -28,22 +30,29 @@
   uint64_t etag;
   int64_t timeout_ms;
   int64_t read_timeout_ms;
+  uint64_t max_body_bytes; /* 0: no limit */
+  uint64_t n_head_bytes;
+  uint64_t n_body_bytes;
   int64_t sent_us;
   bool connected;
   bool stale;             /* the reused connection had unread bytes or was closed by the server */
   bool on_new_connection; /* was restarted on a new connection */
   bool resend_prevented;  /* libcurl was about to send the request a second time */
+  bool rejected;          /* the data callback rejected the answer */
   bool withheld;          /* the before_send callback returned false */
   GPtrArray *head;        /* header fields of the answer: name, value, name, value ... */
   ev_timer limit_timer; /* limits the time until the request is sent, then the time of the answer */
   ev_timer read_timer;  /* runs while bytes of the answer are awaited */
 };
 
+/* An open connection's socket. */
 typedef struct
 {
-  ev_io io;
+  ev_io io; /* reports events to libcurl while the connection is in use, and unread bytes while idle
+             */
   DyHttpClient *client;
-} SocketWatcher;
+  int local_port; /* 0 until it is looked up */
+} Socket;
 
 static void
 free_transfer (DyHttpTransfer *transfer)
@@ -139,8 +148,8 @@
 static void
 on_socket_event (struct ev_loop *loop, ev_io *w, int events)
 {
-  SocketWatcher *watcher = w->data;
-  DyHttpClient *client = watcher->client;
+  const Socket *sock = w->data;
+  DyHttpClient *client = sock->client;
   int running;
   int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
   (void) loop;
@@ -148,6 +157,16 @@
   finish_completed (client);
 }
 
+/* An idle connection that the server closes or sends bytes on is of no more use. The shutdown makes
+ * the kernel reject further bytes; libcurl closes the socket when it looks for a connection. */
+static void
+on_idle_event (struct ev_loop *loop, ev_io *w, int events)
+{
+  (void) events;
+  ev_io_stop (loop, w);
+  shutdown (w->fd, SHUT_RDWR);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -176,27 +195,17 @@
 set_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
 {
   DyHttpClient *client = ctx;
-  SocketWatcher *watcher = socket_ctx;
+  Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
+  bool idle = what == CURL_POLL_REMOVE;
   (void) easy;
-  if (what == CURL_POLL_REMOVE)
-    {
-      if (watcher)
-        ev_io_stop (client->loop, &watcher->io);
-      g_free (watcher);
-      return 0;
-    }
-  if (!watcher)
-    {
-      watcher = g_new0 (SocketWatcher, 1);
-      watcher->client = client;
-      ev_init (&watcher->io, on_socket_event);
-      watcher->io.data = watcher;
-      curl_multi_assign (client->multi, fd, watcher);
-    }
-  ev_io_stop (client->loop, &watcher->io);
+  (void) socket_ctx;
+  if (!sock)
+    return 0;
+  ev_io_stop (client->loop, &sock->io);
   int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
-  ev_io_set (&watcher->io, fd, events);
-  ev_io_start (client->loop, &watcher->io);
+  ev_set_cb (&sock->io, idle ? on_idle_event : on_socket_event);
+  ev_io_set (&sock->io, fd, idle ? EV_READ : events);
+  ev_io_start (client->loop, &sock->io);
   return 0;
 }
 
@@ -243,7 +252,8 @@
   };
   if (transfer->read_timeout_ms)
     ev_timer_again (transfer->client->loop, &transfer->read_timer);
-  if (!parse_header_line (transfer, data, len))
+  transfer->n_head_bytes += len;
+  if (transfer->n_head_bytes > MAX_HEAD_BYTES || !parse_header_line (transfer, data, len))
     return 0;
   if (len <= N_NAME || g_ascii_strncasecmp (data, name, N_NAME) != 0)
     return len;
@@ -260,11 +270,18 @@
   DyHttpTransfer *transfer = ctx;
   if (transfer->read_timeout_ms)
     ev_timer_again (transfer->client->loop, &transfer->read_timer);
-  if (transfer->watcher->data && !transfer->watcher->data (transfer->ctx, transfer, data, size * n))
+  if (transfer->max_body_bytes && transfer->n_body_bytes + size * n > transfer->max_body_bytes)
+    return 0;
+  bool taken = !transfer->watcher->data
+               || transfer->watcher->data (transfer->ctx, transfer, data, size * n);
+  if (transfer->rejected)
+    return 0;
+  if (!taken)
     {
       ev_timer_stop (transfer->client->loop, &transfer->read_timer);
       return CURL_WRITEFUNC_PAUSE;
     }
+  transfer->n_body_bytes += size * n;
   return size * n;
 }
 
@@ -276,8 +293,12 @@
   int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   if (fd < 0)
     return CURL_SOCKET_BAD;
+  Socket *sock = g_new0 (Socket, 1);
+  sock->client = client;
+  ev_io_init (&sock->io, on_socket_event, fd, EV_READ);
+  sock->io.data = sock;
   client->n_connections++;
-  g_hash_table_insert (client->sockets, GINT_TO_POINTER (fd), NULL);
+  g_hash_table_insert (client->sockets, GINT_TO_POINTER (fd), sock);
   return fd;
 }
 
@@ -285,6 +306,9 @@
 close_socket (void *ctx, curl_socket_t fd)
 {
   DyHttpClient *client = ctx;
+  Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
+  if (sock)
+    ev_io_stop (client->loop, &sock->io);
   g_hash_table_remove (client->sockets, GINT_TO_POINTER (fd));
   return close (fd);
 }
@@ -322,18 +346,15 @@
 find_socket (DyHttpClient *client, int local_port)
 {
   GHashTableIter iter;
-  gpointer fd;
-  gpointer port;
+  gpointer value;
   g_hash_table_iter_init (&iter, client->sockets);
-  while (g_hash_table_iter_next (&iter, &fd, &port))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (!port)
-        {
-          port = GINT_TO_POINTER (get_local_port (GPOINTER_TO_INT (fd)));
-          g_hash_table_iter_replace (&iter, port);
-        }
-      if (GPOINTER_TO_INT (port) == local_port)
-        return GPOINTER_TO_INT (fd);
+      Socket *sock = value;
+      if (!sock->local_port)
+        sock->local_port = get_local_port (sock->io.fd);
+      if (sock->local_port == local_port)
+        return sock->io.fd;
     }
   return -1;
 }
@@ -429,7 +450,7 @@
   memset (client, 0, sizeof *client);
   client->loop = loop;
   client->multi = curl_multi_init ();
-  client->sockets = g_hash_table_new (NULL, NULL);
+  client->sockets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   ev_timer_init (&client->timer, on_timer, 0.0, 0.0);
   client->timer.data = client;
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
@@ -464,6 +485,7 @@
   transfer->head = g_ptr_array_new_with_free_func (g_free);
   transfer->timeout_ms = spec->timeout_ms;
   transfer->read_timeout_ms = spec->read_timeout_ms;
+  transfer->max_body_bytes = spec->max_body_bytes;
   ev_init (&transfer->limit_timer, on_timeout);
   ev_init (&transfer->read_timer, on_timeout);
   ev_set_priority (&transfer->limit_timer, DY_PRIORITY_TIMEOUT);
@@ -486,6 +508,12 @@
   free_transfer (transfer);
 }
 
+void
+dy_http_transfer_reject (DyHttpTransfer *transfer)
+{
+  transfer->rejected = true;
+}
+
 void
 dy_http_transfer_resume (DyHttpTransfer *transfer)
 {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -12,7 +12,8 @@
  *   A request is sent at most once. libcurl itself retries a request whose reused connection turns
  *   out to be closed; that second send is prevented and the transfer ends with an unknown outcome
  *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, or that the
- *   server has closed, is not reused: the request is sent on a new connection.
+ *   server has closed, is not reused: the request is sent on a new connection. The idle connection
+ * is shut down as soon as the bytes or the end arrive.
  *
  *   A limit is checked after the sockets were read: what arrived while the loop was busy counts.
  *
@@ -22,8 +23,8 @@
  *
  *   DY_TIMEOUT: a time limit was exceeded.
  *
- *   DY_PROTOCOL: the answer is malformed or ended early, the head callback rejected it, or libcurl
- *   reported any other error.
+ *   DY_PROTOCOL: the answer is malformed or ended early, its header or body is too long, the head
+ *   callback rejected it, or libcurl reported any other error.
  */
 
 #include <curl/curl.h>
@@ -33,6 +34,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Limits on an endpoint's answer, beyond what an engine generates for one request. They end answers
+ * that would never end. */
+enum
+{
+  DY_HTTP_MAX_STREAM_BYTES = 64 * 1024 * 1024,
+  DY_HTTP_MAX_STREAM_MS = 600 * 1000,
+};
+
 typedef struct DyHttpTransfer DyHttpTransfer;
 
 typedef struct
@@ -41,7 +50,7 @@
   CURLM *multi;
   ev_timer timer;
   uint32_t n_transfers;
-  GHashTable *sockets;    /* socket descriptor -> local port, 0 until it is looked up */
+  GHashTable *sockets;    /* set of the open connections, by socket descriptor */
   uint64_t n_connections; /* number of sockets opened since init */
 } DyHttpClient;
 
@@ -87,6 +96,7 @@
   int64_t connect_timeout_ms; /* limit on the time until the request is sent; 0: libcurl's */
   int64_t timeout_ms;         /* limit on the time from then to the end of the answer; 0: none */
   int64_t read_timeout_ms;    /* limit on each wait for bytes of the answer; 0: no limit */
+  uint64_t max_body_bytes;    /* a longer body ends the transfer with DY_PROTOCOL; 0: no limit */
   int64_t max_idle_s;         /* connections idle for longer are not reused; 0: libcurl's default */
 } DyHttpSpec;
 
@@ -104,6 +114,9 @@
 /* Ends the transfer and closes its connection. Must not be called from the data callback. */
 void dy_http_transfer_cancel (DyHttpTransfer *transfer);
 
+/* To be called from the data callback: ends the transfer with DY_PROTOCOL after it returns. */
+void dy_http_transfer_reject (DyHttpTransfer *transfer);
+
 /* Continues a transfer that the data callback paused. */
 void dy_http_transfer_resume (DyHttpTransfer *transfer);
 
--- a/src/services/endpoints.c
+++ b/src/services/endpoints.c
@@ -129,8 +129,7 @@
 {
   Poll *poll = ctx;
   (void) transfer;
-  if (poll->body->len + n <= MAX_LOAD_REPORT_BYTES)
-    g_string_append_len (poll->body, data, (gssize) n);
+  g_string_append_len (poll->body, data, (gssize) n);
   return true;
 }
 
@@ -170,7 +169,8 @@
   DyHttpSpec spec = { .method = "GET",
                       .url = url,
                       .connect_timeout_ms = settings->connect_timeout_ms,
-                      .timeout_ms = settings->connect_timeout_ms };
+                      .timeout_ms = settings->connect_timeout_ms,
+                      .max_body_bytes = MAX_LOAD_REPORT_BYTES };
   g_hash_table_add (endpoints->polls, poll);
   poll->transfer = dy_http_client_start (&endpoints->client, &spec, &poll_watcher, poll);
   g_free (url);
@@ -278,7 +278,9 @@
                       .body = spec->body,
                       .n_body = spec->n_body,
                       .connect_timeout_ms = settings->connect_timeout_ms,
-                      .read_timeout_ms = settings->attempt_timeout_ms };
+                      .timeout_ms = DY_HTTP_MAX_STREAM_MS,
+                      .read_timeout_ms = settings->attempt_timeout_ms,
+                      .max_body_bytes = DY_HTTP_MAX_STREAM_BYTES };
   dy_counters_add (&endpoints->kernel->counters, DY_COUNTER_ATTEMPTS, 1);
   g_hash_table_add (endpoints->attempts, attempt);
   attempt->transfer = dy_http_client_start (&endpoints->client, &http, &transfer_watcher, attempt);
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -191,6 +191,8 @@
                       .body = has_body ? body->str : NULL,
                       .n_body = body->len,
                       .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                      .timeout_ms = DY_HTTP_MAX_STREAM_MS,
+                      .max_body_bytes = DY_HTTP_MAX_STREAM_BYTES,
                       .max_idle_s = idle_s > 1 ? idle_s - 1 : 0 };
   attempt->transfer = dy_http_client_start (&gateway->client, &spec, &transfer_watcher, attempt);
   g_free (url);
@@ -281,6 +283,12 @@
   dy_placement_prompt_read (attempt->endpoint, &attempt->work);
 }
 
+void
+dy_gateway_attempt_reject (DyGatewayAttempt *attempt)
+{
+  dy_http_transfer_reject (attempt->transfer);
+}
+
 void
 dy_gateway_attempt_resume (DyGatewayAttempt *attempt)
 {
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -91,6 +91,9 @@
 /* Reports that the endpoint has processed the prompt, as the first event shows. */
 void dy_gateway_attempt_on_first_event (DyGatewayAttempt *attempt);
 
+/* To be called from the data callback: ends the attempt, whose answer is malformed or too long. */
+void dy_gateway_attempt_reject (DyGatewayAttempt *attempt);
+
 void dy_gateway_attempt_resume (DyGatewayAttempt *attempt);
 
 /* Ends the attempt by closing its connection; OUTCOME is reported to placement. Not to be called
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -11,6 +11,9 @@
 enum
 {
   TIME_NEEDED_MS = 20, /* remaining time below which another attempt is not worthwhile */
+  /* Limits on what is kept in memory until an answer, or an event of a stream, is complete. */
+  MAX_ANSWER_BYTES = 4 * 1024 * 1024,
+  MAX_EVENT_BYTES = 256 * 1024,
 };
 
 typedef enum
@@ -233,13 +236,21 @@
   Request *request = ctx;
   if (!expects_events (request))
     {
-      g_string_append_len (request->body, data, (gssize) n);
+      if (request->body->len + n > MAX_ANSWER_BYTES)
+        dy_gateway_attempt_reject (&request->attempt);
+      else
+        g_string_append_len (request->body, data, (gssize) n);
       return true;
     }
   if (request->call
       && dy_http_call_unsent_bytes (request->call) >= request->gateway->server.buffer_bytes)
     return false;
   dy_event_stream_feed (&request->events, data, n, request->body);
+  if (dy_event_stream_partial_bytes (&request->events) > MAX_EVENT_BYTES)
+    {
+      dy_gateway_attempt_reject (&request->attempt);
+      return true;
+    }
   if (request->body->len == 0 || !request->call)
     return true;
   if (request->stream_started)
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -5,6 +5,7 @@
 #include "kernel/error.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "support/endless.h"
 #include "support/fleet.h"
 #include "support/suite.h"
 
@@ -398,6 +399,67 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  const char *prefix;
+  const char *repeated;
+  int error;
+} endless_cases[] = {
+  { "header fields", "HTTP/1.1 200 OK\r\n", ENDLESS_BLOCK (ENDLESS_LINE_64), DY_PROTOCOL },
+  { "header line", "HTTP/1.1 200 OK\r\nX-A: ", ENDLESS_BLOCK (ENDLESS_TEXT_64), DY_PROTOCOL },
+  { "interim answers", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n",
+    DY_PROTOCOL },
+  { "body without a length", "HTTP/1.1 200 OK\r\n\r\n", ENDLESS_BLOCK (ENDLESS_TEXT_64),
+    DY_PROTOCOL },
+  { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "40\r\n" ENDLESS_TEXT_64 "\r\n", DY_PROTOCOL },
+  { "trailer fields", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    ENDLESS_BLOCK (ENDLESS_LINE_64), DY_PROTOCOL },
+  { "chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40;",
+    ENDLESS_BLOCK (ENDLESS_TEXT_64), DY_TIMEOUT },
+  { "body beyond its length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    ENDLESS_BLOCK (ENDLESS_TEXT_64), DY_OK },
+};
+
+/* The transfer ends by a limit on bytes, or by its time limit where libcurl discards the bytes, and
+ * the connection is closed. */
+START_TEST (answer_that_never_ends_is_cut_off)
+{
+  enum
+  {
+    MAX_ANSWER_BYTES = 256 * 1024,
+    TIMEOUT_MS = 1000,
+  };
+  static const DyHttpTransferWatcher watcher = { .done = on_done };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  char *url = g_strdup_printf ("http://%s/p", address);
+  EndlessServer server;
+  Outcome outcome = { .loop = loop };
+  DyHttpSpec spec = { .method = "GET",
+                      .url = url,
+                      .connect_timeout_ms = TIMEOUT_MS,
+                      .timeout_ms = TIMEOUT_MS,
+                      .max_body_bytes = MAX_ANSWER_BYTES };
+  DyHttpClient client;
+  ck_assert (
+      endless_init (&server, loop, address, endless_cases[_i].prefix, endless_cases[_i].repeated));
+  dy_http_client_init (&client, loop);
+  dy_http_client_start (&client, &spec, &watcher, &outcome);
+  while (!outcome.done)
+    ev_run (loop, EVRUN_ONCE);
+  ck_assert_msg (outcome.result.error == endless_cases[_i].error, "%s: error %d",
+                 endless_cases[_i].name, outcome.result.error);
+  while (!server.closed)
+    ev_run (loop, EVRUN_ONCE);
+  dy_http_client_finish (&client);
+  endless_finish (&server);
+  g_free (url);
+  g_free (address);
+}
+END_TEST
+
 typedef struct
 {
   DyHttpServer server;
@@ -480,6 +542,8 @@
   tcase_add_test (tcase, a_connection_with_unread_bytes_is_not_reused);
   tcase_add_loop_test (tcase, a_held_up_loop_is_not_a_timeout_of_the_server, 0,
                        (int) G_N_ELEMENTS (delay_cases));
+  tcase_add_loop_test (tcase, answer_that_never_ends_is_cut_off, 0,
+                       (int) G_N_ELEMENTS (endless_cases));
   tcase_add_test (tcase, a_burst_of_requests_does_not_hold_up_the_loop);
   return suite_run ("net", tcase);
 }
