Watch only connections without a transfer as idle

A socket now knows the transfer whose request was sent on it, and is watched as idle only after that has ended.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -20,10 +20,21 @@
   KEEP_ALIVE_PROBES = 2,
 };
 
+/* An open connection's socket. */
+typedef struct
+{
+  ev_io io; /* reports events to libcurl while the connection is in use, and unread bytes while idle
+             */
+  DyHttpClient *client;
+  DyHttpTransfer *transfer; /* whose request was sent; NULL: idle, or the request is not sent yet */
+  int local_port;           /* 0 until it is looked up */
+} Socket;
+
 struct DyHttpTransfer
 {
   DyHttpClient *client;
   CURL *easy;
+  Socket *sock; /* on which the request was sent; NULL: not sent, or the connection is closed */
   struct curl_slist *headers;
   const DyHttpTransferWatcher *watcher;
   void *ctx;
@@ -45,14 +56,26 @@
   ev_timer read_timer;  /* runs while bytes of the answer are awaited */
 };
 
-/* An open connection's socket. */
-typedef struct
+/* An idle connection that the server closes or sends bytes on is of no more use. The shutdown makes
+ * the kernel reject further bytes; libcurl closes the socket when it looks for a connection. */
+static void
+on_idle_event (struct ev_loop *loop, ev_io *w, int events)
 {
-  ev_io io; /* reports events to libcurl while the connection is in use, and unread bytes while idle
-             */
-  DyHttpClient *client;
-  int local_port; /* 0 until it is looked up */
-} Socket;
+  (void) events;
+  ev_io_stop (loop, w);
+  shutdown (w->fd, SHUT_RDWR);
+}
+
+static void
+watch_idle (Socket *sock)
+{
+  struct ev_loop *loop = sock->client->loop;
+  sock->transfer = NULL;
+  ev_io_stop (loop, &sock->io);
+  ev_set_cb (&sock->io, on_idle_event);
+  ev_io_set (&sock->io, sock->io.fd, EV_READ);
+  ev_io_start (loop, &sock->io);
+}
 
 static void
 free_transfer (DyHttpTransfer *transfer)
@@ -61,6 +84,8 @@
   ev_timer_stop (transfer->client->loop, &transfer->read_timer);
   curl_multi_remove_handle (transfer->client->multi, transfer->easy);
   curl_easy_cleanup (transfer->easy);
+  if (transfer->sock)
+    watch_idle (transfer->sock);
   curl_slist_free_all (transfer->headers);
   g_ptr_array_unref (transfer->head);
   transfer->client->n_transfers--;
@@ -157,16 +182,6 @@
   finish_completed (client);
 }
 
-/* An idle connection that the server closes or sends bytes on is of no more use. The shutdown makes
- * the kernel reject further bytes; libcurl closes the socket when it looks for a connection. */
-static void
-on_idle_event (struct ev_loop *loop, ev_io *w, int events)
-{
-  (void) events;
-  ev_io_stop (loop, w);
-  shutdown (w->fd, SHUT_RDWR);
-}
-
 static void
 on_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -196,16 +211,16 @@
 {
   DyHttpClient *client = ctx;
   Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
-  bool idle = what == CURL_POLL_REMOVE;
   (void) easy;
   (void) socket_ctx;
   if (!sock)
     return 0;
-  ev_io_stop (client->loop, &sock->io);
   int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
-  ev_set_cb (&sock->io, idle ? on_idle_event : on_socket_event);
-  ev_io_set (&sock->io, fd, idle ? EV_READ : events);
-  ev_io_start (client->loop, &sock->io);
+  ev_io_stop (client->loop, &sock->io);
+  ev_set_cb (&sock->io, on_socket_event);
+  ev_io_set (&sock->io, fd, events);
+  if (what != CURL_POLL_REMOVE)
+    ev_io_start (client->loop, &sock->io);
   return 0;
 }
 
@@ -309,6 +324,8 @@
   Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
   if (sock)
     ev_io_stop (client->loop, &sock->io);
+  if (sock && sock->transfer)
+    sock->transfer->sock = NULL;
   g_hash_table_remove (client->sockets, GINT_TO_POINTER (fd));
   return close (fd);
 }
@@ -341,8 +358,8 @@
   return getsockname (fd, (struct sockaddr *) &addr, &n) ? 0 : ntohs (addr.sin_port);
 }
 
-/* Returns the open socket with LOCAL_PORT, or -1. */
-static int
+/* Returns the open socket with LOCAL_PORT, or NULL. */
+static Socket *
 find_socket (DyHttpClient *client, int local_port)
 {
   GHashTableIter iter;
@@ -354,19 +371,18 @@
       if (!sock->local_port)
         sock->local_port = get_local_port (sock->io.fd);
       if (sock->local_port == local_port)
-        return sock->io.fd;
+        return sock;
     }
-  return -1;
+  return NULL;
 }
 
 /* Returns whether the connection has unread bytes, such as the rest of an earlier answer, or was
  * closed by the server. Before a request is sent there must be neither. */
 static bool
-is_stale (DyHttpClient *client, int local_port)
+is_stale (const Socket *sock)
 {
   char byte;
-  int fd = find_socket (client, local_port);
-  return fd >= 0 && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+  return recv (sock->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
 /* Called by libcurl before each send of the request. */
@@ -382,7 +398,8 @@
       transfer->resend_prevented = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  if (is_stale (transfer->client, local_port))
+  Socket *sock = find_socket (transfer->client, local_port);
+  if (sock && is_stale (sock))
     {
       transfer->stale = true;
       return CURL_PREREQFUNC_ABORT;
@@ -392,6 +409,9 @@
       transfer->withheld = true;
       return CURL_PREREQFUNC_ABORT;
     }
+  transfer->sock = sock;
+  if (sock)
+    sock->transfer = transfer;
   transfer->connected = true;
   transfer->sent_us = g_get_monotonic_time ();
   set_limit (transfer, transfer->timeout_ms);
--- a/test/support/endless.h
+++ b/test/support/endless.h
@@ -36,8 +36,7 @@
                    const char *repeated);
 void endless_finish (EndlessServer *server);
 
-#define ENDLESS_LINE_64                                                                            \
-  "X-A: 012345678901234567890123456789012345678901234567890123456\r\n"
+#define ENDLESS_LINE_64 "X-A: 012345678901234567890123456789012345678901234567890123456\r\n"
 #define ENDLESS_TEXT_64 "0123456789012345678901234567890123456789012345678901234567890123"
 #define ENDLESS_BLOCK(part)                                                                        \
   part part part part part part part part part part part part part part part part
