Tell connections with the same local port apart

Cause: the socket of a transfer was looked up by its local port alone. Connections to different addresses can share a local port, so the wrong socket was inspected before a request and, since idle connections are watched, shut down while another transfer used it; its entry was then used after it was freed.

Change: the remote address and port are compared, too.

Test: net/connections_with_the_same_local_port_are_not_confused failed in 6 of 6 runs before (time-outs and a segmentation fault), passes in 6 of 6 and once under the sanitizers.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -3,6 +3,7 @@
 #include "kernel/error.h"
 #include "kernel/priority.h"
 
+#include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -27,7 +28,8 @@
              */
   DyHttpClient *client;
   DyHttpTransfer *transfer; /* whose request was sent; NULL: idle, or the request is not sent yet */
-  int local_port;           /* 0 until it is looked up */
+  struct sockaddr_in remote;
+  int local_port; /* 0 until it is looked up */
 } Socket;
 
 struct DyHttpTransfer
@@ -310,6 +312,8 @@
     return CURL_SOCKET_BAD;
   Socket *sock = g_new0 (Socket, 1);
   sock->client = client;
+  if (address->family == AF_INET)
+    memcpy (&sock->remote, &address->addr, sizeof sock->remote);
   ev_io_init (&sock->io, on_socket_event, fd, EV_READ);
   sock->io.data = sock;
   client->n_connections++;
@@ -358,16 +362,22 @@
   return getsockname (fd, (struct sockaddr *) &addr, &n) ? 0 : ntohs (addr.sin_port);
 }
 
-/* Returns the open socket with LOCAL_PORT, or NULL. */
+/* Returns the open socket that is connected from LOCAL_PORT to IP and PORT, or NULL. Sockets that
+ * are connected to different addresses can have the same local port. */
 static Socket *
-find_socket (DyHttpClient *client, int local_port)
+find_socket (DyHttpClient *client, const char *ip, int port, int local_port)
 {
   GHashTableIter iter;
   gpointer value;
+  struct in_addr addr;
+  if (inet_pton (AF_INET, ip, &addr) != 1)
+    return NULL;
   g_hash_table_iter_init (&iter, client->sockets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Socket *sock = value;
+      if (sock->remote.sin_addr.s_addr != addr.s_addr || ntohs (sock->remote.sin_port) != port)
+        continue;
       if (!sock->local_port)
         sock->local_port = get_local_port (sock->io.fd);
       if (sock->local_port == local_port)
@@ -390,15 +400,13 @@
 on_prerequest (void *ctx, char *ip, char *local_ip, int port, int local_port)
 {
   DyHttpTransfer *transfer = ctx;
-  (void) ip;
   (void) local_ip;
-  (void) port;
   if (transfer->connected)
     {
       transfer->resend_prevented = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  Socket *sock = find_socket (transfer->client, local_port);
+  Socket *sock = find_socket (transfer->client, ip, port, local_port);
   if (sock && is_stale (sock))
     {
       transfer->stale = true;
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -348,6 +348,65 @@
 }
 END_TEST
 
+/* Connections to different servers may have the same local port, and with this number of them some
+ * do. Each must be told from the others when it becomes idle. */
+START_TEST (connections_with_the_same_local_port_are_not_confused)
+{
+  enum
+  {
+    N_SERVERS = 16,
+    N_CALLS = 25,  /* at the same time, to each server */
+    N_CLIENTS = 8, /* one after the other, each with new connections */
+    N_ROUNDS = 2,
+  };
+  static const DyHttpTransferWatcher watcher = { .done = on_done };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  Receiver receivers[N_SERVERS] = { 0 };
+  char *urls[N_SERVERS];
+  Outcome outcomes[N_SERVERS * N_CALLS];
+  DyHttpClient client;
+  for (int i = 0; i < N_SERVERS; i++)
+    {
+      char *address = fleet_free_address ();
+      urls[i] = g_strdup_printf ("http://%s/p", address);
+      ck_assert_int_eq (dy_http_server_init (&receivers[i].server, loop, address, MAX_BODY_BYTES,
+                                             MAX_HEADER_BYTES, MAX_BODY_BYTES, &handler,
+                                             &receivers[i]),
+                        DY_OK);
+      g_free (address);
+    }
+  for (int round = 0; round < N_CLIENTS * N_ROUNDS; round++)
+    {
+      if (round % N_ROUNDS == 0)
+        dy_http_client_init (&client, loop);
+      memset (outcomes, 0, sizeof outcomes);
+      for (int i = 0; i < N_SERVERS * N_CALLS; i++)
+        {
+          DyHttpSpec spec = { .method = "GET",
+                              .url = urls[i % N_SERVERS],
+                              .connect_timeout_ms = 5000,
+                              .timeout_ms = 5000 };
+          outcomes[i].loop = loop;
+          dy_http_client_start (&client, &spec, &watcher, &outcomes[i]);
+        }
+      for (int i = 0; i < N_SERVERS * N_CALLS; i++)
+        {
+          while (!outcomes[i].done)
+            ev_run (loop, EVRUN_ONCE);
+          ck_assert_msg (outcomes[i].result.error == DY_OK, "round %d, call %d: error %d", round, i,
+                         outcomes[i].result.error);
+        }
+      if (round % N_ROUNDS == N_ROUNDS - 1)
+        dy_http_client_finish (&client);
+    }
+  for (int i = 0; i < N_SERVERS; i++)
+    {
+      dy_http_server_finish (&receivers[i].server);
+      g_free (urls[i]);
+    }
+}
+END_TEST
+
 /* The loop is held up for longer than the time limit while the connection is being opened, or while
  * the answer waits in the socket. Neither is the server's delay. */
 static const struct
@@ -540,6 +599,7 @@
   tcase_add_loop_test (tcase, ambiguous_framing_is_rejected, 0, (int) G_N_ELEMENTS (framing_cases));
   tcase_add_loop_test (tcase, a_call_is_sent_once, 0, (int) G_N_ELEMENTS (call_cases));
   tcase_add_test (tcase, a_connection_with_unread_bytes_is_not_reused);
+  tcase_add_test (tcase, connections_with_the_same_local_port_are_not_confused);
   tcase_add_loop_test (tcase, a_held_up_loop_is_not_a_timeout_of_the_server, 0,
                        (int) G_N_ELEMENTS (delay_cases));
   tcase_add_loop_test (tcase, answer_that_never_ends_is_cut_off, 0,
