Check declared endpoints again right before a request is sent

The attempt now ends as not sent, without counting against the endpoint, and the request goes elsewhere.

Test: directory/attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice failed before (the attempt was answered).

--- a/src/services/endpoints.c
+++ b/src/services/endpoints.c
@@ -14,6 +14,7 @@
   DyHttpTransfer *transfer;
   const DyAttemptWatcher *watcher;
   void *ctx;
+  bool endpoint_left; /* nothing was sent, as the endpoint left after it was chosen */
 };
 
 typedef struct
@@ -88,6 +89,15 @@
   g_hash_table_remove (endpoints->attempts, attempt);
 }
 
+static bool
+on_before_send (void *ctx)
+{
+  DyAttempt *attempt = ctx;
+  const DyEndpoint *endpoint = dy_routing_find (&attempt->endpoints->routing, attempt->endpoint);
+  attempt->endpoint_left = !endpoint || endpoint->declared_leaving || endpoint->reported_leaving;
+  return !attempt->endpoint_left;
+}
+
 static bool
 on_data (void *ctx, DyHttpTransfer *transfer, const char *data, size_t n)
 {
@@ -106,14 +116,15 @@
   bool failed = result->error || !is_success (result->status);
   DyAttemptOutcome outcome = attempt_outcome (attempt, result);
   if (failed)
-    dy_log (DY_EVENT_ENDPOINT_FAILED, "endpoint=%s kind=%s status=%u connected=%d",
+    dy_log (DY_EVENT_ENDPOINT_FAILED, "endpoint=%s kind=%s status=%u connected=%d left=%d",
             attempt->endpoint, dy_error_info (result->error)->kind, result->status,
-            result->connected);
-  end_attempt (attempt, failed && outcome != DY_ATTEMPT_REJECTED);
+            result->connected, attempt->endpoint_left);
+  end_attempt (attempt, failed && outcome != DY_ATTEMPT_REJECTED && !attempt->endpoint_left);
   watcher->done (watcher_ctx, failed, outcome, result->status);
 }
 
-static const DyHttpTransferWatcher transfer_watcher = { .data = on_data, .done = on_done };
+static const DyHttpTransferWatcher transfer_watcher
+    = { .before_send = on_before_send, .data = on_data, .done = on_done };
 
 static void
 free_poll (gpointer data)
--- a/src/services/endpoints.h
+++ b/src/services/endpoints.h
@@ -33,8 +33,9 @@
   /* Part of the body of a successful answer. Returns false to pause until dy_attempt_resume(); the
    * same part is then delivered again. */
   bool (*data) (void *ctx, const char *data, size_t n);
-  /* The attempt has ended and is no longer valid. OUTCOME says how it failed and holds only if
-   * FAILED. STATUS is the endpoint's HTTP status, 0 if no answer began. */
+  /* The attempt has ended and is no longer valid. If the endpoint left before the request was sent,
+   * nothing is sent and OUTCOME is DY_ATTEMPT_NOT_SENT. OUTCOME says how it failed and holds only
+   * if FAILED. STATUS is the endpoint's HTTP status, 0 if no answer began. */
   void (*done) (void *ctx, bool failed, DyAttemptOutcome outcome, unsigned status);
 } DyAttemptWatcher;
 
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -6,6 +6,7 @@
 #include "platform/dialect.h"
 #include "platform/store.h"
 #include "services/directory.h"
+#include "services/endpoints.h"
 #include "support/fleet.h"
 #include "support/suite.h"
 
@@ -346,6 +347,64 @@
 }
 END_TEST
 
+static bool
+ignore_data (void *ctx, const char *data, size_t n)
+{
+  (void) ctx;
+  (void) data;
+  (void) n;
+  return true;
+}
+
+static void
+on_attempt_done (void *ctx, bool failed, DyAttemptOutcome outcome, unsigned status)
+{
+  (void) status;
+  *(int *) ctx = failed ? (int) outcome : -1;
+}
+
+/* Of the chat completions interface, whose endpoints are declared by operators. */
+START_TEST (attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice)
+{
+  enum
+  {
+    RUNNING = -2
+  };
+  static const DyAttemptWatcher watcher = { .data = ignore_data, .done = on_attempt_done };
+  static const char *const models[] = { "m", NULL };
+  Fixture fixture;
+  DyEndpoints endpoints = { 0 };
+  SocketStore engine;
+  int outcome = RUNNING;
+  fixture_init (&fixture);
+  fixture.settings.load_poll_ms = 100000;
+  fixture.settings.connect_timeout_ms = 1000;
+  fixture.settings.attempt_timeout_ms = 1000;
+  char *address = fleet_free_address ();
+  char *url = g_strdup_printf ("http://%s", address);
+  socket_store_init (&engine, fixture.loop, address);
+  dy_endpoints_add_service (&fixture.kernel, &endpoints);
+  ck_assert_int_eq (dy_kernel_start (&fixture.kernel), DY_OK);
+  DyEndpointSpec declared = {
+    .name = "e", .url = url, .data_centre = "dc-a", .models = models, .kind = DY_ENDPOINT_ENGINE
+  };
+  dy_routing_put (&endpoints.routing, &declared);
+  DyAttemptSpec spec
+      = { .model = "m", .kind = DY_ENDPOINT_ENGINE, .method = "GET", .path = "/watch=" };
+  ck_assert (dy_endpoints_start (&endpoints, &spec, &watcher, &outcome) != NULL);
+  declared.leaving = true;
+  dy_routing_put (&endpoints.routing, &declared);
+  while (outcome == RUNNING)
+    ev_run (fixture.loop, EVRUN_ONCE);
+  ck_assert_int_eq (outcome, DY_ATTEMPT_NOT_SENT);
+  ck_assert_int_eq (engine.n_watches, 0);
+  fixture_finish (&fixture);
+  socket_store_finish (&engine);
+  g_free (url);
+  g_free (address);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -353,6 +412,7 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_test (tcase, ledger_calls_that_time_out_do_not_hold_off_the_endpoint_watch);
   tcase_add_test (tcase, watch_keeps_its_connection_when_other_calls_time_out);
+  tcase_add_test (tcase, attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
                        (int) G_N_ELEMENTS (removal_cases));
   return suite_run ("directory", tcase);
