Bound the messages of a peer that a turn of the loop handles

What callers saw: on the router that is the home of a busy account, requests sent to endpoints that had left, and refusals.

Cause: a link is read until its socket is empty.

Change: at most 16 messages of a link, and what else a block of 1,024 bytes holds, are handled in a turn. The socket stays readable, so the rest follows in the next turn, after the other links, the endpoints and the platform.

--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -209,9 +209,10 @@
   return true;
 }
 
-/* Handles the complete frames received so far. Returns false if the connection must be closed. */
+/* Handles the complete frames received so far and adds their number to N_HANDLED. Returns false if
+ * the connection must be closed. */
 static bool
-handle_frames (DyPeerLink *link)
+handle_frames (DyPeerLink *link, uint32_t *n_handled)
 {
   size_t consumed = 0;
   bool ok = true;
@@ -229,21 +230,25 @@
       consumed += DY_FRAME_HEADER_BYTES + n;
       ok = dy_wire_unpack (frame, n, &message) ? reject (link, "frame")
                                                : handle_message (link, &message);
+      (*n_handled)++;
     }
   g_byte_array_remove_range (link->in, 0, (guint) consumed);
   return ok;
 }
 
-/* Reads and handles what the socket holds. Returns false if the connection must be closed. */
+/* Reads and handles what the socket holds, up to a number of messages; the rest waits for the next
+ * turn of the loop. Returns false if the connection must be closed. */
 static bool
 receive (DyPeerLink *link)
 {
   enum
   {
-    BLOCK_BYTES = 16384
+    BLOCK_BYTES = 1024, /* holds few messages more than MAX_MESSAGES */
+    MAX_MESSAGES = 16,
   };
   uint8_t block[BLOCK_BYTES];
-  for (;;)
+  uint32_t n_handled = 0;
+  while (n_handled < MAX_MESSAGES)
     {
       ssize_t n = recv (link->fd, block, sizeof block, MSG_DONTWAIT);
       if (n == 0)
@@ -251,9 +256,10 @@
       if (n < 0)
         return errno == EAGAIN || errno == EINTR;
       g_byte_array_append (link->in, block, (guint) n);
-      if (!handle_frames (link))
+      if (!handle_frames (link, &n_handled))
         return false;
     }
+  return true;
 }
 
 static void
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -7,6 +7,7 @@
 #include "platform/store.h"
 #include "services/directory.h"
 #include "services/endpoints.h"
+#include "services/peers_private.h"
 #include "support/fleet.h"
 #include "support/suite.h"
 
@@ -347,6 +348,73 @@
 }
 END_TEST
 
+typedef struct
+{
+  int n;
+} MessageCount;
+
+static void
+count_slowly (void *ctx, uint64_t link, const DyMessage *message)
+{
+  enum
+  {
+    HANDLING_US = 1000
+  };
+  MessageCount *count = ctx;
+  int64_t end_us = g_get_monotonic_time () + HANDLING_US;
+  (void) link;
+  (void) message;
+  count->n++;
+  while (g_get_monotonic_time () < end_us)
+    continue;
+}
+
+/* Other work, such as reading the list of endpoints, waits for the end of the turn of the loop in
+ * which messages of other routers are handled. */
+START_TEST (messages_of_one_router_do_not_hold_up_the_loop)
+{
+  enum
+  {
+    N_MESSAGES = 600,
+    MAX_TURN_US = 100 * 1000,
+  };
+  static const DyPeersWatcher watcher = { .message = count_slowly };
+  static char node[] = "r0";
+  static char no_secret[] = "";
+  Fixture fixture;
+  MessageCount count = { 0 };
+  msgpack_sbuffer frames;
+  int fds[2];
+  int64_t longest_us = 0;
+  fixture_init (&fixture);
+  fixture.settings.node_name = node;
+  fixture.settings.peer_secret = no_secret; /* no timers, no listening */
+  dy_platform_add_service (&fixture.kernel, &fixture.platform);
+  dy_peers_add_service (&fixture.kernel, &fixture.peers);
+  ck_assert_int_eq (dy_kernel_start (&fixture.kernel), DY_OK);
+  dy_peers_watch (&fixture.peers, &watcher, &count);
+  ck_assert_int_eq (socketpair (AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds), 0);
+  DyPeerLink *link = dy_peers_open_link (&fixture.peers, fds[0], false);
+  link->authenticated = true;
+  msgpack_sbuffer_init (&frames);
+  DyMessage message = { .type = DY_MESSAGE_RESERVE, .u.reserve.account = "magnolia" };
+  for (int i = 0; i < N_MESSAGES; i++)
+    dy_wire_pack (&message, &frames);
+  ck_assert_int_eq (send (fds[1], frames.data, frames.size, 0), (ssize_t) frames.size);
+  ev_io_start (fixture.loop, &link->io);
+  while (count.n < N_MESSAGES)
+    {
+      int64_t started_us = g_get_monotonic_time ();
+      ev_run (fixture.loop, EVRUN_ONCE);
+      longest_us = MAX (longest_us, g_get_monotonic_time () - started_us);
+    }
+  ck_assert_int_le (longest_us, MAX_TURN_US);
+  msgpack_sbuffer_destroy (&frames);
+  close (fds[1]);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 static bool
 ignore_data (void *ctx, const char *data, size_t n)
 {
@@ -413,6 +481,7 @@
   tcase_add_test (tcase, ledger_calls_that_time_out_do_not_hold_off_the_endpoint_watch);
   tcase_add_test (tcase, watch_keeps_its_connection_when_other_calls_time_out);
   tcase_add_test (tcase, attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice);
+  tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
                        (int) G_N_ELEMENTS (removal_cases));
   return suite_run ("directory", tcase);
