Forget sockets whose connecting was given up

Cause: libcurl closes a socket whose connecting it gives up without the close callback. The HTTP client kept its entry; the descriptor then belonged to a caller's connection, or to another one of the client, whose entry replaced the old one while its watcher was active.

Change: an entry is removed when libcurl stops polling a socket on which no request was sent, and before one of the same descriptor is added; addresses are read from the kernel once the socket is connected.

Test: net/socket_whose_connecting_timed_out_is_forgotten failed before (one entry left), passes now, under the sanitizers, too.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -28,8 +28,9 @@
              */
   DyHttpClient *client;
   DyHttpTransfer *transfer; /* whose request was sent; NULL: idle, or the request is not sent yet */
+  bool connected;           /* the addresses are set */
+  struct sockaddr_in local;
   struct sockaddr_in remote;
-  int local_port; /* 0 until it is looked up */
 } Socket;
 
 struct DyHttpTransfer
@@ -68,6 +69,18 @@
   shutdown (w->fd, SHUT_RDWR);
 }
 
+static void
+remove_socket (DyHttpClient *client, int fd)
+{
+  Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
+  if (!sock)
+    return;
+  ev_io_stop (client->loop, &sock->io);
+  if (sock->transfer)
+    sock->transfer->sock = NULL;
+  g_hash_table_remove (client->sockets, GINT_TO_POINTER (fd));
+}
+
 static void
 watch_idle (Socket *sock)
 {
@@ -208,6 +221,20 @@
   return 0;
 }
 
+/* Adds the entry of a new socket. libcurl closes sockets whose connecting it gives up without the
+ * close callback, so there can be an entry of an older socket with the same descriptor. */
+static Socket *
+add_socket (DyHttpClient *client, curl_socket_t fd)
+{
+  Socket *sock = g_new0 (Socket, 1);
+  remove_socket (client, fd);
+  sock->client = client;
+  ev_io_init (&sock->io, on_socket_event, fd, EV_READ);
+  sock->io.data = sock;
+  g_hash_table_insert (client->sockets, GINT_TO_POINTER (fd), sock);
+  return sock;
+}
+
 static int
 set_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
 {
@@ -215,14 +242,21 @@
   Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
   (void) easy;
   (void) socket_ctx;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (sock && !sock->transfer)
+        remove_socket (client, fd);
+      else if (sock)
+        ev_io_stop (client->loop, &sock->io);
+      return 0;
+    }
   if (!sock)
-    return 0;
+    sock = add_socket (client, fd);
   int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
   ev_io_stop (client->loop, &sock->io);
   ev_set_cb (&sock->io, on_socket_event);
   ev_io_set (&sock->io, fd, events);
-  if (what != CURL_POLL_REMOVE)
-    ev_io_start (client->loop, &sock->io);
+  ev_io_start (client->loop, &sock->io);
   return 0;
 }
 
@@ -310,27 +344,15 @@
   int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   if (fd < 0)
     return CURL_SOCKET_BAD;
-  Socket *sock = g_new0 (Socket, 1);
-  sock->client = client;
-  if (address->family == AF_INET)
-    memcpy (&sock->remote, &address->addr, sizeof sock->remote);
-  ev_io_init (&sock->io, on_socket_event, fd, EV_READ);
-  sock->io.data = sock;
+  add_socket (client, fd);
   client->n_connections++;
-  g_hash_table_insert (client->sockets, GINT_TO_POINTER (fd), sock);
   return fd;
 }
 
 static int
 close_socket (void *ctx, curl_socket_t fd)
 {
-  DyHttpClient *client = ctx;
-  Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
-  if (sock)
-    ev_io_stop (client->loop, &sock->io);
-  if (sock && sock->transfer)
-    sock->transfer->sock = NULL;
-  g_hash_table_remove (client->sockets, GINT_TO_POINTER (fd));
+  remove_socket (ctx, fd);
   return close (fd);
 }
 
@@ -354,12 +376,15 @@
   return CURL_SOCKOPT_OK;
 }
 
-static int
-get_local_port (int fd)
+/* Reads the addresses of a connected socket. */
+static void
+read_addresses (Socket *sock)
 {
-  struct sockaddr_in addr = { 0 };
-  socklen_t n = sizeof addr;
-  return getsockname (fd, (struct sockaddr *) &addr, &n) ? 0 : ntohs (addr.sin_port);
+  socklen_t n = sizeof sock->remote;
+  if (getpeername (sock->io.fd, (struct sockaddr *) &sock->remote, &n))
+    return;
+  n = sizeof sock->local;
+  sock->connected = getsockname (sock->io.fd, (struct sockaddr *) &sock->local, &n) == 0;
 }
 
 /* Returns the open socket that is connected from LOCAL_PORT to IP and PORT, or NULL. Sockets that
@@ -376,11 +401,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Socket *sock = value;
-      if (sock->remote.sin_addr.s_addr != addr.s_addr || ntohs (sock->remote.sin_port) != port)
-        continue;
-      if (!sock->local_port)
-        sock->local_port = get_local_port (sock->io.fd);
-      if (sock->local_port == local_port)
+      if (!sock->connected)
+        read_addresses (sock);
+      if (sock->connected && ntohs (sock->local.sin_port) == local_port
+          && ntohs (sock->remote.sin_port) == port && sock->remote.sin_addr.s_addr == addr.s_addr)
         return sock;
     }
   return NULL;
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -3,6 +3,7 @@
  * bytes left over from an earlier answer as the answer to a later request. */
 
 #include "kernel/error.h"
+#include "net/address.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "support/endless.h"
@@ -348,6 +349,49 @@
 }
 END_TEST
 
+/* libcurl closes such a socket without a callback, and its descriptor may belong to another
+ * connection next. */
+START_TEST (socket_whose_connecting_timed_out_is_forgotten)
+{
+  enum
+  {
+    N_FILL = 4, /* connections that fill the listening socket's queue */
+    TIMEOUT_MS = 100,
+  };
+  static const DyHttpTransferWatcher watcher = { .done = on_done };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  char *url = g_strdup_printf ("http://%s/p", address);
+  struct sockaddr_in addr;
+  Outcome outcome = { .loop = loop };
+  DyHttpSpec spec
+      = { .method = "GET", .url = url, .connect_timeout_ms = TIMEOUT_MS, .timeout_ms = TIMEOUT_MS };
+  DyHttpClient client;
+  int fds[N_FILL];
+  int listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (dy_address_parse (address, &addr), DY_OK);
+  ck_assert_int_eq (bind (listen_fd, (struct sockaddr *) &addr, sizeof addr), 0);
+  ck_assert_int_eq (listen (listen_fd, 0), 0);
+  for (int i = 0; i < N_FILL; i++)
+    {
+      fds[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      connect (fds[i], (struct sockaddr *) &addr, sizeof addr);
+    }
+  dy_http_client_init (&client, loop);
+  dy_http_client_start (&client, &spec, &watcher, &outcome);
+  while (!outcome.done)
+    ev_run (loop, EVRUN_ONCE);
+  ck_assert_int_eq (outcome.result.error, DY_TIMEOUT);
+  ck_assert_uint_eq (g_hash_table_size (client.sockets), 0);
+  dy_http_client_finish (&client);
+  for (int i = 0; i < N_FILL; i++)
+    close (fds[i]);
+  close (listen_fd);
+  g_free (url);
+  g_free (address);
+}
+END_TEST
+
 /* Connections to different servers may have the same local port, and with this number of them some
  * do. Each must be told from the others when it becomes idle. */
 START_TEST (connections_with_the_same_local_port_are_not_confused)
@@ -599,6 +643,7 @@
   tcase_add_loop_test (tcase, ambiguous_framing_is_rejected, 0, (int) G_N_ELEMENTS (framing_cases));
   tcase_add_loop_test (tcase, a_call_is_sent_once, 0, (int) G_N_ELEMENTS (call_cases));
   tcase_add_test (tcase, a_connection_with_unread_bytes_is_not_reused);
+  tcase_add_test (tcase, socket_whose_connecting_timed_out_is_forgotten);
   tcase_add_test (tcase, connections_with_the_same_local_port_are_not_confused);
   tcase_add_loop_test (tcase, a_held_up_loop_is_not_a_timeout_of_the_server, 0,
                        (int) G_N_ELEMENTS (delay_cases));
