--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -13,8 +13,8 @@
 
 enum
 {
-  MAX_HEAD_BYTES
-  = 64 * 1024, /* of the header and trailer fields of an answer and of its interim answers */
+  /* Of the header and trailer fields of an answer and of its interim answers. */
+  MAX_HEAD_BYTES = 64 * 1024,
   USER_TIMEOUT_MS = 2000, /* TCP drops a connection whose bytes stay unacknowledged this long */
   KEEP_ALIVE_IDLE_S = 1,  /* idle time before the first keep-alive probe */
   KEEP_ALIVE_INTERVAL_S = 1,
@@ -24,8 +24,7 @@
 /* An open connection's socket. */
 typedef struct
 {
-  ev_io io; /* reports events to libcurl while the connection is in use, and unread bytes while idle
-             */
+  ev_io io; /* polled for libcurl while in use, for unread bytes while idle */
   DyHttpClient *client;
   DyHttpTransfer *transfer; /* whose request was sent; NULL: idle, or the request is not sent yet */
   bool connected;           /* the addresses are set */
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,7 +13,7 @@
  *   out to be closed; that second send is prevented and the transfer ends with an unknown outcome
  *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, or that the
  *   server has closed, is not reused: the request is sent on a new connection. The idle connection
- * is shut down as soon as the bytes or the end arrive.
+ *   is shut down as soon as the bytes or the end arrive.
  *
  *   A limit is checked after the sockets were read: what arrived while the loop was busy counts.
  *
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -17,8 +17,7 @@
 struct DyHttpCall
 {
   DyHttpServer *server;
-  GList
-      pending_link; /* in the server's queue of complete requests; data: NULL if it is not there */
+  GList pending_link; /* in the server's queue; its data is NULL while it is not there */
   struct MHD_Connection *connection;
   char *method;
   char *path;
