Do not take the socket of a connection that was reset for that of a new one

Cause: after a reset the kernel may give the addresses of the old connection to a new one while libcurl has not closed the old one yet. The HTTP client then found the old socket for the new transfer; the old transfer kept its pointer to a socket that was freed with the other one, and watched it as idle. A trace of the exit ends in the event loop's list of watchers.

Change: the addresses are read again from the kernel when a socket matches, which fails for one that was reset, and a socket that is taken by a transfer is taken from the one before.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -375,19 +375,26 @@
   return CURL_SOCKOPT_OK;
 }
 
-/* Reads the addresses of a connected socket. */
+/* Reads the addresses of a socket; it must be connected. */
 static void
 read_addresses (Socket *sock)
 {
-  socklen_t n = sizeof sock->remote;
-  if (getpeername (sock->io.fd, (struct sockaddr *) &sock->remote, &n))
-    return;
-  n = sizeof sock->local;
-  sock->connected = getsockname (sock->io.fd, (struct sockaddr *) &sock->local, &n) == 0;
+  socklen_t n_remote = sizeof sock->remote;
+  socklen_t n_local = sizeof sock->local;
+  sock->connected = getpeername (sock->io.fd, (struct sockaddr *) &sock->remote, &n_remote) == 0
+                    && getsockname (sock->io.fd, (struct sockaddr *) &sock->local, &n_local) == 0;
+}
+
+static bool
+is_connected_to (const Socket *sock, struct in_addr ip, int port, int local_port)
+{
+  return sock->connected && ntohs (sock->local.sin_port) == local_port
+         && ntohs (sock->remote.sin_port) == port && sock->remote.sin_addr.s_addr == ip.s_addr;
 }
 
-/* Returns the open socket that is connected from LOCAL_PORT to IP and PORT, or NULL. Sockets that
- * are connected to different addresses can have the same local port. */
+/* Returns the socket that is connected from LOCAL_PORT to IP and PORT, or NULL. Sockets that are
+ * connected to different addresses can have the same local port, and after a reset a new connection
+ * can have the addresses of one that is not closed yet. */
 static Socket *
 find_socket (DyHttpClient *client, const char *ip, int port, int local_port)
 {
@@ -400,10 +407,14 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Socket *sock = value;
-      if (!sock->connected)
+      bool was_connected = sock->connected;
+      if (!was_connected)
         read_addresses (sock);
-      if (sock->connected && ntohs (sock->local.sin_port) == local_port
-          && ntohs (sock->remote.sin_port) == port && sock->remote.sin_addr.s_addr == addr.s_addr)
+      if (!is_connected_to (sock, addr, port, local_port))
+        continue;
+      if (was_connected)
+        read_addresses (sock);
+      if (sock->connected)
         return sock;
     }
   return NULL;
@@ -418,6 +429,17 @@
   return recv (sock->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
+static void
+attach_socket (DyHttpTransfer *transfer, Socket *sock)
+{
+  transfer->sock = sock;
+  if (!sock)
+    return;
+  if (sock->transfer)
+    sock->transfer->sock = NULL;
+  sock->transfer = transfer;
+}
+
 /* Called by libcurl before each send of the request. */
 static int
 on_prerequest (void *ctx, char *ip, char *local_ip, int port, int local_port)
@@ -440,9 +462,7 @@
       transfer->withheld = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  transfer->sock = sock;
-  if (sock)
-    sock->transfer = transfer;
+  attach_socket (transfer, sock);
   transfer->connected = true;
   transfer->sent_us = g_get_monotonic_time ();
   set_limit (transfer, transfer->timeout_ms);
