--- a/test/test_net.c
+++ b/test/test_net.c
@@ -395,7 +395,7 @@
 END_TEST
 
 /* Connections to different servers may have the same local port, and with this number of them some
- * do. Each must be told from the others when it becomes idle. */
+ * do. The client must shut down only the connection that became idle. */
 START_TEST (connections_with_the_same_local_port_are_not_confused)
 {
   enum
