--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -54,6 +54,7 @@
   X (ENDPOINT_LISTED, 6004, MESSAGE, "endpoint listed")                                            \
   X (ENDPOINT_REMOVED, 6005, MESSAGE, "endpoint removed")                                          \
   X (ENDPOINT_REJECTED, 6006, WARNING, "endpoint record unreadable")                               \
+  X (ENDPOINT_CRASHED, 6007, INFO, "endpoint crashed under request")                               \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -30,7 +30,7 @@
 
 typedef struct
 {
-  uint64_t hash;  /* of the part's id */
+  uint64_t id;
   int64_t tokens; /* length of the part; 0: not stated */
 } DyPromptPart;
 
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -12,15 +12,21 @@
 };
 
 /* All parts of a prompt but the last are shared with other requests. */
+static uint32_t
+count_shared_parts (const DyRequestHead *head)
+{
+  return head->n_parts > 1 ? head->n_parts - 1 : 0;
+}
+
 static DyPromptWork
 work_of_prompt (const DyRequestHead *head)
 {
   DyPromptWork work = { 0 };
-  uint32_t n_shared = head->n_parts > 1 ? head->n_parts - 1 : 0;
+  uint32_t n_shared = count_shared_parts (head);
   for (uint32_t i = 0; i < n_shared; i++)
     {
-      work.prefix_hash = XXH3_64bits_withSeed (&head->parts[i].hash, sizeof head->parts[i].hash,
-                                               work.prefix_hash);
+      work.prefix_hash
+          = XXH3_64bits_withSeed (&head->parts[i].id, sizeof head->parts[i].id, work.prefix_hash);
       work.shared_tokens += head->parts[i].tokens;
     }
   work.own_tokens = MAX (head->prompt_tokens - work.shared_tokens, 0);
@@ -104,6 +110,9 @@
       = dy_route_table_service (&gateway->directory->routes, plan->service);
   plan->event_tokens = service ? MAX (service->event_tokens, 1) : 1;
   plan->work = work_of_prompt (head);
+  plan->n_parts = count_shared_parts (head);
+  for (uint32_t i = 0; i < plan->n_parts; i++)
+    plan->parts[i] = head->parts[i].id;
   plan->body_hash = hash_request (call, head);
   plan->is_prepaid = account && account->prepaid_tokens >= 0 && plan->prompt_tokens > 0;
   set_deadlines (plan, call, route, head);
--- a/src/services/gateway_plan.h
+++ b/src/services/gateway_plan.h
@@ -42,6 +42,8 @@
   int64_t max_output_tokens; /* 0: not stated */
   uint32_t event_tokens;     /* tokens in one event of a stream; at least 1 */
   DyPromptWork work;
+  uint64_t parts[DY_MAX_PROMPT_PARTS]; /* ids of the parts of the prompt but the last, in order */
+  uint32_t n_parts;
   uint64_t body_hash; /* of method, target, bearer key and body; the same for a caller's retry */
 } DyGatewayPlan;
 
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -324,6 +324,31 @@
   send_attempt (request);
 }
 
+/* Returns the id of the endpoint of the latest attempt, which may have been removed since. */
+static const char *
+latest_endpoint_id (const Request *request)
+{
+  enum
+  {
+    N_AFTER = 2, /* itself and the NULL at the end */
+  };
+  return g_ptr_array_index (request->tried, request->tried->len - N_AFTER);
+}
+
+/* Records that the connection to the endpoint broke before the answer was complete. */
+static void
+report_crash (Request *request)
+{
+  const DyGatewayPlan *plan = &request->plan;
+  GString *parts = g_string_new (plan->n_parts ? NULL : "-");
+  for (uint32_t i = 0; i < plan->n_parts; i++)
+    g_string_append_printf (parts, "%s%" G_GINT64_MODIFIER "x", i ? "," : "", plan->parts[i]);
+  dy_log (DY_EVENT_ENDPOINT_CRASHED, "request=%s endpoint=%s output=%d parts=%s", plan->id,
+          latest_endpoint_id (request), request->attempt.prompt_read, parts->str);
+  g_string_free (parts, TRUE);
+  dy_gateway_report_crash (request->gateway, plan->body_hash);
+}
+
 static void
 on_attempt_done (void *ctx, const DyGatewayAttemptResult *result)
 {
@@ -346,7 +371,7 @@
   if (!result->complete)
     {
       if (result->crashed)
-        dy_gateway_report_crash (gateway, request->plan.body_hash);
+        report_crash (request);
       retry_or_fail (request, result->outcome, false);
       return;
     }
--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -13,12 +13,17 @@
  *   stream    a stream of five events; with Last-Event-Id, of those after it
  *   tear-once as stream; without Last-Event-Id the connection is closed in the middle of the third
  *             event
+ *   later     as stream, but the answer begins after ANSWER_DELAY_S
  * Any other path is answered as ok.
  *
+ * A request whose X-Prompt-Prefix has the part "bad0" crashes the endpoint ANSWER_DELAY_S after it
+ * came: all requests in progress end without an answer, and so does each new one for RESTART_S.
+ *
  * With a second argument, the request id of each run is appended to the file of that name, which
  * remains when the process ends.
  *
- * GET /admin/stats returns {"runs": {request id: n}, "last": {header: value}, "cancelled": n}.
+ * GET /admin/stats returns {"runs": {request id: n}, "last": {header: value}, "cancelled": n,
+ * "crashing": requests that came with the part "bad0"}.
  * POST /admin/set takes {"instance": id}; requests whose X-Expect-Instance differs are answered
  * 421. */
 
@@ -47,9 +52,25 @@
   FILE *run_log; /* NULL: none */
 } Worker;
 
+/* A request that is answered later. */
+typedef struct
+{
+  DyHttpCall *call;
+  char *id;
+  bool crashes; /* the endpoint crashes in place of the answer */
+  ev_timer timer;
+} PendingCall;
+
 static const char SEAL[] = "5ea1.0.0";
+static const char CRASHING_PART[] = "bad0:";
+static const double ANSWER_DELAY_S = 0.04;
+static const double RESTART_S = 0.3;
 
 static int64_t n_cancelled; /* silent requests whose connection was closed */
+static int64_t n_crashing;  /* requests that came with the crashing part */
+static GHashTable *pending; /* set of PendingCall */
+static ev_tstamp down_until;
+static struct ev_loop *main_loop;
 
 static void
 reply_json (DyHttpCall *call, json_t *root)
@@ -197,6 +218,74 @@
   dy_http_call_abort (call);
 }
 
+static void
+free_pending (gpointer key)
+{
+  PendingCall *entry = key;
+  ev_timer_stop (main_loop, &entry->timer);
+  g_free (entry->id);
+  g_free (entry);
+}
+
+static void
+on_pending_closed (void *ctx, DyHttpCall *call, bool complete)
+{
+  (void) call;
+  (void) complete;
+  g_hash_table_remove (pending, ctx);
+}
+
+static void
+crash (void)
+{
+  GPtrArray *calls = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, pending);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      ev_timer_stop (main_loop, &((PendingCall *) key)->timer);
+      g_ptr_array_add (calls, ((PendingCall *) key)->call);
+    }
+  for (guint i = 0; i < calls->len; i++)
+    dy_http_call_abort (g_ptr_array_index (calls, i));
+  g_ptr_array_unref (calls);
+  down_until = ev_now (main_loop) + RESTART_S;
+}
+
+static void
+on_answer_due (struct ev_loop *loop, ev_timer *w, int events)
+{
+  PendingCall *entry = w->data;
+  (void) loop;
+  (void) events;
+  if (entry->crashes)
+    crash ();
+  else
+    answer_stream (entry->call, entry->id);
+}
+
+static void
+add_pending (DyHttpCall *call, const char *id, bool crashes)
+{
+  static const DyHttpCallWatcher watcher = { .closed = on_pending_closed };
+  PendingCall *entry = g_new0 (PendingCall, 1);
+  entry->call = call;
+  entry->id = g_strdup (id);
+  entry->crashes = crashes;
+  ev_timer_init (&entry->timer, on_answer_due, ANSWER_DELAY_S, 0.0);
+  entry->timer.data = entry;
+  ev_timer_start (main_loop, &entry->timer);
+  g_hash_table_add (pending, entry);
+  dy_http_call_watch (call, &watcher, entry);
+}
+
+static void
+answer_later (DyHttpCall *call, const char *id)
+{
+  add_pending (call, id, false);
+}
+
 static const struct
 {
   const char *name;
@@ -205,6 +294,7 @@
   { "ok", answer_ok },         { "error", answer_error },     { "reset", answer_reset },
   { "torn", answer_torn },     { "foreign", answer_foreign }, { "unsigned", answer_unsigned },
   { "silent", answer_silent }, { "stream", answer_stream },   { "tear-once", answer_tear_once },
+  { "later", answer_later },
 };
 
 static bool
@@ -237,7 +327,21 @@
       refuse (call, 503);
       return;
     }
+  const char *parts = dy_http_call_header (call, "X-Prompt-Prefix");
+  bool crashes = parts && strstr (parts, CRASHING_PART);
+  if (crashes)
+    n_crashing++;
+  if (ev_now (main_loop) < down_until)
+    {
+      dy_http_call_abort (call);
+      return;
+    }
   record_run (worker, call, id);
+  if (crashes)
+    {
+      add_pending (call, id, true);
+      return;
+    }
   for (size_t i = 0; i < G_N_ELEMENTS (behaviours); i++)
     if (is_behaviour (path, behaviours[i].name))
       {
@@ -264,8 +368,9 @@
   Worker *worker = ctx;
   const char *path = dy_http_call_path (call);
   if (strcmp (path, "/admin/stats") == 0)
-    reply_json (call, json_pack ("{s:O, s:O, s:I}", "runs", worker->runs, "last", worker->last,
-                                 "cancelled", (json_int_t) n_cancelled));
+    reply_json (call, json_pack ("{s:O, s:O, s:I, s:I}", "runs", worker->runs, "last", worker->last,
+                                 "cancelled", (json_int_t) n_cancelled, "crashing",
+                                 (json_int_t) n_crashing));
   else if (strcmp (path, "/admin/set") == 0)
     set_instance (worker, call);
   else
@@ -284,6 +389,8 @@
     worker.run_log = fopen (argv[2], "a");
   signal (SIGPIPE, SIG_IGN);
   worker.loop = ev_default_loop (EVFLAG_AUTO);
+  main_loop = worker.loop;
+  pending = g_hash_table_new_full (NULL, NULL, free_pending, NULL);
   if (dy_http_server_init (&worker.server, worker.loop, argv[1], MAX_BODY_BYTES, MAX_HEADER_BYTES,
                            MAX_BODY_BYTES, &handler, &worker))
     return 1;
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -22,7 +22,7 @@
 
 enum
 {
-  SITE_MAX_ROUTERS = 3,
+  SITE_MAX_ROUTERS = 9,
   SITE_N_WORKERS = 4, /* the first two serve "app", the others "llm" */
 };
 
--- /dev/null
+++ b/test/support/traffic.c
@@ -0,0 +1,114 @@
+#include "support/traffic.h"
+
+#include "net/http_client.h"
+
+#include <string.h>
+
+enum
+{
+  CALL_TIMEOUT_MS = 8000,
+};
+
+typedef struct
+{
+  Site *site;
+  const TrafficStream *stream;
+  TrafficResult *result;
+  DyHttpClient client;
+  uint32_t n_open;
+  ev_timer timer;
+} Sender;
+
+static void
+on_done (void *ctx, const DyHttpResult *result)
+{
+  Sender *sender = ctx;
+  sender->n_open--;
+  if (!result->error && result->status == 200)
+    sender->result->n_served++;
+}
+
+static void
+send_one (Sender *sender)
+{
+  static const DyHttpTransferWatcher watcher = { .done = on_done };
+  Site *site = sender->site;
+  uint64_t number = ++site->last_id;
+  char *id = g_strdup_printf ("X-Request-Id: request-%" G_GUINT64_FORMAT, number);
+  char *parts = g_strdup_printf ("X-Prompt-Prefix: %sf%07" G_GINT64_MODIFIER "x:2",
+                                 sender->stream->parts, number);
+  char *url = g_strconcat ("http://", site->callers[sender->result->n_sent % site->n_routers],
+                           sender->stream->target, NULL);
+  const char *const headers[] = { "Host: h.example",
+                                  "Authorization: Bearer k1",
+                                  "X-Token-Counts: 10,5",
+                                  "X-Deadline-Ms: 3000",
+                                  id,
+                                  parts,
+                                  NULL };
+  DyHttpSpec spec = { .method = "POST",
+                      .url = url,
+                      .headers = headers,
+                      .body = id,
+                      .n_body = strlen (id),
+                      .connect_timeout_ms = CALL_TIMEOUT_MS,
+                      .timeout_ms = CALL_TIMEOUT_MS };
+  sender->result->n_sent++;
+  sender->n_open++;
+  dy_http_client_start (&sender->client, &spec, &watcher, sender);
+  g_free (url);
+  g_free (parts);
+  g_free (id);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  send_one (w->data);
+}
+
+static void
+start_sender (Sender *sender, Site *site, const TrafficStream *stream, TrafficResult *result)
+{
+  double interval_s = (double) stream->interval_ms / 1e3;
+  *sender = (Sender){ .site = site, .stream = stream, .result = result };
+  *result = (TrafficResult){ 0 };
+  dy_http_client_init (&sender->client, site->fleet.loop);
+  ev_timer_init (&sender->timer, on_timer, interval_s, interval_s);
+  sender->timer.data = sender;
+  ev_timer_start (site->fleet.loop, &sender->timer);
+}
+
+void
+traffic_run (Site *site,
+             const TrafficStream *streams,
+             TrafficResult *results,
+             uint32_t n,
+             int64_t duration_ms)
+{
+  struct ev_loop *loop = site->fleet.loop;
+  Sender *senders = g_new0 (Sender, n);
+  uint32_t n_open = 0;
+  ev_now_update (loop);
+  double end_s = ev_now (loop) + (double) duration_ms / 1e3;
+  for (uint32_t i = 0; i < n; i++)
+    start_sender (&senders[i], site, &streams[i], &results[i]);
+  while (ev_now (loop) < end_s)
+    ev_run (loop, EVRUN_ONCE);
+  for (uint32_t i = 0; i < n; i++)
+    ev_timer_stop (loop, &senders[i].timer);
+  do
+    {
+      n_open = 0;
+      for (uint32_t i = 0; i < n; i++)
+        n_open += senders[i].n_open;
+      if (n_open > 0)
+        ev_run (loop, EVRUN_ONCE);
+    }
+  while (n_open > 0);
+  for (uint32_t i = 0; i < n; i++)
+    dy_http_client_finish (&senders[i].client);
+  g_free (senders);
+}
--- /dev/null
+++ b/test/support/traffic.h
@@ -0,0 +1,36 @@
+#ifndef TEST_SUPPORT_TRAFFIC_H
+#define TEST_SUPPORT_TRAFFIC_H
+
+/**
+ * NAME
+ *   traffic - streams of requests at fixed rates to the routers of a site
+ *
+ * DESCRIPTION
+ *   Each stream sends a new request every interval, whether or not the earlier ones have ended, to
+ *   the routers in turn. Each request has an id and a last prompt part of its own.
+ */
+
+#include "support/site.h"
+
+typedef struct
+{
+  const char *target;
+  const char *parts; /* "ID:TOKENS," for each part of the prompt but the last */
+  int64_t interval_ms;
+} TrafficStream;
+
+typedef struct
+{
+  uint32_t n_sent;
+  uint32_t n_served; /* answers with status 200 that are complete */
+} TrafficResult;
+
+/* Sends the streams for DURATION_MS, waits until all requests have ended, and sets one result for
+ * each stream. */
+void traffic_run (Site *site,
+                  const TrafficStream *streams,
+                  TrafficResult *results,
+                  uint32_t n,
+                  int64_t duration_ms);
+
+#endif
