Block prompt parts that crash endpoints, in all routers and over restarts

Cause: the quarantine counts crashes by the hash of the whole request, and no two of these requests are alike.

Change: core/crash_cause takes each part of a request without output as a possible cause of its endpoint's crash; output of a request clears its parts, and the part that explains most of the crashes is blocked. services/part_blocks shares crashes, outputs and blocks among the routers and keeps the blocks in the store. It works because a part that crashes endpoints never has output, while parts of sound requests do.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -69,20 +69,48 @@
   return found && strcmp (found, value) == 0;
 }
 
-/* Collects the reservation tickets of the request. The home router of its account logs only the
- * ticket, not the request id. */
+/* Fields that lines of other routers about the same matter share with those of the request: the
+ * ticket of its reservation, and the blocked part of its prompt. */
+static const char *const linking_fields[] = { "ticket", "part" };
+
+/* Returns "FIELD=VALUE" of the linking field INDEX of LINE, to be freed with g_free(); NULL: none.
+ */
+static char *
+link_of (const LogLine *line, size_t index)
+{
+  const char *value = json_string_value (json_object_get (line->root, linking_fields[index]));
+  return value ? g_strconcat (linking_fields[index], "=", value, NULL) : NULL;
+}
+
 static GHashTable *
-collect_tickets (const GPtrArray *lines, const char *request)
+collect_links (const GPtrArray *lines, const char *request)
 {
-  GHashTable *tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTable *links = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (guint i = 0; i < lines->len; i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (linking_fields); k++)
+      {
+        const LogLine *line = g_ptr_array_index (lines, i);
+        char *link = has_field (line, "request", request) ? link_of (line, k) : NULL;
+        if (link)
+          g_hash_table_add (links, link);
+      }
+  return links;
+}
+
+/* Returns whether LINE names no request and shares a linking field with a line of the request. */
+static bool
+is_linked (const LogLine *line, GHashTable *links)
+{
+  bool linked = false;
+  if (json_object_get (line->root, "request"))
+    return false;
+  for (size_t k = 0; k < G_N_ELEMENTS (linking_fields) && !linked; k++)
     {
-      const LogLine *line = g_ptr_array_index (lines, i);
-      const char *ticket = json_string_value (json_object_get (line->root, "ticket"));
-      if (ticket && has_field (line, "request", request))
-        g_hash_table_add (tickets, g_strdup (ticket));
+      char *link = link_of (line, k);
+      linked = link && g_hash_table_contains (links, link);
+      g_free (link);
     }
-  return tickets;
+  return linked;
 }
 
 static gint
@@ -94,19 +122,17 @@
 static int
 print_request (const GPtrArray *lines, const char *request)
 {
-  GHashTable *tickets = collect_tickets (lines, request);
+  GHashTable *links = collect_links (lines, request);
   int n_printed = 0;
   for (guint i = 0; i < lines->len; i++)
     {
       const LogLine *line = g_ptr_array_index (lines, i);
-      const char *ticket = json_string_value (json_object_get (line->root, "ticket"));
-      if (!has_field (line, "request", request)
-          && !(ticket && g_hash_table_contains (tickets, ticket)))
+      if (!has_field (line, "request", request) && !is_linked (line, links))
         continue;
       puts (line->text);
       n_printed++;
     }
-  g_hash_table_unref (tickets);
+  g_hash_table_unref (links);
   if (n_printed == 0)
     return dy_cli_fail (DY_NOT_FOUND, "no log line has request id %s", request);
   return DY_OK;
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -47,7 +47,8 @@
   DY_MESSAGE_REPLICATE,
   DY_MESSAGE_REPLICATED, /* reply to DY_MESSAGE_REPLICATE: the sender will report the charges */
   DY_MESSAGE_CONFIG_GET, /* requests the declarations above a version */
-  DY_MESSAGE_CONFIG,     /* one of these declarations */
+  /* One of these declarations, or an object that services/part_blocks.h describes. */
+  DY_MESSAGE_CONFIG,
   DY_MESSAGE_CONFIG_END, /* all these declarations were sent */
   DY_MESSAGE_KEY_QUERY,  /* asks for the state of an idempotency key */
   DY_MESSAGE_KEY_STATE,  /* reply to DY_MESSAGE_KEY_QUERY */
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -44,6 +44,10 @@
      "messages received from peers")                                                               \
   X (PEER_REJECTED, counter, "dogwoodyoke_peer_rejected_total", "peer connections rejected")       \
   X (MEMBERS, gauge, "dogwoodyoke_members", "members now heard from, this node included")          \
+  X (ENDPOINT_CRASHES, counter, "dogwoodyoke_endpoint_crashes_total",                              \
+     "attempts whose connection broke before the answer was complete")                             \
+  X (BLOCKED_PARTS, gauge, "dogwoodyoke_blocked_parts",                                            \
+     "prompt parts that are blocked as they crash endpoints")                                      \
   X (CONFIG_VERSION, gauge, "dogwoodyoke_config_version", "highest platform version in force")     \
   X (DECLARATIONS_REJECTED, counter, "dogwoodyoke_declarations_rejected_total",                    \
      "declarations rejected as invalid")
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -55,12 +55,16 @@
   X (ENDPOINT_REMOVED, 6005, MESSAGE, "endpoint removed")                                          \
   X (ENDPOINT_REJECTED, 6006, WARNING, "endpoint record unreadable")                               \
   X (ENDPOINT_CRASHED, 6007, INFO, "endpoint crashed under request")                               \
+  X (PART_BLOCKED, 6008, WARNING, "prompt part blocked")                                           \
+  X (PART_RELEASED, 6009, WARNING, "prompt part released")                                         \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
   X (REQUEST_ENDED, 7004, INFO, "request ended")                                                   \
   X (ATTEMPT_ABANDONED, 7005, INFO, "silent attempt abandoned")                                    \
-  X (REQUEST_RESERVING, 7006, INFO, "reservation asked for")
+  X (REQUEST_RESERVING, 7006, INFO, "reservation asked for")                                       \
+  X (REQUEST_BLOCKED, 7007, INFO, "request has a blocked part")                                    \
+  X (REQUEST_TRIED, 7008, WARNING, "request with a blocked part let through")
 
 typedef enum
 {
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -26,7 +26,7 @@
 bool
 dy_gateway_ready (const DyGateway *gateway)
 {
-  return dy_directory_ready (gateway->directory)
+  return dy_directory_ready (gateway->directory) && dy_part_blocks_loaded (gateway->part_blocks)
          && dy_peers_members_known (gateway->directory->peers) && !gateway->kernel->draining;
 }
 
@@ -128,6 +128,7 @@
 dy_gateway_report_crash (DyGateway *gateway, uint64_t body_hash)
 {
   dy_quarantine_add (&gateway->quarantine, body_hash, 1, dy_kernel_now_us (gateway->kernel));
+  dy_counters_add (&gateway->kernel->counters, DY_COUNTER_ENDPOINT_CRASHES, 1);
   broadcast_crash (gateway, body_hash, false);
 }
 
@@ -160,6 +161,7 @@
   gateway->dialect = dy_kernel_find (kernel, DY_SERVICE_DIALECT);
   gateway->directory = dy_kernel_find (kernel, DY_SERVICE_DIRECTORY);
   gateway->budgets = dy_kernel_find (kernel, DY_SERVICE_BUDGETS);
+  gateway->part_blocks = dy_kernel_find (kernel, DY_SERVICE_PART_BLOCKS);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gateway->rng = g_rand_new_with_seed ((uint32_t) kernel->incarnation_id);
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -21,6 +21,7 @@
 #include "net/http_server.h"
 #include "services/budgets.h"
 #include "services/directory.h"
+#include "services/part_blocks.h"
 
 #define DY_SERVICE_GATEWAY "gateway"
 
@@ -30,6 +31,7 @@
   const DyDialect *dialect;
   DyDirectory *directory;
   DyBudgets *budgets;
+  DyPartBlocks *part_blocks;
   DyHttpServer server;
   DyHttpServer ready_server;
   DyHttpClient client;
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -74,7 +74,7 @@
     return DY_DRAINING;
   if (dy_http_call_waited_us (call) > MAX_HANDLER_WAIT_US)
     return DY_OVERLOADED;
-  if (!dy_directory_ready (gateway->directory))
+  if (!dy_directory_ready (gateway->directory) || !dy_part_blocks_loaded (gateway->part_blocks))
     return DY_STARTING;
   *route = dy_route_table_find (routes, head->host ? head->host : "", dy_http_call_target (call));
   if (!*route)
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -230,6 +230,13 @@
   ev_timer_start (loop, &request->read_timer);
 }
 
+static void
+report_output (const Request *request)
+{
+  dy_part_blocks_report_output (request->gateway->part_blocks, request->plan.parts,
+                                request->plan.n_parts);
+}
+
 static bool
 on_attempt_data (void *ctx, const char *data, size_t n)
 {
@@ -259,6 +266,8 @@
     observe (request, DY_HISTOGRAM_FIRST_EVENT, request->plan.arrived_us);
   request->event_us = now_us (request);
   start_stream (request);
+  if (!request->attempt.prompt_read)
+    report_output (request);
   dy_gateway_attempt_on_first_event (&request->attempt);
   dy_http_call_write (request->call, request->body->str, request->body->len);
   g_string_truncate (request->body, 0);
@@ -275,6 +284,16 @@
                                   (uint32_t) MAX (members, 1), now_us (request));
 }
 
+/* Returns whether endpoints crashed under requests like this one, so that it is not sent. */
+static bool
+is_blocked (const Request *request, bool may_try)
+{
+  const DyGatewayPlan *plan = &request->plan;
+  return dy_quarantine_blocks (&request->gateway->quarantine, plan->body_hash, now_us (request))
+         || dy_part_blocks_refuse (request->gateway->part_blocks, plan->id, plan->parts,
+                                   plan->n_parts, may_try);
+}
+
 static int
 decide_resend (Request *request, DyAttemptOutcome outcome)
 {
@@ -288,8 +307,7 @@
                           .within_budget = resend_allowed (request),
                           .time_left_ms = (request->plan.end_us - now_us (request)) / 1000,
                           .time_needed_ms = TIME_NEEDED_MS };
-  if (dy_quarantine_blocks (&request->gateway->quarantine, request->plan.body_hash,
-                            now_us (request)))
+  if (is_blocked (request, false))
     query.max_attempts = 0;
   return dy_resend_decide (&query);
 }
@@ -347,6 +365,9 @@
           latest_endpoint_id (request), request->attempt.prompt_read, parts->str);
   g_string_free (parts, TRUE);
   dy_gateway_report_crash (request->gateway, plan->body_hash);
+  if (!request->attempt.prompt_read)
+    dy_part_blocks_report_crash (request->gateway->part_blocks, latest_endpoint_id (request),
+                                 plan->parts, plan->n_parts);
 }
 
 static void
@@ -359,6 +380,7 @@
   if (result->complete && expects_events (request)
       && !dy_event_stream_at_boundary (&request->events))
     {
+      report_crash (request);
       retry_or_fail (request, DY_ATTEMPT_BROKEN, false);
       return;
     }
@@ -385,6 +407,8 @@
   request->n_started++;
   if (request->attempt.is_success)
     dy_gateway_report_success (gateway, request->plan.body_hash);
+  if (request->attempt.is_success && !expects_events (request))
+    report_output (request);
   finish_answer (request);
 }
 
@@ -660,7 +684,7 @@
                    g_hash_table_size (gateway->requests));
   count (request, DY_COUNTER_REQUESTS);
   dy_http_call_watch (call, &call_watcher, request);
-  if (dy_quarantine_blocks (&gateway->quarantine, request->plan.body_hash, now_us (request)))
+  if (is_blocked (request, true))
     fail_request (request, DY_SUSPENDED);
   else
     reserve (request);
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -33,7 +33,7 @@
 
 enum
 {
-  DY_MAX_PEERS_WATCHERS = 4,
+  DY_MAX_PEERS_WATCHERS = 8,
 };
 
 typedef struct DyPeerLink DyPeerLink;
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -401,12 +401,17 @@
     = "r1 {\"time\":\"T2\",\"event\":5006,\"ticket\":\"07:1\",\"kind\":\"budget_reserved\"}\n"
       "r1 {\"time\":\"T2\",\"event\":5006,\"ticket\":\"07:2\",\"kind\":\"budget_spent\"}\n"
       "r0 {\"time\":\"T3\",\"event\":7004,\"request\":\"q1\",\"outcome\":\"budget_reserved\"}\n"
+      "r0 {\"time\":\"T4\",\"event\":7007,\"request\":\"q1\",\"part\":\"b1\"}\n"
+      "r1 {\"time\":\"T5\",\"event\":7007,\"request\":\"q2\",\"part\":\"b1\"}\n"
+      "r1 {\"time\":\"T0\",\"event\":6008,\"part\":\"b1\",\"crashes\":\"3\"}\n"
+      "r1 {\"time\":\"T0\",\"event\":6008,\"part\":\"b2\",\"crashes\":\"4\"}\n"
       "not a line of a log\n"
       "r0 {\"time\":\"T1\",\"event\":7006,\"request\":\"q1\",\"ticket\":\"07:1\"}\n";
 
 START_TEST (request_is_explained_from_logs)
 {
   static const char expected[] = "r0 {\"time\":\"T1\",";
+  static const char first[] = "\"crashes\":\"3\"";
   Fleet fleet = { .loop = ev_default_loop (EVFLAG_AUTO) };
   FleetProcess process = { 0 };
   char *path = NULL;
@@ -417,12 +422,15 @@
   close (fd);
   ck_assert (g_file_set_contents (path, log_text, -1, NULL));
   ck_assert (fleet_spawn (&fleet, &process, "explain", argv));
+  ck_assert (fleet_wait_line (&process, first));
   ck_assert (fleet_wait_line (&process, expected));
   ck_assert (fleet_wait_line (&process, "budget_reserved"));
   ck_assert (fleet_wait_line (&process, "\"outcome\""));
   ck_assert (fleet_wait_exit (&process));
   ck_assert_int_eq (process.exit_status, 0);
   ck_assert_ptr_null (strstr (process.output->str, "budget_spent"));
+  ck_assert_ptr_null (strstr (process.output->str, "q2"));
+  ck_assert_ptr_null (strstr (process.output->str, "b2"));
   fleet_kill (&process);
   remove (path);
   g_free (path);
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -52,6 +52,7 @@
   DyBudgets budgets;
   DyPeers peers; /* has no other router */
   DyDirectory directory;
+  DyPartBlocks part_blocks; /* knows of no crash */
   DyGateway gateway;
   char *address; /* where the gateway accepts callers */
   Endpoint endpoints[N_ENDPOINTS];
@@ -130,6 +131,9 @@
   gateway->dialect = &dy_platform_dialect;
   gateway->directory = &fixture->directory;
   gateway->budgets = &fixture->budgets;
+  gateway->part_blocks = &fixture->part_blocks;
+  fixture->part_blocks.loaded = true;
+  dy_crash_cause_init (&fixture->part_blocks.cause, &dy_crash_cause_policy, NULL, NULL);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gateway->rng = g_rand_new_with_seed (1);
@@ -172,6 +176,7 @@
   g_hash_table_unref (gateway->max_idle_by_service);
   dy_http_client_finish (&gateway->client);
   dy_quarantine_finish (&gateway->quarantine);
+  dy_crash_cause_finish (&fixture->part_blocks.cause);
   dy_resend_budget_finish (&gateway->resend_budget);
   g_rand_free (gateway->rng);
   for (int i = 0; i < N_ENDPOINTS; i++)
