Test answers that have neither a length nor chunks

Change: a stand-in that ends or resets its connection after fixed bytes, and a table of nine answers.

--- /dev/null
+++ b/test/support/canned.h
@@ -0,0 +1,30 @@
+#ifndef TEST_SUPPORT_CANNED_H
+#define TEST_SUPPORT_CANNED_H
+
+/**
+ * NAME
+ *   canned - a server that answers each request with the same bytes and ends the connection
+ */
+
+#include <ev.h>
+#include <stdbool.h>
+
+typedef struct
+{
+  struct ev_loop *loop;
+  const char *text;
+  bool resets; /* the connection is reset in place of a regular end */
+  int listen_fd;
+  int fd; /* of the latest connection; -1: none */
+  ev_io accept_io;
+  ev_io read_io;
+  ev_timer end_timer;
+} CannedServer;
+
+/* Listens on ADDRESS, "address:port". The connection ends a little after TEXT was sent, so that the
+ * other side can read it before. Returns whether it listens. */
+bool canned_init (
+    CannedServer *server, struct ev_loop *loop, const char *address, const char *text, bool resets);
+void canned_finish (CannedServer *server);
+
+#endif
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -6,6 +6,7 @@
 #include "net/address.h"
 #include "platform/dialect.h"
 #include "services/gateway_request.h"
+#include "support/canned.h"
 #include "support/endless.h"
 #include "support/fleet.h"
 #include "support/suite.h"
@@ -64,6 +65,7 @@
 {
   DyHttpResult result;
   GString *head; /* "name: value" lines of the answer */
+  GString *body;
   bool done;
 } Answer;
 
@@ -202,6 +204,16 @@
   return true;
 }
 
+static bool
+on_data (void *ctx, DyHttpTransfer *transfer, const char *data, size_t n)
+{
+  Answer *answer = ctx;
+  (void) transfer;
+  if (answer->body->len + n <= MAX_BODY_BYTES)
+    g_string_append_len (answer->body, data, (gssize) n);
+  return true;
+}
+
 static void
 on_done (void *ctx, const DyHttpResult *result)
 {
@@ -215,7 +227,8 @@
 static void
 send_requests (Fixture *fixture, const char *target, Answer *answers, int n)
 {
-  static const DyHttpTransferWatcher watcher = { .head = on_head, .done = on_done };
+  static const DyHttpTransferWatcher watcher
+      = { .head = on_head, .data = on_data, .done = on_done };
   DyHttpClient client;
   char *url = g_strdup_printf ("http://%s%s", fixture->address, target);
   dy_http_client_init (&client, fixture->kernel.loop);
@@ -232,6 +245,7 @@
                           .timeout_ms = CALL_TIMEOUT_MS };
       memset (&answers[i], 0, sizeof answers[i]);
       answers[i].head = g_string_new (NULL);
+      answers[i].body = g_string_new (NULL);
       dy_http_client_start (&client, &spec, &watcher, &answers[i]);
       g_free (id);
     }
@@ -246,7 +260,10 @@
 free_answers (Answer *answers, int n)
 {
   for (int i = 0; i < n; i++)
-    g_string_free (answers[i].head, TRUE);
+    {
+      g_string_free (answers[i].head, TRUE);
+      g_string_free (answers[i].body, TRUE);
+    }
 }
 
 /* Makes the first endpoint leave after a request was placed there and before it is sent, and adds
@@ -441,6 +458,59 @@
 }
 END_TEST
 
+#define EVENT_1 "id: 1\ndata: a\n\n"
+#define EVENT_2 "id: 2\ndata: b\n\n"
+
+/* Answers with neither a length nor chunks end with their connection. */
+static const struct
+{
+  const char *name;
+  const char *target;
+  const char *text;
+  bool resets;
+  unsigned status;
+  int error;        /* of the caller's transfer */
+  const char *body; /* NULL: any */
+} unframed_cases[] = {
+  { "body", "/x", SIGNED "\r\ntext", false, 200, DY_OK, "text" },
+  { "empty body", "/x", SIGNED "\r\n", false, 200, DY_OK, "" },
+  { "body, then a reset", "/x", SIGNED "\r\ntext", true, 502, DY_OK, NULL },
+  { "shorter than its length", "/x", SIGNED "Content-Length: 9\r\n\r\ntext", false, 502, DY_OK,
+    NULL },
+  { "events", "/s/x", SIGNED "\r\n" EVENT_1 EVENT_2, false, 200, DY_OK, EVENT_1 EVENT_2 },
+  { "events, then a reset", "/s/x", SIGNED "\r\n" EVENT_1, true, 200, DY_PROTOCOL, EVENT_1 },
+  { "end inside an event", "/s/x", SIGNED "\r\n" EVENT_1 "id: 2\ndata: b\n", false, 200,
+    DY_PROTOCOL, EVENT_1 },
+  { "end inside a line", "/s/x", SIGNED "\r\n" EVENT_1 "id: 2\nda", false, 200, DY_PROTOCOL,
+    EVENT_1 },
+  { "end inside the first event", "/s/x", SIGNED "\r\nid: 1\ndata", false, 502, DY_OK, NULL },
+};
+
+START_TEST (answer_without_length_ends_with_its_connection)
+{
+  Fixture fixture;
+  Answer answer;
+  CannedServer server;
+  const char *name = unframed_cases[_i].name;
+  fixture_init (&fixture);
+  dy_http_server_finish (&fixture.endpoints[0].server);
+  ck_assert (canned_init (&server, fixture.kernel.loop, fixture.endpoints[0].address,
+                          unframed_cases[_i].text, unframed_cases[_i].resets));
+  put_endpoint (&fixture, 0, false);
+  send_requests (&fixture, unframed_cases[_i].target, &answer, 1);
+  ck_assert_msg (answer.result.status == unframed_cases[_i].status, "%s: status %u", name,
+                 answer.result.status);
+  ck_assert_msg (answer.result.error == unframed_cases[_i].error, "%s: error %d", name,
+                 answer.result.error);
+  if (unframed_cases[_i].body)
+    ck_assert_msg (strcmp (answer.body->str, unframed_cases[_i].body) == 0, "%s: body \"%s\"", name,
+                   answer.body->str);
+  canned_finish (&server);
+  free_answers (&answer, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -451,6 +521,8 @@
                        (int) G_N_ELEMENTS (departure_cases));
   tcase_add_loop_test (tcase, answer_that_never_ends_is_cut_off, 0,
                        (int) G_N_ELEMENTS (endless_cases));
+  tcase_add_loop_test (tcase, answer_without_length_ends_with_its_connection, 0,
+                       (int) G_N_ELEMENTS (unframed_cases));
   tcase_add_test (tcase, requests_that_waited_too_long_are_refused_at_once);
   tcase_add_test (tcase, answer_is_read_before_its_attempt_is_abandoned);
   return suite_run ("gateway_request", tcase);
