--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -57,6 +57,7 @@
   X (ENDPOINT_CRASHED, 6007, INFO, "endpoint crashed under request")                               \
   X (PART_BLOCKED, 6008, WARNING, "prompt part blocked")                                           \
   X (PART_RELEASED, 6009, WARNING, "prompt part released")                                         \
+  X (LIMIT_NAMED, 6010, INFO, "answer names a limit")                                              \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -70,6 +70,8 @@
   bool has_load;          /* the endpoint's running and waiting requests are stated */
   uint32_t n_running;
   uint32_t n_waiting;
+  /* Requests in a thousand seconds that the endpoint accepts from all routers; 0: not limited. */
+  int64_t limit_per_1000_s;
   int64_t max_idle_s; /* time after which the endpoint closes an idle connection; 0: not stated */
 } DyAnswerHead;
 
--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -23,9 +23,11 @@
  * remains when the process ends.
  *
  * GET /admin/stats returns {"runs": {request id: n}, "last": {header: value}, "cancelled": n,
- * "crashing": requests that came with the part "bad0"}.
+ * "crashing": requests that came with the part "bad0",
+ * "limited_ms": [time of each request since the limit was set]}.
  * POST /admin/set takes {"instance": id}; requests whose X-Expect-Instance differs are answered
- * 421. */
+ * 421. POST /admin/limit takes {"limit": text}, which signed answers then have as Server-Limit;
+ * null ends that. */
 
 #include "net/http_server.h"
 
@@ -50,6 +52,8 @@
   json_t *runs;  /* request id to the number of runs */
   json_t *last;  /* headers and target of the last run */
   FILE *run_log; /* NULL: none */
+  json_t *limited_ms;
+  ev_tstamp limit_set_at;
 } Worker;
 
 /* A request that is answered later. */
@@ -69,6 +73,7 @@
 static int64_t n_cancelled; /* silent requests whose connection was closed */
 static int64_t n_crashing;  /* requests that came with the crashing part */
 static GHashTable *pending; /* set of PendingCall */
+static char *limit;         /* value of Server-Limit; NULL: none */
 static ev_tstamp down_until;
 static struct ev_loop *main_loop;
 
@@ -107,6 +112,8 @@
 {
   dy_http_call_add_header (call, "X-Request-Id", id);
   dy_http_call_add_header (call, "X-Server-Seal", SEAL);
+  if (limit)
+    dy_http_call_add_header (call, "Server-Limit", limit);
 }
 
 static void
@@ -337,6 +344,9 @@
       return;
     }
   record_run (worker, call, id);
+  json_array_append_new (
+      worker->limited_ms,
+      json_integer ((json_int_t) ((ev_now (main_loop) - worker->limit_set_at) * 1e3)));
   if (crashes)
     {
       add_pending (call, id, true);
@@ -362,17 +372,32 @@
   reply_json (call, json_object ());
 }
 
+static void
+set_limit (Worker *worker, DyHttpCall *call)
+{
+  json_t *body = json_loadb (dy_http_call_body (call)->str, dy_http_call_body (call)->len, 0, NULL);
+  const char *value = json_string_value (json_object_get (body, "limit"));
+  g_free (limit);
+  limit = g_strdup (value);
+  json_array_clear (worker->limited_ms);
+  worker->limit_set_at = ev_now (main_loop);
+  json_decref (body);
+  reply_json (call, json_object ());
+}
+
 static void
 handle (void *ctx, DyHttpCall *call)
 {
   Worker *worker = ctx;
   const char *path = dy_http_call_path (call);
   if (strcmp (path, "/admin/stats") == 0)
-    reply_json (call, json_pack ("{s:O, s:O, s:I, s:I}", "runs", worker->runs, "last", worker->last,
-                                 "cancelled", (json_int_t) n_cancelled, "crashing",
-                                 (json_int_t) n_crashing));
+    reply_json (call, json_pack ("{s:O, s:O, s:I, s:I, s:O}", "runs", worker->runs, "last",
+                                 worker->last, "cancelled", (json_int_t) n_cancelled, "crashing",
+                                 (json_int_t) n_crashing, "limited_ms", worker->limited_ms));
   else if (strcmp (path, "/admin/set") == 0)
     set_instance (worker, call);
+  else if (strcmp (path, "/admin/limit") == 0)
+    set_limit (worker, call);
   else
     serve (worker, call);
 }
@@ -382,7 +407,7 @@
 int
 main (int argc, char **argv)
 {
-  Worker worker = { .runs = json_object (), .last = json_object () };
+  Worker worker = { .runs = json_object (), .last = json_object (), .limited_ms = json_array () };
   if (argc != 2 && argc != 3)
     return 2;
   if (argc == 3)
