Keep the rates that endpoints name, shared among all routers

A limit kept by each router alone would not do either: with token buckets of one request, 73 routers may send 78 requests in 4 s at 1.3 a second.

Change: core/limit_shares gives a limit to only as many routers as get one request a second each, those that rank first for the endpoint in an order that all compute alike; buckets start empty. services/endpoint_limits tells the other routers and makes placement pass over endpoints without a share left. It works because the sum of the shares is the limit whatever the size of the fleet. The limit ends with an answer that does not name it; an endpoint without requests gets one for that.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -70,8 +70,9 @@
 }
 
 /* Fields that lines of other routers about the same matter share with those of the request: the
- * ticket of its reservation, and the blocked part of its prompt. */
-static const char *const linking_fields[] = { "ticket", "part" };
+ * ticket of its reservation, the blocked part of its prompt, and the endpoint whose limit it met.
+ */
+static const char *const linking_fields[] = { "ticket", "part", "limited" };
 
 /* Returns "FIELD=VALUE" of the linking field INDEX of LINE, to be freed with g_free(); NULL: none.
  */
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -176,6 +176,26 @@
   return members->listed;
 }
 
+uint32_t
+dy_members_rank (const DyMembers *members, const char *key, int64_t now_us)
+{
+  uint64_t key_hash = hash_string (key);
+  uint64_t self = combine_hashes (key_hash, hash_string (members->self_name));
+  uint32_t rank = 0;
+  GHashTableIter iter;
+  gpointer value;
+  if (members->self_leaving)
+    return UINT32_MAX;
+  g_hash_table_iter_init (&iter, members->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyMember *member = value;
+      if (is_live (members, member, now_us) && combine_hashes (key_hash, member->name_hash) > self)
+        rank++;
+    }
+  return rank;
+}
+
 bool
 dy_members_ranks_above (const DyMembers *members, const char *account, const char *name)
 {
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -85,6 +85,10 @@
  * live or not. */
 bool dy_members_ranks_above (const DyMembers *members, const char *account, const char *name);
 
+/* Returns the number of live members, this router left out, that precede it in an order for KEY
+ * that all routers compute alike; UINT32_MAX if this router is leaving. */
+uint32_t dy_members_rank (const DyMembers *members, const char *key, int64_t now_us);
+
 /* Records whether calls of the router NAME, which may be this one, to the platform succeed. */
 void dy_members_set_platform (DyMembers *members, const char *name, bool has_platform);
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -174,6 +174,18 @@
   return false;
 }
 
+static bool
+is_allowed (const DyPlacement *placement, const DyPlacementEndpoint *endpoint, int64_t now_us)
+{
+  return !placement->gate || placement->gate->allows (placement->gate_ctx, endpoint->id, now_us);
+}
+
+static bool
+is_due (const DyPlacement *placement, const DyPlacementEndpoint *endpoint, int64_t now_us)
+{
+  return placement->gate && placement->gate->is_due (placement->gate_ctx, endpoint->id, now_us);
+}
+
 static uint64_t
 rendezvous_hash (const DyPlacementEndpoint *endpoint, uint64_t prefix_hash)
 {
@@ -181,9 +193,14 @@
 }
 
 /* Returns the affinity endpoint of the prefix: the one with the highest rendezvous hash among those
- * that are not leaving and whose breakers are closed. Returns NULL without a prefix. */
+ * that are not leaving, whose breakers are closed and, if GATED, that the gate allows. Returns NULL
+ * without a prefix. */
 static const DyPlacementEndpoint *
-find_affinity_endpoint (const GPtrArray *list, uint64_t prefix_hash, int64_t now_us)
+find_affinity_endpoint (const DyPlacement *placement,
+                        const GPtrArray *list,
+                        uint64_t prefix_hash,
+                        bool gated,
+                        int64_t now_us)
 {
   const DyPlacementEndpoint *best = NULL;
   uint64_t best_hash = 0;
@@ -191,7 +208,8 @@
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
       uint64_t hash = rendezvous_hash (endpoint, prefix_hash);
-      if (endpoint->leaving || now_us < endpoint->open_until_us || (best && hash <= best_hash))
+      if (endpoint->leaving || now_us < endpoint->open_until_us || (best && hash <= best_hash)
+          || (gated && !is_allowed (placement, endpoint, now_us)))
         continue;
       best = endpoint;
       best_hash = hash;
@@ -240,13 +258,17 @@
 }
 
 static DyPlacementEndpoint *
-first_to_close (const GPtrArray *list, const char *const *avoid)
+first_to_close (const DyPlacement *placement,
+                const GPtrArray *list,
+                const char *const *avoid,
+                int64_t now_us)
 {
   DyPlacementEndpoint *best = NULL;
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->leaving || is_avoided (endpoint, avoid))
+      if (endpoint->leaving || is_avoided (endpoint, avoid)
+          || !is_allowed (placement, endpoint, now_us))
         continue;
       if (!best || endpoint->open_until_us < best->open_until_us)
         best = endpoint;
@@ -266,14 +288,20 @@
   if (!list || list->len == 0)
     return NULL;
   const DyPlacementEndpoint *affinity
-      = find_affinity_endpoint (list, query->work.prefix_hash, now_us);
+      = find_affinity_endpoint (placement, list, query->work.prefix_hash, true, now_us);
   guint first = (guint) g_rand_int_range (placement->rng, 0, (gint32) list->len);
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, (first + i) % list->len);
       if (endpoint->leaving || now_us < endpoint->open_until_us
-          || is_avoided (endpoint, query->avoid))
+          || is_avoided (endpoint, query->avoid) || !is_allowed (placement, endpoint, now_us))
         continue;
+      if (is_due (placement, endpoint, now_us))
+        {
+          best = endpoint;
+          best_us = 0;
+          break;
+        }
       bool cached = endpoint == affinity
                     || has_cached (placement, endpoint, query->work.prefix_hash, now_us);
       int64_t us = predict_us (placement, endpoint, &query->work, cached, now_us);
@@ -283,12 +311,46 @@
       best_us = us;
     }
   if (!best)
-    best = first_to_close (list, query->avoid);
+    best = first_to_close (placement, list, query->avoid, now_us);
   if (predicted_us)
     *predicted_us = best_us;
   return best;
 }
 
+void
+dy_placement_set_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx)
+{
+  placement->gate = gate;
+  placement->gate_ctx = ctx;
+}
+
+const char *
+dy_placement_gated (const DyPlacement *placement, const DyPlacementQuery *query, int64_t now_us)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, query->service);
+  const DyPlacementEndpoint *gated = NULL;
+  uint32_t n_open = 0;
+  if (!list || !placement->gate)
+    return NULL;
+  for (guint i = 0; i < list->len; i++)
+    {
+      const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
+      if (endpoint->leaving)
+        continue;
+      if (is_allowed (placement, endpoint, now_us))
+        n_open++;
+      else
+        gated = endpoint;
+    }
+  if (!gated)
+    return NULL;
+  if (n_open == 0)
+    return gated->id;
+  const DyPlacementEndpoint *affinity
+      = find_affinity_endpoint (placement, list, query->work.prefix_hash, false, now_us);
+  return affinity && !is_allowed (placement, affinity, now_us) ? affinity->id : NULL;
+}
+
 static gboolean
 is_expired (gpointer key, gpointer value, gpointer ctx)
 {
@@ -320,6 +382,8 @@
 {
   endpoint->n_references++;
   endpoint->in_flight++;
+  if (placement->gate)
+    placement->gate->record_sent (placement->gate_ctx, endpoint->id, now_us);
   endpoint->pending_tokens += work->own_tokens;
   record_prefix (placement, endpoint, work->prefix_hash, now_us);
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -46,9 +46,22 @@
 /* The policy of the daemon. */
 extern const DyPlacementPolicy dy_placement_policy;
 
+/* Limits on the requests to single endpoints; the callbacks get the endpoint's id. */
+typedef struct
+{
+  /* Returns whether a request may be sent now. */
+  bool (*allows) (void *ctx, const char *id, int64_t now_us);
+  /* Returns whether the endpoint is to get the next request. */
+  bool (*is_due) (void *ctx, const char *id, int64_t now_us);
+  /* A request is sent. */
+  void (*record_sent) (void *ctx, const char *id, int64_t now_us);
+} DyPlacementGate;
+
 typedef struct
 {
   DyPlacementPolicy policy;
+  const DyPlacementGate *gate; /* NULL: none */
+  void *gate_ctx;
   char *data_centre;
   GRand *rng;
   GHashTable *by_id;      /* endpoint id to its DyPlacementEndpoint, owned */
@@ -97,6 +110,15 @@
 /* Returns the number of endpoints of SERVICE that are not leaving, whatever their breakers. */
 uint32_t dy_placement_count (const DyPlacement *placement, const char *service);
 
+/* Sets the limits that dy_placement_choose() keeps; GATE NULL: none. */
+void dy_placement_set_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx);
+
+/* Returns the id of an endpoint that dy_placement_choose() has just passed over because of the
+ * gate: the affinity endpoint of QUERY, or any if there was no other. Returns NULL if there is
+ * none. */
+const char *
+dy_placement_gated (const DyPlacement *placement, const DyPlacementQuery *query, int64_t now_us);
+
 /* Returns the endpoint with the shortest predicted wait, to be given to dy_placement_begin(), or
  * NULL if there is none. Sets PREDICTED_US (may be NULL) to the predicted wait, or to 0 if no
  * endpoint with a closed breaker was found; leaves it alone if the service has no endpoint. */
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -43,6 +43,7 @@
   DyCallers callers;
   DyRegistration registration;
   DyDirectory directory;
+  DyEndpointLimits limits;
   DyPartBlocks part_blocks;
   DyGateway gateway;
   DyOperators operators;
@@ -269,6 +270,7 @@
   dy_peers_add_service (kernel, &daemon->peers);
   dy_budgets_add_service (kernel, &daemon->budgets);
   dy_directory_add_service (kernel, &daemon->directory);
+  dy_endpoint_limits_add_service (kernel, &daemon->limits);
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
   dy_gateway_add_service (kernel, &daemon->gateway);
   daemon->operators.ready = directory_ready;
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -48,6 +48,9 @@
      "attempts whose connection broke before the answer was complete")                             \
   X (BLOCKED_PARTS, gauge, "dogwoodyoke_blocked_parts",                                            \
      "prompt parts that are blocked as they crash endpoints")                                      \
+  X (LIMITED_ENDPOINTS, gauge, "dogwoodyoke_limited_endpoints", "endpoints that name a limit")     \
+  X (LIMIT_SKIPS, counter, "dogwoodyoke_limit_skips_total",                                        \
+     "requests that passed over an endpoint for its limit")                                        \
   X (CONFIG_VERSION, gauge, "dogwoodyoke_config_version", "highest platform version in force")     \
   X (DECLARATIONS_REJECTED, counter, "dogwoodyoke_declarations_rejected_total",                    \
      "declarations rejected as invalid")
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -58,6 +58,8 @@
   X (PART_BLOCKED, 6008, WARNING, "prompt part blocked")                                           \
   X (PART_RELEASED, 6009, WARNING, "prompt part released")                                         \
   X (LIMIT_NAMED, 6010, INFO, "answer names a limit")                                              \
+  X (LIMIT_KNOWN, 6011, MESSAGE, "endpoint limit in force")                                        \
+  X (LIMIT_ENDED, 6012, MESSAGE, "endpoint limit ended")                                           \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
@@ -65,7 +67,8 @@
   X (ATTEMPT_ABANDONED, 7005, INFO, "silent attempt abandoned")                                    \
   X (REQUEST_RESERVING, 7006, INFO, "reservation asked for")                                       \
   X (REQUEST_BLOCKED, 7007, INFO, "request has a blocked part")                                    \
-  X (REQUEST_TRIED, 7008, WARNING, "request with a blocked part let through")
+  X (REQUEST_TRIED, 7008, WARNING, "request with a blocked part let through")                      \
+  X (LIMIT_APPLIED, 7009, INFO, "endpoint passed over for its limit")
 
 typedef enum
 {
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -21,6 +21,7 @@
 #include "net/http_server.h"
 #include "services/budgets.h"
 #include "services/directory.h"
+#include "services/endpoint_limits.h"
 #include "services/part_blocks.h"
 
 #define DY_SERVICE_GATEWAY "gateway"
@@ -32,6 +33,7 @@
   DyDirectory *directory;
   DyBudgets *budgets;
   DyPartBlocks *part_blocks;
+  DyEndpointLimits *limits;
   DyHttpServer server;
   DyHttpServer ready_server;
   DyHttpClient client;
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -63,6 +63,9 @@
     dy_log (DY_EVENT_LIMIT_NAMED, "request=%s endpoint=%s per_1000_s=%" G_GINT64_FORMAT,
             attempt->request_id, dy_placement_endpoint_id (attempt->endpoint),
             answer->limit_per_1000_s);
+  if (!attempt->foreign && (answer->limit_per_1000_s > 0 || success))
+    dy_endpoint_limits_report (gateway->limits, dy_placement_endpoint_id (attempt->endpoint),
+                               answer->limit_per_1000_s, attempt->placed_us);
   if (answer->max_idle_s > 1 && answer->max_idle_s != max_idle_s (attempt))
     g_hash_table_insert (gateway->max_idle_by_service, g_strdup (attempt->service),
                          GINT_TO_POINTER ((int) answer->max_idle_s));
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -471,6 +471,9 @@
       endpoint = dy_placement_choose (&gateway->directory->placement, &query, now_us (request),
                                       &predicted_us);
     }
+  const char *gated = dy_placement_gated (&gateway->directory->placement, &query, now_us (request));
+  if (gated)
+    dy_endpoint_limits_log_skip (gateway->limits, request->plan.id, gated);
   if (!endpoint)
     {
       fail_request (request, request->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT);
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -54,6 +54,7 @@
   DyPeers peers; /* has no other router */
   DyDirectory directory;
   DyPartBlocks part_blocks; /* knows of no crash */
+  DyEndpointLimits limits;  /* knows of no limit */
   DyGateway gateway;
   char *address; /* where the gateway accepts callers */
   Endpoint endpoints[N_ENDPOINTS];
@@ -135,6 +136,8 @@
   gateway->budgets = &fixture->budgets;
   gateway->part_blocks = &fixture->part_blocks;
   fixture->part_blocks.loaded = true;
+  gateway->limits = &fixture->limits;
+  dy_limit_shares_init (&fixture->limits.shares, &dy_limit_policy, NULL, NULL);
   dy_crash_cause_init (&fixture->part_blocks.cause, &dy_crash_cause_policy, NULL, NULL);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -179,6 +182,7 @@
   dy_http_client_finish (&gateway->client);
   dy_quarantine_finish (&gateway->quarantine);
   dy_crash_cause_finish (&fixture->part_blocks.cause);
+  dy_limit_shares_finish (&fixture->limits.shares);
   dy_resend_budget_finish (&gateway->resend_budget);
   g_rand_free (gateway->rng);
   for (int i = 0; i < N_ENDPOINTS; i++)
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -544,6 +544,88 @@
 }
 END_TEST
 
+typedef struct
+{
+  const char *allowed; /* ids of the endpoints that may get requests, in one text */
+  const char *due;     /* id of the endpoint that is to get the next request; "": none */
+  int n_sent;
+} GateState;
+
+static bool
+gate_allows (void *ctx, const char *id, int64_t now_us)
+{
+  const GateState *state = ctx;
+  (void) now_us;
+  return strstr (state->allowed, id) != NULL;
+}
+
+static bool
+gate_is_due (void *ctx, const char *id, int64_t now_us)
+{
+  const GateState *state = ctx;
+  (void) now_us;
+  return strcmp (state->due, id) == 0;
+}
+
+static void
+gate_record_sent (void *ctx, const char *id, int64_t now_us)
+{
+  GateState *state = ctx;
+  (void) id;
+  (void) now_us;
+  state->n_sent++;
+}
+
+static const DyPlacementGate test_gate
+    = { .allows = gate_allows, .is_due = gate_is_due, .record_sent = gate_record_sent };
+
+/* PREFIX 0: none. */
+static const struct
+{
+  const char *name;
+  const char *allowed;
+  const char *due;
+  uint64_t prefix;
+  const char *chosen; /* NULL: none */
+  bool gated;         /* an endpoint is reported as passed over */
+} gate_cases[] = {
+  { "only one is allowed", "e2", "", 0, "e2", false },
+  { "its prefix belongs to another one", "e2", "", 5, "e2", true },
+  { "none is allowed", "", "", 0, NULL, true },
+  { "one is due", "e0 e1 e2 e3", "e1", 0, "e1", false },
+  { "one that is due but not allowed", "e2", "e1", 0, "e2", false },
+};
+
+START_TEST (placement_keeps_to_the_gate)
+{
+  DyPlacement placement;
+  GateState state = { .allowed = gate_cases[_i].allowed, .due = gate_cases[_i].due };
+  DyPlacementQuery query = { .service = "llm", .work = { .prefix_hash = gate_cases[_i].prefix } };
+  placement_init (&placement);
+  const char *name = gate_cases[_i].name;
+  /* A prefix whose affinity endpoint is not e2. */
+  while (query.work.prefix_hash > 0
+         && choose (&placement, query.work.prefix_hash, 0)
+                == g_hash_table_lookup (placement.by_id, "e2"))
+    query.work.prefix_hash++;
+  dy_placement_set_gate (&placement, &test_gate, &state);
+  DyPlacementEndpoint *placed = dy_placement_choose (&placement, &query, 0, NULL);
+  const char *id = placed ? dy_placement_endpoint_id (placed) : NULL;
+  ck_assert_msg (g_strcmp0 (id, gate_cases[_i].chosen) == 0, "%s: %s", name, id ? id : "none");
+  ck_assert_msg ((dy_placement_gated (&placement, &query, 0) != NULL) == gate_cases[_i].gated, "%s",
+                 name);
+  if (placed)
+    {
+      dy_placement_begin (&placement, placed, &query.work, 0);
+      dy_placement_end (&placement, placed, &query.work, false, DY_PLACEMENT_ANSWERED, 0);
+    }
+  ck_assert_int_eq (state.n_sent, placed ? 1 : 0);
+  dy_placement_set_gate (&placement, NULL, NULL);
+  ck_assert_ptr_nonnull (choose (&placement, 0, 0));
+  dy_placement_finish (&placement);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -564,5 +646,6 @@
   tcase_add_test (tcase, a_leaving_endpoint_gets_no_requests);
   tcase_add_loop_test (tcase, resends_depend_on_the_outcome, 0, (int) G_N_ELEMENTS (resend_cases));
   tcase_add_test (tcase, resends_of_the_fleet_stay_within_the_bound);
+  tcase_add_loop_test (tcase, placement_keeps_to_the_gate, 0, (int) G_N_ELEMENTS (gate_cases));
   return suite_run ("routing", tcase);
 }
