--- a/src/services/endpoint_limits.c
+++ b/src/services/endpoint_limits.c
@@ -59,7 +59,7 @@
 }
 
 static void
-log_limit (DyEndpointLimits *limits, const DyLimit *limit)
+take_change (DyEndpointLimits *limits, const DyLimit *limit)
 {
   update_gate (limits);
   dy_log (DY_EVENT_LIMIT_KNOWN, "limited=%s per_1000_s=%" G_GINT64_FORMAT " source=%s",
@@ -67,44 +67,33 @@
 }
 
 static void
-log_end (DyEndpointLimits *limits, const char *endpoint, const char *reason)
+take_end (DyEndpointLimits *limits, const char *endpoint, const char *reason)
 {
   update_gate (limits);
   dy_log (DY_EVENT_LIMIT_ENDED, "limited=%s reason=%s", endpoint, reason);
 }
 
-/* Fills MESSAGE with LIMIT, or with the end of the limit of ENDPOINT if it is NULL. Returns the
- * text of the message, to be freed with free(). */
-static char *
-encode_limit (const DyEndpointLimits *limits,
-              const char *endpoint,
-              const DyLimit *limit,
-              DyMessage *message)
+/* Tells the router NAME, or all if it is NULL, of LIMIT. */
+static void
+send_limit (const DyEndpointLimits *limits, const char *name, const DyLimit *limit)
 {
-  char *text = NULL;
-  memset (message, 0, sizeof *message);
-  message->type = DY_MESSAGE_CONFIG;
-  g_snprintf (message->u.config.key, DY_KEY_SIZE, LIMITS_PREFIX "%s", endpoint);
-  if (limit)
-    {
-      json_int_t age_ms = (now_us (limits) - limit->confirmed_us) / 1000;
-      json_t *root = json_pack ("{s:I, s:I, s:I}", "per_1000_s", (json_int_t) limit->per_1000_s,
-                                "age_ms", age_ms, "handovers", (json_int_t) limit->n_handovers);
-      text = json_dumps (root, JSON_COMPACT);
-      json_decref (root);
-    }
-  message->u.config.text = text;
-  message->u.config.n_text = text ? (uint32_t) strlen (text) : 0;
-  return text;
+  json_int_t age_ms = (now_us (limits) - limit->confirmed_us) / 1000;
+  json_t *root = json_pack ("{s:I, s:I, s:I}", "per_1000_s", (json_int_t) limit->per_1000_s,
+                            "age_ms", age_ms, "handovers", (json_int_t) limit->n_handovers);
+  char *text = json_dumps (root, JSON_COMPACT);
+  char *key = g_strconcat (LIMITS_PREFIX, limit->endpoint, NULL);
+  dy_peers_send_object (limits->directory->peers, name, key, text);
+  g_free (key);
+  free (text);
+  json_decref (root);
 }
 
 static void
-broadcast (const DyEndpointLimits *limits, const char *endpoint, const DyLimit *limit)
+broadcast_end (const DyEndpointLimits *limits, const char *endpoint)
 {
-  DyMessage message;
-  char *text = encode_limit (limits, endpoint, limit, &message);
-  dy_peers_broadcast (limits->directory->peers, &message);
-  free (text);
+  char *key = g_strconcat (LIMITS_PREFIX, endpoint, NULL);
+  dy_peers_send_object (limits->directory->peers, NULL, key, NULL);
+  g_free (key);
 }
 
 void
@@ -118,16 +107,16 @@
     {
       if (!dy_limit_shares_end (shares, endpoint, sent_us))
         return;
-      log_end (limits, endpoint, "answer");
-      broadcast (limits, endpoint, NULL);
+      take_end (limits, endpoint, "answer");
+      broadcast_end (limits, endpoint);
       return;
     }
   bool changed = dy_limit_shares_set (shares, endpoint, per_1000_s, now_us (limits));
   const DyLimit *limit = dy_limit_shares_find (shares, endpoint);
   if (changed)
-    log_limit (limits, limit);
+    take_change (limits, limit);
   if (dy_limit_shares_announce (shares, endpoint, now_us (limits)))
-    broadcast (limits, endpoint, limit);
+    send_limit (limits, NULL, limit);
 }
 
 static void
@@ -143,7 +132,7 @@
   if (report.per_1000_s <= 0 || report.n_handovers < 0 || report.n_handovers > INT32_MAX)
     return;
   if (dy_limit_shares_take (&limits->shares, endpoint, &report, now_us (limits)))
-    log_limit (limits, dy_limit_shares_find (&limits->shares, endpoint));
+    take_change (limits, dy_limit_shares_find (&limits->shares, endpoint));
   /* The sender told the others, too. */
   dy_limit_shares_announce (&limits->shares, endpoint, now_us (limits));
 }
@@ -160,7 +149,7 @@
   if (message->u.config.text)
     take_limit (limits, endpoint, message->u.config.text, message->u.config.n_text);
   else if (dy_limit_shares_remove (&limits->shares, endpoint))
-    log_end (limits, endpoint, "peer");
+    take_end (limits, endpoint, "peer");
 }
 
 static void
@@ -171,13 +160,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, limits->shares.limits);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const DyLimit *limit = value;
-      DyMessage message;
-      char *text = encode_limit (limits, limit->endpoint, limit, &message);
-      dy_peers_send (limits->directory->peers, name, &message);
-      free (text);
-    }
+    send_limit (limits, name, value);
 }
 
 static const DyPeersWatcher peers_watcher = { .message = on_message, .up = on_peer_up };
@@ -201,7 +184,7 @@
   for (guint i = 0; i < removed->len; i++)
     {
       dy_limit_shares_remove (&limits->shares, g_ptr_array_index (removed, i));
-      log_end (limits, g_ptr_array_index (removed, i), "removed");
+      take_end (limits, g_ptr_array_index (removed, i), "removed");
     }
   g_ptr_array_unref (removed);
 }
--- a/src/services/endpoint_limits.h
+++ b/src/services/endpoint_limits.h
@@ -7,10 +7,14 @@
  *
  * DESCRIPTION
  *   Feeds core/limit_shares with what answers say and makes placement pass over endpoints of which
- *   this router has no share left. Routers tell each other by DY_MESSAGE_CONFIG messages with the
- * key limits/ENDPOINT and the value {"per_1000_s": n, "age_ms": n, "handovers": n}; removed: the
- * limit has ended. A router that has restarted learns the limits when its connections to the others
- * come up, or from the first answers.
+ *   this router has no share left. Routers tell each other by objects that
+ *   dy_peers_send_object() sends:
+ *
+ *     limits/ENDPOINT  {"per_1000_s": n, "age_ms": n, "handovers": n}
+ *       The fields of DyLimitReport. Removed: the limit has ended.
+ *
+ *   A router that has restarted learns the limits when its connections to the others come up, or
+ *   from the first answers.
  */
 
 #include "core/limit_shares.h"
@@ -29,8 +33,7 @@
 /* Adds the service "endpoint_limits", whose interface is a DyEndpointLimits. */
 void dy_endpoint_limits_add_service (DyKernel *kernel, DyEndpointLimits *limits);
 
-/* Takes the limit that ENDPOINT names in an answer to a request sent at SENT_US; 0: it names none.
- */
+/* Takes the limit that ENDPOINT names in an answer to a request sent at SENT_US, 0 if none. */
 void dy_endpoint_limits_report (DyEndpointLimits *limits,
                                 const char *endpoint,
                                 int64_t per_1000_s,
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -40,6 +40,21 @@
   return !attempt->endpoint_left;
 }
 
+/* Any answer may name a limit; one that lacks it ends the limit only if it is a success, as
+ * refusals may come from elsewhere in the endpoint. */
+static void
+take_limit (DyGatewayAttempt *attempt, bool success)
+{
+  int64_t per_1000_s = attempt->answer.limit_per_1000_s;
+  const char *endpoint_id = dy_placement_endpoint_id (attempt->endpoint);
+  if (per_1000_s > 0)
+    dy_log (DY_EVENT_LIMIT_NAMED, "request=%s endpoint=%s per_1000_s=%" G_GINT64_FORMAT,
+            attempt->request_id, endpoint_id, per_1000_s);
+  if (per_1000_s > 0 || success)
+    dy_endpoint_limits_report (attempt->gateway->limits, endpoint_id, per_1000_s,
+                               attempt->placed_us);
+}
+
 static bool
 on_head (void *ctx, unsigned status, const DyHttpHeader *headers, uint32_t n)
 {
@@ -59,13 +74,8 @@
       add_header (attempt->headers, headers[i].name, headers[i].value);
   if (answer->has_load && !other_request)
     dy_placement_report (attempt->endpoint, answer->n_running, answer->n_waiting, now_us (attempt));
-  if (answer->limit_per_1000_s > 0 && !attempt->foreign)
-    dy_log (DY_EVENT_LIMIT_NAMED, "request=%s endpoint=%s per_1000_s=%" G_GINT64_FORMAT,
-            attempt->request_id, dy_placement_endpoint_id (attempt->endpoint),
-            answer->limit_per_1000_s);
-  if (!attempt->foreign && (answer->limit_per_1000_s > 0 || success))
-    dy_endpoint_limits_report (gateway->limits, dy_placement_endpoint_id (attempt->endpoint),
-                               answer->limit_per_1000_s, attempt->placed_us);
+  if (!attempt->foreign && status != DY_HTTP_MISDIRECTED)
+    take_limit (attempt, success);
   if (answer->max_idle_s > 1 && answer->max_idle_s != max_idle_s (attempt))
     g_hash_table_insert (gateway->max_idle_by_service, g_strdup (attempt->service),
                          GINT_TO_POINTER ((int) answer->max_idle_s));
--- a/src/services/part_blocks.c
+++ b/src/services/part_blocks.c
@@ -79,24 +79,34 @@
   record->synced = synced;
 }
 
-/* Sends the object KEY, removed if ROOT is NULL, to all routers. Releases ROOT. */
+/* Returns the value of the object of a blocked part, to be freed with free(). */
+static char *
+encode_block (uint32_t n_crashes)
+{
+  json_t *root = json_pack ("{s:i}", "crashes", (int) n_crashes);
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  return text;
+}
+
+/* Tells the router NAME, or all if it is NULL, of a blocked part. */
 static void
-broadcast (DyPartBlocks *blocks, const char *key, json_t *root)
-{
-  char *text = root ? json_dumps (root, JSON_COMPACT) : NULL;
-  DyMessage message = { .type = DY_MESSAGE_CONFIG };
-  message.u.config.text = text;
-  message.u.config.n_text = text ? (uint32_t) strlen (text) : 0;
-  if (g_strlcpy (message.u.config.key, key, DY_KEY_SIZE) < DY_KEY_SIZE)
-    dy_peers_broadcast (blocks->peers, &message);
+send_block (DyPartBlocks *blocks, const char *name, const DyBlockedPart *part)
+{
+  char *key = part_key (part->id);
+  char *text = encode_block (part->n_crashes);
+  dy_peers_send_object (blocks->peers, name, key, text);
   free (text);
-  json_decref (root);
+  g_free (key);
 }
 
-static json_t *
-encode_block (uint32_t n_crashes)
+/* Tells all routers that the part ID is neither blocked nor a possible cause. */
+static void
+broadcast_removal (DyPartBlocks *blocks, uint64_t id)
 {
-  return json_pack ("{s:i}", "crashes", (int) n_crashes);
+  char *key = part_key (id);
+  dy_peers_send_object (blocks->peers, NULL, key, NULL);
+  g_free (key);
 }
 
 /* Takes a block of the part ID; does nothing if it is blocked already. */
@@ -116,38 +126,28 @@
 }
 
 static void
-log_release (DyPartBlocks *blocks, uint64_t id, const char *reason)
+take_release (DyPartBlocks *blocks, uint64_t id, const char *reason)
 {
   set_wanted (blocks, id, false, 0, false);
   count_blocked (blocks);
   dy_log (DY_EVENT_PART_RELEASED, "part=" ID_FORMAT " reason=%s", id, reason);
 }
 
-static void
-broadcast_removal (DyPartBlocks *blocks, uint64_t id)
-{
-  char *key = part_key (id);
-  broadcast (blocks, key, NULL);
-  g_free (key);
-}
-
 static void
 on_blocked (void *ctx, const DyBlockedPart *part)
 {
   DyPartBlocks *blocks = ctx;
-  char *key = part_key (part->id);
   set_wanted (blocks, part->id, true, part->n_crashes, false);
   count_blocked (blocks);
   dy_log (DY_EVENT_PART_BLOCKED, "part=" ID_FORMAT " crashes=%u source=%s", part->id,
           part->n_crashes, source_names[part->source]);
-  broadcast (blocks, key, encode_block (part->n_crashes));
-  g_free (key);
+  send_block (blocks, NULL, part);
 }
 
 static void
 on_released (void *ctx, uint64_t id)
 {
-  log_release (ctx, id, "explained");
+  take_release (ctx, id, "explained");
   broadcast_removal (ctx, id);
 }
 
@@ -192,13 +192,7 @@
       return;
     }
   char *key = part_key (record->id);
-  char *text = NULL;
-  if (record->wanted)
-    {
-      json_t *root = encode_block (record->n_crashes);
-      text = json_dumps (root, JSON_COMPACT);
-      json_decref (root);
-    }
+  char *text = record->wanted ? encode_block (record->n_crashes) : NULL;
   record->busy = true;
   dy_platform_put (blocks->platform, key, text, exists ? reply->version : 0, on_written, record);
   free (text);
@@ -287,7 +281,7 @@
     }
   dy_crash_cause_clear (&blocks->cause, id, now_us (blocks), &was_blocked);
   if (was_blocked)
-    log_release (blocks, id, "peer");
+    take_release (blocks, id, "peer");
 }
 
 static void
@@ -315,20 +309,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, blocks->cause.blocked);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const DyBlockedPart *part = value;
-      char *key = part_key (part->id);
-      json_t *root = encode_block (part->n_crashes);
-      char *text = json_dumps (root, JSON_COMPACT);
-      DyMessage message = { .type = DY_MESSAGE_CONFIG };
-      message.u.config.text = text;
-      message.u.config.n_text = (uint32_t) strlen (text);
-      g_strlcpy (message.u.config.key, key, DY_KEY_SIZE);
-      dy_peers_send (blocks->peers, name, &message);
-      free (text);
-      json_decref (root);
-      g_free (key);
-    }
+    send_block (blocks, name, value);
 }
 
 static const DyPeersWatcher peers_watcher = { .message = on_message, .up = on_peer_up };
@@ -412,14 +393,17 @@
       json_array_append_new (parts, json_pack ("{s:s, s:i}", "id", id, "depth", (int) i));
       g_free (id);
     }
-  if (json_array_size (parts) == 0)
+  if (json_array_size (parts) > 0)
     {
-      json_decref (parts);
-      return;
+      json_t *root = json_pack ("{s:O}", "parts", parts);
+      char *text = json_dumps (root, JSON_COMPACT);
+      char *key = g_strconcat (CRASHES_PREFIX, endpoint, NULL);
+      dy_peers_send_object (blocks->peers, NULL, key, text);
+      g_free (key);
+      free (text);
+      json_decref (root);
     }
-  char *key = g_strconcat (CRASHES_PREFIX, endpoint, NULL);
-  broadcast (blocks, key, json_pack ("{s:o}", "parts", parts));
-  g_free (key);
+  json_decref (parts);
 }
 
 void
@@ -434,7 +418,7 @@
       if (!dy_crash_cause_clear (&blocks->cause, ids[i], now_us (blocks), &was_blocked))
         continue;
       if (was_blocked)
-        log_release (blocks, ids[i], "output");
+        take_release (blocks, ids[i], "output");
       broadcast_removal (blocks, ids[i]);
     }
 }
--- a/src/services/part_blocks.h
+++ b/src/services/part_blocks.h
@@ -7,15 +7,20 @@
  *
  * DESCRIPTION
  *   Feeds core/crash_cause with the crashes and outputs of this router's requests and exchanges
- *   them with the other routers, as DY_MESSAGE_CONFIG messages with the keys
- *     crashes/ENDPOINT   {"parts": [{"id": hex, "depth": n}]}: these parts may have caused a crash
- *     crashingparts/ID   {"crashes": n}: the part is blocked; removed: a request with it had
- * output, or another part explains the crashes A router whose connection to another one comes up
- * sends that one the blocked parts.
+ *   them with the other routers, as objects sent by dy_peers_send_object():
+ *
+ *     crashes/ENDPOINT  {"parts": [{"id": hex, "depth": n}]}
+ *       These parts may have caused a crash of the endpoint.
+ *     crashingparts/ID  {"crashes": n}
+ *       The part is blocked. Removed: a request with it had output, or another part explains the
+ *       crashes.
+ *
+ *   A router whose connection to another one comes up sends that one the blocked parts.
  *
  *   The blocks outlive a restart of all routers as objects of the same key and value in the
- *   platform's store, read at the start and written by one router for each part: its home, chosen
- *   as for client accounts. The home also lets a request through now and then, as a trial.
+ *   platform's store. They are read at the start, and written by one router for each part: its
+ *   home, chosen as for client accounts. The home also lets a request through now and then, as a
+ *   trial.
  *
  * ERRORS
  *   Calls to the store that fail are repeated.
--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -365,6 +365,20 @@
     dy_peers_send (peers, name, message);
 }
 
+void
+dy_peers_send_object (DyPeers *peers, const char *name, const char *key, const char *text)
+{
+  DyMessage message = { .type = DY_MESSAGE_CONFIG };
+  message.u.config.text = text;
+  message.u.config.n_text = text ? (uint32_t) strlen (text) : 0;
+  if (g_strlcpy (message.u.config.key, key, DY_KEY_SIZE) >= DY_KEY_SIZE)
+    return;
+  if (name)
+    dy_peers_send (peers, name, &message);
+  else
+    dy_peers_broadcast (peers, &message);
+}
+
 void
 dy_peers_reply (DyPeers *peers, uint64_t link_number, const DyMessage *message)
 {
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -98,6 +98,10 @@
 /* Sends MESSAGE to all connected routers. */
 void dy_peers_broadcast (DyPeers *peers, const DyMessage *message);
 
+/* Sends the object KEY with the value TEXT, NULL if it is removed, as a DY_MESSAGE_CONFIG to the
+ * router NAME, or to all connected routers if NAME is NULL. Does nothing if the key is too long. */
+void dy_peers_send_object (DyPeers *peers, const char *name, const char *key, const char *text);
+
 /* Sends MESSAGE on the connection LINK; drops it if that connection is closed. */
 void dy_peers_reply (DyPeers *peers, uint64_t link, const DyMessage *message);
 
--- a/test/support/canned.c
+++ b/test/support/canned.c
@@ -1,17 +1,12 @@
 #include "support/canned.h"
 
-#include "net/address.h"
+#include "support/listen.h"
 
 #include <fcntl.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum
-{
-  LISTEN_BACKLOG = 8,
-};
-
 static const double END_DELAY_S = 0.05;
 
 static void
@@ -70,24 +65,19 @@
 canned_init (
     CannedServer *server, struct ev_loop *loop, const char *address, const char *text, bool resets)
 {
-  struct sockaddr_in addr;
-  int one = 1;
   memset (server, 0, sizeof *server);
   server->loop = loop;
   server->text = text;
   server->resets = resets;
   server->fd = -1;
-  server->listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (server->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  server->listen_fd = listen_on (address);
   ev_io_init (&server->accept_io, on_accept, server->listen_fd, EV_READ);
   ev_init (&server->read_io, on_readable);
   ev_timer_init (&server->end_timer, on_end, 0.0, 0.0);
   server->accept_io.data = server;
   server->read_io.data = server;
   server->end_timer.data = server;
-  if (dy_address_parse (address, &addr)
-      || bind (server->listen_fd, (struct sockaddr *) &addr, sizeof addr)
-      || listen (server->listen_fd, LISTEN_BACKLOG))
+  if (server->listen_fd < 0)
     return false;
   ev_io_start (loop, &server->accept_io);
   return true;
--- a/test/support/endless.c
+++ b/test/support/endless.c
@@ -1,6 +1,6 @@
 #include "support/endless.h"
 
-#include "net/address.h"
+#include "support/listen.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -8,11 +8,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum
-{
-  LISTEN_BACKLOG = 8,
-};
-
 static void
 on_writable (struct ev_loop *loop, ev_io *w, int events)
 {
@@ -59,22 +54,17 @@
               const char *prefix,
               const char *repeated)
 {
-  struct sockaddr_in addr;
-  int one = 1;
   memset (server, 0, sizeof *server);
   server->loop = loop;
   server->prefix = prefix;
   server->repeated = repeated;
   server->fd = -1;
-  server->listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (server->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  server->listen_fd = listen_on (address);
   ev_io_init (&server->accept_io, on_accept, server->listen_fd, EV_READ);
   ev_init (&server->write_io, on_writable);
   server->accept_io.data = server;
   server->write_io.data = server;
-  if (dy_address_parse (address, &addr)
-      || bind (server->listen_fd, (struct sockaddr *) &addr, sizeof addr)
-      || listen (server->listen_fd, LISTEN_BACKLOG))
+  if (server->listen_fd < 0)
     return false;
   ev_io_start (loop, &server->accept_io);
   return true;
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -131,6 +131,19 @@
   return fleet_wait_until (&site->fleet, is_ready, &wait);
 }
 
+bool
+site_restart_routers (Site *site)
+{
+  bool ok = true;
+  for (uint32_t i = 0; i < site->n_routers; i++)
+    fleet_kill (&site->router_process[i]);
+  for (uint32_t i = 0; ok && i < site->n_routers; i++)
+    ok = site_start_router (site, i);
+  for (uint32_t i = 0; ok && i < site->n_routers; i++)
+    ok = site_wait_ready (site, i, 200);
+  return ok;
+}
+
 bool
 site_start_worker (Site *site, uint32_t i)
 {
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -81,6 +81,9 @@
 bool site_start_router (Site *site, uint32_t i);
 bool site_start_worker (Site *site, uint32_t i);
 
+/* Kills all routers, starts them again and waits until they are ready. */
+bool site_restart_routers (Site *site);
+
 /* Waits until router I answers with HTTP STATUS at its readiness address. */
 bool site_wait_ready (Site *site, uint32_t i, unsigned status);
 
--- a/test/test_crash_parts.c
+++ b/test/test_crash_parts.c
@@ -27,17 +27,6 @@
   bool restart; /* all routers are killed and started again once the part is known */
 } cases[] = { { 2, false }, { 2, true }, { 9, false }, { 9, true } };
 
-static void
-restart_routers (Site *site)
-{
-  for (uint32_t i = 0; i < site->n_routers; i++)
-    fleet_kill (&site->router_process[i]);
-  for (uint32_t i = 0; i < site->n_routers; i++)
-    ck_assert (site_start_router (site, i));
-  for (uint32_t i = 0; i < site->n_routers; i++)
-    ck_assert (site_wait_ready (site, i, 200));
-}
-
 static double
 served_share (const TrafficResult *result)
 {
@@ -55,7 +44,7 @@
   int64_t n_early = site_worker_stat (&site, "crashing");
   ck_assert_int_gt (n_early, 0);
   if (cases[_i].restart)
-    restart_routers (&site);
+    ck_assert (site_restart_routers (&site));
   traffic_run (&site, streams, mixed, G_N_ELEMENTS (streams), LATER_MS);
   int64_t n_late = site_worker_stat (&site, "crashing") - n_early;
   ck_assert_msg (n_late <= MAX_LATE_REQUESTS, "%d requests, %d before", (int) n_late,
--- a/test/test_named_limits.c
+++ b/test/test_named_limits.c
@@ -60,17 +60,6 @@
   return worst;
 }
 
-static void
-restart_routers (Site *site)
-{
-  for (uint32_t i = 0; i < site->n_routers; i++)
-    fleet_kill (&site->router_process[i]);
-  for (uint32_t i = 0; i < site->n_routers; i++)
-    ck_assert (site_start_router (site, i));
-  for (uint32_t i = 0; i < site->n_routers; i++)
-    ck_assert (site_wait_ready (site, i, 200));
-}
-
 /* Sends traffic while the endpoint names its limit. */
 static void
 run_limited (Site *site)
@@ -92,7 +81,7 @@
   Site site;
   ck_assert (site_init (&site, router_counts[_i]));
   run_limited (&site);
-  restart_routers (&site);
+  ck_assert (site_restart_routers (&site));
   run_limited (&site);
   set_limit (&site, NO_LIMIT);
   traffic_run (&site, streams, results, G_N_ELEMENTS (streams), AFTER_MS);
