--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -5,6 +5,7 @@
 #include "kernel/log.h"
 #include "kernel/priority.h"
 #include "services/gateway_attempt.h"
+#include "services/gateway_crashes.h"
 #include "services/gateway_plan.h"
 #include "services/gateway_refusal.h"
 
@@ -230,13 +231,6 @@
   ev_timer_start (loop, &request->read_timer);
 }
 
-static void
-report_output (const Request *request)
-{
-  dy_part_blocks_report_output (request->gateway->part_blocks, request->plan.parts,
-                                request->plan.n_parts);
-}
-
 static bool
 on_attempt_data (void *ctx, const char *data, size_t n)
 {
@@ -267,7 +261,7 @@
   request->event_us = now_us (request);
   start_stream (request);
   if (!request->attempt.prompt_read)
-    report_output (request);
+    dy_gateway_record_output (request->gateway, &request->plan);
   dy_gateway_attempt_on_first_event (&request->attempt);
   dy_http_call_write (request->call, request->body->str, request->body->len);
   g_string_truncate (request->body, 0);
@@ -284,16 +278,6 @@
                                   (uint32_t) MAX (members, 1), now_us (request));
 }
 
-/* Returns whether endpoints crashed under requests like this one, so that it is not sent. */
-static bool
-is_blocked (const Request *request, bool may_try)
-{
-  const DyGatewayPlan *plan = &request->plan;
-  return dy_quarantine_blocks (&request->gateway->quarantine, plan->body_hash, now_us (request))
-         || dy_part_blocks_refuse (request->gateway->part_blocks, plan->id, plan->parts,
-                                   plan->n_parts, may_try);
-}
-
 static int
 decide_resend (Request *request, DyAttemptOutcome outcome)
 {
@@ -307,7 +291,7 @@
                           .within_budget = resend_allowed (request),
                           .time_left_ms = (request->plan.end_us - now_us (request)) / 1000,
                           .time_needed_ms = TIME_NEEDED_MS };
-  if (is_blocked (request, false))
+  if (dy_gateway_is_blocked (request->gateway, &request->plan, false))
     query.max_attempts = 0;
   return dy_resend_decide (&query);
 }
@@ -353,21 +337,11 @@
   return g_ptr_array_index (request->tried, request->tried->len - N_AFTER);
 }
 
-/* Records that the connection to the endpoint broke before the answer was complete. */
 static void
-report_crash (Request *request)
-{
-  const DyGatewayPlan *plan = &request->plan;
-  GString *parts = g_string_new (plan->n_parts ? NULL : "-");
-  for (uint32_t i = 0; i < plan->n_parts; i++)
-    g_string_append_printf (parts, "%s%" G_GINT64_MODIFIER "x", i ? "," : "", plan->parts[i]);
-  dy_log (DY_EVENT_ENDPOINT_CRASHED, "request=%s endpoint=%s output=%d parts=%s", plan->id,
-          latest_endpoint_id (request), request->attempt.prompt_read, parts->str);
-  g_string_free (parts, TRUE);
-  dy_gateway_report_crash (request->gateway, plan->body_hash);
-  if (!request->attempt.prompt_read)
-    dy_part_blocks_report_crash (request->gateway->part_blocks, latest_endpoint_id (request),
-                                 plan->parts, plan->n_parts);
+record_crash (const Request *request)
+{
+  dy_gateway_record_crash (request->gateway, &request->plan, latest_endpoint_id (request),
+                           request->attempt.prompt_read);
 }
 
 static void
@@ -380,7 +354,7 @@
   if (result->complete && expects_events (request)
       && !dy_event_stream_at_boundary (&request->events))
     {
-      report_crash (request);
+      record_crash (request);
       retry_or_fail (request, DY_ATTEMPT_BROKEN, false);
       return;
     }
@@ -393,7 +367,7 @@
   if (!result->complete)
     {
       if (result->crashed)
-        report_crash (request);
+        record_crash (request);
       retry_or_fail (request, result->outcome, false);
       return;
     }
@@ -408,7 +382,7 @@
   if (request->attempt.is_success)
     dy_gateway_report_success (gateway, request->plan.body_hash);
   if (request->attempt.is_success && !expects_events (request))
-    report_output (request);
+    dy_gateway_record_output (request->gateway, &request->plan);
   finish_answer (request);
 }
 
@@ -687,7 +661,7 @@
                    g_hash_table_size (gateway->requests));
   count (request, DY_COUNTER_REQUESTS);
   dy_http_call_watch (call, &call_watcher, request);
-  if (is_blocked (request, true))
+  if (dy_gateway_is_blocked (gateway, &request->plan, true))
     fail_request (request, DY_SUSPENDED);
   else
     reserve (request);
