Handle new blocks of prompt parts in one place

Cause: a block decided here and one learned from elsewhere were recorded and logged by the same lines twice.

--- a/src/services/endpoint_limits.c
+++ b/src/services/endpoint_limits.c
@@ -58,6 +58,7 @@
   dy_counters_set (&limits->kernel->counters, DY_COUNTER_LIMITED_ENDPOINTS, n);
 }
 
+/* Handles that LIMIT is new or has changed. */
 static void
 take_change (DyEndpointLimits *limits, const DyLimit *limit)
 {
@@ -66,6 +67,7 @@
           limit->endpoint, limit->per_1000_s, limit->from_peer ? "peer" : "own");
 }
 
+/* Handles that ENDPOINT has no limit any more. */
 static void
 take_end (DyEndpointLimits *limits, const char *endpoint, const char *reason)
 {
--- a/src/services/part_blocks.c
+++ b/src/services/part_blocks.c
@@ -63,6 +63,8 @@
                    g_hash_table_size (blocks->cause.blocked));
 }
 
+/* Records whether the store is to have the object of the part ID, and whether it is known to be so
+ * (SYNCED). */
 static void
 set_wanted (DyPartBlocks *blocks, uint64_t id, bool wanted, uint32_t n_crashes, bool synced)
 {
@@ -109,7 +111,17 @@
   g_free (key);
 }
 
-/* Takes a block of the part ID; does nothing if it is blocked already. */
+/* Handles that the part ID is now blocked. */
+static void
+take_block (DyPartBlocks *blocks, uint64_t id, uint32_t n_crashes, DyCauseSource source)
+{
+  set_wanted (blocks, id, true, n_crashes, source == DY_CAUSE_STORE);
+  count_blocked (blocks);
+  dy_log (DY_EVENT_PART_BLOCKED, "part=" ID_FORMAT " crashes=%u source=%s", id, n_crashes,
+          source_names[source]);
+}
+
+/* Blocks the part ID as another router or the store says. Does nothing if it is blocked already. */
 static void
 adopt_block (DyPartBlocks *blocks, uint64_t id, const char *text, DyCauseSource source)
 {
@@ -117,14 +129,11 @@
   json_int_t n = json_integer_value (json_object_get (root, "crashes"));
   uint32_t n_crashes = (uint32_t) CLAMP (n, 0, MAX_CRASHES_STATED);
   json_decref (root);
-  if (!dy_crash_cause_block (&blocks->cause, id, n_crashes, source, now_us (blocks)))
-    return;
-  set_wanted (blocks, id, true, n_crashes, source == DY_CAUSE_STORE);
-  count_blocked (blocks);
-  dy_log (DY_EVENT_PART_BLOCKED, "part=" ID_FORMAT " crashes=%u source=%s", id, n_crashes,
-          source_names[source]);
+  if (dy_crash_cause_block (&blocks->cause, id, n_crashes, source, now_us (blocks)))
+    take_block (blocks, id, n_crashes, source);
 }
 
+/* Handles that the part ID is no longer blocked. */
 static void
 take_release (DyPartBlocks *blocks, uint64_t id, const char *reason)
 {
@@ -137,10 +146,7 @@
 on_blocked (void *ctx, const DyBlockedPart *part)
 {
   DyPartBlocks *blocks = ctx;
-  set_wanted (blocks, part->id, true, part->n_crashes, false);
-  count_blocked (blocks);
-  dy_log (DY_EVENT_PART_BLOCKED, "part=" ID_FORMAT " crashes=%u source=%s", part->id,
-          part->n_crashes, source_names[part->source]);
+  take_block (blocks, part->id, part->n_crashes, part->source);
   send_block (blocks, NULL, part);
 }
 
