--- a/test/test_crash_cause.c
+++ b/test/test_crash_cause.c
@@ -12,7 +12,6 @@
   SECOND = 1000 * MS,
 };
 
-/* Records the parts that are blocked, as a router that is told does. */
 static void
 ignore_blocked (void *ctx, const DyBlockedPart *part)
 {
@@ -31,10 +30,13 @@
     = { .blocked = ignore_blocked, .released = ignore_released };
 
 /* Steps are "MILLISECONDS KIND ARGUMENTS", separated by ";". A part is a letter; the parts of a
- * prompt are listed in order. crash ENDPOINT PARTS   a request with PARTS had no output when
- * ENDPOINT crashed output PARTS           a request with PARTS had output others N               N
- * requests with none of these parts had output The last decision is a second after the last step.
- */
+ * prompt are listed in order. The kinds:
+ *
+ *   crash ENDPOINT PARTS  a request with PARTS had no output when ENDPOINT crashed
+ *   output PARTS          a request with PARTS had output
+ *   others N              N requests with none of these parts had output
+ *
+ * The last decision is a second after the last step. */
 static const struct
 {
   const char *name;
