--- a/src/core/crash_cause.h
+++ b/src/core/crash_cause.h
@@ -97,7 +97,7 @@
 void dy_crash_cause_finish (DyCrashCause *cause);
 
 /* Records that ENDPOINT crashed while a request with PART had no output yet. Returns whether this
- * is new, so that other routers are to be told. */
+ * is new, which other routers need to know. */
 bool dy_crash_cause_add (DyCrashCause *cause,
                          const char *endpoint,
                          const DyCausePart *part,
@@ -107,7 +107,7 @@
 void dy_crash_cause_record_output (DyCrashCause *cause);
 
 /* Records that a request with the part ID had output. Returns whether the part was a possible cause
- * or blocked, so that other routers are to be told; sets WAS_BLOCKED. */
+ * or blocked, which other routers need to know; sets WAS_BLOCKED. */
 bool dy_crash_cause_clear (DyCrashCause *cause, uint64_t id, int64_t now_us, bool *was_blocked);
 
 /* Blocks the part ID, which another router found. Returns whether it was not blocked before. */
--- a/src/core/limit_shares.h
+++ b/src/core/limit_shares.h
@@ -75,7 +75,7 @@
                           int64_t per_1000_s,
                           int64_t now_us);
 
-/* What a router tells others of a limit. */
+/* A limit as one router reports it to the others. */
 typedef struct
 {
   int64_t per_1000_s;
@@ -89,7 +89,7 @@
                            const DyLimitReport *report,
                            int64_t now_us);
 
-/* Returns whether other routers are to be told of the limit now, and takes it that they are. */
+/* Returns whether the limit is to be reported to other routers now, and if so records that. */
 bool dy_limit_shares_announce (DyLimitShares *shares, const char *endpoint, int64_t now_us);
 
 /* Records an answer without a limit to a request that was sent to ENDPOINT at SENT_US. Returns
--- a/src/services/endpoint_limits.c
+++ b/src/services/endpoint_limits.c
@@ -75,7 +75,7 @@
   dy_log (DY_EVENT_LIMIT_ENDED, "limited=%s reason=%s", endpoint, reason);
 }
 
-/* Tells the router NAME, or all if it is NULL, of LIMIT. */
+/* Reports LIMIT to the router NAME, or to all if it is NULL. */
 static void
 send_limit (const DyEndpointLimits *limits, const char *name, const DyLimit *limit)
 {
@@ -135,7 +135,7 @@
     return;
   if (dy_limit_shares_take (&limits->shares, endpoint, &report, now_us (limits)))
     take_change (limits, dy_limit_shares_find (&limits->shares, endpoint));
-  /* The sender told the others, too. */
+  /* The sender reported it to all routers. */
   dy_limit_shares_announce (&limits->shares, endpoint, now_us (limits));
 }
 
--- a/src/services/endpoint_limits.h
+++ b/src/services/endpoint_limits.h
@@ -7,7 +7,7 @@
  *
  * DESCRIPTION
  *   Feeds core/limit_shares with what answers say and makes placement pass over endpoints of which
- *   this router has no share left. Routers tell each other by objects that
+ *   this router has no share left. Routers report limits as objects that
  *   dy_peers_send_object() sends:
  *
  *     limits/ENDPOINT  {"per_1000_s": n, "age_ms": n, "handovers": n}
--- a/src/services/part_blocks.c
+++ b/src/services/part_blocks.c
@@ -91,7 +91,7 @@
   return text;
 }
 
-/* Tells the router NAME, or all if it is NULL, of a blocked part. */
+/* Reports a blocked part to the router NAME, or to all if it is NULL. */
 static void
 send_block (DyPartBlocks *blocks, const char *name, const DyBlockedPart *part)
 {
@@ -102,7 +102,7 @@
   g_free (key);
 }
 
-/* Tells all routers that the part ID is neither blocked nor a possible cause. */
+/* Reports to all routers that the part ID is neither blocked nor a possible cause. */
 static void
 broadcast_removal (DyPartBlocks *blocks, uint64_t id)
 {
