--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -43,6 +43,9 @@
   X (PEER_MESSAGES_IN, counter, "dogwoodyoke_peer_messages_received_total",                        \
      "messages received from peers")                                                               \
   X (PEER_REJECTED, counter, "dogwoodyoke_peer_rejected_total", "peer connections rejected")       \
+  X (STORE_ERA, gauge, "dogwoodyoke_store_era", "restores of the platform's store, as it states")  \
+  X (STORE_RESTORES, counter, "dogwoodyoke_store_restores_total",                                  \
+     "restores of the platform's store that this router has noticed")                              \
   X (MEMBERS, gauge, "dogwoodyoke_members", "members now heard from, this node included")          \
   X (ENDPOINT_CRASHES, counter, "dogwoodyoke_endpoint_crashes_total",                              \
      "attempts whose connection broke before the answer was complete")                             \
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -65,6 +65,26 @@
           dy_error_info (error)->kind);
 }
 
+/* Notes the era that an answer states, and reports one that has risen. */
+static void
+update_era (DyPlatform *platform, uint64_t era)
+{
+  bool restored = platform->era != 0;
+  if (era <= platform->era)
+    return;
+  dy_log (restored ? DY_EVENT_STORE_RESTORED : DY_EVENT_STORE_ERA,
+          "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT, era, platform->era);
+  platform->era = era;
+  dy_counters_set (platform->counters, DY_COUNTER_STORE_ERA, (int64_t) era);
+  if (restored)
+    {
+      platform->restored_us = g_get_monotonic_time ();
+      dy_counters_add (platform->counters, DY_COUNTER_STORE_RESTORES, 1);
+    }
+  for (uint32_t i = 0; i < platform->n_era_watchers; i++)
+    platform->era_watchers[i].watcher (platform->era_watchers[i].ctx, era, restored);
+}
+
 static bool
 is_watch (const Call *call)
 {
@@ -92,6 +112,7 @@
   g_hash_table_steal (platform->calls, call);
   log_slow_call (call, reply->error, false);
   update_reachability (platform, reply->error);
+  update_era (platform, reply->era);
   if (!is_watch (call))
     dy_counters_observe (platform->counters, DY_HISTOGRAM_PLATFORM_CALL,
                          g_get_monotonic_time () - call->sent_us);
@@ -244,6 +265,7 @@
   platform->credit = platform->calls_per_s;
   platform->credited_us = g_get_monotonic_time ();
   platform->probe_interval_us = DEFAULT_PROBE_INTERVAL_US;
+  platform->restored_us = INT64_MIN / 2;
   platform->calls = g_hash_table_new_full (NULL, NULL, free_call, NULL);
   g_queue_init (&platform->held);
   g_queue_init (&platform->rejected);
@@ -301,6 +323,23 @@
   submit (platform, &call, NULL, NULL);
 }
 
+void
+dy_platform_watch_era (DyPlatform *platform, DyEraWatcher watcher, void *ctx)
+{
+  g_assert (platform->n_era_watchers < DY_MAX_ERA_WATCHERS);
+  platform->era_watchers[platform->n_era_watchers].watcher = watcher;
+  platform->era_watchers[platform->n_era_watchers].ctx = ctx;
+  platform->n_era_watchers++;
+  if (platform->era)
+    watcher (ctx, platform->era, false);
+}
+
+bool
+dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us)
+{
+  return g_get_monotonic_time () - platform->restored_us < time_us;
+}
+
 void
 dy_platform_set_probe_interval (DyPlatform *platform, int64_t interval_us)
 {
@@ -333,7 +372,8 @@
 service_dump (void *self)
 {
   const DyPlatform *platform = self;
-  return json_pack ("{s:b, s:i, s:i}", "down", platform->down, "calls_open",
+  return json_pack ("{s:b, s:I, s:i, s:i}", "down", platform->down, "era",
+                    (json_int_t) platform->era, "calls_open",
                     (int) (platform->impl ? g_hash_table_size (platform->calls) : 0), "calls_held",
                     (int) platform->held.length);
 }
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -6,9 +6,13 @@
  *   platform - rate-limited client of the platform's object API, with a circuit breaker
  *
  * DESCRIPTION
- *   An object has a key, a text value of up to a megabyte and a version that only increases. A
- *   write is conditional: it names the version that it expects to replace. The calls themselves
- *   are made by a table of functions, DyPlatformOps, with one such table for each kind of platform.
+ *   An object has a key, a text value of up to a megabyte and a version that only increases, also
+ *   when the platform's store is restored from an older copy (see core/store_version.h). A write is
+ *   conditional: it names the version that it expects to replace. The calls themselves are made by
+ *   a table of functions, DyPlatformOps, with one such table for each kind of platform.
+ *
+ *   A restored store lacks the latest writes, also those that it has acknowledged. Code that relies
+ *   on a write being there registers with dy_platform_watch_era() and writes again what was lost.
  *
  *   Calls beyond the node's call rate wait in a queue until the rate permits them; each watch
  *   counts as one call.
@@ -37,6 +41,11 @@
 
 #define DY_SERVICE_PLATFORM "platform"
 
+enum
+{
+  DY_MAX_ERA_WATCHERS = 12,
+};
+
 typedef struct
 {
   const char *key;
@@ -49,6 +58,7 @@
 {
   int error;
   uint64_t version;  /* of the object, or of the store at the time of the list */
+  uint64_t era;      /* number of restores of the store, by its answer; 0: not stated */
   const char *value; /* of a get, or the VM list */
   size_t n_value;
   const DyObject *objects; /* of a list; NULL for other calls */
@@ -80,6 +90,10 @@
   void (*free) (void *impl);
 } DyPlatformOps;
 
+/* Called when the platform first states its era, and each time that the era has risen. RESTORED is
+ * whether it has risen: the latest writes may be lost. */
+typedef void (*DyEraWatcher) (void *ctx, uint64_t era, bool restored);
+
 typedef struct
 {
   const DyPlatformOps *ops;
@@ -101,8 +115,16 @@
   int64_t probe_sent_us;
   GQueue rejected; /* calls rejected by the open breaker whose callbacks are still to be made */
   ev_timer rejection_timer; /* makes these callbacks */
-  bool down;                /* the platform is unreachable */
-  int64_t down_since_us;    /* monotonic time at which it last became unreachable; 0: never */
+  uint64_t era;             /* of the latest answer that states one; 0: none */
+  int64_t restored_us;      /* monotonic time at which the era last rose; INT64_MIN / 2: never */
+  struct
+  {
+    DyEraWatcher watcher;
+    void *ctx;
+  } era_watchers[DY_MAX_ERA_WATCHERS];
+  uint32_t n_era_watchers;
+  bool down;             /* the platform is unreachable */
+  int64_t down_since_us; /* monotonic time at which it last became unreachable; 0: never */
 } DyPlatform;
 
 /* Takes ownership of IMPL. CALLS_PER_S limits the calls in a second and the size of a burst. */
@@ -129,6 +151,13 @@
     DyPlatform *platform, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx);
 void dy_platform_vms (DyPlatform *platform, DyPlatformDone done, void *ctx);
 
+/* Adds a watcher, which stays until dy_platform_finish(). It is called at once if the platform has
+ * stated its era already. At most DY_MAX_ERA_WATCHERS. */
+void dy_platform_watch_era (DyPlatform *platform, DyEraWatcher watcher, void *ctx);
+
+/* Returns whether the store was restored less than TIME_US ago, as far as this router knows. */
+bool dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us);
+
 /* Sets the interval between probes while the breaker is open; 500 ms unless set. */
 void dy_platform_set_probe_interval (DyPlatform *platform, int64_t interval_us);
 
