Add failing tests of a store that is restored from an older copy

The stand-ins could not go back, so no test covered it. Change: fake_store goes back to an earlier state, gives revisions out again and states Store-Era; the replay has 'platform restore', versions of several eras (core/store_version, not used by the router yet) and counts what callers got of requests that were never settled. test_restored_store has real routers, and test_replay restored random schedules. The tests fail and are listed in KNOWN-RED.txt.

--- a/src/services/object_store.c
+++ b/src/services/object_store.c
@@ -109,6 +109,29 @@
   return DY_OK;
 }
 
+static gboolean
+copy_object (gpointer key, gpointer value, gpointer ctx)
+{
+  DyObjectStore *store = ctx;
+  const StoredObject *from = value;
+  StoredObject *stored = g_new0 (StoredObject, 1);
+  stored->key = g_strdup (key);
+  stored->value = from->value ? g_strndup (from->value, from->n_value) : NULL;
+  stored->n_value = from->n_value;
+  stored->version = from->version;
+  g_tree_insert (store->objects, stored->key, stored);
+  return FALSE;
+}
+
+void
+dy_object_store_copy (DyObjectStore *store, const DyObjectStore *from)
+{
+  dy_object_store_finish (store);
+  dy_object_store_init (store);
+  store->version = from->version;
+  g_tree_foreach (from->objects, copy_object, store);
+}
+
 GArray *
 dy_object_store_list (const DyObjectStore *store, const char *prefix, uint64_t after)
 {
--- a/src/services/object_store.h
+++ b/src/services/object_store.h
@@ -43,4 +43,7 @@
  * with a NULL value, are listed only if AFTER is not 0. */
 GArray *dy_object_store_list (const DyObjectStore *store, const char *prefix, uint64_t after);
 
+/* Replaces the objects and the version of STORE, which is initialised, by those of FROM. */
+void dy_object_store_copy (DyObjectStore *store, const DyObjectStore *from);
+
 #endif
--- a/test/support/replay.h
+++ b/test/support/replay.h
@@ -17,6 +17,8 @@
  *                                           centres; at most 16
  *   seed N                                  seed of the random delays and losses; 1 by default
  *   set NAME VALUE                          a policy value, see policy_fields in replay.c
+ *   set answers_first 1                     routers answer before they settle, and renew grants, as
+ *                                           on the users' platform
  *   account NAME PAID                       creates a client account with PAID tokens
  *   MS request NODE ACCOUNT TOKENS USED RUN_MS [KEY]
  *                                           reserves TOKENS, runs for RUN_MS and settles USED under
@@ -32,6 +34,7 @@
  *   MS platform up|down                     while down, calls time out
  *   MS platform slow MS                     adds MS to the delay of each reply
  *   MS platform lose PERCENT                share of writes that are applied and get no reply
+ *   MS platform restore AGE_MS              the store goes back to what it was AGE_MS ago
  *   run MS                                  end of the inputs. All faults then end, and the routers
  *                                           run on for 60 s, then drain for 60 s
  *   expect NAME =|<=|>= VALUE               an expected outcome, see outcome_fields in replay.c
--- a/test/support/replay_private.h
+++ b/test/support/replay_private.h
@@ -10,6 +10,7 @@
 #include "core/reservations.h"
 #include "kernel/error.h"
 #include "services/object_store.h"
+#include "support/snapshots.h"
 
 enum
 {
@@ -36,6 +37,7 @@
   int64_t ready_us;        /* time before which the load balancer sends no requests */
   int64_t node_started_us; /* time of the latest start */
   bool initialized;        /* members and res are initialized */
+  uint64_t era;            /* of the store, by the replies so far */
   uint64_t incarnation_id;
   uint32_t generation; /* number of starts so far */
   DyMembers members;
@@ -67,6 +69,7 @@
   int64_t answered;           /* tokens charged to requests that were answered completely */
   int64_t running;            /* tokens reserved by running requests */
   int64_t unconfirmed_tokens; /* tokens used by requests whose settlement failed or never ended */
+  int64_t delivered;          /* tokens that callers got of requests that were never settled */
 } Account;
 
 typedef struct Event Event;
@@ -96,6 +99,8 @@
   int64_t platform_delay_us; /* added to each reply of the platform */
   int64_t lose_percent;      /* share of applied writes whose reply is lost */
   DyObjectStore store;
+  Snapshots snapshots;
+  uint64_t era;                   /* of the store */
   GHashTable *accounts;           /* name to Account */
   GHashTable *largest_run_tokens; /* idempotency key to the tokens used by its largest run */
   GHashTable *key_charged_tokens; /* idempotency key to the sum of tokens charged */
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -46,7 +46,8 @@
   FleetProcess router_process[SITE_MAX_ROUTERS];
   FleetProcess worker_process[SITE_N_WORKERS];
   uint32_t n_routers;
-  uint64_t last_id; /* number in the id of the last request sent */
+  uint64_t last_id;     /* number in the id of the last request sent */
+  int64_t populated_ms; /* monotonic time after which only routers have written to the store */
 } Site;
 
 typedef struct
@@ -95,9 +96,31 @@
  * instead of the usual contents. */
 bool site_put_worker (Site *site, uint32_t i, const char *state, const char *spec);
 
+/* Removes the endpoint record of worker I. */
+bool site_remove_worker (Site *site, uint32_t i);
+
+/* Returns the number of requests that worker I ran. */
+int64_t site_worker_runs (Site *site, uint32_t i);
+
 /* Sends FAULTS (JSON text) to the store's /admin/set; fake_store.c lists the fields. */
 void site_set_store (Site *site, const char *faults);
 
+/* A return of the store to an older copy. */
+typedef struct
+{
+  int64_t age_ms;    /* age of the copy */
+  int64_t away_ms;   /* time for which the store does not answer before */
+  int skip;          /* revisions given out at the return, as if to other objects */
+  int version;       /* of the route table written at the return, before SKIP; 0: none */
+  const char *extra; /* as of site_put_routes() */
+  int64_t prepaid;
+} SiteRestore;
+
+void site_restore_store (Site *site, const SiteRestore *restore);
+
+/* Returns the object KEY of the store as a new reference, or NULL if there is none. */
+json_t *site_store_object (Site *site, const char *key);
+
 /* Returns how often the request ID ran, summed over all workers. */
 int64_t site_count_runs (Site *site, const char *id);
 
