Do not carry versions over a restore of the store

Cause: after the store was restored from an older copy it gave out revisions again. A watch from a revision of before was answered with later changes only once the store had passed that revision, so the changes between were never seen. Conditional writes and the pages of a list had the same fault. The class: a number is taken to identify a change, though its source may start over. When the era has risen, open watches and lists of the earlier era end with history_gone and are listed anew; a write that names a version of an earlier era is not sent, and one that was sent in another era than it was answered in counts as unknown.

--- a/src/core/store_version.c
+++ b/src/core/store_version.c
@@ -44,10 +44,7 @@
 }
 
 int
-dy_store_check_answer (const DyStoreCall *call,
-                       int error,
-                       uint64_t answer_era,
-                       uint64_t known_era)
+dy_store_check_answer (const DyStoreCall *call, int error, uint64_t answer_era, uint64_t known_era)
 {
   if (error)
     return error;
@@ -57,9 +54,6 @@
       bool changed = answer_era != 0 && call->sent_era != 0 && answer_era != call->sent_era;
       return earlier || changed ? DY_UNAVAILABLE : DY_OK;
     }
-  if (earlier)
-    return DY_HISTORY_GONE;
-  if (call->kind == DY_STORE_WATCH && answer_era != 0 && is_outdated (call->basis, answer_era))
-    return DY_HISTORY_GONE;
-  return DY_OK;
+  bool outdated = answer_era != 0 && is_outdated (call->basis, answer_era);
+  return earlier || outdated ? DY_HISTORY_GONE : DY_OK;
 }
--- a/src/core/store_version.h
+++ b/src/core/store_version.h
@@ -29,7 +29,7 @@
 
 typedef enum
 {
-  DY_STORE_READ,  /* of an object or a complete list */
+  DY_STORE_READ,  /* of an object or a list; the basis is the version of the list's first page */
   DY_STORE_WATCH, /* the changes after a version */
   DY_STORE_WRITE,
 } DyStoreCallKind;
@@ -50,9 +50,7 @@
 
 /* Returns the result of CALL, of which the store's own is ERROR. ANSWER_ERA is that of the answer,
  * 0 if it states none; KNOWN_ERA is the latest known, that of this answer included. */
-int dy_store_check_answer (const DyStoreCall *call,
-                           int error,
-                           uint64_t answer_era,
-                           uint64_t known_era);
+int
+dy_store_check_answer (const DyStoreCall *call, int error, uint64_t answer_era, uint64_t known_era);
 
 #endif
