Register routers again after a restore of the store

Callers saw: nothing yet; a new router would not find the others, and a living router could count as dead, which frees its grant while it spends it (BUDGET). Cause: a router wrote its record once. A restored store may lack it, and what is not on the VM list counts as dead. Change: the record is written again when the era rises. For ten seconds after that, a router that is missing from the list and still heard from stays a member. Result: a_router_whose_record_was_lost_registers_again failed before (routers/r0 missing) and passes.

--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -14,6 +14,9 @@
   DIAL_MAX_US = 2 * 1000 * 1000,
   HELLO_TIMEOUT_US = 2 * 1000 * 1000,
   LISTEN_BACKLOG = 512,
+  /* Time in which all routers that reach a restored store have noticed it and written their records
+   * again, and the VM list, which may be seconds old, shows them. */
+  REGISTRATION_GRACE_US = 10 * 1000 * 1000,
 };
 
 int64_t
@@ -132,6 +135,16 @@
   dy_members_remove (&peers->members, name);
 }
 
+/* Returns whether the record of NAME, which is not listed, may be missing only because the store
+ * was restored from a copy that lacks it. A router that is still heard from writes it again. */
+static bool
+may_register_again (const DyPeers *peers, const char *name)
+{
+  const DyMember *member = dy_members_find (&peers->members, name);
+  return dy_platform_was_restored_within (peers->platform, REGISTRATION_GRACE_US) && member
+         && dy_peers_now_us (peers) - member->last_heartbeat_us <= peers->members.timeout_us;
+}
+
 static void
 remove_unlisted (DyPeers *peers, GHashTable *listed)
 {
@@ -139,7 +152,7 @@
   for (GList *l = names; l; l = l->next)
     {
       char *name = g_strdup (l->data);
-      if (!g_hash_table_contains (listed, name))
+      if (!g_hash_table_contains (listed, name) && !may_register_again (peers, name))
         remove_member (peers, name);
       g_free (name);
     }
--- a/src/services/registration.c
+++ b/src/services/registration.c
@@ -47,6 +47,18 @@
   write_record (w->data, 0);
 }
 
+/* The record is written again when the store may have lost it. */
+static void
+on_era (void *ctx, uint64_t era, bool restored)
+{
+  DyRegistration *registration = ctx;
+  (void) era;
+  if (!restored || !registration->done)
+    return;
+  registration->done = false;
+  write_record (registration, 0);
+}
+
 static int
 service_start (void *self, DyKernel *kernel)
 {
@@ -62,6 +74,7 @@
   ev_timer_init (&registration->retry, on_retry, 0.0, 0.0);
   registration->retry.data = registration;
   write_record (registration, 0);
+  dy_platform_watch_era (registration->platform, on_era, registration);
   return DY_OK;
 }
 
