Check the objects of blocked prompt parts again after a restore of the store

Callers saw: nothing yet; after a restart of all routers a part that crashes endpoints would be let through, or one that was released be refused. Cause: an object counted as stored once it was acknowledged. Change: when the era rises, no object counts as stored, so that the homes of the parts read them and write what differs. The path is that of a new home, which the test covers with restarts; no test restores the store under a blocked part.

--- a/src/services/part_blocks.c
+++ b/src/services/part_blocks.c
@@ -318,6 +318,21 @@
     send_block (blocks, name, value);
 }
 
+/* Reads the objects again that the store may have lost or may have again, and corrects them. */
+static void
+on_era (void *ctx, uint64_t era, bool restored)
+{
+  DyPartBlocks *blocks = ctx;
+  GHashTableIter iter;
+  gpointer value;
+  (void) era;
+  if (!restored)
+    return;
+  g_hash_table_iter_init (&iter, blocks->records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Record *) value)->synced = false;
+}
+
 static const DyPeersWatcher peers_watcher = { .message = on_message, .up = on_peer_up };
 
 static int
@@ -330,6 +345,7 @@
   blocks->records = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   dy_crash_cause_init (&blocks->cause, &dy_crash_cause_policy, &cause_watcher, blocks);
   dy_peers_watch (blocks->peers, &peers_watcher, blocks);
+  dy_platform_watch_era (blocks->platform, on_era, blocks);
   ev_timer_init (&blocks->timer, on_timer, 0.0, 0.0);
   blocks->timer.data = blocks;
   ev_timer_start (kernel->loop, &blocks->timer);
