Keep what is known of endpoints over a restore of the store

Callers saw: requests sent to endpoints that had left, and refusals for want of endpoints that served. Cause: a restored store lists endpoints that left since the copy as ready, and lacks those that came since. The router took the list for the latest state; it allowed for missing records only after an outage of two seconds or more. Change: core/departures remembers endpoints that left. An endpoint that the list lacks has 1.9 s to write its record.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -62,6 +62,7 @@
   X (LIMIT_NAMED, 6010, INFO, "answer names a limit")                                              \
   X (LIMIT_KNOWN, 6011, MESSAGE, "endpoint limit in force")                                        \
   X (LIMIT_ENDED, 6012, MESSAGE, "endpoint limit ended")                                           \
+  X (ENDPOINT_HELD, 6013, MESSAGE, "record of an endpoint that left is held back")                 \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -19,12 +19,16 @@
   EXPIRY_WINDOW_US = 4000 * 1000,
   MIN_EXPIRY_OUTAGE_US = 2000 * 1000,
   EXPIRY_GRACE_US = 1200 * 1000, /* endpoints renew expired records within two seconds */
+  /* A restored store may lack the records of endpoints that serve; they write them again within two
+   * seconds. */
+  RESTORED_GRACE_US = 1900 * 1000,
 };
 
 static const double EXPIRY_CHECK_S = 0.1;
 
 typedef struct
 {
+  int64_t start_ms; /* Unix time; 0: not stated */
   bool expiring;
   int64_t remove_us; /* if expiring: monotonic time at which the endpoint is removed */
 } EndpointState;
@@ -76,10 +80,52 @@
   return key + strlen (directory->dialect->endpoints_prefix);
 }
 
+/* A record that is not taken yet, see core/departures.h. */
+typedef struct
+{
+  char *key;
+  char *value;
+  uint64_t version;
+  int64_t until_us;
+} HeldRecord;
+
+static void
+free_held (gpointer data)
+{
+  HeldRecord *held = data;
+  g_free (held->key);
+  g_free (held->value);
+  g_free (held);
+}
+
+/* Returns whether the listed record RECORD of OBJECT is held back, as the endpoint is known to have
+ * left before the store was restored. */
+static bool
+hold_record (DyDirectory *directory, const DyObject *object, const DyEndpointRecord *record)
+{
+  int64_t until_us
+      = dy_departures_held_until (&directory->departures, record->id, record->start_ms,
+                                  directory->platform->restored_us, now_us (directory));
+  if (!directory->endpoints_watch.listing || record->leaving || until_us == 0)
+    return false;
+  dy_log (DY_EVENT_ENDPOINT_HELD, "endpoint=%s service=%s ms=%" G_GINT64_FORMAT, record->id,
+          record->service, (until_us - now_us (directory)) / 1000);
+  HeldRecord *held = g_new0 (HeldRecord, 1);
+  held->key = g_strdup (object->key);
+  held->value = g_strdup (object->value);
+  held->version = object->version;
+  held->until_us = until_us;
+  g_hash_table_replace (directory->held, held->key, held);
+  return true;
+}
+
 static void
 remove_endpoint (DyDirectory *directory, const char *id, const char *reason)
 {
+  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
   dy_log (DY_EVENT_ENDPOINT_REMOVED, "endpoint=%s reason=%s", id, reason);
+  if (state)
+    dy_departures_add (&directory->departures, id, state->start_ms, now_us (directory));
   dy_placement_remove (&directory->placement, id);
   g_hash_table_remove (directory->endpoints, id);
 }
@@ -92,7 +138,9 @@
   int64_t now = now_us (directory);
   if (!state)
     return;
-  if (now - directory->endpoints_watch.recovered_us > EXPIRY_WINDOW_US)
+  bool restored = directory->endpoints_watch.listing
+                  && dy_platform_was_restored_within (directory->platform, EXPIRY_WINDOW_US);
+  if (!restored && now - directory->endpoints_watch.recovered_us > EXPIRY_WINDOW_US)
     {
       remove_endpoint (directory, id, "unlisted");
       return;
@@ -100,7 +148,7 @@
   if (state->expiring)
     return;
   state->expiring = true;
-  state->remove_us = now + EXPIRY_GRACE_US;
+  state->remove_us = now + (restored ? RESTORED_GRACE_US : EXPIRY_GRACE_US);
 }
 
 static void
@@ -109,6 +157,7 @@
   const char *id = endpoint_id (directory, object->key);
   DyEndpointRecord record;
   json_t *document;
+  g_hash_table_remove (directory->held, object->key);
   if (!object->value)
     {
       handle_unlisted_endpoint (directory, id);
@@ -121,6 +170,11 @@
               object->version);
       return;
     }
+  if (hold_record (directory, object, &record))
+    {
+      json_decref (document);
+      return;
+    }
   EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
   dy_log (DY_EVENT_ENDPOINT_LISTED, "endpoint=%s service=%s address=%s leaving=%d known=%d", id,
           record.service, record.address, record.leaving, state != NULL);
@@ -130,6 +184,11 @@
       g_hash_table_insert (directory->endpoints, g_strdup (id), state);
     }
   state->expiring = false;
+  state->start_ms = record.start_ms;
+  if (record.leaving)
+    dy_departures_add (&directory->departures, id, record.start_ms, now_us (directory));
+  else
+    dy_departures_remove (&directory->departures, id);
   dy_placement_put (&directory->placement, &record);
   json_decref (document);
 }
@@ -154,6 +213,29 @@
   g_hash_table_unref (listed);
 }
 
+/* Takes the held records that are still listed and need not be held any longer. */
+static void
+apply_held (DyDirectory *directory)
+{
+  GPtrArray *due = g_ptr_array_new_with_free_func (free_held);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, directory->held);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us (directory) >= ((const HeldRecord *) value)->until_us)
+      {
+        g_ptr_array_add (due, value);
+        g_hash_table_iter_steal (&iter);
+      }
+  for (guint i = 0; i < due->len; i++)
+    {
+      const HeldRecord *held = g_ptr_array_index (due, i);
+      DyObject object = { .key = held->key, .version = held->version, .value = held->value };
+      apply_endpoint (directory, &object);
+    }
+  g_ptr_array_unref (due);
+}
+
 static void
 remove_expired (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -175,6 +257,8 @@
   for (guint i = 0; i < expired->len; i++)
     remove_endpoint (directory, g_ptr_array_index (expired, i), "lapsed");
   g_ptr_array_unref (expired);
+  apply_held (directory);
+  dy_departures_evict (&directory->departures, now);
 }
 
 static void request_objects (DyObjectWatch *watch);
@@ -216,6 +300,8 @@
     watch->recovered_us = now;
   watch->failing = false;
   watch->replied_us = now;
+  if (watch->listing && watch == &directory->endpoints_watch)
+    g_hash_table_remove_all (directory->held);
   for (uint32_t i = 0; i < reply->n_objects; i++)
     watch->apply_watched (directory, &reply->objects[i]);
   if (watch->listing && watch == &directory->endpoints_watch)
@@ -317,6 +403,8 @@
   directory->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
   directory->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
   directory->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  directory->held = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_held);
+  dy_departures_init (&directory->departures);
   dy_placement_init (&directory->placement, &dy_placement_policy, kernel->settings->data_centre,
                      (uint32_t) kernel->incarnation_id);
   dy_peers_watch (directory->peers, &peers_watcher, directory);
@@ -342,6 +430,8 @@
   dy_placement_finish (&directory->placement);
   dy_route_table_finish (&directory->routes);
   g_hash_table_unref (directory->endpoints);
+  g_hash_table_unref (directory->held);
+  dy_departures_finish (&directory->departures);
   g_free (directory->routes_text);
 }
 
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -23,6 +23,7 @@
  *   force stays.
  */
 
+#include "core/departures.h"
 #include "core/placement.h"
 #include "kernel/kernel.h"
 #include "services/dialect.h"
@@ -62,6 +63,8 @@
   char *routes_text;        /* the encoded route table, to be sent to other routers */
   uint64_t routes_revision; /* store version of the object that holds the route table */
   GHashTable *endpoints;    /* id to the state of the endpoint's record */
+  DyDepartures departures;  /* endpoints that have left */
+  GHashTable *held;         /* key to a listed record that is not taken yet */
   DyObjectWatch routes_watch;
   DyObjectWatch endpoints_watch;
   int64_t asked_us; /* monotonic time of the latest request to a peer */
--- a/test/support/snapshots.h
+++ b/test/support/snapshots.h
@@ -23,8 +23,8 @@
 /* To be called before each write: keeps a copy of STORE as it is at NOW_US. */
 void snapshots_take (Snapshots *snapshots, const DyObjectStore *store, int64_t now_us);
 
-/* Sets STORE to what it was at TIME_US. Later copies are dropped. Returns false, and leaves STORE as
- * it is, if it was not written since. */
+/* Sets STORE to what it was at TIME_US. Later copies are dropped. Returns false, and leaves STORE
+ * as it is, if it was not written since. */
 bool snapshots_restore (Snapshots *snapshots, DyObjectStore *store, int64_t time_us);
 
 #endif
--- a/test/test_restored_store.c
+++ b/test/test_restored_store.c
@@ -8,6 +8,7 @@
   INTERVAL_MS = 20,
   BEFORE_MS = 800,
   AWAY_MS = 400,
+  MARGIN_MS = 100,
   /* Time from the return after which the router has to have noticed it. */
   NOTICE_MS = 2500,
   CHECK_MS = 1000,
@@ -25,12 +26,35 @@
   return g_get_monotonic_time () / 1000;
 }
 
+static void
+on_run_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  *(bool *) w->data = true;
+}
+
 static void
 run_loop_for (Site *site, int64_t ms)
 {
-  TrafficResult ignored;
-  TrafficStream idle = { "/ok/x/ok", "", 10 * ms };
-  traffic_run (site, &idle, &ignored, 1, ms);
+  bool done = false;
+  ev_timer timer;
+  ev_now_update (site->fleet.loop);
+  ev_timer_init (&timer, on_run_timer, (double) ms / 1e3, 0.0);
+  timer.data = &done;
+  ev_timer_start (site->fleet.loop, &timer);
+  while (!done)
+    ev_run (site->fleet.loop, EVRUN_ONCE);
+}
+
+/* Returns a time to restore the store to, some way from all writes of the test. */
+static int64_t
+copy_time_ms (Site *site)
+{
+  run_loop_for (site, MARGIN_MS);
+  int64_t time_ms = now_ms ();
+  run_loop_for (site, MARGIN_MS);
+  return time_ms;
 }
 
 static const struct
@@ -49,7 +73,7 @@
   TrafficResult result;
   Site site;
   ck_assert (site_init (&site, route_cases[_i].n_routers));
-  int64_t copied_ms = now_ms ();
+  int64_t copied_ms = copy_time_ms (&site);
   ck_assert (site_put_routes (&site, 2, NULL, PREPAID));
   traffic_run (&site, &base_stream, &result, 1, BEFORE_MS);
   SiteRestore restore = { .age_ms = now_ms () - copied_ms + AWAY_MS,
@@ -97,7 +121,7 @@
   static const SiteRequest request = { .method = "POST", .target = "/ok/x/ok", .body = "x" };
   Site site;
   ck_assert (site_init (&site, 2));
-  int64_t copied_ms = now_ms ();
+  int64_t copied_ms = copy_time_ms (&site);
   if (departures[_i])
     ck_assert (site_put_worker (&site, 0, departures[_i], NULL));
   else
@@ -120,6 +144,30 @@
 }
 END_TEST
 
+START_TEST (an_endpoint_that_the_copy_lacks_serves_on)
+{
+  TrafficResult result;
+  Site site;
+  ck_assert (site_init (&site, 2));
+  for (uint32_t i = 0; i < SITE_N_WORKERS / 2; i++)
+    ck_assert (site_remove_worker (&site, i));
+  run_loop_for (&site, BEFORE_MS);
+  int64_t copied_ms = copy_time_ms (&site);
+  for (uint32_t i = 0; i < SITE_N_WORKERS / 2; i++)
+    ck_assert (site_put_worker (&site, i, "ready", NULL));
+  traffic_run (&site, &base_stream, &result, 1, BEFORE_MS); /* so that budgets are granted */
+  SiteRestore restore = { .age_ms = now_ms () - copied_ms + AWAY_MS, .away_ms = AWAY_MS };
+  site_restore_store (&site, &restore);
+  traffic_run (&site, &base_stream, &result, 1, AWAY_MS + CHECK_MS);
+  ck_assert_uint_eq (result.n_served, result.n_sent);
+  for (uint32_t i = 0; i < SITE_N_WORKERS / 2; i++)
+    ck_assert (site_put_worker (&site, i, "ready", NULL));
+  traffic_run (&site, &base_stream, &result, 1, NOTICE_MS);
+  ck_assert_uint_eq (result.n_served, result.n_sent);
+  site_finish (&site);
+}
+END_TEST
+
 static const struct
 {
   uint32_t n_routers;
@@ -145,7 +193,7 @@
   ck_assert (site_init_relayed (&site, budget_cases[_i].n_routers, BUDGET));
   for (int i = 0; i < budget_cases[_i].n_restores; i++)
     {
-      int64_t copied_ms = now_ms ();
+      int64_t copied_ms = copy_time_ms (&site);
       traffic_run (&site, &stream, &result, 1, SPEND_MS);
       served += result.n_served;
       SiteRestore restore = { .age_ms = now_ms () - copied_ms + AWAY_MS, .away_ms = AWAY_MS };
@@ -158,8 +206,8 @@
   traffic_run (&site, &stream, &result, 1, AFTER_MS);
   served += result.n_served;
   ck_assert_int_gt (served, 0);
-  ck_assert_msg (served * REQUEST_TOKENS <= BUDGET, "%d tokens of %d", (int) served * REQUEST_TOKENS,
-                 BUDGET);
+  ck_assert_msg (served * REQUEST_TOKENS <= BUDGET, "%d tokens of %d",
+                 (int) served * REQUEST_TOKENS, BUDGET);
   site_finish (&site);
 }
 END_TEST
@@ -178,6 +226,7 @@
   tcase_add_test (tcase, a_router_whose_record_was_lost_registers_again);
   tcase_add_loop_test (tcase, an_endpoint_that_left_gets_no_requests_after_the_store_was_restored,
                        0, G_N_ELEMENTS (departures));
+  tcase_add_test (tcase, an_endpoint_that_the_copy_lacks_serves_on);
   tcase_add_loop_test (tcase, an_account_gets_no_more_than_it_paid_when_the_store_is_restored, 0,
                        G_N_ELEMENTS (budget_cases));
   return suite_run ("restored_store", tcase);
