Withhold what lost ledger writes may have granted after a restore of the store

Cause: an older entry shows tokens as free that holders were granted after the copy, and lacks rows and settled tokens. Holders went on spending their grants while the same tokens were granted again. A conditional write cannot prevent that, as its condition went back, too. Change: an entry states the era in which it was written and ceilings on what may be committed. A ceiling is in force only once it has been in the store for longer than the oldest copy is old (store_copy_age_ms), so a copy tells the most that can have been granted when the store was restored. A reader in a later era withholds that. Holders that live write their grants again from it, and the rest is freed when all routers have reported that (core/restore_check, services/restores), unless one died meanwhile. Rows of dead holders in a restored entry count in full.

--- a/src/core/departures.c
+++ b/src/core/departures.c
@@ -2,8 +2,8 @@
 
 enum
 {
-  /* From the restore: an endpoint that lives has written its record again, and the store has removed
-   * the record of one that does not, after three heartbeat intervals. */
+  /* From the restore: an endpoint that lives has written its record again, and the store has
+   * removed the record of one that does not, after three heartbeat intervals. */
   HOLD_US = 6 * 1000 * 1000,
   RETENTION_US = 60 * 1000 * 1000, /* longer than a copy of the store is old */
 };
--- a/src/core/departures.h
+++ b/src/core/departures.h
@@ -28,8 +28,7 @@
 void dy_departures_finish (DyDepartures *departures);
 
 /* Records that the endpoint ID, started at START_MS (Unix time), is leaving or was removed. */
-void
-dy_departures_add (DyDepartures *departures, const char *id, int64_t start_ms, int64_t now_us);
+void dy_departures_add (DyDepartures *departures, const char *id, int64_t start_ms, int64_t now_us);
 
 /* Records that the endpoint ID serves again. */
 void dy_departures_remove (DyDepartures *departures, const char *id);
--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -81,7 +81,7 @@
 {
   DyLedgerAccount *acct = dy_ledger_find_account (ledger, account);
   if (acct && acct->has_entry)
-    acct->entry.paid_tokens = MAX (acct->entry.paid_tokens, paid_tokens);
+    dy_ledger_entry_raise_paid (&acct->entry, paid_tokens);
 }
 
 void
@@ -272,6 +272,8 @@
   dy_ledger_entry_copy (&acct->entry, entry);
   acct->version = version;
   acct->has_entry = true;
+  acct->releasing = false;
+  dy_ledger_adapt_read_entry (ledger, acct, now_us);
   dy_ledger_adopt_entry (ledger, acct);
   dy_ledger_step (ledger, acct, now_us);
   dy_ledger_send_results (ledger);
@@ -299,6 +301,7 @@
   acct->written_us = now_us;
   acct->recall_received = false;
   acct->yields = false;
+  dy_ledger_on_written_entry (acct, now_us);
   dy_ledger_adopt_entry (ledger, acct);
   dy_ledger_reset_closed_row (acct);
   dy_ledger_step (ledger, acct, now_us);
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -66,6 +66,10 @@
   /* Every write, not only one for waiting reservations, adjusts the grant to the demand of the
    * horizon. */
   bool renews_grant;
+  /* Age of the oldest copy from which the store may be restored; 0: it is never restored, and
+   * entries have no ceilings. */
+  int64_t copy_age_us;
+  int64_t ceiling_percent; /* percentage of the free budget that may be committed in that time */
 } DyLedgerPolicy;
 
 /* A refused reservation and the figures behind the decision. */
@@ -115,7 +119,9 @@
   GArray *results;         /* results not yet passed to reserved() */
   GHashTable *oldest_open; /* origin router to the lowest request number that it may still settle */
   bool sending_results;
-  int64_t evicted_us; /* when settled reservations were last evicted */
+  uint64_t era;          /* of the store; 0: not known */
+  uint64_t released_era; /* era in which withheld tokens are freed; 0: none */
+  int64_t evicted_us;    /* when settled reservations were last evicted */
   bool draining;
 } DyLedger;
 
@@ -140,6 +146,17 @@
                      void *ctx);
 void dy_ledger_finish (DyLedger *ledger);
 
+/* Reports the era of the store, before a result of a call that states it is passed in. If it has
+ * risen, the latest writes of the entries may be lost: grants stay valid and are written again. */
+void dy_ledger_set_era (DyLedger *ledger, uint64_t era, int64_t now_us);
+
+/* Returns whether grants are still to be written again. */
+bool dy_ledger_is_reasserting (const DyLedger *ledger);
+
+/* Reports that all holders that may have had grants when the store was restored to ERA have written
+ * them again, so that what the entries still withhold is freed. */
+void dy_ledger_release_withheld (DyLedger *ledger, uint64_t era, int64_t now_us);
+
 /* Raises the paid total of ACCOUNT's known entry to PAID_TOKENS; a lower figure changes nothing. */
 void dy_ledger_raise_paid (DyLedger *ledger, const char *account, int64_t paid_tokens);
 
--- a/src/core/ledger_entry.c
+++ b/src/core/ledger_entry.c
@@ -7,8 +7,9 @@
 
 enum
 {
-  MAX_TOPUP_IDS = 64, /* repeats of older top-ups are not recognised */
-  ID_SIZE = 20,       /* bytes of a hexadecimal id, with the terminating 0 */
+  MAX_TOPUP_IDS = 64,      /* repeats of older top-ups are not recognised */
+  ID_SIZE = 20,            /* bytes of a hexadecimal id, with the terminating 0 */
+  SMALL_REST_PERCENT = 10, /* of what was paid; a smaller rest is not kept below the ceiling */
 };
 
 static DyLedgerPart *
@@ -60,9 +61,12 @@
 {
   char holder[ID_SIZE];
   format_id (row->holder_id, holder);
-  return json_pack ("{s:s, s:s, s:I, s:I, s:o}", "holder", holder, "name", row->holder_name,
-                    "granted", (json_int_t) row->granted_tokens, "seq", (json_int_t) row->seq, "by",
-                    parts_to_json (entry, row->holder_id));
+  json_t *item = json_pack ("{s:s, s:s, s:I, s:I, s:o}", "holder", holder, "name", row->holder_name,
+                            "granted", (json_int_t) row->granted_tokens, "seq",
+                            (json_int_t) row->seq, "by", parts_to_json (entry, row->holder_id));
+  if (row->restored)
+    json_object_set_new (item, "restored", json_true ());
+  return item;
 }
 
 static int
@@ -98,7 +102,39 @@
   DyLedgerRow *row = dy_ledger_entry_add_row (entry, id, name);
   row->granted_tokens = granted;
   row->seq = (uint64_t) seq;
-  return parse_parts (entry, id, by);
+  int error = parse_parts (entry, id, by);
+  /* Not before: parts of restored rows are adapted when they are raised. */
+  row->restored = json_is_true (json_object_get (item, "restored"));
+  return error;
+}
+
+/* Reads the member NAME of ROOT, 0 if it is missing, into TOKENS. */
+static bool
+parse_optional (const json_t *root, const char *name, int64_t *tokens)
+{
+  const json_t *value = json_object_get (root, name);
+  *tokens = json_integer_value (value);
+  return !value || (json_is_integer (value) && *tokens >= 0);
+}
+
+static bool
+parse_restore_fields (DyLedgerEntry *entry, const json_t *root)
+{
+  int64_t era;
+  bool valid = parse_optional (root, "era", &era)
+               && parse_optional (root, "ceiling", &entry->ceiling_tokens)
+               && parse_optional (root, "next_ceiling", &entry->next_ceiling_tokens)
+               && parse_optional (root, "withheld", &entry->withheld_tokens)
+               && parse_optional (root, "lost", &entry->lost_tokens);
+  entry->era = (uint64_t) era;
+  return valid;
+}
+
+static void
+add_optional (json_t *root, const char *name, int64_t value)
+{
+  if (value)
+    json_object_set_new (root, name, json_integer (value));
 }
 
 static int
@@ -126,14 +162,14 @@
       return DY_PROTOCOL;
     g_ptr_array_add (entry->topups, g_strdup (json_string_value (item)));
   }
-  return dy_ledger_entry_valid (entry) ? DY_OK : DY_PROTOCOL;
+  bool valid = parse_restore_fields (entry, root) && dy_ledger_entry_valid (entry);
+  return valid ? DY_OK : DY_PROTOCOL;
 }
 
 void
 dy_ledger_entry_init (DyLedgerEntry *entry)
 {
-  entry->paid_tokens = 0;
-  entry->closed_tokens = 0;
+  memset (entry, 0, sizeof *entry);
   entry->rows = g_array_new (FALSE, TRUE, sizeof (DyLedgerRow));
   entry->parts = g_array_new (FALSE, TRUE, sizeof (DyLedgerPart));
   entry->topups = g_ptr_array_new_with_free_func (g_free);
@@ -153,6 +189,11 @@
 {
   entry->paid_tokens = from->paid_tokens;
   entry->closed_tokens = from->closed_tokens;
+  entry->era = from->era;
+  entry->ceiling_tokens = from->ceiling_tokens;
+  entry->next_ceiling_tokens = from->next_ceiling_tokens;
+  entry->withheld_tokens = from->withheld_tokens;
+  entry->lost_tokens = from->lost_tokens;
   g_array_set_size (entry->rows, 0);
   g_array_append_vals (entry->rows, from->rows->data, from->rows->len);
   g_array_set_size (entry->parts, 0);
@@ -188,6 +229,11 @@
   json_t *root
       = json_pack ("{s:I, s:I, s:o, s:o}", "paid", (json_int_t) entry->paid_tokens, "closed",
                    (json_int_t) entry->closed_tokens, "rows", rows, "topups", topups);
+  add_optional (root, "era", (int64_t) entry->era);
+  add_optional (root, "ceiling", entry->ceiling_tokens);
+  add_optional (root, "next_ceiling", entry->next_ceiling_tokens);
+  add_optional (root, "withheld", entry->withheld_tokens);
+  add_optional (root, "lost", entry->lost_tokens);
   char *text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   return text;
@@ -207,9 +253,9 @@
 bool
 dy_ledger_entry_valid (const DyLedgerEntry *entry)
 {
-  if (entry->paid_tokens < 0 || entry->closed_tokens < 0)
+  if (entry->paid_tokens < 0 || entry->closed_tokens < 0 || entry->withheld_tokens < 0)
     return false;
-  int64_t remaining = entry->paid_tokens - entry->closed_tokens;
+  int64_t remaining = entry->paid_tokens - entry->closed_tokens - entry->withheld_tokens;
   for (guint i = 0; i < entry->rows->len; i++)
     {
       const DyLedgerRow *row = &g_array_index (entry->rows, DyLedgerRow, i);
@@ -250,6 +296,19 @@
   return part ? part->settled_tokens : 0;
 }
 
+/* Raises the grant of the restored ROW from the withheld tokens to cover INCREASE more settled
+ * tokens. Returns what it covers then. */
+static int64_t
+cover_restored (DyLedgerEntry *entry, DyLedgerRow *row, int64_t increase)
+{
+  int64_t excess = row->settled_tokens + increase - row->granted_tokens;
+  int64_t taken = CLAMP (excess, 0, entry->withheld_tokens);
+  row->granted_tokens += taken;
+  entry->withheld_tokens -= taken;
+  entry->lost_tokens = MIN (entry->lost_tokens, entry->withheld_tokens);
+  return MIN (increase, row->granted_tokens - row->settled_tokens);
+}
+
 void
 dy_ledger_entry_raise_part (DyLedgerEntry *entry,
                             uint64_t holder_id,
@@ -258,16 +317,20 @@
 {
   DyLedgerRow *row = dy_ledger_entry_row (entry, holder_id);
   DyLedgerPart *part = find_part (entry, holder_id, origin_id);
-  int64_t increase = tokens - (part ? part->settled_tokens : 0);
+  int64_t known = part ? part->settled_tokens : 0;
+  int64_t increase = tokens - known;
+  if (row && row->restored)
+    increase = cover_restored (entry, row, increase);
   if (!row || increase <= 0)
     return;
   row->settled_tokens += increase;
   if (part)
     {
-      part->settled_tokens = tokens;
+      part->settled_tokens += increase;
       return;
     }
-  DyLedgerPart added = { .holder_id = holder_id, .origin_id = origin_id, .settled_tokens = tokens };
+  DyLedgerPart added
+      = { .holder_id = holder_id, .origin_id = origin_id, .settled_tokens = increase };
   g_array_append_val (entry->parts, added);
 }
 
@@ -277,20 +340,102 @@
   const DyLedgerRow *row = dy_ledger_entry_row (entry, holder_id);
   if (!row)
     return;
-  entry->closed_tokens += row->settled_tokens;
+  entry->closed_tokens += row->restored ? row->granted_tokens : row->settled_tokens;
   g_array_remove_index (entry->rows, (guint) (row - (DyLedgerRow *) (void *) entry->rows->data));
   for (guint i = entry->parts->len; i > 0; i--)
     if (g_array_index (entry->parts, DyLedgerPart, i - 1).holder_id == holder_id)
       g_array_remove_index (entry->parts, i - 1);
 }
 
+int64_t
+dy_ledger_entry_committed_tokens (const DyLedgerEntry *entry)
+{
+  int64_t sum = entry->closed_tokens + entry->withheld_tokens;
+  for (guint i = 0; i < entry->rows->len; i++)
+    sum += g_array_index (entry->rows, DyLedgerRow, i).granted_tokens;
+  return sum;
+}
+
 int64_t
 dy_ledger_entry_free_tokens (const DyLedgerEntry *entry)
 {
-  int64_t remaining = entry->paid_tokens - entry->closed_tokens;
+  return entry->paid_tokens - dy_ledger_entry_committed_tokens (entry);
+}
+
+void
+dy_ledger_entry_raise_paid (DyLedgerEntry *entry, int64_t paid_tokens)
+{
+  int64_t increase = paid_tokens - entry->paid_tokens;
+  if (increase <= 0)
+    return;
+  entry->paid_tokens += increase;
+  if (entry->next_ceiling_tokens == 0)
+    return;
+  entry->ceiling_tokens += increase;
+  entry->next_ceiling_tokens += increase;
+}
+
+/* Returns the ceiling that leaves room for PERCENT of what is paid beyond TOKENS. */
+static int64_t
+ceiling_above (const DyLedgerEntry *entry, int64_t tokens, int64_t percent)
+{
+  int64_t ceiling = tokens + MAX (entry->paid_tokens - tokens, 0) * percent / 100;
+  bool near = entry->paid_tokens - ceiling < entry->paid_tokens * SMALL_REST_PERCENT / 100;
+  return near ? entry->paid_tokens : ceiling;
+}
+
+void
+dy_ledger_entry_raise_ceiling (DyLedgerEntry *entry, int64_t percent)
+{
+  int64_t next = ceiling_above (entry, dy_ledger_entry_committed_tokens (entry), percent);
+  if (entry->next_ceiling_tokens == 0)
+    entry->next_ceiling_tokens = next;
+  entry->ceiling_tokens = MAX (entry->ceiling_tokens, entry->next_ceiling_tokens);
+  entry->next_ceiling_tokens = MAX (entry->next_ceiling_tokens, next);
+}
+
+/* Returns the most that may have been committed when the store was restored N times since ENTRY was
+ * written. With more than one restore, the copies may be of different times, between which the
+ * ceiling was raised once, and each restore but the last one allowed for one more. */
+static int64_t
+most_committed (const DyLedgerEntry *entry, uint64_t n, int64_t percent)
+{
+  int64_t ceiling = entry->next_ceiling_tokens;
+  for (uint64_t i = 0; n > 1 && i < n && ceiling < entry->paid_tokens; i++)
+    ceiling = ceiling_above (entry, ceiling, percent);
+  return MIN (ceiling, entry->paid_tokens);
+}
+
+void
+dy_ledger_entry_restore (DyLedgerEntry *entry, uint64_t era, int64_t percent)
+{
+  bool restored = entry->era != 0 && entry->era < era;
+  uint64_t n_restores = era - entry->era;
+  entry->era = era;
+  if (!restored)
+    return;
+  int64_t most = most_committed (entry, n_restores, percent);
+  entry->lost_tokens = entry->withheld_tokens;
+  entry->withheld_tokens += MAX (most - dy_ledger_entry_committed_tokens (entry), 0);
+  entry->next_ceiling_tokens = ceiling_above (entry, most, percent);
+  entry->ceiling_tokens = entry->next_ceiling_tokens;
   for (guint i = 0; i < entry->rows->len; i++)
-    remaining -= g_array_index (entry->rows, DyLedgerRow, i).granted_tokens;
-  return remaining;
+    g_array_index (entry->rows, DyLedgerRow, i).restored = true;
+}
+
+void
+dy_ledger_entry_reassert (DyLedgerEntry *entry,
+                          uint64_t holder_id,
+                          const char *holder_name,
+                          int64_t granted_tokens)
+{
+  DyLedgerRow *row = dy_ledger_entry_row (entry, holder_id);
+  if (!row)
+    row = dy_ledger_entry_add_row (entry, holder_id, holder_name);
+  entry->withheld_tokens = MAX (entry->withheld_tokens - (granted_tokens - row->granted_tokens), 0);
+  entry->lost_tokens = MIN (entry->lost_tokens, entry->withheld_tokens);
+  row->granted_tokens = granted_tokens;
+  row->restored = false;
 }
 
 int64_t
--- a/src/core/ledger_entry.h
+++ b/src/core/ledger_entry.h
@@ -16,7 +16,16 @@
  *   A part is written by the holder of its row. Once that holder is certainly dead, the part is
  *   raised to what the origin router knows was charged, so that no settled tokens are lost.
  *
- *   Invariant: closed_tokens + sum of granted_tokens <= paid_tokens, and in each row
+ *   The store may be restored from a copy that lacks the latest writes. The entry therefore states
+ *   the era in which it was written, see store_version.h, and two ceilings on committed tokens, the
+ *   sum of what is closed, withheld and granted. Only the first one may be committed up to. It is
+ *   raised to the second one, and the second one further, by a holder that saw the second one in
+ *   the store longer ago than the oldest copy is old. So a copy states the most that can have been
+ *   committed by the time of the restore. What that is more than is committed in the copy is
+ *   withheld: holders that live take their grants from it again, and the rest is freed when all
+ *   have done so and none is missing.
+ *
+ *   Invariant: closed_tokens + withheld_tokens + sum of granted_tokens <= paid_tokens, in each row
  *   0 <= settled_tokens <= granted_tokens. A holder spends only from its own row, so the tokens
  *   spent never exceed those paid, even when clocks differ or holders have stale views of each
  *   other.
@@ -25,8 +34,11 @@
  *   JSON, all amounts in tokens, ids as hexadecimal strings:
  *   {"paid": tokens, "closed": tokens,
  *    "rows": [{"holder": "hex id", "name": router, "granted": tokens, "seq": number,
- *              "by": {"hex id of the origin router": settled tokens, ...}}],
- *    "topups": ["operation id", ...]}
+ *              "by": {"hex id of the origin router": settled tokens, ...}, "restored": bool}],
+ *    "topups": ["operation id", ...],
+ *    "era": number, "ceiling": tokens, "next_ceiling": tokens, "withheld": tokens, "lost": tokens}
+ *   "restored" and the last line are left out where they are false or 0, as on a platform that does
+ *   not state an era.
  *
  * ERRORS
  *   DY_PROTOCOL  the text is malformed or breaks the invariant
@@ -51,6 +63,9 @@
   int64_t granted_tokens;
   int64_t settled_tokens; /* sum of the parts */
   uint64_t seq;           /* sequence number of the holder's last write, its operation id */
+  /* The row is of a copy from which the store was restored, and its holder has not written since.
+   */
+  bool restored;
 } DyLedgerRow;
 
 typedef struct
@@ -64,9 +79,14 @@
 {
   int64_t paid_tokens;
   int64_t closed_tokens;
-  GArray *rows;      /* of DyLedgerRow */
-  GArray *parts;     /* of DyLedgerPart, of all rows */
-  GPtrArray *topups; /* operation ids of the latest top-ups, newest last */
+  GArray *rows;                /* of DyLedgerRow */
+  GArray *parts;               /* of DyLedgerPart, of all rows */
+  GPtrArray *topups;           /* operation ids of the latest top-ups, newest last */
+  uint64_t era;                /* of the store when the entry was written; 0: not known */
+  int64_t ceiling_tokens;      /* most that may be committed */
+  int64_t next_ceiling_tokens; /* to be the ceiling once it is old enough; 0: no ceilings */
+  int64_t withheld_tokens;     /* may have been granted by writes that were lost */
+  int64_t lost_tokens;         /* part of withheld_tokens that cannot be freed any more */
 } DyLedgerEntry;
 
 void dy_ledger_entry_init (DyLedgerEntry *entry);
@@ -103,10 +123,33 @@
                                  int64_t tokens);
 
 /* Adds the settled tokens of the row of HOLDER_ID to closed_tokens and removes the row and its
- * parts. */
+ * parts. A restored row, of which more may have been settled than it shows, counts in full. */
 void dy_ledger_entry_close_row (DyLedgerEntry *entry, uint64_t holder_id);
 
-/* Returns the paid tokens that are granted to no holder. */
+/* Raises paid_tokens to PAID_TOKENS, and the ceilings by as much; a lower figure changes nothing.
+ */
+void dy_ledger_entry_raise_paid (DyLedgerEntry *entry, int64_t paid_tokens);
+
+/* Returns the tokens that are closed, withheld or granted. */
+int64_t dy_ledger_entry_committed_tokens (const DyLedgerEntry *entry);
+
+/* Raises the ceiling to the next one, and the next one to PERCENT of what is not committed. Without
+ * ceilings, both are set so. */
+void dy_ledger_entry_raise_ceiling (DyLedgerEntry *entry, int64_t percent);
+
+/* Adapts ENTRY, as read from the store in ERA: if it was written in an earlier era, withholds what
+ * lost writes may have committed, sets the ceilings to PERCENT of the rest beyond that, and marks
+ * all rows as restored. */
+void dy_ledger_entry_restore (DyLedgerEntry *entry, uint64_t era, int64_t percent);
+
+/* Sets the grant of the row of HOLDER_ID, which may be missing, to GRANTED_TOKENS as its holder
+ * knows it. The difference is taken from the withheld tokens or added to them. */
+void dy_ledger_entry_reassert (DyLedgerEntry *entry,
+                               uint64_t holder_id,
+                               const char *holder_name,
+                               int64_t granted_tokens);
+
+/* Returns the paid tokens that are neither granted nor withheld. */
 int64_t dy_ledger_entry_free_tokens (const DyLedgerEntry *entry);
 
 /* Returns the tokens that are granted but not settled, over all rows. */
--- a/src/core/ledger_private.h
+++ b/src/core/ledger_private.h
@@ -8,6 +8,7 @@
  * DESCRIPTION
  *   ledger_account.c  reservations of an account, held and waiting
  *   ledger_write.c    when to read and write the account's entry, and what to write
+ *   ledger_restore.c  entries of a store that was restored from an older copy
  *   ledger.c          the public functions
  */
 
@@ -59,6 +60,12 @@
   bool unresolved;                   /* a write based on version may still take effect */
   int64_t unresolved_granted_tokens; /* least grant among the unresolved writes */
 
+  bool reasserting;            /* kept_tokens are to be written to the restored entry */
+  int64_t kept_tokens;         /* own grant before the store was restored */
+  bool releasing;              /* the entry is to be read, and what it withholds to be freed */
+  int64_t seen_ceiling_tokens; /* next ceiling of the entry as last seen; 0: none */
+  int64_t ceiling_seen_us;     /* when it was first seen */
+
   int64_t spent_tokens;
   GHashTable *spent_by_origin; /* origin router to its part of the spent tokens */
   int64_t reserved_tokens;
@@ -158,6 +165,24 @@
  * stay. With CHARGE, the open reservations count as spent. */
 void dy_ledger_end_reservations (DyLedgerAccount *acct, uint64_t origin_id, bool charge);
 
+/* ledger_restore.c */
+
+/* Returns the free tokens of the known entry that may be granted now. */
+int64_t
+dy_ledger_grantable_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us);
+
+/* Adapts the entry, just read: withholds what may have been lost, and restores the own grant. */
+void dy_ledger_adapt_read_entry (const DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us);
+
+/* Sets the era and the ceilings of the pending entry, and frees withheld tokens if that is due. */
+void dy_ledger_prepare_ceilings (const DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us);
+
+/* Handles that the store has acknowledged the entry. */
+void dy_ledger_on_written_entry (DyLedgerAccount *acct, int64_t now_us);
+
+/* Returns whether the next write frees withheld tokens. */
+bool dy_ledger_can_release (const DyLedger *ledger, const DyLedgerAccount *acct);
+
 /* ledger_write.c */
 
 /* Serves the waiters that fit and starts the read or write that is due, if none is in progress. */
--- /dev/null
+++ b/src/core/ledger_restore.c
@@ -0,0 +1,167 @@
+#include "core/ledger_private.h"
+
+enum
+{
+  FIRST_ERA = 1, /* of a store that was never restored */
+};
+
+static bool
+has_ceilings (const DyLedger *ledger)
+{
+  return ledger->policy.copy_age_us > 0;
+}
+
+/* Returns whether the entry's next ceiling may be committed up to: a copy from which the store could
+ * be restored from now on states it. */
+static bool
+is_ceiling_old (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us)
+{
+  return acct->entry.next_ceiling_tokens == acct->seen_ceiling_tokens
+         && now_us - acct->ceiling_seen_us >= ledger->policy.copy_age_us;
+}
+
+/* Notes since when the next ceiling of the entry, as read or written now, is in the store. */
+static void
+note_ceiling (DyLedgerAccount *acct, int64_t now_us)
+{
+  if (acct->entry.next_ceiling_tokens == acct->seen_ceiling_tokens)
+    return;
+  acct->seen_ceiling_tokens = acct->entry.next_ceiling_tokens;
+  acct->ceiling_seen_us = now_us;
+}
+
+int64_t
+dy_ledger_grantable_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us)
+{
+  const DyLedgerEntry *entry = &acct->entry;
+  int64_t free_tokens = dy_ledger_entry_free_tokens (entry);
+  if (!has_ceilings (ledger) || entry->next_ceiling_tokens == 0)
+    return free_tokens;
+  int64_t ceiling = is_ceiling_old (ledger, acct, now_us) ? entry->next_ceiling_tokens
+                                                          : entry->ceiling_tokens;
+  return CLAMP (ceiling - dy_ledger_entry_committed_tokens (entry), 0, MAX (free_tokens, 0));
+}
+
+/* An entry without ceilings was not written by a holder yet; what holders wrote may be lost. */
+static void
+adapt_new_entry (const DyLedger *ledger, DyLedgerEntry *entry)
+{
+  entry->era = MIN (ledger->era, FIRST_ERA);
+  dy_ledger_entry_raise_ceiling (entry, ledger->policy.ceiling_percent);
+}
+
+void
+dy_ledger_adapt_read_entry (const DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us)
+{
+  if (!has_ceilings (ledger))
+    return;
+  if (acct->entry.next_ceiling_tokens == 0)
+    adapt_new_entry (ledger, &acct->entry);
+  dy_ledger_entry_restore (&acct->entry, ledger->era, ledger->policy.ceiling_percent);
+  if (acct->kept_tokens == 0 && !dy_ledger_entry_row (&acct->entry, ledger->holder_id))
+    acct->reasserting = false;
+  if (acct->reasserting)
+    dy_ledger_entry_reassert (&acct->entry, ledger->holder_id, ledger->holder_name,
+                              acct->kept_tokens);
+  note_ceiling (acct, now_us);
+}
+
+bool
+dy_ledger_can_release (const DyLedger *ledger, const DyLedgerAccount *acct)
+{
+  const DyLedgerEntry *entry = &acct->entry;
+  return acct->has_entry && ledger->released_era != 0 && ledger->released_era == ledger->era
+         && entry->withheld_tokens > entry->lost_tokens
+         && (!ledger->actions->serves_account
+             || ledger->actions->serves_account (ledger->ctx, acct->name));
+}
+
+void
+dy_ledger_prepare_ceilings (const DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us)
+{
+  DyLedgerEntry *pending = &acct->pending;
+  if (!has_ceilings (ledger))
+    return;
+  pending->era = ledger->era;
+  if (dy_ledger_can_release (ledger, acct))
+    pending->withheld_tokens = pending->lost_tokens;
+  if (pending->next_ceiling_tokens == 0 || is_ceiling_old (ledger, acct, now_us))
+    dy_ledger_entry_raise_ceiling (pending, ledger->policy.ceiling_percent);
+}
+
+void
+dy_ledger_on_written_entry (DyLedgerAccount *acct, int64_t now_us)
+{
+  acct->reasserting = false;
+  note_ceiling (acct, now_us);
+}
+
+/* Keeps the grant that the holder knows, whatever the outcome of unresolved writes, to be written
+ * to the restored entry. */
+static void
+keep_grant (DyLedgerAccount *acct)
+{
+  int64_t granted = acct->row.granted_tokens;
+  if (acct->unresolved)
+    granted = MIN (granted, acct->unresolved_granted_tokens);
+  if (!acct->reasserting)
+    acct->kept_tokens = granted;
+  acct->reasserting = true;
+}
+
+void
+dy_ledger_set_era (DyLedger *ledger, uint64_t era, int64_t now_us)
+{
+  bool restored = ledger->era != 0;
+  GHashTableIter iter;
+  gpointer value;
+  if (era <= ledger->era)
+    return;
+  ledger->era = era;
+  if (!restored || !has_ceilings (ledger))
+    return;
+  g_hash_table_iter_init (&iter, ledger->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DyLedgerAccount *acct = value;
+      keep_grant (acct);
+      acct->has_entry = false;
+      acct->seen_ceiling_tokens = 0;
+      acct->retry_us = now_us;
+      dy_ledger_step (ledger, acct, now_us);
+    }
+  dy_ledger_send_results (ledger);
+}
+
+bool
+dy_ledger_is_reasserting (const DyLedger *ledger)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ledger->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const DyLedgerAccount *) value)->reasserting)
+      return true;
+  return false;
+}
+
+void
+dy_ledger_release_withheld (DyLedger *ledger, uint64_t era, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  if (ledger->released_era == era)
+    return;
+  ledger->released_era = era;
+  g_hash_table_iter_init (&iter, ledger->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DyLedgerAccount *acct = value;
+      /* An entry that was read before may lack what other holders have written again since. */
+      if (acct->has_entry && acct->entry.withheld_tokens > 0)
+        acct->has_entry = false;
+      acct->releasing = acct->entry.withheld_tokens > 0;
+      dy_ledger_step (ledger, acct, now_us);
+    }
+  dy_ledger_send_results (ledger);
+}
--- a/src/core/ledger_write.c
+++ b/src/core/ledger_write.c
@@ -84,6 +84,7 @@
   dy_ledger_entry_copy (&acct->pending, &acct->entry);
   write_own_row (ledger, acct, granted_tokens, close);
   write_changes (acct);
+  dy_ledger_prepare_ceilings (ledger, acct, now_us);
   if (!dy_ledger_entry_valid (&acct->pending))
     {
       acct->has_entry = false;
@@ -126,28 +127,29 @@
 /* Returns the grant that covers the spent and reserved tokens and, as far as the policy's share of
  * the free budget allows, the demand of the horizon. */
 static int64_t
-renewed_grant_tokens (const DyLedger *ledger, const DyLedgerAccount *acct)
+renewed_grant_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us)
 {
   const DyLedgerPolicy *policy = &ledger->policy;
   double demand
       = (double) dy_ledger_demand_below (acct, DY_LEDGER_RANKS) * (double) policy->horizon_us / 1e6;
-  int64_t spare
-      = dy_ledger_entry_free_tokens (&acct->entry) + MAX (dy_ledger_available_tokens (acct), 0);
+  int64_t available = MAX (dy_ledger_available_tokens (acct), 0);
+  int64_t spare = dy_ledger_entry_free_tokens (&acct->entry) + available;
   int64_t ahead
       = MIN (MAX (policy->minimum_tokens, (int64_t) demand), spare * policy->percent / 100);
+  ahead = MIN (ahead, available + dy_ledger_grantable_tokens (ledger, acct, now_us));
   return acct->spent_tokens + acct->reserved_tokens + ahead;
 }
 
 /* Returns the grant for a write that is due for another reason, such as settled tokens. */
 static int64_t
-next_grant_tokens (const DyLedger *ledger, const DyLedgerAccount *acct)
+next_grant_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us)
 {
   bool serves = !ledger->actions->serves_account
                 || ledger->actions->serves_account (ledger->ctx, acct->name);
   if (!ledger->policy.renews_grant || !serves || ledger->draining || acct->recall_received
       || acct->waiters.length > 0)
     return acct->row.granted_tokens;
-  return renewed_grant_tokens (ledger, acct);
+  return renewed_grant_tokens (ledger, acct, now_us);
 }
 
 /* Returns the tokens by which the grant must grow to serve waiters in order. A waiter that the
@@ -186,18 +188,19 @@
   if (acct->failing)
     dy_ledger_refuse_beyond (ledger, acct, 0, DY_BUDGET_UNAVAILABLE);
   else if (acct->has_entry && now_us < acct->scarce_until_us)
-    dy_ledger_refuse_beyond (ledger, acct, dy_ledger_entry_free_tokens (&acct->entry),
+    dy_ledger_refuse_beyond (ledger, acct, dy_ledger_grantable_tokens (ledger, acct, now_us),
                              DY_BUDGET_RESERVED);
 }
 
 static void
 extend_grant (DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us)
 {
-  int64_t free_tokens = dy_ledger_entry_free_tokens (&acct->entry);
+  int64_t free_tokens = dy_ledger_grantable_tokens (ledger, acct, now_us);
   int64_t missing = missing_tokens (acct, free_tokens);
   if (missing > 0)
     {
-      int64_t ahead = ahead_tokens (ledger, acct, free_tokens - missing);
+      int64_t spare = dy_ledger_entry_free_tokens (&acct->entry) - missing;
+      int64_t ahead = MIN (ahead_tokens (ledger, acct, spare), free_tokens - missing);
       start_write (ledger, acct, acct->row.granted_tokens + missing + ahead, false, now_us);
       return;
     }
@@ -273,9 +276,10 @@
   if (acct->operation != OPERATION_NONE || now_us < acct->retry_us)
     return;
   bool returning = needs_return (ledger, acct, now_us);
-  bool writing = returning || needs_settling (ledger, acct, now_us) || acct->changes->len > 0;
+  bool writing = returning || needs_settling (ledger, acct, now_us) || acct->changes->len > 0
+                 || acct->reasserting || dy_ledger_can_release (ledger, acct);
   /* An unresolved write makes tokens unavailable until a read shows its outcome. */
-  bool resolving = acct->unresolved && !acct->has_entry;
+  bool resolving = (acct->unresolved || acct->releasing) && !acct->has_entry;
   if (acct->waiters.length == 0 && !writing && !resolving)
     return;
   if (!acct->has_entry)
@@ -290,7 +294,7 @@
   if (returning)
     return_surplus (ledger, acct, now_us);
   else
-    start_write (ledger, acct, next_grant_tokens (ledger, acct), false, now_us);
+    start_write (ledger, acct, next_grant_tokens (ledger, acct, now_us), false, now_us);
 }
 
 void
@@ -310,7 +314,9 @@
 static bool
 is_applied (const DyLedgerEntry *entry, const Change *change)
 {
-  if (!dy_ledger_entry_row (entry, change->holder_id))
+  const DyLedgerRow *row = dy_ledger_entry_row (entry, change->holder_id);
+  /* The parts of a restored row are raised no further than its grant. */
+  if (!row || (!change->close && row->restored && row->settled_tokens == row->granted_tokens))
     return true;
   for (guint i = 0; i < change->totals->len; i++)
     {
--- a/src/core/reservations.c
+++ b/src/core/reservations.c
@@ -293,6 +293,40 @@
   dy_ledger_on_write (&res->holders[pool].ledger, account, error, version, now_us);
 }
 
+void
+dy_reservations_set_era (DyReservations *res, uint64_t era, int64_t now_us)
+{
+  res->now_us = now_us;
+  for (int pool = 0; pool < DY_N_POOLS; pool++)
+    dy_ledger_set_era (&res->holders[pool].ledger, era, now_us);
+}
+
+bool
+dy_reservations_is_reasserting (const DyReservations *res)
+{
+  bool reasserting = false;
+  for (int pool = 0; pool < DY_N_POOLS; pool++)
+    reasserting = reasserting || dy_ledger_is_reasserting (&res->holders[pool].ledger);
+  return reasserting;
+}
+
+bool
+dy_reservations_saw_death_since (const DyReservations *res, int64_t time_us)
+{
+  for (guint i = 0; i < res->recent_deaths->len; i++)
+    if (g_array_index (res->recent_deaths, DyRouterDeath, i).detected_us >= time_us)
+      return true;
+  return false;
+}
+
+void
+dy_reservations_release_withheld (DyReservations *res, uint64_t era, int64_t now_us)
+{
+  res->now_us = now_us;
+  for (int pool = 0; pool < DY_N_POOLS; pool++)
+    dy_ledger_release_withheld (&res->holders[pool].ledger, era, now_us);
+}
+
 void
 dy_reservations_on_router_alive (DyReservations *res, uint64_t id)
 {
--- a/src/core/reservations.h
+++ b/src/core/reservations.h
@@ -213,6 +213,18 @@
                                uint64_t version,
                                int64_t now_us);
 
+/* Reports the era of the store, see dy_ledger_set_era(). */
+void dy_reservations_set_era (DyReservations *res, uint64_t era, int64_t now_us);
+
+/* Returns whether grants are still to be written to the restored store. */
+bool dy_reservations_is_reasserting (const DyReservations *res);
+
+/* Returns whether another router was found dead since TIME_US, at most ten minutes ago. */
+bool dy_reservations_saw_death_since (const DyReservations *res, int64_t time_us);
+
+/* Frees what the ledger entries withhold, see dy_ledger_release_withheld(). */
+void dy_reservations_release_withheld (DyReservations *res, uint64_t era, int64_t now_us);
+
 /* Records that the router incarnation ID was alive beside this one. */
 void dy_reservations_on_router_alive (DyReservations *res, uint64_t id);
 
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -14,6 +14,7 @@
 #include "services/peers.h"
 #include "services/platform.h"
 #include "services/registration.h"
+#include "services/restores.h"
 
 #include <argp.h>
 #include <curl/curl.h>
@@ -45,6 +46,7 @@
   DyDirectory directory;
   DyEndpointLimits limits;
   DyPartBlocks part_blocks;
+  DyRestores restores;
   DyGateway gateway;
   DyOperators operators;
   bool ready_logged;
@@ -269,6 +271,7 @@
   dy_registration_add_service (kernel, &daemon->registration);
   dy_peers_add_service (kernel, &daemon->peers);
   dy_budgets_add_service (kernel, &daemon->budgets);
+  dy_restores_add_service (kernel, &daemon->restores);
   dy_directory_add_service (kernel, &daemon->directory);
   dy_endpoint_limits_add_service (kernel, &daemon->limits);
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -72,7 +72,7 @@
   const int64_t *paid = g_hash_table_lookup (budgets->paid, call->account);
   if (paid && (error == DY_OK || error == DY_NOT_FOUND))
     {
-      entry.paid_tokens = MAX (entry.paid_tokens, *paid);
+      dy_ledger_entry_raise_paid (&entry, *paid);
       error = DY_OK;
     }
   if (error == DY_PROTOCOL)
@@ -247,6 +247,8 @@
           .answers_before_settlement = uses_route_table,
           .ledger = { .renews_grant = uses_route_table,
                       .refuses_early = uses_route_table,
+                      .copy_age_us = settings->store_copy_age_ms * 1000,
+                      .ceiling_percent = settings->ceiling_percent,
                       .urgent_headroom_us = settings->keep_urgent_ms * 1000,
                       .horizon_us = settings->grant_horizon_ms * 1000,
                       .minimum_tokens = settings->grant_minimum_tokens,
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -33,7 +33,7 @@
 
 enum
 {
-  DY_MAX_PEERS_WATCHERS = 8,
+  DY_MAX_PEERS_WATCHERS = 12,
 };
 
 typedef struct DyPeerLink DyPeerLink;
--- a/test/support/replay.c
+++ b/test/support/replay.c
@@ -25,6 +25,8 @@
   { "percent", offsetof (DyReservationsPolicy, ledger.percent), 1 },
   { "float_percent", offsetof (DyReservationsPolicy, ledger.float_percent), 1 },
   { "settle_interval_ms", offsetof (DyReservationsPolicy, ledger.settle_interval_us), MS },
+  { "copy_age_ms", offsetof (DyReservationsPolicy, ledger.copy_age_us), MS },
+  { "ceiling_percent", offsetof (DyReservationsPolicy, ledger.ceiling_percent), 1 },
   { "idle_return_ms", offsetof (DyReservationsPolicy, ledger.idle_return_us), MS },
 };
 
--- a/test/support/replay_private.h
+++ b/test/support/replay_private.h
@@ -8,6 +8,7 @@
 #include "support/replay.h"
 
 #include "core/reservations.h"
+#include "core/restore_check.h"
 #include "kernel/error.h"
 #include "services/object_store.h"
 #include "support/snapshots.h"
@@ -38,6 +39,9 @@
   int64_t node_started_us; /* time of the latest start */
   bool initialized;        /* members and res are initialized */
   uint64_t era;            /* of the store, by the replies so far */
+  int64_t era_us;          /* when it was noticed */
+  uint64_t released_era;
+  DyRestoreReport report; /* about the latest restore */
   uint64_t incarnation_id;
   uint32_t generation; /* number of starts so far */
   DyMembers members;
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -157,6 +157,7 @@
       "watch_timeout_ms = 500\nvm_list_interval_ms = 100\nplatform_calls_per_s = 200\n"
       "[peers]\nsecret = test\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
+      "store_copy_age_ms = 4000\n"
       "[log]\nlevel = info\n",
       i, site->callers[i], site->ready[i], site->operators[i], site->peers[i],
       site->relayed ? site->store_relays[i] : site->store);
