Free what a restored ledger entry withholds when a holder has died, and give each era its own key

Cause: only the holder itself knew its grants of the lost seconds. Change: a router tells the others each entry that the store acknowledged, before it is spent from, and all it knows to a new peer (core/latest_entries). A reader of a restored entry adds what is known of dead holders, and again before the rest is freed; so a death no longer keeps it withheld, unless all routers died. An entry has a key of its own in each era (dy_ledger_entry_key), so that a late write does not meet the newer one.

--- a/src/core/ledger_entry.c
+++ b/src/core/ledger_entry.c
@@ -166,6 +166,15 @@
   return valid ? DY_OK : DY_PROTOCOL;
 }
 
+char *
+dy_ledger_entry_key (const char *account, uint64_t era)
+{
+  if (era <= DY_LEDGER_FIRST_ERA)
+    return g_strconcat (DY_LEDGER_PREFIX, account, NULL);
+  return g_strdup_printf ("%.*s%" G_GUINT64_FORMAT "/%s", (int) strlen (DY_LEDGER_PREFIX) - 1,
+                          DY_LEDGER_PREFIX, era, account);
+}
+
 void
 dy_ledger_entry_init (DyLedgerEntry *entry)
 {
@@ -296,10 +305,10 @@
   return part ? part->settled_tokens : 0;
 }
 
-/* Raises the grant of the restored ROW from the withheld tokens to cover INCREASE more settled
- * tokens. Returns what it covers then. */
+/* Raises the grant of ROW from the withheld tokens to cover INCREASE more settled tokens. Returns
+ * what it covers then. */
 static int64_t
-cover_restored (DyLedgerEntry *entry, DyLedgerRow *row, int64_t increase)
+cover_increase (DyLedgerEntry *entry, DyLedgerRow *row, int64_t increase)
 {
   int64_t excess = row->settled_tokens + increase - row->granted_tokens;
   int64_t taken = CLAMP (excess, 0, entry->withheld_tokens);
@@ -319,8 +328,8 @@
   DyLedgerPart *part = find_part (entry, holder_id, origin_id);
   int64_t known = part ? part->settled_tokens : 0;
   int64_t increase = tokens - known;
-  if (row && row->restored)
-    increase = cover_restored (entry, row, increase);
+  if (row && (row->restored || entry->withheld_tokens > 0))
+    increase = cover_increase (entry, row, increase);
   if (!row || increase <= 0)
     return;
   row->settled_tokens += increase;
@@ -406,14 +415,14 @@
   return MIN (ceiling, entry->paid_tokens);
 }
 
-void
+bool
 dy_ledger_entry_restore (DyLedgerEntry *entry, uint64_t era, int64_t percent)
 {
   bool restored = entry->era != 0 && entry->era < era;
   uint64_t n_restores = era - entry->era;
   entry->era = era;
   if (!restored)
-    return;
+    return false;
   int64_t most = most_committed (entry, n_restores, percent);
   entry->lost_tokens = entry->withheld_tokens;
   entry->withheld_tokens += MAX (most - dy_ledger_entry_committed_tokens (entry), 0);
@@ -421,6 +430,54 @@
   entry->ceiling_tokens = entry->next_ceiling_tokens;
   for (guint i = 0; i < entry->rows->len; i++)
     g_array_index (entry->rows, DyLedgerRow, i).restored = true;
+  return true;
+}
+
+static void
+take_withheld (DyLedgerEntry *entry, int64_t tokens)
+{
+  entry->withheld_tokens = MAX (entry->withheld_tokens - tokens, 0);
+  entry->lost_tokens = MIN (entry->lost_tokens, entry->withheld_tokens);
+}
+
+/* Raises the row of ENTRY to ROW, unless its holder has written it since the restore. */
+static void
+merge_row (DyLedgerEntry *entry, const DyLedgerEntry *from, const DyLedgerRow *row)
+{
+  DyLedgerRow *own = dy_ledger_entry_row (entry, row->holder_id);
+  if (!own)
+    own = dy_ledger_entry_add_row (entry, row->holder_id, row->holder_name);
+  else if (!own->restored)
+    return;
+  int64_t increase = MAX (row->granted_tokens - own->granted_tokens, 0);
+  take_withheld (entry, increase);
+  own->granted_tokens += increase;
+  own->restored = true;
+  for (guint i = 0; i < from->parts->len; i++)
+    {
+      const DyLedgerPart *part = &g_array_index (from->parts, DyLedgerPart, i);
+      if (part->holder_id == row->holder_id)
+        dy_ledger_entry_raise_part (entry, part->holder_id, part->origin_id, part->settled_tokens);
+    }
+}
+
+void
+dy_ledger_entry_merge (DyLedgerEntry *entry, const DyLedgerEntry *from)
+{
+  int64_t closed = from->closed_tokens - entry->closed_tokens;
+  for (guint i = 0; i < from->rows->len; i++)
+    merge_row (entry, from, &g_array_index (from->rows, DyLedgerRow, i));
+  /* A restored row that FROM lacks was closed before the restore and still counts. */
+  for (guint i = 0; i < entry->rows->len; i++)
+    {
+      const DyLedgerRow *row = &g_array_index (entry->rows, DyLedgerRow, i);
+      if (row->restored && !dy_ledger_entry_row (from, row->holder_id))
+        closed -= row->granted_tokens;
+    }
+  if (closed <= 0)
+    return;
+  take_withheld (entry, closed);
+  entry->closed_tokens += closed;
 }
 
 void
@@ -432,8 +489,7 @@
   DyLedgerRow *row = dy_ledger_entry_row (entry, holder_id);
   if (!row)
     row = dy_ledger_entry_add_row (entry, holder_id, holder_name);
-  entry->withheld_tokens = MAX (entry->withheld_tokens - (granted_tokens - row->granted_tokens), 0);
-  entry->lost_tokens = MIN (entry->lost_tokens, entry->withheld_tokens);
+  take_withheld (entry, granted_tokens - row->granted_tokens);
   row->granted_tokens = granted_tokens;
   row->restored = false;
 }
--- a/src/core/ledger_entry.h
+++ b/src/core/ledger_entry.h
@@ -51,6 +51,9 @@
 
 #define DY_LEDGER_PREFIX "ledger/" /* prefix of the keys that entries are stored under */
 
+/* Era of a store that was never restored. */
+#define DY_LEDGER_FIRST_ERA 1
+
 enum
 {
   DY_HOLDER_NAME_SIZE = 64, /* bytes, with the terminating 0 */
@@ -89,6 +92,12 @@
   int64_t lost_tokens;         /* part of withheld_tokens that cannot be freed any more */
 } DyLedgerEntry;
 
+/* Returns the key of ACCOUNT's entry in ERA, to be freed with g_free(). Each era has a key of its
+ * own, so that a write of a router that has not noticed a restore does not replace an entry that
+ * was written since, although that may have got the revision that the router expects. An entry that
+ * does not exist in an era is that of the era before. */
+char *dy_ledger_entry_key (const char *account, uint64_t era);
+
 void dy_ledger_entry_init (DyLedgerEntry *entry);
 void dy_ledger_entry_finish (DyLedgerEntry *entry);
 void dy_ledger_entry_copy (DyLedgerEntry *entry, const DyLedgerEntry *from);
@@ -138,9 +147,14 @@
 void dy_ledger_entry_raise_ceiling (DyLedgerEntry *entry, int64_t percent);
 
 /* Adapts ENTRY, as read from the store in ERA: if it was written in an earlier era, withholds what
- * lost writes may have committed, sets the ceilings to PERCENT of the rest beyond that, and marks
- * all rows as restored. */
-void dy_ledger_entry_restore (DyLedgerEntry *entry, uint64_t era, int64_t percent);
+ * lost writes may have committed, sets the ceilings to PERCENT of the rest beyond that and marks
+ * all rows as restored. Returns whether it was written in an earlier era. */
+bool dy_ledger_entry_restore (DyLedgerEntry *entry, uint64_t era, int64_t percent);
+
+/* Adds to ENTRY the grants and settled tokens that FROM, an entry of before the restore, has beyond
+ * it, unless the holder of a row has written again since. They are taken from the withheld tokens.
+ */
+void dy_ledger_entry_merge (DyLedgerEntry *entry, const DyLedgerEntry *from);
 
 /* Sets the grant of the row of HOLDER_ID, which may be missing, to GRANTED_TOKENS as its holder
  * knows it. The difference is taken from the withheld tokens or added to them. */
--- a/src/core/ledger_restore.c
+++ b/src/core/ledger_restore.c
@@ -1,18 +1,13 @@
 #include "core/ledger_private.h"
 
-enum
-{
-  FIRST_ERA = 1, /* of a store that was never restored */
-};
-
 static bool
 has_ceilings (const DyLedger *ledger)
 {
   return ledger->policy.copy_age_us > 0;
 }
 
-/* Returns whether the entry's next ceiling may be committed up to: a copy from which the store could
- * be restored from now on states it. */
+/* Returns whether the entry's next ceiling may be committed up to: a copy from which the store
+ * could be restored from now on states it. */
 static bool
 is_ceiling_old (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us)
 {
@@ -37,8 +32,8 @@
   int64_t free_tokens = dy_ledger_entry_free_tokens (entry);
   if (!has_ceilings (ledger) || entry->next_ceiling_tokens == 0)
     return free_tokens;
-  int64_t ceiling = is_ceiling_old (ledger, acct, now_us) ? entry->next_ceiling_tokens
-                                                          : entry->ceiling_tokens;
+  int64_t ceiling
+      = is_ceiling_old (ledger, acct, now_us) ? entry->next_ceiling_tokens : entry->ceiling_tokens;
   return CLAMP (ceiling - dy_ledger_entry_committed_tokens (entry), 0, MAX (free_tokens, 0));
 }
 
@@ -46,10 +41,21 @@
 static void
 adapt_new_entry (const DyLedger *ledger, DyLedgerEntry *entry)
 {
-  entry->era = MIN (ledger->era, FIRST_ERA);
+  entry->era = MIN (ledger->era, DY_LEDGER_FIRST_ERA);
   dy_ledger_entry_raise_ceiling (entry, ledger->policy.ceiling_percent);
 }
 
+/* Adds to ENTRY, which descends from the copy that the store was restored from, what is known to
+ * have been written before the restore. */
+static void
+merge_latest (const DyLedger *ledger, const char *account, DyLedgerEntry *entry)
+{
+  const DyLedgerEntry *latest
+      = ledger->actions->latest_entry ? ledger->actions->latest_entry (ledger->ctx, account) : NULL;
+  if (latest && latest->era < ledger->era)
+    dy_ledger_entry_merge (entry, latest);
+}
+
 void
 dy_ledger_adapt_read_entry (const DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us)
 {
@@ -57,7 +63,8 @@
     return;
   if (acct->entry.next_ceiling_tokens == 0)
     adapt_new_entry (ledger, &acct->entry);
-  dy_ledger_entry_restore (&acct->entry, ledger->era, ledger->policy.ceiling_percent);
+  if (dy_ledger_entry_restore (&acct->entry, ledger->era, ledger->policy.ceiling_percent))
+    merge_latest (ledger, acct->name, &acct->entry);
   if (acct->kept_tokens == 0 && !dy_ledger_entry_row (&acct->entry, ledger->holder_id))
     acct->reasserting = false;
   if (acct->reasserting)
@@ -84,7 +91,10 @@
     return;
   pending->era = ledger->era;
   if (dy_ledger_can_release (ledger, acct))
-    pending->withheld_tokens = pending->lost_tokens;
+    {
+      merge_latest (ledger, acct->name, pending);
+      pending->withheld_tokens = pending->lost_tokens;
+    }
   if (pending->next_ceiling_tokens == 0 || is_ceiling_old (ledger, acct, now_us))
     dy_ledger_entry_raise_ceiling (pending, ledger->policy.ceiling_percent);
 }
--- a/src/core/ledger_write.c
+++ b/src/core/ledger_write.c
@@ -315,8 +315,8 @@
 is_applied (const DyLedgerEntry *entry, const Change *change)
 {
   const DyLedgerRow *row = dy_ledger_entry_row (entry, change->holder_id);
-  /* The parts of a restored row are raised no further than its grant. */
-  if (!row || (!change->close && row->restored && row->settled_tokens == row->granted_tokens))
+  /* Parts are raised no further than the grant. */
+  if (!row || (!change->close && row->settled_tokens == row->granted_tokens))
     return true;
   for (guint i = 0; i < change->totals->len; i++)
     {
--- a/src/core/reservations.c
+++ b/src/core/reservations.c
@@ -8,11 +8,19 @@
 /* Time for which a request body is not run after endpoints failed while they ran it. */
 static const int64_t QUARANTINE_US = INT64_C (600) * 1000 * 1000;
 
+static const DyLedgerEntry *
+find_latest_entry (void *ctx, const char *account)
+{
+  const DyHolder *holder = ctx;
+  return dy_latest_entries_find (&holder->res->latest, account);
+}
+
 static const DyLedgerActions ledger_actions = { .read = dy_reservations_read_entry,
                                                 .write = dy_reservations_write_entry,
                                                 .reserved = dy_reservations_on_reserved,
                                                 .recovered = dy_reservations_on_recovered,
                                                 .recall = dy_reservations_recall_grants,
+                                                .latest_entry = find_latest_entry,
                                                 .serves_account = dy_reservations_serves_account,
                                                 .refused = dy_reservations_on_refused };
 
@@ -89,6 +97,10 @@
   dy_recoveries_init (&res->recoveries, policy->recovery_delay_us);
   g_queue_init (&res->dead_origins);
   res->recent_deaths = g_array_new (FALSE, FALSE, sizeof (DyRouterDeath));
+  dy_latest_entries_init (&res->latest);
+  res->connected_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  res->lost_ids = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  res->parted_us = INT64_MIN / 2;
   res->disconnected_us = INT64_MIN / 2;
   res->dead_names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   res->tickets = g_hash_table_new_full (dy_request_id_hash, dy_request_id_equal, NULL, g_free);
@@ -101,6 +113,9 @@
   g_hash_table_unref (res->tickets);
   g_hash_table_unref (res->requesters);
   g_hash_table_unref (res->dead_names);
+  g_hash_table_unref (res->connected_ids);
+  g_hash_table_unref (res->lost_ids);
+  dy_latest_entries_finish (&res->latest);
   g_queue_clear_full (&res->dead_origins, g_free);
   g_array_unref (res->recent_deaths);
   dy_recoveries_finish (&res->recoveries);
@@ -293,6 +308,15 @@
   dy_ledger_on_write (&res->holders[pool].ledger, account, error, version, now_us);
 }
 
+void
+dy_reservations_take_entry (DyReservations *res,
+                            const char *account,
+                            uint64_t version,
+                            const DyLedgerEntry *entry)
+{
+  dy_latest_entries_take (&res->latest, account, version, entry);
+}
+
 void
 dy_reservations_set_era (DyReservations *res, uint64_t era, int64_t now_us)
 {
@@ -310,13 +334,10 @@
   return reasserting;
 }
 
-bool
-dy_reservations_saw_death_since (const DyReservations *res, int64_t time_us)
+int64_t
+dy_reservations_parted_us (const DyReservations *res)
 {
-  for (guint i = 0; i < res->recent_deaths->len; i++)
-    if (g_array_index (res->recent_deaths, DyRouterDeath, i).detected_us >= time_us)
-      return true;
-  return false;
+  return res->parted_us;
 }
 
 void
@@ -341,6 +362,12 @@
   res->now_us = now_us;
   res->members_changed_us = now_us;
   res->joined_us = MIN (res->joined_us, now_us);
+  const DyMember *member = dy_members_find (res->members, name);
+  if (member && g_hash_table_remove (res->lost_ids, &member->incarnation_id))
+    res->parted_us = now_us;
+  if (member)
+    g_hash_table_insert (res->connected_ids, g_strdup (name),
+                         g_memdup2 (&member->incarnation_id, sizeof member->incarnation_id));
   g_hash_table_iter_init (&iter, res->tickets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -354,7 +381,9 @@
 void
 dy_reservations_on_down (DyReservations *res, const char *name, int64_t now_us)
 {
-  (void) name;
+  const uint64_t *id = g_hash_table_lookup (res->connected_ids, name);
+  if (id)
+    g_hash_table_add (res->lost_ids, g_memdup2 (id, sizeof *id));
   res->now_us = now_us;
   res->members_changed_us = now_us;
   dy_reservations_each_ticket (res, dy_reservations_check_lost_home, NULL);
--- a/src/core/reservations.h
+++ b/src/core/reservations.h
@@ -35,6 +35,7 @@
  */
 
 #include "core/inquiry.h"
+#include "core/latest_entries.h"
 #include "core/ledger.h"
 #include "core/members.h"
 #include "core/message.h"
@@ -137,6 +138,10 @@
   GQueue dead_origins; /* of DyRouterDeath, dead origins whose reservations have not been ended */
   int64_t disconnected_us; /* last time that a member was not connected */
   GHashTable *dead_names;  /* dead router incarnations to the names of their VMs */
+  DyLatestEntries latest;
+  GHashTable *connected_ids; /* router name to its incarnation when it was last connected */
+  GHashTable *lost_ids;      /* set of the router incarnations that this one lost touch with */
+  int64_t parted_us;         /* see dy_reservations_parted_us() */
 };
 
 typedef struct
@@ -213,14 +218,22 @@
                                uint64_t version,
                                int64_t now_us);
 
+/* Takes ENTRY of ACCOUNT, which the store has acknowledged to this or another router as VERSION. To
+ * be called before this router or others spend what it grants. */
+void dy_reservations_take_entry (DyReservations *res,
+                                 const char *account,
+                                 uint64_t version,
+                                 const DyLedgerEntry *entry);
+
 /* Reports the era of the store, see dy_ledger_set_era(). */
 void dy_reservations_set_era (DyReservations *res, uint64_t era, int64_t now_us);
 
 /* Returns whether grants are still to be written to the restored store. */
 bool dy_reservations_is_reasserting (const DyReservations *res);
 
-/* Returns whether another router was found dead since TIME_US, at most ten minutes ago. */
-bool dy_reservations_saw_death_since (const DyReservations *res, int64_t time_us);
+/* Returns the time at which this router last met an incarnation of another router again that it had
+ * lost touch with, INT64_MIN: never. What that one did meanwhile is not known here. */
+int64_t dy_reservations_parted_us (const DyReservations *res);
 
 /* Frees what the ledger entries withhold, see dy_ledger_release_withheld(). */
 void dy_reservations_release_withheld (DyReservations *res, uint64_t era, int64_t now_us);
--- a/src/core/restore_check.c
+++ b/src/core/restore_check.c
@@ -1,5 +1,11 @@
 #include "core/restore_check.h"
 
+enum
+{
+  ABSENCE_US
+  = 5 * 1000 * 1000, /* time without a heartbeat after which a router is not waited for */
+};
+
 void
 dy_restore_check_init (DyRestoreCheck *check)
 {
@@ -21,13 +27,14 @@
 static bool
 is_clear (const DyRestoreReport *report, uint64_t era)
 {
-  return report->era >= era && report->reasserted && !report->deaths;
+  return report->era >= era && report->reasserted;
 }
 
 bool
 dy_restore_check_complete (const DyRestoreCheck *check,
                            const DyRestoreReport *own,
-                           const DyMembers *members)
+                           const DyMembers *members,
+                           int64_t now_us)
 {
   bool was_there = own->was_there;
   GHashTableIter iter;
@@ -40,8 +47,10 @@
     {
       const DyMember *member = value;
       const DyRestoreReport *report = g_hash_table_lookup (check->reports, name);
-      if (member->incarnation_id == 0 || !report
-          || report->incarnation_id != member->incarnation_id || !is_clear (report, own->era))
+      if (member->incarnation_id == 0 && now_us - member->last_heartbeat_us > ABSENCE_US)
+        continue;
+      if (member->incarnation_id == 0 || !report || report->incarnation_id != member->incarnation_id
+          || !is_clear (report, own->era))
         return false;
       was_there = was_there || report->was_there;
     }
--- a/src/core/restore_check.h
+++ b/src/core/restore_check.h
@@ -7,9 +7,11 @@
  *
  * DESCRIPTION
  *   After a restore each router writes the grants again that it knows, and reports that to the
- *   others. What the ledger entries still withhold then was granted to nobody, provided that no
- *   router died that may have had a grant, and that at least one router was there long enough to
- *   know of such deaths.
+ *   others. Routers also tell each other the entries that the store acknowledges, so that those who
+ *   live write the grants again of those who died. What the ledger entries still withhold then was
+ *   granted to nobody, provided that at least one router was there, and in touch, since before the
+ *   time whose writes may be lost. A router that is not connected is waited for only for a while:
+ * if it lives, it can write its grants again as long as the account has free tokens.
  *
  * UNITS
  *   Times are microseconds; the module reads no clock.
@@ -27,8 +29,9 @@
   uint64_t incarnation_id;
   uint64_t era;    /* of the store since the restore */
   bool reasserted; /* all its grants are written again */
-  bool deaths;     /* another router died in the time whose writes may be lost, or later */
-  bool was_there;  /* this router has run since before that time */
+  /* This router has run since before the time whose writes may be lost, and did not lose touch with
+   * another one that lived on. */
+  bool was_there;
 } DyRestoreReport;
 
 typedef struct
@@ -45,6 +48,7 @@
 /* Returns whether what the entries withhold may be freed. OWN is this router's own report. */
 bool dy_restore_check_complete (const DyRestoreCheck *check,
                                 const DyRestoreReport *own,
-                                const DyMembers *members);
+                                const DyMembers *members,
+                                int64_t now_us);
 
 #endif
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -21,8 +21,13 @@
   DyBudgets *budgets;
   DyPool pool;
   char account[DY_NAME_SIZE];
+  DyLedgerEntry written; /* the entry to be written; zero-filled in a read */
+  uint64_t era;          /* of the key that is read or written */
 } PlatformCall;
 
+/* Key prefix of the entries that routers tell each other: {"version": number, "entry": entry}. */
+#define COPY_PREFIX "entries/"
+
 static int64_t
 now_us (const DyBudgets *budgets)
 {
@@ -52,11 +57,24 @@
   dy_log (event,
           "account=%s pool=%d result=%s version=%" G_GUINT64_FORMAT " paid=%" G_GINT64_FORMAT
           " settled=%" G_GINT64_FORMAT " outstanding=%" G_GINT64_FORMAT " free=%" G_GINT64_FORMAT
-          " own_granted=%" G_GINT64_FORMAT " own_settled=%" G_GINT64_FORMAT " rows=%u",
+          " own_granted=%" G_GINT64_FORMAT " own_settled=%" G_GINT64_FORMAT
+          " rows=%u era=%" G_GUINT64_FORMAT " withheld=%" G_GINT64_FORMAT
+          " ceiling=%" G_GINT64_FORMAT,
           call->account, call->pool, dy_error_info (error)->kind, version, entry->paid_tokens,
           dy_ledger_entry_settled_tokens (entry), dy_ledger_entry_outstanding_tokens (entry),
           dy_ledger_entry_free_tokens (entry), row ? row->granted_tokens : 0,
-          row ? row->settled_tokens : 0, entry->rows->len);
+          row ? row->settled_tokens : 0, entry->rows->len, entry->era, entry->withheld_tokens,
+          entry->ceiling_tokens);
+}
+
+static void on_read (void *ctx, const DyPlatformReply *reply);
+
+static void
+read_key (PlatformCall *call)
+{
+  char *key = dy_ledger_entry_key (call->account, call->era);
+  dy_platform_get (call->budgets->platform, key, on_read, call);
+  g_free (key);
 }
 
 static void
@@ -66,6 +84,12 @@
   DyBudgets *budgets = call->budgets;
   DyLedgerEntry entry;
   int error = reply->error;
+  if (error == DY_NOT_FOUND && call->era > DY_LEDGER_FIRST_ERA)
+    {
+      call->era--;
+      read_key (call);
+      return;
+    }
   dy_ledger_entry_init (&entry);
   if (!error)
     error = dy_ledger_entry_parse (&entry, reply->value, reply->n_value);
@@ -78,7 +102,8 @@
   if (error == DY_PROTOCOL)
     dy_log (DY_EVENT_LEDGER_INVALID, "account=%s version=%" G_GUINT64_FORMAT, call->account,
             reply->version);
-  uint64_t version = reply->error ? 0 : reply->version;
+  /* An entry of an earlier era is written under the key of this era, which does not exist yet. */
+  uint64_t version = reply->error || call->era < budgets->platform->era ? 0 : reply->version;
   log_ledger_entry (DY_EVENT_LEDGER_READ, call, error, version, &entry);
   dy_reservations_on_read (&budgets->reservations, call->pool, call->account, error, version,
                            error ? NULL : &entry, now_us (budgets));
@@ -86,6 +111,72 @@
   g_hash_table_remove (budgets->calls, call);
 }
 
+static void
+free_call (gpointer data)
+{
+  PlatformCall *call = data;
+  if (call->written.rows)
+    dy_ledger_entry_finish (&call->written);
+  g_free (call);
+}
+
+/* Tells the router NAME, or all if it is NULL, ENTRY of ACCOUNT, which the store has as VERSION. */
+static void
+send_entry (const DyBudgets *budgets,
+            const char *name,
+            const char *account,
+            uint64_t version,
+            const DyLedgerEntry *entry)
+{
+  char *key = g_strconcat (COPY_PREFIX, account, NULL);
+  char *entry_text = dy_ledger_entry_format (entry);
+  char *text
+      = g_strdup_printf ("{\"version\":%" G_GUINT64_FORMAT ",\"entry\":%s}", version, entry_text);
+  dy_peers_send_object (budgets->peers, name, key, text);
+  g_free (text);
+  free (entry_text);
+  g_free (key);
+}
+
+static void
+share_entry (const PlatformCall *call, uint64_t version)
+{
+  DyBudgets *budgets = call->budgets;
+  if (budgets->kernel->settings->store_copy_age_ms == 0)
+    return;
+  dy_reservations_take_entry (&budgets->reservations, call->account, version, &call->written);
+  send_entry (budgets, NULL, call->account, version, &call->written);
+}
+
+typedef struct
+{
+  const DyBudgets *budgets;
+  const char *name;
+} Recipient;
+
+static void
+send_known_entry (void *ctx, const char *account, uint64_t version, const DyLedgerEntry *entry)
+{
+  const Recipient *recipient = ctx;
+  send_entry (recipient->budgets, recipient->name, account, version, entry);
+}
+
+/* Takes the entry of ACCOUNT that another router has written. */
+static void
+take_shared_entry (DyBudgets *budgets, const char *account, const char *text, size_t n)
+{
+  DyLedgerEntry entry;
+  json_t *root = json_loadb (text, n, 0, NULL);
+  char *entry_text = json_dumps (json_object_get (root, "entry"), JSON_COMPACT);
+  uint64_t version = (uint64_t) json_integer_value (json_object_get (root, "version"));
+  dy_ledger_entry_init (&entry);
+  if (entry_text && dy_ledger_entry_parse (&entry, entry_text, strlen (entry_text)) == DY_OK)
+    dy_reservations_take_entry (&budgets->reservations, account, version, &entry);
+  dy_ledger_entry_finish (&entry);
+  free (entry_text);
+  json_decref (root);
+}
+
 static void
 on_write (void *ctx, const DyPlatformReply *reply)
 {
@@ -97,6 +188,8 @@
       dy_log (DY_EVENT_LEDGER_CONFLICT, "account=%s version=%" G_GUINT64_FORMAT, call->account,
               reply->version);
     }
+  if (!reply->error)
+    share_entry (call, reply->version);
   dy_reservations_on_write (&budgets->reservations, call->pool, call->account, reply->error,
                             reply->version, now_us (budgets));
   g_hash_table_remove (budgets->calls, call);
@@ -105,10 +198,9 @@
 static void
 read_ledger_entry (void *ctx, DyPool pool, const char *account)
 {
-  DyBudgets *budgets = ctx;
-  char *key = g_strconcat (DY_LEDGER_PREFIX, account, NULL);
-  dy_platform_get (budgets->platform, key, on_read, new_call (budgets, pool, account));
-  g_free (key);
+  PlatformCall *call = new_call (ctx, pool, account);
+  call->era = call->budgets->platform->era;
+  read_key (call);
 }
 
 static void
@@ -116,10 +208,12 @@
     void *ctx, DyPool pool, const char *account, uint64_t version, const DyLedgerEntry *entry)
 {
   DyBudgets *budgets = ctx;
-  char *key = g_strconcat (DY_LEDGER_PREFIX, account, NULL);
+  char *key = dy_ledger_entry_key (account, budgets->platform->era);
   char *text = dy_ledger_entry_format (entry);
   dy_counters_add (&budgets->kernel->counters, DY_COUNTER_LEDGER_WRITES, 1);
   PlatformCall *call = new_call (budgets, pool, account);
+  dy_ledger_entry_init (&call->written);
+  dy_ledger_entry_copy (&call->written, entry);
   log_ledger_entry (DY_EVENT_LEDGER_WRITTEN, call, DY_OK, version, entry);
   dy_platform_put (budgets->platform, key, text, version, on_write, call);
   free (text);
@@ -166,6 +260,13 @@
 on_message (void *ctx, uint64_t link, const DyMessage *message)
 {
   DyBudgets *budgets = ctx;
+  const char *key = message->u.config.key;
+  if (message->type == DY_MESSAGE_CONFIG && g_str_has_prefix (key, COPY_PREFIX))
+    {
+      take_shared_entry (budgets, key + strlen (COPY_PREFIX), message->u.config.text,
+                         message->u.config.n_text);
+      return;
+    }
   dy_reservations_on_message (&budgets->reservations, link, message, now_us (budgets));
 }
 
@@ -173,6 +274,8 @@
 on_peer_up (void *ctx, const char *name)
 {
   DyBudgets *budgets = ctx;
+  Recipient recipient = { budgets, name };
+  dy_latest_entries_visit (&budgets->reservations.latest, send_known_entry, &recipient);
   dy_reservations_on_up (&budgets->reservations, name, now_us (budgets));
 }
 
@@ -260,7 +363,7 @@
   budgets->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
   budgets->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
   budgets->reaches_platform = true;
-  budgets->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  budgets->calls = g_hash_table_new_full (NULL, NULL, free_call, NULL);
   budgets->paid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   dy_reservations_init (&budgets->reservations, &policy, &budgets->peers->members,
                         (uint32_t) kernel->incarnation_id, &actions, budgets);
--- a/src/services/restores.c
+++ b/src/services/restores.c
@@ -11,13 +11,6 @@
 
 static const double TICK_S = 0.1;
 
-enum
-{
-  FIRST_ERA = 1, /* of a store that was never restored */
-  /* Longest time from the death of a router to its detection by the others. */
-  DEATH_LAG_US = 5 * 1000 * 1000,
-};
-
 static int64_t
 now_us (const DyRestores *restores)
 {
@@ -30,9 +23,8 @@
   const DyRestoreReport *own = &restores->own;
   char *key = g_strconcat (REPORT_PREFIX, restores->kernel->settings->node_name, NULL);
   char *id = g_strdup_printf (ID_FORMAT, own->incarnation_id);
-  json_t *root = json_pack ("{s:s, s:I, s:b, s:b, s:b}", "id", id, "era", (json_int_t) own->era,
-                            "reasserted", own->reasserted, "deaths", own->deaths, "was_there",
-                            own->was_there);
+  json_t *root = json_pack ("{s:s, s:I, s:b, s:b}", "id", id, "era", (json_int_t) own->era,
+                            "reasserted", own->reasserted, "was_there", own->was_there);
   char *text = json_dumps (root, JSON_COMPACT);
   dy_peers_send_object (restores->budgets->peers, name, key, text);
   free (text);
@@ -47,14 +39,15 @@
   const DyReservations *res = &restores->budgets->reservations;
   int64_t since_us = restores->noticed_us - restores->kernel->settings->store_copy_age_ms * 1000;
   restores->own.reasserted = !dy_reservations_is_reasserting (res);
-  restores->own.deaths = dy_reservations_saw_death_since (res, since_us - DEATH_LAG_US);
-  restores->own.was_there = restores->started_us <= since_us;
+  restores->own.was_there
+      = restores->started_us <= since_us && dy_reservations_parted_us (res) < since_us;
 }
 
 static bool
 is_restored (const DyRestores *restores)
 {
-  return restores->own.era > FIRST_ERA && restores->kernel->settings->store_copy_age_ms > 0;
+  return restores->own.era > DY_LEDGER_FIRST_ERA
+         && restores->kernel->settings->store_copy_age_ms > 0;
 }
 
 static void
@@ -73,7 +66,7 @@
     }
   if (restores->released_era == restores->own.era
       || !dy_restore_check_complete (&restores->check, &restores->own,
-                                     &restores->budgets->peers->members))
+                                     &restores->budgets->peers->members, now_us (restores)))
     return;
   restores->released_era = restores->own.era;
   dy_log (DY_EVENT_RESTORE_COMPLETE, "era=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT,
@@ -110,7 +103,6 @@
           = { .incarnation_id = id,
               .era = (uint64_t) json_integer_value (json_object_get (root, "era")),
               .reasserted = json_is_true (json_object_get (root, "reasserted")),
-              .deaths = json_is_true (json_object_get (root, "deaths")),
               .was_there = json_is_true (json_object_get (root, "was_there")) };
       dy_restore_check_take (&restores->check, key + strlen (REPORT_PREFIX), &report);
     }
@@ -157,9 +149,8 @@
 service_dump (void *self)
 {
   const DyRestores *restores = self;
-  return json_pack ("{s:I, s:b, s:b, s:b, s:b}", "era", (json_int_t) restores->own.era,
-                    "reasserted", restores->own.reasserted, "deaths", restores->own.deaths,
-                    "was_there", restores->own.was_there, "released",
+  return json_pack ("{s:I, s:b, s:b, s:b}", "era", (json_int_t) restores->own.era, "reasserted",
+                    restores->own.reasserted, "was_there", restores->own.was_there, "released",
                     restores->released_era == restores->own.era);
 }
 
--- a/src/services/restores.h
+++ b/src/services/restores.h
@@ -10,8 +10,7 @@
  *   its grants are written again, and lets the ledgers free what the entries withhold once all have
  *   reported (see core/restore_check.h). A report is sent as the object "restored/NAME":
  *
- *   {"id": hexadecimal incarnation, "era": number, "reasserted": bool, "deaths": bool,
- *    "was_there": bool}
+ *   {"id": hexadecimal incarnation, "era": number, "reasserted": bool, "was_there": bool}
  */
 
 #include "core/restore_check.h"
--- a/test/support/replay.c
+++ b/test/support/replay.c
@@ -342,9 +342,15 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Account *acct = value;
-      char *key = g_strconcat (DY_LEDGER_PREFIX, acct->name, NULL);
+      uint64_t era = replay->era;
+      char *key = dy_ledger_entry_key (acct->name, era);
       DyObject object;
       DyLedgerEntry entry;
+      while (dy_object_store_get (&replay->store, key, &object) && era > 1)
+        {
+          g_free (key);
+          key = dy_ledger_entry_key (acct->name, --era);
+        }
       dy_ledger_entry_init (&entry);
       if (dy_object_store_get (&replay->store, key, &object) == DY_OK
           && dy_ledger_entry_parse (&entry, object.value, object.n_value) == DY_OK)
--- a/test/support/replay_world.c
+++ b/test/support/replay_world.c
@@ -6,11 +6,6 @@
 #include <stdio.h>
 #include <string.h>
 
-enum
-{
-  DEATH_LAG_US = 5000 * MS,
-};
-
 typedef struct
 {
   Node *from;
@@ -23,10 +18,12 @@
   DyPool pool;
   char account[DY_NAME_SIZE];
   bool is_write;
-  DyStoreCall check; /* the version that a write expects, and the era in which it is sent */
-  uint64_t version;  /* of the reply */
-  uint64_t era;      /* of the store, as the reply states it */
-  char *text;        /* JSON text of the ledger entry; NULL for a read without a result */
+  DyStoreCall check;  /* the version that a write expects, and the era in which it is sent */
+  uint64_t key_era;   /* of the entry's key, see dy_ledger_entry_key() */
+  bool found_earlier; /* a read found the entry of an earlier era */
+  uint64_t version;   /* of the reply */
+  uint64_t era;       /* of the store, as the reply states it */
+  char *text;         /* JSON text of the ledger entry; NULL for a read without a result */
   int error;
 } PlatformCall;
 
@@ -160,6 +157,60 @@
   return !replay->platform_down && !replay->without_platform[node->index];
 }
 
+/* An entry that the store has acknowledged to one router, on its way to another. */
+typedef struct
+{
+  Node *from;
+  char account[DY_NAME_SIZE];
+  uint64_t version;
+  char *text;
+} SharedEntry;
+
+static void
+free_shared_entry (void *data)
+{
+  SharedEntry *shared = data;
+  free (shared->text);
+  g_free (shared);
+}
+
+static void
+take_entry (Node *node, const char *account, uint64_t version, const char *text)
+{
+  DyLedgerEntry entry;
+  dy_ledger_entry_init (&entry);
+  if (dy_ledger_entry_parse (&entry, text, strlen (text)) == DY_OK)
+    dy_reservations_take_entry (&node->res, account, version, &entry);
+  dy_ledger_entry_finish (&entry);
+}
+
+static void
+deliver_entry (Replay *replay, Event *event)
+{
+  const SharedEntry *shared = event->data;
+  if (reachable (replay, shared->from, event->node))
+    take_entry (event->node, shared->account, shared->version, shared->text);
+}
+
+static void
+share_entry (Node *node, const PlatformCall *call)
+{
+  Replay *replay = node->replay;
+  take_entry (node, call->account, call->version, call->text);
+  for (uint32_t i = 0; i < replay->n_nodes; i++)
+    {
+      if (!node->connected[i])
+        continue;
+      SharedEntry *shared = g_new0 (SharedEntry, 1);
+      shared->from = node;
+      g_strlcpy (shared->account, call->account, sizeof shared->account);
+      shared->version = call->version;
+      shared->text = strdup (call->text);
+      replay_schedule (replay, random_delay_us (replay, 200, 1500), &replay->nodes[i],
+                       deliver_entry, shared, free_shared_entry);
+    }
+}
+
 static void
 note_era (Node *node, uint64_t era)
 {
@@ -180,6 +231,8 @@
   call->error = dy_store_check_answer (&call->check, call->error, call->era, node->era);
   if (call->is_write)
     {
+      if (!call->error && replay->policy.ledger.copy_age_us > 0)
+        share_entry (node, call);
       dy_reservations_on_write (&node->res, call->pool, call->account, call->error, call->version,
                                 replay->now_us);
       return;
@@ -187,15 +240,16 @@
   dy_ledger_entry_init (&entry);
   if (!call->error)
     call->error = dy_ledger_entry_parse (&entry, call->text, strlen (call->text));
-  dy_reservations_on_read (&node->res, call->pool, call->account, call->error, call->version,
-                           call->error ? NULL : &entry, replay->now_us);
+  bool exists = call->key_era == MAX (node->era, 1) && !call->found_earlier;
+  dy_reservations_on_read (&node->res, call->pool, call->account, call->error,
+                           exists ? call->version : 0, call->error ? NULL : &entry, replay->now_us);
   dy_ledger_entry_finish (&entry);
 }
 
 static void
 apply_call (Replay *replay, PlatformCall *call)
 {
-  char *key = g_strconcat (DY_LEDGER_PREFIX, call->account, NULL);
+  char *key = dy_ledger_entry_key (call->account, call->key_era);
   DyObject object;
   uint64_t revision = 0;
   if (call->is_write)
@@ -207,8 +261,14 @@
     }
   else
     {
-      call->error = dy_object_store_get (&replay->store, key, &object);
+      uint64_t era = call->key_era;
+      while ((call->error = dy_object_store_get (&replay->store, key, &object)) && era > 1)
+        {
+          g_free (key);
+          key = dy_ledger_entry_key (call->account, --era);
+        }
       revision = call->error ? 0 : object.version;
+      call->found_earlier = era < call->key_era;
       call->text = call->error ? NULL : strdup (object.value);
     }
   call->era = replay->era;
@@ -262,6 +322,7 @@
 {
   Replay *replay = node->replay;
   call->check.sent_era = node->era;
+  call->key_era = MAX (node->era, 1);
   call->error = dy_store_check_call (&call->check, node->era);
   if (call->error)
     {
@@ -303,12 +364,22 @@
 static const DyReservationsActions actions
     = { .read = read_entry, .write = write_entry, .send = send_message, .reply = reply_message };
 
+static void
+take_known_entry (void *ctx, const char *account, uint64_t version, const DyLedgerEntry *entry)
+{
+  Node *node = ctx;
+  dy_reservations_take_entry (&node->res, account, version, entry);
+}
+
 void
 replay_set_connected (Node *node, const Node *peer, bool connected, int64_t now_us)
 {
   if (node->connected[peer->index] == connected)
     return;
   node->connected[peer->index] = connected;
+  /* Sent before a report on a restore, so known when that is. */
+  if (connected)
+    dy_latest_entries_visit (&peer->res.latest, take_known_entry, node);
   if (connected)
     dy_reservations_on_up (&node->res, peer->name, now_us);
   else
@@ -351,8 +422,8 @@
     .incarnation_id = node->incarnation_id,
     .era = node->era,
     .reasserted = !dy_reservations_is_reasserting (&node->res),
-    .deaths = dy_reservations_saw_death_since (&node->res, since_us - DEATH_LAG_US),
-    .was_there = node->node_started_us <= MAX (since_us, 0),
+    .was_there = node->node_started_us <= MAX (since_us, 0)
+                 && dy_reservations_parted_us (&node->res) < since_us,
   };
   if (node->released_era == node->era)
     return;
@@ -360,7 +431,7 @@
   for (uint32_t i = 0; i < replay->n_nodes; i++)
     if (node->connected[i])
       dy_restore_check_take (&check, replay->nodes[i].name, &replay->nodes[i].report);
-  if (dy_restore_check_complete (&check, &node->report, &node->members))
+  if (dy_restore_check_complete (&check, &node->report, &node->members, replay->now_us))
     {
       node->released_era = node->era;
       dy_reservations_release_withheld (&node->res, node->era, replay->now_us);
--- a/test/test_ledger_restore.c
+++ b/test/test_ledger_restore.c
@@ -1,5 +1,5 @@
-/* Ledger entries of a store that was restored from an older copy, and when withheld tokens are freed:
- * tables of cases. */
+/* Ledger entries of a store that was restored from an older copy, and when withheld tokens are
+ * freed: tables of cases. */
 
 #include "core/ledger_entry.h"
 #include "core/restore_check.h"
@@ -36,11 +36,10 @@
   int64_t withheld;
   int64_t ceiling; /* after it was read */
 } restores[] = {
-  { 1, 600, 0, 500 },   /* not restored */
-  { 2, 600, 300, 800 }, /* 600 may be committed, half of the rest is allowed for */
+  { 1, 600, 0, 500 },    /* not restored */
+  { 2, 600, 300, 800 },  /* 600 may be committed, half of the rest is allowed for */
   { 3, 600, 600, 1000 }, /* restored twice: ceilings of 800 and 900 may have been in force */
-  { 2, 1000, 700, 1000 },
-  { 2, 300, 0, 650 }, /* nothing more was allowed for than is committed */
+  { 2, 1000, 700, 1000 }, { 2, 300, 0, 650 }, /* nothing more was allowed for than is committed */
 };
 
 START_TEST (a_restored_entry_withholds_what_lost_writes_may_have_granted)
@@ -73,9 +72,9 @@
   int64_t withheld; /* then, of 300 */
   int64_t free;     /* then, of 400 */
 } reassertions[] = {
-  { HOLDER, 300, 300, 400 }, { HOLDER, 500, 100, 400 }, { HOLDER, 200, 400, 400 },
-  { OTHER, 250, 50, 400 }, /* its row was lost */
-  { OTHER, 350, 0, 350 },  /* beyond what the ceiling allowed for */
+  { HOLDER, 300, 300, 400 }, { HOLDER, 500, 100, 400 },
+  { HOLDER, 200, 400, 400 }, { OTHER, 250, 50, 400 }, /* its row was lost */
+  { OTHER, 350, 0, 350 },                             /* beyond what the ceiling allowed for */
 };
 
 START_TEST (a_grant_is_written_again_from_what_is_withheld)
@@ -100,7 +99,8 @@
   int64_t settled;
   int64_t closed; /* after the row was closed */
 } recoveries[] = {
-  { false, 250, 250, 250 }, { true, 250, 250, 300 }, /* it may have charged its whole grant */
+  { false, 250, 250, 250 },
+  { true, 250, 250, 300 }, /* it may have charged its whole grant */
   { true, 450, 450, 450 }, /* more than its grant in the copy: from what is withheld */
   { true, 800, 600, 600 }, /* more than was withheld */
 };
@@ -120,6 +120,46 @@
 }
 END_TEST
 
+static const struct
+{
+  int64_t granted; /* of the holder in the entry of before the restore; 0: its row was closed */
+  int64_t settled;
+  int64_t closed;
+  bool rewritten; /* the holder has written its row again */
+  int64_t row;    /* granted, after the merge */
+  int64_t withheld;
+} merges[] = {
+  { 450, 400, 0, false, 450, 150 },
+  { 300, 100, 0, false, 300, 300 },
+  { 200, 150, 0, false, 300, 300 }, /* it had returned tokens: they still count */
+  { 450, 400, 0, true, 300, 300 },
+  { 0, 0, 250, false, 300, 300 }, /* closed with less than the grant in the copy */
+  { 0, 0, 420, false, 300, 180 },
+};
+
+START_TEST (what_routers_know_of_dead_holders_is_not_freed)
+{
+  DyLedgerEntry entry;
+  DyLedgerEntry from;
+  entry_init (&entry, 500, 600);
+  dy_ledger_entry_restore (&entry, 2, PERCENT);
+  if (merges[_i].rewritten)
+    dy_ledger_entry_reassert (&entry, HOLDER, "r0", 300);
+  dy_ledger_entry_init (&from);
+  from.paid_tokens = PAID;
+  from.closed_tokens = merges[_i].closed;
+  if (merges[_i].granted)
+    dy_ledger_entry_add_row (&from, HOLDER, "r0")->granted_tokens = merges[_i].granted;
+  dy_ledger_entry_raise_part (&from, HOLDER, HOLDER, merges[_i].settled);
+  dy_ledger_entry_merge (&entry, &from);
+  ck_assert_int_eq (dy_ledger_entry_row (&entry, HOLDER)->granted_tokens, merges[_i].row);
+  ck_assert_int_eq (entry.withheld_tokens, merges[_i].withheld);
+  ck_assert (dy_ledger_entry_valid (&entry));
+  dy_ledger_entry_finish (&from);
+  dy_ledger_entry_finish (&entry);
+}
+END_TEST
+
 START_TEST (paid_tokens_raise_the_ceilings)
 {
   DyLedgerEntry entry;
@@ -138,21 +178,22 @@
   DyRestoreReport own;
   DyRestoreReport other; /* era 0: none */
   bool connected;
+  int64_t now_s; /* the other router's latest heartbeat was at 0 */
   bool complete;
 } checks[] = {
-  { { 2, 5, true, false, true }, { 4, 5, true, false, true }, true, true },
-  { { 2, 5, true, false, true }, { 4, 5, true, false, false }, true, true }, /* it started lately */
-  { { 2, 5, true, false, false }, { 4, 5, true, false, true }, true, true },
-  { { 2, 5, true, false, false }, { 4, 5, true, false, false }, true, false }, /* nobody knows */
-  { { 2, 5, false, false, true }, { 4, 5, true, false, true }, true, false },
-  { { 2, 5, true, true, true }, { 4, 5, true, false, true }, true, false },
-  { { 2, 5, true, false, true }, { 4, 5, false, false, true }, true, false },
-  { { 2, 5, true, false, true }, { 4, 5, true, true, true }, true, false },
-  { { 2, 5, true, false, true }, { 4, 4, true, false, true }, true, false }, /* not noticed yet */
-  { { 2, 5, true, false, true }, { 4, 6, true, false, true }, true, true },
-  { { 2, 5, true, false, true }, { 6, 5, true, false, true }, true, false }, /* of a dead one */
-  { { 2, 5, true, false, true }, { 4, 5, true, false, true }, false, false },
-  { { 2, 5, true, false, true }, { 0, 0, false, false, false }, true, false },
+  { { 2, 5, true, true }, { 4, 5, true, true }, true, 0, true },
+  { { 2, 5, true, true }, { 4, 5, true, false }, true, 0, true }, /* it started lately */
+  { { 2, 5, true, false }, { 4, 5, true, true }, true, 0, true },
+  { { 2, 5, true, false }, { 4, 5, true, false }, true, 0, false }, /* nobody knows */
+  { { 2, 5, false, true }, { 4, 5, true, true }, true, 0, false },
+  { { 2, 5, true, true }, { 4, 5, false, true }, true, 0, false },
+  { { 2, 5, true, true }, { 4, 4, true, true }, true, 0, false }, /* not noticed yet */
+  { { 2, 5, true, true }, { 4, 6, true, true }, true, 0, true },
+  { { 2, 5, true, true }, { 6, 5, true, true }, true, 0, false }, /* of a dead one */
+  { { 2, 5, true, true }, { 0, 0, false, false }, true, 0, false },
+  { { 2, 5, true, true }, { 0, 0, false, false }, true, 60, false }, /* connected and silent */
+  { { 2, 5, true, true }, { 0, 0, false, false }, false, 2, false }, /* not connected yet */
+  { { 2, 5, true, true }, { 0, 0, false, false }, false, 60, true },
 };
 
 START_TEST (withheld_tokens_are_freed_only_when_nobody_is_missing)
@@ -162,12 +203,14 @@
   dy_restore_check_init (&check);
   dy_members_init (&members, "r0", 1000 * 1000);
   dy_members_put (&members, "r1", "", "dc-a", false);
-  if (checks[_i].connected)
-    dy_members_record_heartbeat (&members, "r1", 4, false, 0);
+  dy_members_record_heartbeat (&members, "r1", 4, false, 0);
+  if (!checks[_i].connected)
+    dy_members_disconnected (&members, "r1");
   if (checks[_i].other.era)
     dy_restore_check_take (&check, "r1", &checks[_i].other);
-  ck_assert_int_eq (dy_restore_check_complete (&check, &checks[_i].own, &members),
-                    checks[_i].complete);
+  ck_assert_int_eq (
+      dy_restore_check_complete (&check, &checks[_i].own, &members, checks[_i].now_s * 1000 * 1000),
+      checks[_i].complete);
   dy_members_finish (&members);
   dy_restore_check_finish (&check);
 }
@@ -183,6 +226,8 @@
                        G_N_ELEMENTS (reassertions));
   tcase_add_loop_test (tcase, a_restored_row_of_a_dead_holder_counts_in_full, 0,
                        G_N_ELEMENTS (recoveries));
+  tcase_add_loop_test (tcase, what_routers_know_of_dead_holders_is_not_freed, 0,
+                       G_N_ELEMENTS (merges));
   tcase_add_test (tcase, paid_tokens_raise_the_ceilings);
   tcase_add_loop_test (tcase, withheld_tokens_are_freed_only_when_nobody_is_missing, 0,
                        G_N_ELEMENTS (checks));
