Add failing tests of streams in a service of two software versions

The stand-ins had no versions, and no test looked at which endpoint a resumed stream came from. Change: fake_worker can mark its events, endpoint records of the stand-ins have a version. test_stream_origins resumes streams within an answer, at another router, after a restart of all routers, after the version's endpoint left, and without a version in the record.

--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -25,6 +25,7 @@
  * GET /admin/stats returns {"runs": {request id: n}, "last": {header: value}, "cancelled": n,
  * "crashing": requests that came with the part "bad0",
  * "limited_ms": [time of each request since the limit was set]}.
+ * POST /admin/label takes {"label": text}, which each event then ends with.
  * POST /admin/set takes {"instance": id}; requests whose X-Expect-Instance differs are answered
  * 421. POST /admin/limit takes {"limit": text}, which signed answers then have as Server-Limit;
  * null ends that. */
@@ -74,6 +75,7 @@
 static int64_t n_crashing;  /* requests that came with the crashing part */
 static GHashTable *pending; /* set of PendingCall */
 static char *limit;         /* value of Server-Limit; NULL: none */
+static char *label;         /* end of each event's data; NULL: none */
 static ev_tstamp down_until;
 static struct ev_loop *main_loop;
 
@@ -193,7 +195,7 @@
 {
   for (int i = first; i < end; i++)
     {
-      char *event = g_strdup_printf ("id: %d\ndata: piece-%d\n\n", i, i);
+      char *event = g_strdup_printf ("id: %d\ndata: piece-%d%s\n\n", i, i, label ? label : "");
       dy_http_call_write (call, event, strlen (event));
       g_free (event);
     }
@@ -361,6 +363,16 @@
   answer_ok (call, id);
 }
 
+static void
+set_label (DyHttpCall *call)
+{
+  json_t *body = json_loads (dy_http_call_body (call)->str, 0, NULL);
+  g_free (label);
+  label = g_strdup (json_string_value (json_object_get (body, "label")));
+  json_decref (body);
+  reply_json (call, json_object ());
+}
+
 static void
 set_instance (Worker *worker, DyHttpCall *call)
 {
@@ -394,6 +406,8 @@
     reply_json (call, json_pack ("{s:O, s:O, s:I, s:I, s:O}", "runs", worker->runs, "last",
                                  worker->last, "cancelled", (json_int_t) n_cancelled, "crashing",
                                  (json_int_t) n_crashing, "limited_ms", worker->limited_ms));
+  else if (strcmp (path, "/admin/label") == 0)
+    set_label (call);
   else if (strcmp (path, "/admin/set") == 0)
     set_instance (worker, call);
   else if (strcmp (path, "/admin/limit") == 0)
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -72,7 +72,7 @@
 {
   char *name = g_strdup_printf ("i-%u", i);
   char *text = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"dc-a\","
-                                "\"slots\":6,\"state\":\"%s\",\"sequence\":1}",
+                                "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"}",
                                 service_of (i),
                                 site->relayed ? site->worker_relays[i] : site->workers[i], state);
   bool ok = put_object (site, "servers", name, spec ? spec : text);
--- /dev/null
+++ b/test/test_stream_origins.c
@@ -0,0 +1,196 @@
+/* Streams of a service with endpoints of two software versions, through real router processes. */
+
+#include "support/suite.h"
+#include "support/traffic.h"
+
+#include <string.h>
+
+enum
+{
+  N_STREAMS = 12,
+  FIRST_WORKER = 2, /* of the two of service "llm" */
+  /* After the first streams: the routers have written their origins. */
+  WRITE_MS = 1000,
+  NOTICE_MS = 1500, /* the routers have read the endpoint records */
+};
+
+typedef struct
+{
+  char id[32];    /* of the request that began the stream */
+  char label[16]; /* of the endpoint that began it */
+} Stream;
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  *(bool *) w->data = true;
+}
+
+static void
+run_loop_for (Site *site, int64_t ms)
+{
+  bool done = false;
+  ev_timer timer;
+  ev_now_update (site->fleet.loop);
+  ev_timer_init (&timer, on_timer, (double) ms / 1e3, 0.0);
+  timer.data = &done;
+  ev_timer_start (site->fleet.loop, &timer);
+  while (!done)
+    ev_run (site->fleet.loop, EVRUN_ONCE);
+}
+
+static void
+put_version (Site *site, uint32_t i, const char *version_json)
+{
+  char *spec = g_strdup_printf (
+      "{\"service\":\"llm\",\"address\":\"%s\",\"zone\":\"dc-a\",\"slots\":6,\"state\":\"ready\","
+      "\"sequence\":1%s}",
+      site->workers[i], version_json);
+  char *body = g_strdup_printf ("{\"label\":\"@%u\"}", i);
+  FleetRequest request
+      = { .method = "POST", .address = site->workers[i], .path = "/admin/label", .body = body };
+  ck_assert (site_put_worker (site, i, "ready", spec));
+  ck_assert_uint_eq (fleet_request (&site->fleet, &request, NULL), 200);
+  g_free (body);
+  g_free (spec);
+}
+
+static void
+start_site (Site *site, uint32_t n_routers, const char *first_version, const char *second_version)
+{
+  ck_assert (site_init (site, n_routers));
+  put_version (site, FIRST_WORKER, first_version);
+  put_version (site, FIRST_WORKER + 1, second_version);
+  run_loop_for (site, NOTICE_MS);
+}
+
+/* Returns the number of different labels in the events of BODY. */
+static int
+count_labels (const char *body)
+{
+  return (strstr (body, "@2") != NULL) + (strstr (body, "@3") != NULL);
+}
+
+static void
+begin_streams (Site *site, Stream *streams)
+{
+  static const SiteRequest request = { .method = "POST", .target = "/s/x/stream", .body = "x" };
+  for (uint32_t i = 0; i < N_STREAMS; i++)
+    {
+      SiteAnswer answer;
+      site_send (site, i % site->n_routers, &request, &answer);
+      ck_assert_uint_eq (answer.status, 200);
+      ck_assert_int_eq (count_labels (answer.body->str), 1);
+      g_snprintf (streams[i].id, sizeof streams[i].id, "request-%u", (unsigned) site->last_id);
+      g_strlcpy (streams[i].label, strstr (answer.body->str, "@2") ? "@2" : "@3",
+                 sizeof streams[i].label);
+      site_answer_finish (&answer);
+    }
+}
+
+/* Resumes STREAM at router I after its second event. Returns the status; events, if any, must be of
+ * the endpoint's version that began it. */
+static unsigned
+resume (Site *site, uint32_t i, const Stream *stream, bool names_id)
+{
+  char *resumes = g_strdup_printf ("Resumes: %s", stream->id);
+  const char *const headers[] = { "Last-Event-Id: 2", names_id ? resumes : NULL, NULL };
+  SiteRequest request
+      = { .method = "POST", .target = "/s/x/stream", .headers = headers, .body = "x" };
+  SiteAnswer answer;
+  site_send (site, i, &request, &answer);
+  unsigned status = answer.status;
+  if (status == 200)
+    ck_assert_msg (strstr (answer.body->str, stream->label) && count_labels (answer.body->str) == 1,
+                   "%s began at %s, goes on with: %s", stream->id, stream->label,
+                   answer.body->str);
+  site_answer_finish (&answer);
+  g_free (resumes);
+  return status;
+}
+
+START_TEST (a_stream_goes_on_in_its_answer_at_the_version_that_began_it)
+{
+  static const SiteRequest request = { .method = "POST", .target = "/s/x/tear-once", .body = "x" };
+  Site site;
+  start_site (&site, 2, ",\"version\":\"v1\"", ",\"version\":\"v2\"");
+  for (uint32_t i = 0; i < N_STREAMS; i++)
+    {
+      SiteAnswer answer;
+      site_send (&site, i % site.n_routers, &request, &answer);
+      ck_assert_uint_eq (answer.status, 200);
+      ck_assert_msg (count_labels (answer.body->str) == 1, "%s", answer.body->str);
+      site_answer_finish (&answer);
+    }
+  site_finish (&site);
+}
+END_TEST
+
+static const struct
+{
+  uint32_t n_routers;
+  bool restart;          /* all routers are killed and started again before the streams are resumed */
+  bool leaves;           /* before that, the first endpoint leaves */
+  const char *second;    /* version of the second endpoint, as part of its record */
+  bool names_id;         /* the caller names the request that began the stream */
+  uint32_t min_resumed;  /* of N_STREAMS */
+  uint32_t max_resumed;
+} cases[] = {
+  { 2, false, false, ",\"version\":\"v2\"", true, N_STREAMS, N_STREAMS },
+  { 9, false, false, ",\"version\":\"v2\"", true, N_STREAMS, N_STREAMS },
+  { 2, true, false, ",\"version\":\"v2\"", true, N_STREAMS, N_STREAMS },
+  { 9, true, false, ",\"version\":\"v2\"", true, N_STREAMS, N_STREAMS },
+  { 2, true, true, ",\"version\":\"v2\"", true, 0, N_STREAMS - 1 },
+  { 2, false, true, ",\"version\":\"v2\"", true, 0, N_STREAMS - 1 },
+  { 2, true, false, ",\"version\":\"v2\"", false, 0, 0 },
+  { 2, true, false, ",\"version\":\"v1\"", false, N_STREAMS, N_STREAMS },
+  { 2, true, false, "", true, N_STREAMS, N_STREAMS },
+  { 2, true, false, ",\"version\":7", true, N_STREAMS, N_STREAMS },
+};
+
+START_TEST (a_resumed_stream_goes_on_at_the_version_that_began_it)
+{
+  static const char first[] = ",\"version\":\"v1\"";
+  bool same_version = strcmp (cases[_i].second, first) == 0;
+  Stream streams[N_STREAMS];
+  uint32_t n_resumed = 0;
+  Site site;
+  start_site (&site, cases[_i].n_routers, first, cases[_i].second);
+  begin_streams (&site, streams);
+  run_loop_for (&site, WRITE_MS);
+  if (cases[_i].leaves)
+    {
+      ck_assert (site_remove_worker (&site, FIRST_WORKER));
+      run_loop_for (&site, NOTICE_MS);
+    }
+  if (cases[_i].restart)
+    ck_assert (site_restart_routers (&site));
+  for (uint32_t i = 0; i < N_STREAMS; i++)
+    {
+      if (same_version)
+        g_strlcpy (streams[i].label, "@", sizeof streams[i].label);
+      n_resumed
+          += resume (&site, (i + 1) % site.n_routers, &streams[i], cases[_i].names_id) == 200;
+    }
+  ck_assert_uint_ge (n_resumed, cases[_i].min_resumed);
+  ck_assert_uint_le (n_resumed, cases[_i].max_resumed);
+  site_finish (&site);
+}
+END_TEST
+
+int
+main (void)
+{
+  enum
+  {
+    TIMEOUT_S = 60,
+  };
+  TCase *tcase = tcase_create ("stream_origins");
+  tcase_set_timeout (tcase, TIMEOUT_S);
+  tcase_add_test (tcase, a_stream_goes_on_in_its_answer_at_the_version_that_began_it);
+  tcase_add_loop_test (tcase, a_resumed_stream_goes_on_at_the_version_that_began_it, 0,
+                       G_N_ELEMENTS (cases));
+  return suite_run ("stream_origins", tcase);
+}
