Resume a stream within its answer only at the version that began it

Callers saw: one answer with events of two software versions, whose parts do not fit together, with nothing in it to show that (ORDER). Cause: a record's version was not decoded; a stream that broke off was resumed at any endpoint of the service. Change: records and placement know the version. A request keeps the version of the endpoint whose event it passed on first, and is placed only at endpoints of that version from then on; if there is none, the answer breaks off. An endpoint without a stated version is of a version of its own. Event 7003 names the version.

--- a/src/core/endpoint_record.h
+++ b/src/core/endpoint_record.h
@@ -18,9 +18,10 @@
   const char *service;
   const char *address; /* IPv4 address and port, "10.0.0.1:8000" */
   const char *data_centre;
-  uint32_t slots;   /* requests that it can run at the same time; 0: not limited */
-  int64_t start_ms; /* start time, Unix time; 0: not stated */
-  bool leaving;     /* it finishes its requests and takes no new ones */
+  const char *version; /* of its software; NULL: not stated */
+  uint32_t slots;      /* requests that it can run at the same time; 0: not limited */
+  int64_t start_ms;    /* start time, Unix time; 0: not stated */
+  bool leaving;        /* it finishes its requests and takes no new ones */
 } DyEndpointRecord;
 
 #endif
--- a/src/core/latest_entries.c
+++ b/src/core/latest_entries.c
@@ -53,12 +53,10 @@
 }
 
 void
-dy_latest_entries_visit (const DyLatestEntries *latest,
-                         void (*visit) (void *ctx,
-                                        const char *account,
-                                        uint64_t version,
-                                        const DyLedgerEntry *entry),
-                         void *ctx)
+dy_latest_entries_visit (
+    const DyLatestEntries *latest,
+    void (*visit) (void *ctx, const char *account, uint64_t version, const DyLedgerEntry *entry),
+    void *ctx)
 {
   GHashTableIter iter;
   gpointer account;
--- a/src/core/latest_entries.h
+++ b/src/core/latest_entries.h
@@ -3,12 +3,13 @@
 
 /**
  * NAME
- *   latest_entries - the latest ledger entry of each account that the store acknowledged to a router
+ *   latest_entries - the latest ledger entry of each account that the store acknowledged to a
+ * router
  *
  * DESCRIPTION
- *   A router tells the others each entry that the store acknowledged to it, before the grants of the
- *   entry are spent. So each router has what a store that is restored from an older copy lacks, also
- *   of holders that have died.
+ *   A router tells the others each entry that the store acknowledged to it, before the grants of
+ * the entry are spent. So each router has what a store that is restored from an older copy lacks,
+ * also of holders that have died.
  */
 
 #include "core/ledger_entry.h"
@@ -31,11 +32,9 @@
 const DyLedgerEntry *dy_latest_entries_find (const DyLatestEntries *latest, const char *account);
 
 /* Calls VISIT for each known entry. */
-void dy_latest_entries_visit (const DyLatestEntries *latest,
-                              void (*visit) (void *ctx,
-                                             const char *account,
-                                             uint64_t version,
-                                             const DyLedgerEntry *entry),
-                              void *ctx);
+void dy_latest_entries_visit (
+    const DyLatestEntries *latest,
+    void (*visit) (void *ctx, const char *account, uint64_t version, const DyLedgerEntry *entry),
+    void *ctx);
 
 #endif
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -9,6 +9,7 @@
   char *service;
   char *address;
   char *data_centre;
+  char *version; /* see dy_placement_endpoint_version() */
   uint32_t slots;
   int64_t start_ms;
   bool leaving;
@@ -51,6 +52,7 @@
   g_free (endpoint->service);
   g_free (endpoint->address);
   g_free (endpoint->data_centre);
+  g_free (endpoint->version);
   g_free (endpoint);
 }
 
@@ -108,6 +110,13 @@
   endpoint->other_requests = 0;
 }
 
+static char *
+version_of (const DyEndpointRecord *record)
+{
+  return record->version ? g_strdup (record->version)
+                         : g_strdup_printf ("?%s:%" G_GINT64_FORMAT, record->id, record->start_ms);
+}
+
 void
 dy_placement_put (DyPlacement *placement, const DyEndpointRecord *record)
 {
@@ -134,6 +143,8 @@
   if (record->start_ms != endpoint->start_ms)
     reset_history (endpoint);
   endpoint->start_ms = record->start_ms;
+  g_free (endpoint->version);
+  endpoint->version = version_of (record);
   endpoint->slots = record->slots;
   endpoint->leaving = record->leaving;
 }
@@ -174,6 +185,14 @@
   return false;
 }
 
+/* Returns whether QUERY allows ENDPOINT by its id and version. */
+static bool
+is_allowed_by (const DyPlacementQuery *query, const DyPlacementEndpoint *endpoint)
+{
+  return !is_avoided (endpoint, query->avoid)
+         && (!query->version || strcmp (query->version, endpoint->version) == 0);
+}
+
 static bool
 is_allowed (const DyPlacement *placement, const DyPlacementEndpoint *endpoint, int64_t now_us)
 {
@@ -260,14 +279,14 @@
 static DyPlacementEndpoint *
 first_to_close (const DyPlacement *placement,
                 const GPtrArray *list,
-                const char *const *avoid,
+                const DyPlacementQuery *query,
                 int64_t now_us)
 {
   DyPlacementEndpoint *best = NULL;
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->leaving || is_avoided (endpoint, avoid)
+      if (endpoint->leaving || !is_allowed_by (query, endpoint)
           || !is_allowed (placement, endpoint, now_us))
         continue;
       if (!best || endpoint->open_until_us < best->open_until_us)
@@ -293,8 +312,8 @@
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, (first + i) % list->len);
-      if (endpoint->leaving || now_us < endpoint->open_until_us
-          || is_avoided (endpoint, query->avoid) || !is_allowed (placement, endpoint, now_us))
+      if (endpoint->leaving || now_us < endpoint->open_until_us || !is_allowed_by (query, endpoint)
+          || !is_allowed (placement, endpoint, now_us))
         continue;
       if (is_due (placement, endpoint, now_us))
         {
@@ -311,7 +330,7 @@
       best_us = us;
     }
   if (!best)
-    best = first_to_close (placement, list, query->avoid, now_us);
+    best = first_to_close (placement, list, query, now_us);
   if (predicted_us)
     *predicted_us = best_us;
   return best;
@@ -474,6 +493,27 @@
   return endpoint->address;
 }
 
+const char *
+dy_placement_endpoint_version (const DyPlacementEndpoint *endpoint)
+{
+  return endpoint->version;
+}
+
+void
+dy_placement_visit_versions (const DyPlacement *placement,
+                             void (*visit) (void *ctx, const char *service, const char *version),
+                             void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, placement->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyPlacementEndpoint *endpoint = value;
+      visit (ctx, endpoint->service, endpoint->version);
+    }
+}
+
 void
 dy_placement_visit (const DyPlacement *placement,
                     void (*visit) (void *ctx,
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -81,6 +81,7 @@
   const char *service;
   DyPromptWork work;
   const char *const *avoid; /* NULL-terminated ids of endpoints not to choose; may be NULL */
+  const char *version;      /* only endpoints of this software version; NULL: any */
 } DyPlacementQuery;
 
 /* How a request at an endpoint ended, seen as evidence of the endpoint's health. */
@@ -158,6 +159,16 @@
 const char *dy_placement_endpoint_id (const DyPlacementEndpoint *endpoint);
 const char *dy_placement_endpoint_address (const DyPlacementEndpoint *endpoint);
 
+/* Returns the software version of ENDPOINT. If its record states none, it is one that no other
+ * endpoint and no other start of this one has. */
+const char *dy_placement_endpoint_version (const DyPlacementEndpoint *endpoint);
+
+/* Calls VISIT for each endpoint with its service and version. */
+void
+dy_placement_visit_versions (const DyPlacement *placement,
+                             void (*visit) (void *ctx, const char *service, const char *version),
+                             void *ctx);
+
 /* Calls VISIT for each endpoint with its id, service and this router's requests in flight;
  * BREAKER_OPEN is whether its circuit breaker is open. */
 void dy_placement_visit (const DyPlacement *placement,
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -40,6 +40,8 @@
   uint32_t n_refused; /* attempts that certainly did not run */
   bool may_have_run;
   bool stream_started;
+  char *version;         /* of the endpoint that began the stream; NULL: not begun */
+  char *attempt_version; /* of the endpoint of the latest attempt, when that was placed */
   DyEventStream events;
   GString *body;           /* of the answer; of a stream, the complete events not passed on yet */
   ev_timer deadline_timer; /* ends the request at its deadline */
@@ -158,6 +160,8 @@
   if (request->stream_started)
     return;
   request->stream_started = true;
+  if (!request->version)
+    request->version = g_strdup (request->attempt_version);
   copy_answer_headers (request);
   dy_http_call_start_stream (request->call, request->attempt.status, NULL);
 }
@@ -435,7 +439,8 @@
     }
   DyPlacementQuery query = { .service = request->plan.service,
                              .work = request->plan.work,
-                             .avoid = (const char *const *) request->tried->pdata };
+                             .avoid = (const char *const *) request->tried->pdata,
+                             .version = request->version };
   int64_t predicted_us = 0;
   DyPlacementEndpoint *endpoint = dy_placement_choose (&gateway->directory->placement, &query,
                                                        now_us (request), &predicted_us);
@@ -454,6 +459,8 @@
       return;
     }
   add_tried (request, dy_placement_endpoint_id (endpoint));
+  g_free (request->attempt_version);
+  request->attempt_version = g_strdup (dy_placement_endpoint_version (endpoint));
   dy_event_stream_drop_partial (&request->events);
   g_string_truncate (request->body, 0);
   DyGatewayAttemptSpec spec = { .call = request->call,
@@ -468,10 +475,10 @@
                                           .has_priority = request->plan.kind == DY_ROUTE_STREAM } };
   dy_log (DY_EVENT_REQUEST_PLACED,
           "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
-          " attempt=%u resume=%s list_ms=%" G_GINT64_FORMAT,
+          " attempt=%u resume=%s version=%s list_ms=%" G_GINT64_FORMAT,
           request->plan.id, dy_placement_endpoint_id (endpoint), predicted_us,
           request->n_started + request->n_refused + 1,
-          spec.head.resume_from ? spec.head.resume_from : "-",
+          spec.head.resume_from ? spec.head.resume_from : "-", request->attempt_version,
           dy_directory_endpoints_age_ms (gateway->directory));
   count (request, DY_COUNTER_ATTEMPTS);
   request->attempt_open = true;
@@ -574,6 +581,8 @@
   cancel_attempt (request, DY_PLACEMENT_CANCELLED);
   dy_event_stream_finish (&request->events);
   g_string_free (request->body, TRUE);
+  g_free (request->version);
+  g_free (request->attempt_version);
   g_ptr_array_unref (request->tried);
   dy_gateway_attempt_finish (&request->attempt);
   dy_gateway_plan_finish (&request->plan);
--- a/test/test_stream_origins.c
+++ b/test/test_stream_origins.c
@@ -104,8 +104,7 @@
   unsigned status = answer.status;
   if (status == 200)
     ck_assert_msg (strstr (answer.body->str, stream->label) && count_labels (answer.body->str) == 1,
-                   "%s began at %s, goes on with: %s", stream->id, stream->label,
-                   answer.body->str);
+                   "%s began at %s, goes on with: %s", stream->id, stream->label, answer.body->str);
   site_answer_finish (&answer);
   g_free (resumes);
   return status;
@@ -131,11 +130,11 @@
 static const struct
 {
   uint32_t n_routers;
-  bool restart;          /* all routers are killed and started again before the streams are resumed */
-  bool leaves;           /* before that, the first endpoint leaves */
-  const char *second;    /* version of the second endpoint, as part of its record */
-  bool names_id;         /* the caller names the request that began the stream */
-  uint32_t min_resumed;  /* of N_STREAMS */
+  bool restart;       /* all routers are killed and started again before the streams are resumed */
+  bool leaves;        /* before that, the first endpoint leaves */
+  const char *second; /* version of the second endpoint, as part of its record */
+  bool names_id;      /* the caller names the request that began the stream */
+  uint32_t min_resumed; /* of N_STREAMS */
   uint32_t max_resumed;
 } cases[] = {
   { 2, false, false, ",\"version\":\"v2\"", true, N_STREAMS, N_STREAMS },
@@ -171,8 +170,7 @@
     {
       if (same_version)
         g_strlcpy (streams[i].label, "@", sizeof streams[i].label);
-      n_resumed
-          += resume (&site, (i + 1) % site.n_routers, &streams[i], cases[_i].names_id) == 200;
+      n_resumed += resume (&site, (i + 1) % site.n_routers, &streams[i], cases[_i].names_id) == 200;
     }
   ck_assert_uint_ge (n_resumed, cases[_i].min_resumed);
   ck_assert_uint_le (n_resumed, cases[_i].max_resumed);
