Resume a stream at the version that began it, at any router and after restarts

Callers saw: a stream that they took up again was answered 200 and ran to the end, but the rest was written by another software version than the first part (ORDER); worst after all routers had been killed. Cause: Resumes was not decoded, and no router but the one that had begun a stream could know its version. Change: core/stream_origins keeps the version of each stream and the versions seen in the last 20 s; with one version no record is needed. While a service is mixed, services/origins writes a router's origins to one object of the store, at most 200 writes a second of all routers, and looks up what it does not know there. A resume of unknown origin is refused with origin_unknown. docs/ORIGINS.md has the decisions. Events 6014, 7010, counters, explain shows resumed streams with the request that began them. Result: the nine cases of a_resumed_stream_goes_on_at_the_version_that_began_it that failed pass, 10 of 10 (2 and 9 routers, with a restart of all); test_stream_origin_table 14 of 14, test_gateway_request 20 of 20.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -128,7 +128,9 @@
   for (guint i = 0; i < lines->len; i++)
     {
       const LogLine *line = g_ptr_array_index (lines, i);
-      if (!has_field (line, "request", request) && !is_linked (line, links))
+      /* Streams that the request began and that were resumed are shown, too. */
+      if (!has_field (line, "request", request) && !has_field (line, "resumes", request)
+          && !is_linked (line, links))
         continue;
       puts (line->text);
       n_printed++;
--- /dev/null
+++ b/src/core/stream_origins.h
@@ -0,0 +1,74 @@
+#ifndef DY_CORE_STREAM_ORIGINS_H
+#define DY_CORE_STREAM_ORIGINS_H
+
+/**
+ * NAME
+ *   stream_origins - the software versions that began streams, and those that serve
+ *
+ * DESCRIPTION
+ *   What two versions of a service write does not fit together, so a stream may go on only at the
+ *   version that began it. The table keeps the version of each stream until its caller can no
+ *   longer resume it, and the versions of each service that were listed lately. While there is only
+ *   one, every stream of the service was begun by it. docs/ORIGINS.md says where else origins are
+ *   kept.
+ *
+ * UNITS
+ *   Times are microseconds; the module reads no clock, the time is passed in as NOW_US.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct
+{
+  GHashTable *streams;  /* request id to its origin */
+  GHashTable *services; /* service to a table of versions and when they were last listed */
+} DyStreamOrigins;
+
+typedef struct
+{
+  const char *request_id;
+  const char *service;
+  const char *version;
+  int64_t expires_us;
+} DyStreamOrigin;
+
+void dy_stream_origins_init (DyStreamOrigins *origins);
+void dy_stream_origins_finish (DyStreamOrigins *origins);
+
+/* Records the origin of a stream, instead of an earlier one of the same request. Copies the strings. */
+void dy_stream_origins_add (DyStreamOrigins *origins, const DyStreamOrigin *origin);
+
+/* Records that VERSION of SERVICE is listed, or was until NOW_US. Returns whether it was not known. */
+bool dy_stream_origins_see (DyStreamOrigins *origins,
+                            const char *service,
+                            const char *version,
+                            int64_t now_us);
+
+/* Returns whether streams of SERVICE may have been begun by more than one version. */
+bool dy_stream_origins_is_mixed (const DyStreamOrigins *origins, const char *service);
+
+/* Returns the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE, or NULL if that
+ * is not known here. */
+const char *dy_stream_origins_find (const DyStreamOrigins *origins,
+                                    const char *service,
+                                    const char *request_id);
+
+/* Drops expired streams, and versions that have not been listed for so long that no stream of theirs
+ * can be resumed. Returns whether a version was dropped. */
+bool dy_stream_origins_evict (DyStreamOrigins *origins, int64_t now_us);
+
+/* Call VISIT for each stream, or for each version of SERVICE. */
+void dy_stream_origins_visit (const DyStreamOrigins *origins,
+                              void (*visit) (void *ctx, const DyStreamOrigin *origin),
+                              void *ctx);
+void dy_stream_origins_visit_versions (const DyStreamOrigins *origins,
+                                       const char *service,
+                                       void (*visit) (void *ctx, const char *version),
+                                       void *ctx);
+
+/* Returns the time between two writes of a router's origins when the fleet has N_ROUTERS. */
+int64_t dy_stream_origins_write_interval_us (uint32_t n_routers);
+
+#endif
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -47,6 +47,7 @@
   DyEndpointLimits limits;
   DyPartBlocks part_blocks;
   DyRestores restores;
+  DyOrigins origins;
   DyGateway gateway;
   DyOperators operators;
   bool ready_logged;
@@ -275,6 +276,7 @@
   dy_directory_add_service (kernel, &daemon->directory);
   dy_endpoint_limits_add_service (kernel, &daemon->limits);
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
+  dy_origins_add_service (kernel, &daemon->origins);
   dy_gateway_add_service (kernel, &daemon->gateway);
   daemon->operators.ready = directory_ready;
   daemon->operators.ready_ctx = &daemon->directory;
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -54,6 +54,11 @@
   X (LIMITED_ENDPOINTS, gauge, "dogwoodyoke_limited_endpoints", "endpoints that name a limit")     \
   X (LIMIT_SKIPS, counter, "dogwoodyoke_limit_skips_total",                                        \
      "requests that passed over an endpoint for its limit")                                        \
+  X (RESUMES, counter, "dogwoodyoke_resumes_total", "streams that callers resumed")                \
+  X (RESUMES_REFUSED, counter, "dogwoodyoke_resumes_refused_total",                                \
+     "resumed streams whose origin was not known")                                                 \
+  X (ORIGIN_WRITES, counter, "dogwoodyoke_origin_writes_total",                                    \
+     "writes of the origins of streams to the platform's store")                                   \
   X (CONFIG_VERSION, gauge, "dogwoodyoke_config_version", "highest platform version in force")     \
   X (DECLARATIONS_REJECTED, counter, "dogwoodyoke_declarations_rejected_total",                    \
      "declarations rejected as invalid")
--- a/src/kernel/error.h
+++ b/src/kernel/error.h
@@ -79,7 +79,9 @@
   X (KEY_UNCHECKED, -35, "key_unchecked", 503, 7, NOT_RUN, 2,                                      \
      "those who may know of the idempotency key cannot be asked now")                              \
   X (OVERLOADED, -36, "overloaded", 503, 7, NOT_RUN, 1,                                            \
-     "this router has more requests than it can handle")
+     "this router has more requests than it can handle")                                           \
+  X (ORIGIN_UNKNOWN, -37, "origin_unknown", 503, 7, NOT_RUN, 1,                                    \
+     "the software version that began the stream is not known")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -64,6 +64,7 @@
   X (LIMIT_KNOWN, 6011, MESSAGE, "endpoint limit in force")                                        \
   X (LIMIT_ENDED, 6012, MESSAGE, "endpoint limit ended")                                           \
   X (ENDPOINT_HELD, 6013, MESSAGE, "record of an endpoint that left is held back")                 \
+  X (VERSION_SEEN, 6014, MESSAGE, "software version of a service seen")                            \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
@@ -72,7 +73,8 @@
   X (REQUEST_RESERVING, 7006, INFO, "reservation asked for")                                       \
   X (REQUEST_BLOCKED, 7007, INFO, "request has a blocked part")                                    \
   X (REQUEST_TRIED, 7008, WARNING, "request with a blocked part let through")                      \
-  X (LIMIT_APPLIED, 7009, INFO, "endpoint passed over for its limit")
+  X (LIMIT_APPLIED, 7009, INFO, "endpoint passed over for its limit")                              \
+  X (ORIGIN_FOUND, 7010, INFO, "origin of a resumed stream looked up")
 
 typedef enum
 {
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -41,6 +41,7 @@
   const char *host;          /* NULL: none */
   char *key;                 /* bearer key, to be freed with g_free(); NULL: none */
   const char *resume_from;   /* id of the last event that the caller received; NULL: none */
+  const char *resumes_id;    /* id of the request that brought the first event; NULL: none */
   int64_t time_limit_ms;     /* time for which the caller waits; -1: not stated */
   int64_t prompt_tokens;     /* 0: not a model request */
   int64_t max_output_tokens; /* 0: not stated */
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -162,6 +162,7 @@
   gateway->directory = dy_kernel_find (kernel, DY_SERVICE_DIRECTORY);
   gateway->budgets = dy_kernel_find (kernel, DY_SERVICE_BUDGETS);
   gateway->limits = dy_kernel_find (kernel, DY_SERVICE_ENDPOINT_LIMITS);
+  gateway->origins = dy_kernel_find (kernel, DY_SERVICE_ORIGINS);
   gateway->part_blocks = dy_kernel_find (kernel, DY_SERVICE_PART_BLOCKS);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -22,6 +22,7 @@
 #include "services/budgets.h"
 #include "services/directory.h"
 #include "services/endpoint_limits.h"
+#include "services/origins.h"
 #include "services/part_blocks.h"
 
 #define DY_SERVICE_GATEWAY "gateway"
@@ -34,6 +35,7 @@
   DyBudgets *budgets;
   DyPartBlocks *part_blocks;
   DyEndpointLimits *limits;
+  DyOrigins *origins;
   DyHttpServer server;
   DyHttpServer ready_server;
   DyHttpClient client;
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -96,6 +96,7 @@
   plan->account = account ? g_strdup (account->name) : NULL;
   plan->service = g_strdup (dy_route_pick_target (route, g_rand_int (gateway->rng)));
   plan->resume_from = g_strdup (head->resume_from);
+  plan->resumes_id = g_strdup (head->resumes_id);
   plan->kind = route->kind;
   plan->repeatable
       = route->kind == DY_ROUTE_IDEMPOTENT || (route->kind == DY_ROUTE_STREAM && route->resumable);
@@ -141,4 +142,5 @@
   g_free (plan->account);
   g_free (plan->service);
   g_free (plan->resume_from);
+  g_free (plan->resumes_id);
 }
--- a/src/services/gateway_plan.h
+++ b/src/services/gateway_plan.h
@@ -25,6 +25,7 @@
   char *account; /* name; NULL: none */
   char *service;
   char *resume_from; /* id of the last event that the caller received; NULL: none */
+  char *resumes_id;  /* id of the request that brought the stream's first event; NULL: not stated */
   DyRouteKind kind;
   bool repeatable;          /* idempotent, or a resumable stream */
   bool is_prepaid;          /* its tokens are reserved before it runs */
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -12,6 +12,10 @@
 enum
 {
   TIME_NEEDED_MS = 20, /* remaining time below which another attempt is not worthwhile */
+  /* For streams without a time limit of the caller, the time for which they may be resumed; for
+   * others the time after the limit, as clocks are read at different places. */
+  UNLIMITED_RESUME_US = 60 * 1000 * 1000,
+  RESUME_MARGIN_US = 2 * 1000 * 1000,
   /* Limits on what is kept in memory until an answer, or an event of a stream, is complete. */
   MAX_ANSWER_BYTES = 4 * 1024 * 1024,
   MAX_EVENT_BYTES = 256 * 1024,
@@ -19,6 +23,7 @@
 
 typedef enum
 {
+  REQUEST_LOOKING_UP, /* the version that began the stream which the caller resumes */
   REQUEST_RESERVING,
   REQUEST_RUNNING,
   REQUEST_OVER,
@@ -40,8 +45,9 @@
   uint32_t n_refused; /* attempts that certainly did not run */
   bool may_have_run;
   bool stream_started;
-  char *version;         /* of the endpoint that began the stream; NULL: not begun */
-  char *attempt_version; /* of the endpoint of the latest attempt, when that was placed */
+  char *version;          /* of the endpoint that began the stream; NULL: not begun */
+  DyOriginLookup *lookup; /* of version, in progress; NULL: none */
+  char *attempt_version;  /* of the endpoint of the latest attempt, when that was placed */
   DyEventStream events;
   GString *body;           /* of the answer; of a stream, the complete events not passed on yet */
   ev_timer deadline_timer; /* ends the request at its deadline */
@@ -428,6 +434,20 @@
   end_request (request, false);
 }
 
+/* Records that the endpoint of the latest attempt may begin the stream. */
+static void
+record_origin (const Request *request)
+{
+  int64_t deadline_us = request->plan.caller_deadline_us;
+  DyStreamOrigin origin
+      = { .request_id = request->plan.id,
+          .service = request->plan.service,
+          .version = request->attempt_version,
+          .expires_us = deadline_us == INT64_MAX ? now_us (request) + UNLIMITED_RESUME_US
+                                                 : deadline_us + RESUME_MARGIN_US };
+  dy_origins_record (request->gateway->origins, &origin);
+}
+
 static void
 send_attempt (Request *request)
 {
@@ -461,6 +481,8 @@
   add_tried (request, dy_placement_endpoint_id (endpoint));
   g_free (request->attempt_version);
   request->attempt_version = g_strdup (dy_placement_endpoint_version (endpoint));
+  if (request->plan.kind == DY_ROUTE_STREAM && request->plan.repeatable && !request->version)
+    record_origin (request);
   dy_event_stream_drop_partial (&request->events);
   g_string_truncate (request->body, 0);
   DyGatewayAttemptSpec spec = { .call = request->call,
@@ -515,15 +537,27 @@
   dy_gateway_attempt_cancel (&request->attempt, outcome);
 }
 
+static void
+cancel_lookup (Request *request)
+{
+  if (request->lookup)
+    dy_origins_cancel (request->gateway->origins, request->lookup);
+  request->lookup = NULL;
+}
+
 static void
 on_deadline (struct ev_loop *loop, ev_timer *w, int events)
 {
   Request *request = w->data;
   (void) loop;
   (void) events;
-  bool reserving = request->state == REQUEST_RESERVING;
+  static const int not_run_errors[] = { [REQUEST_LOOKING_UP] = DY_ORIGIN_UNKNOWN,
+                                        [REQUEST_RESERVING] = DY_BUDGET_UNAVAILABLE,
+                                        [REQUEST_RUNNING] = DY_NO_ENDPOINT,
+                                        [REQUEST_OVER] = DY_NO_ENDPOINT };
+  int not_run = not_run_errors[request->state];
+  cancel_lookup (request);
   cancel_attempt (request, DY_PLACEMENT_FAILED);
-  int not_run = reserving ? DY_BUDGET_UNAVAILABLE : DY_NO_ENDPOINT;
   fail_request (request, request->may_have_run ? DY_TIMEOUT : not_run);
 }
 
@@ -566,6 +600,7 @@
     }
   count (request, DY_COUNTER_CANCELLED);
   log_end (request, "caller_left");
+  cancel_lookup (request);
   cancel_attempt (request, DY_PLACEMENT_CANCELLED);
   end_request (request, false);
 }
@@ -578,6 +613,7 @@
 {
   Request *request = key;
   stop_timers (request);
+  cancel_lookup (request);
   cancel_attempt (request, DY_PLACEMENT_CANCELLED);
   dy_event_stream_finish (&request->events);
   g_string_free (request->body, TRUE);
@@ -618,6 +654,46 @@
           home[0] ? home : "self");
 }
 
+/* Goes on with a resumed stream, whose VERSION is known, or NULL. */
+static void
+take_origin (Request *request, const char *version, const char *source)
+{
+  const char *resumes = request->plan.resumes_id;
+  dy_log (DY_EVENT_ORIGIN_FOUND,
+          "request=%s resumes=%s service=%s version=%s source=%s ms=%" G_GINT64_FORMAT,
+          request->plan.id, resumes ? resumes : "-", request->plan.service, version ? version : "-",
+          source, (now_us (request) - request->plan.arrived_us) / 1000);
+  request->version = g_strdup (version);
+  if (version)
+    {
+      reserve (request);
+      return;
+    }
+  count (request, DY_COUNTER_RESUMES_REFUSED);
+  fail_request (request, DY_ORIGIN_UNKNOWN);
+}
+
+static void
+on_origin (void *ctx, int error, const char *version)
+{
+  Request *request = ctx;
+  (void) error;
+  request->lookup = NULL;
+  take_origin (request, version, "store");
+}
+
+static void
+look_up_origin (Request *request)
+{
+  const char *version;
+  request->state = REQUEST_LOOKING_UP;
+  count (request, DY_COUNTER_RESUMES);
+  request->lookup = dy_origins_look_up (request->gateway->origins, request->plan.service,
+                                        request->plan.resumes_id, on_origin, request, &version);
+  if (!request->lookup)
+    take_origin (request, version, "memory");
+}
+
 static void
 start_timers (Request *request)
 {
@@ -672,6 +748,8 @@
   dy_http_call_watch (call, &call_watcher, request);
   if (dy_gateway_is_blocked (gateway, &request->plan, true))
     fail_request (request, DY_SUSPENDED);
+  else if (request->plan.kind == DY_ROUTE_STREAM && request->plan.resume_from)
+    look_up_origin (request);
   else
     reserve (request);
 }
--- /dev/null
+++ b/src/services/origins.c
@@ -0,0 +1,518 @@
+#include "services/origins.h"
+
+#include "kernel/error.h"
+#include "kernel/log.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define STREAMS_PREFIX "streams/"
+#define VERSIONS_PREFIX "versions/"
+
+static const double TICK_S = 0.05;
+
+enum
+{
+  SWEEP_INTERVAL_US = 250 * 1000,
+  RETRY_US = 500 * 1000,
+  /* For streams read from the store: longer than callers resume them. */
+  LOADED_STREAM_US = 15 * 1000 * 1000,
+  /* A router writes an origin later than it passes on the first event. */
+  SECOND_READ_US = 300 * 1000,
+  MAX_READS = 2,
+};
+
+struct DyOriginLookup
+{
+  char *service;
+  char *request_id; /* NULL: not stated */
+  DyOriginDone done;
+  void *ctx;
+  uint32_t n_reads;     /* reads of the streams since it began */
+  int64_t next_read_us; /* no read for it before this time */
+  bool waiting;         /* a read that serves it is in progress */
+};
+
+/* The object that holds the versions of a service. */
+typedef struct
+{
+  DyOrigins *origins;
+  char *service;
+  uint64_t stored_version; /* of the object; 0: not known */
+  bool synced;             /* the store has the versions that are known here */
+  bool busy;
+  int64_t next_try_us;
+} ServiceObject;
+
+static int64_t
+now_us (const DyOrigins *origins)
+{
+  return dy_kernel_now_us (origins->kernel);
+}
+
+static void
+free_service (gpointer data)
+{
+  ServiceObject *object = data;
+  g_free (object->service);
+  g_free (object);
+}
+
+static void
+free_lookup (gpointer data)
+{
+  DyOriginLookup *lookup = data;
+  g_free (lookup->service);
+  g_free (lookup->request_id);
+  g_free (lookup);
+}
+
+static ServiceObject *
+get_service (DyOrigins *origins, const char *service)
+{
+  ServiceObject *object = g_hash_table_lookup (origins->services, service);
+  if (object)
+    return object;
+  object = g_new0 (ServiceObject, 1);
+  object->origins = origins;
+  object->service = g_strdup (service);
+  g_hash_table_insert (origins->services, object->service, object);
+  return object;
+}
+
+static void
+see_version (DyOrigins *origins, const char *service, const char *version)
+{
+  if (!dy_stream_origins_see (&origins->table, service, version, now_us (origins)))
+    return;
+  bool mixed = dy_stream_origins_is_mixed (&origins->table, service);
+  get_service (origins, service)->synced = false;
+  origins->dirty = origins->dirty || mixed;
+  dy_log (DY_EVENT_VERSION_SEEN, "service=%s version=%s mixed=%d", service, version, mixed);
+}
+
+/* Versions that the store has. */
+
+static void
+load_versions (DyOrigins *origins, const DyObject *object)
+{
+  const char *service = object->key + strlen (VERSIONS_PREFIX);
+  json_t *root = object->value ? json_loads (object->value, 0, NULL) : NULL;
+  const json_t *version;
+  size_t i;
+  json_array_foreach (json_object_get (root, "versions"), i, version)
+  {
+    if (json_is_string (version))
+      see_version (origins, service, json_string_value (version));
+  }
+  json_decref (root);
+}
+
+static void
+on_versions (void *ctx, const DyPlatformReply *reply)
+{
+  DyOrigins *origins = ctx;
+  origins->reading_versions = false;
+  if (reply->error)
+    {
+      origins->retry_us = now_us (origins) + RETRY_US;
+      return;
+    }
+  for (uint32_t i = 0; i < reply->n_objects; i++)
+    load_versions (origins, &reply->objects[i]);
+  origins->versions_loaded = true;
+}
+
+static void
+collect_version (void *ctx, const char *version)
+{
+  json_array_append_new (ctx, json_string (version));
+}
+
+static void
+on_service_written (void *ctx, const DyPlatformReply *reply)
+{
+  ServiceObject *object = ctx;
+  object->busy = false;
+  if (reply->error == DY_OK || (reply->error == DY_CONFLICT && reply->version))
+    object->stored_version = reply->version;
+  if (reply->error == DY_OK)
+    return;
+  object->synced = false;
+  if (reply->error != DY_CONFLICT || !reply->version)
+    {
+      object->stored_version = 0;
+      object->next_try_us = now_us (object->origins) + RETRY_US;
+    }
+}
+
+static void
+sync_service (DyOrigins *origins, ServiceObject *object)
+{
+  const DyMembers *members = &origins->directory->peers->members;
+  if (object->synced || object->busy || !origins->versions_loaded
+      || now_us (origins) < object->next_try_us
+      || dy_members_home (members, object->service, NULL, now_us (origins)))
+    return;
+  char *key = g_strconcat (VERSIONS_PREFIX, object->service, NULL);
+  json_t *versions = json_array ();
+  dy_stream_origins_visit_versions (&origins->table, object->service, collect_version, versions);
+  json_t *root = json_pack ("{s:o}", "versions", versions);
+  char *text = json_dumps (root, JSON_COMPACT);
+  object->synced = true;
+  object->busy = true;
+  dy_platform_put (origins->platform, key, text, object->stored_version, on_service_written,
+                   object);
+  free (text);
+  json_decref (root);
+  g_free (key);
+}
+
+/* Streams that the store has. */
+
+static void
+load_streams (DyOrigins *origins, const DyObject *object)
+{
+  json_t *root = object->value ? json_loads (object->value, 0, NULL) : NULL;
+  bool own = strcmp (object->key, origins->own_key) == 0;
+  const char *service;
+  const char *version;
+  json_t *versions;
+  json_t *ids;
+  json_object_foreach (json_object_get (root, "streams"), service, versions)
+  {
+    json_object_foreach (versions, version, ids)
+    {
+      const json_t *item;
+      size_t i;
+      json_array_foreach (ids, i, item)
+      {
+        const char *id = json_string_value (item);
+        if (!id || g_hash_table_contains (origins->table.streams, id))
+          continue;
+        DyStreamOrigin origin
+            = { id, service, version, now_us (origins) + LOADED_STREAM_US };
+        dy_stream_origins_add (&origins->table, &origin);
+        if (own)
+          g_hash_table_add (origins->own_ids, g_strdup (id));
+      }
+    }
+  }
+  json_decref (root);
+}
+
+/* Ends LOOKUP, which has been removed from the set, with VERSION (NULL: unknown). */
+static void
+end_lookup (DyOrigins *origins, DyOriginLookup *lookup, const char *version)
+{
+  char *copy = g_strdup (version);
+  (void) origins;
+  lookup->done (lookup->ctx, copy ? DY_OK : DY_ORIGIN_UNKNOWN, copy);
+  g_free (copy);
+  free_lookup (lookup);
+}
+
+static const char *
+find (const DyOrigins *origins, const char *service, const char *request_id)
+{
+  return origins->versions_loaded
+             ? dy_stream_origins_find (&origins->table, service, request_id)
+             : NULL;
+}
+
+/* Ends the lookups that are decided. FAILED: the store could not be read. */
+static void
+end_lookups (DyOrigins *origins, bool failed)
+{
+  GList *lookups = g_hash_table_get_keys (origins->lookups);
+  for (GList *l = lookups; l; l = l->next)
+    {
+      DyOriginLookup *lookup = l->data;
+      if (!g_hash_table_contains (origins->lookups, lookup) || !lookup->waiting)
+        continue;
+      const char *version = find (origins, lookup->service, lookup->request_id);
+      lookup->waiting = false;
+      lookup->n_reads++;
+      lookup->next_read_us = now_us (origins) + SECOND_READ_US;
+      if (!version && !failed && lookup->request_id && lookup->n_reads < MAX_READS)
+        continue;
+      g_hash_table_steal (origins->lookups, lookup);
+      end_lookup (origins, lookup, version);
+    }
+  g_list_free (lookups);
+}
+
+static void
+on_streams (void *ctx, const DyPlatformReply *reply)
+{
+  DyOrigins *origins = ctx;
+  origins->reading_streams = false;
+  for (uint32_t i = 0; !reply->error && i < reply->n_objects; i++)
+    {
+      const DyObject *object = &reply->objects[i];
+      load_streams (origins, object);
+      if (strcmp (object->key, origins->own_key) == 0)
+        origins->own_version = object->version;
+    }
+  if (reply->error)
+    origins->retry_us = now_us (origins) + RETRY_US;
+  else
+    origins->streams_loaded = true;
+  end_lookups (origins, reply->error != DY_OK);
+}
+
+/* Reads the streams for the lookups that are due. */
+static void
+read_streams (DyOrigins *origins)
+{
+  GHashTableIter iter;
+  gpointer key;
+  bool due = !origins->streams_loaded && now_us (origins) >= origins->retry_us;
+  if (origins->reading_streams || !origins->versions_loaded)
+    return;
+  g_hash_table_iter_init (&iter, origins->lookups);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      DyOriginLookup *lookup = key;
+      lookup->waiting = now_us (origins) >= lookup->next_read_us;
+      due = due || lookup->waiting;
+    }
+  if (!due)
+    return;
+  origins->reading_streams = true;
+  dy_platform_list (origins->platform, STREAMS_PREFIX, 0, on_streams, origins);
+}
+
+/* The own object. */
+
+typedef struct
+{
+  const DyOrigins *origins;
+  json_t *streams;
+} Encoding;
+
+static void
+encode_stream (void *ctx, const DyStreamOrigin *origin)
+{
+  const Encoding *encoding = ctx;
+  const DyOrigins *origins = encoding->origins;
+  if (!g_hash_table_contains (origins->own_ids, origin->request_id)
+      || !dy_stream_origins_is_mixed (&origins->table, origin->service))
+    return;
+  json_t *versions = json_object_get (encoding->streams, origin->service);
+  if (!versions)
+    {
+      versions = json_object ();
+      json_object_set_new (encoding->streams, origin->service, versions);
+    }
+  json_t *ids = json_object_get (versions, origin->version);
+  if (!ids)
+    {
+      ids = json_array ();
+      json_object_set_new (versions, origin->version, ids);
+    }
+  json_array_append_new (ids, json_string (origin->request_id));
+}
+
+static void
+on_own_written (void *ctx, const DyPlatformReply *reply)
+{
+  DyOrigins *origins = ctx;
+  origins->writing = false;
+  if (reply->error == DY_OK || reply->error == DY_CONFLICT)
+    origins->own_version = reply->version;
+  if (reply->error == DY_OK)
+    return;
+  origins->dirty = true;
+  if (reply->error != DY_CONFLICT)
+    origins->own_version = 0;
+}
+
+static void
+write_own (DyOrigins *origins)
+{
+  uint32_t n_routers = dy_members_count (&origins->directory->peers->members, now_us (origins));
+  if (!origins->dirty || origins->writing || !origins->streams_loaded
+      || now_us (origins) - origins->written_us
+             < dy_stream_origins_write_interval_us (n_routers))
+    return;
+  Encoding encoding = { origins, json_object () };
+  dy_stream_origins_visit (&origins->table, encode_stream, &encoding);
+  json_t *root = json_pack ("{s:o}", "streams", encoding.streams);
+  char *text = json_dumps (root, JSON_COMPACT);
+  origins->dirty = false;
+  origins->writing = true;
+  origins->written_us = now_us (origins);
+  dy_counters_add (&origins->kernel->counters, DY_COUNTER_ORIGIN_WRITES, 1);
+  dy_platform_put (origins->platform, origins->own_key, text, origins->own_version, on_own_written,
+                   origins);
+  free (text);
+  json_decref (root);
+}
+
+static void
+see_listed (void *ctx, const char *service, const char *version)
+{
+  see_version (ctx, service, version);
+}
+
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer ctx)
+{
+  const DyOrigins *origins = ctx;
+  (void) value;
+  return !g_hash_table_contains (origins->table.streams, key);
+}
+
+/* Notes the versions that are listed, and drops what is no longer needed. */
+static void
+sweep (DyOrigins *origins)
+{
+  GHashTableIter iter;
+  gpointer value;
+  if (now_us (origins) - origins->swept_us < SWEEP_INTERVAL_US)
+    return;
+  origins->swept_us = now_us (origins);
+  dy_placement_visit_versions (&origins->directory->placement, see_listed, origins);
+  bool dropped = dy_stream_origins_evict (&origins->table, now_us (origins));
+  g_hash_table_foreach_remove (origins->own_ids, is_forgotten, origins);
+  g_hash_table_iter_init (&iter, origins->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      ServiceObject *object = value;
+      object->synced = object->synced && !dropped;
+      sync_service (origins, object);
+    }
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyOrigins *origins = w->data;
+  (void) loop;
+  (void) events;
+  if (!origins->versions_loaded && !origins->reading_versions
+      && now_us (origins) >= origins->retry_us)
+    {
+      origins->reading_versions = true;
+      dy_platform_list (origins->platform, VERSIONS_PREFIX, 0, on_versions, origins);
+    }
+  sweep (origins);
+  read_streams (origins);
+  write_own (origins);
+}
+
+/* Writes the objects again that the store may have lost. */
+static void
+on_era (void *ctx, uint64_t era, bool restored)
+{
+  DyOrigins *origins = ctx;
+  GHashTableIter iter;
+  gpointer value;
+  (void) era;
+  if (!restored)
+    return;
+  origins->dirty = g_hash_table_size (origins->own_ids) > 0;
+  g_hash_table_iter_init (&iter, origins->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((ServiceObject *) value)->synced = false;
+}
+
+static int
+service_start (void *self, DyKernel *kernel)
+{
+  DyOrigins *origins = self;
+  origins->kernel = kernel;
+  origins->directory = dy_kernel_find (kernel, DY_SERVICE_DIRECTORY);
+  origins->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
+  origins->own_key = g_strconcat (STREAMS_PREFIX, kernel->settings->node_name, NULL);
+  origins->own_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  origins->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+  origins->lookups = g_hash_table_new_full (NULL, NULL, free_lookup, NULL);
+  dy_stream_origins_init (&origins->table);
+  dy_platform_watch_era (origins->platform, on_era, origins);
+  ev_timer_init (&origins->timer, on_timer, 0.0, TICK_S);
+  origins->timer.data = origins;
+  ev_timer_start (kernel->loop, &origins->timer);
+  return DY_OK;
+}
+
+static void
+service_stop (void *self)
+{
+  DyOrigins *origins = self;
+  ev_timer_stop (origins->kernel->loop, &origins->timer);
+  g_hash_table_unref (origins->lookups);
+  g_hash_table_unref (origins->services);
+  g_hash_table_unref (origins->own_ids);
+  dy_stream_origins_finish (&origins->table);
+  g_free (origins->own_key);
+}
+
+static json_t *
+service_dump (void *self)
+{
+  const DyOrigins *origins = self;
+  json_t *services = json_object ();
+  GHashTableIter iter;
+  gpointer service;
+  g_hash_table_iter_init (&iter, origins->services);
+  while (g_hash_table_iter_next (&iter, &service, NULL))
+    {
+      json_t *versions = json_array ();
+      dy_stream_origins_visit_versions (&origins->table, service, collect_version, versions);
+      json_object_set_new (services, service, versions);
+    }
+  return json_pack ("{s:b, s:b, s:i, s:i, s:i, s:o}", "versions_loaded", origins->versions_loaded,
+                    "streams_loaded", origins->streams_loaded, "streams",
+                    (int) g_hash_table_size (origins->table.streams), "own",
+                    (int) g_hash_table_size (origins->own_ids), "lookups",
+                    (int) g_hash_table_size (origins->lookups), "versions", services);
+}
+
+void
+dy_origins_add_service (DyKernel *kernel, DyOrigins *origins)
+{
+  DyService service = { .name = DY_SERVICE_ORIGINS,
+                        .self = origins,
+                        .start = service_start,
+                        .stop = service_stop,
+                        .dump = service_dump };
+  dy_kernel_add (kernel, &service);
+}
+
+void
+dy_origins_record (DyOrigins *origins, const DyStreamOrigin *origin)
+{
+  dy_stream_origins_add (&origins->table, origin);
+  g_hash_table_add (origins->own_ids, g_strdup (origin->request_id));
+  see_version (origins, origin->service, origin->version);
+  origins->dirty
+      = origins->dirty || dy_stream_origins_is_mixed (&origins->table, origin->service);
+}
+
+DyOriginLookup *
+dy_origins_look_up (DyOrigins *origins,
+                    const char *service,
+                    const char *request_id,
+                    DyOriginDone done,
+                    void *ctx,
+                    const char **version)
+{
+  *version = find (origins, service, request_id);
+  if (*version)
+    return NULL;
+  DyOriginLookup *lookup = g_new0 (DyOriginLookup, 1);
+  lookup->service = g_strdup (service);
+  lookup->request_id = g_strdup (request_id);
+  lookup->done = done;
+  lookup->ctx = ctx;
+  g_hash_table_add (origins->lookups, lookup);
+  return lookup;
+}
+
+void
+dy_origins_cancel (DyOrigins *origins, DyOriginLookup *lookup)
+{
+  g_hash_table_remove (origins->lookups, lookup);
+}
