Keep ceilings of ledger entries only on a store that states its era, and let them follow each write

Cause: the ceiling was raised at most once in the time that a copy may be old, and a new home began to wait anew. Change: without an era there are no ceilings. With one, each write may announce a higher ceiling, and the highest that is old enough is in force.

--- a/src/core/ledger_account.c
+++ b/src/core/ledger_account.c
@@ -22,6 +22,7 @@
   for (guint i = 0; i < acct->changes->len; i++)
     g_array_unref (g_array_index (acct->changes, Change, i).totals);
   g_array_unref (acct->changes);
+  g_array_unref (acct->seen_ceilings);
   g_queue_clear_full (&acct->waiters, g_free);
   g_free (acct->name);
   g_free (acct);
@@ -47,6 +48,7 @@
       = g_hash_table_new_full (dy_request_id_hash, dy_request_id_equal, NULL, g_free);
   acct->spent_by_origin = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   acct->changes = g_array_new (FALSE, FALSE, sizeof (Change));
+  acct->seen_ceilings = g_array_new (FALSE, FALSE, sizeof (SeenCeiling));
   g_queue_init (&acct->waiters);
   dy_backoff_init (&acct->backoff, RETRY_MIN_US, RETRY_MAX_US);
   acct->verified_us = INT64_MIN;
--- a/src/core/ledger_entry.c
+++ b/src/core/ledger_entry.c
@@ -398,8 +398,7 @@
 {
   int64_t next = ceiling_above (entry, dy_ledger_entry_committed_tokens (entry), percent);
   if (entry->next_ceiling_tokens == 0)
-    entry->next_ceiling_tokens = next;
-  entry->ceiling_tokens = MAX (entry->ceiling_tokens, entry->next_ceiling_tokens);
+    entry->ceiling_tokens = next;
   entry->next_ceiling_tokens = MAX (entry->next_ceiling_tokens, next);
 }
 
--- a/src/core/ledger_entry.h
+++ b/src/core/ledger_entry.h
@@ -19,8 +19,8 @@
  *   The store may be restored from a copy that lacks the latest writes. The entry therefore states
  *   the era in which it was written, see store_version.h, and two ceilings on committed tokens, the
  *   sum of what is closed, withheld and granted. Only the first one may be committed up to. It is
- *   raised to the second one, and the second one further, by a holder that saw the second one in
- *   the store longer ago than the oldest copy is old. So a copy states the most that can have been
+ *   raised to what the second one was by a holder that saw that in the store longer ago than the
+ *   oldest copy is old. So a copy states the most that can have been
  *   committed by the time of the restore. What that is more than is committed in the copy is
  *   withheld: holders that live take their grants from it again, and the rest is freed when all
  *   have done so and none is missing.
@@ -142,7 +142,7 @@
 /* Returns the tokens that are closed, withheld or granted. */
 int64_t dy_ledger_entry_committed_tokens (const DyLedgerEntry *entry);
 
-/* Raises the ceiling to the next one, and the next one to PERCENT of what is not committed. Without
+/* Raises the next ceiling so that it leaves room for PERCENT of what is not committed. Without
  * ceilings, both are set so. */
 void dy_ledger_entry_raise_ceiling (DyLedgerEntry *entry, int64_t percent);
 
--- a/src/core/ledger_private.h
+++ b/src/core/ledger_private.h
@@ -47,6 +47,13 @@
   bool close;
 } Change;
 
+/* A next ceiling that was seen in the entry. */
+typedef struct
+{
+  int64_t tokens;
+  int64_t seen_us; /* when it was first seen */
+} SeenCeiling;
+
 typedef struct
 {
   char *name;
@@ -60,11 +67,10 @@
   bool unresolved;                   /* a write based on version may still take effect */
   int64_t unresolved_granted_tokens; /* least grant among the unresolved writes */
 
-  bool reasserting;            /* kept_tokens are to be written to the restored entry */
-  int64_t kept_tokens;         /* own grant before the store was restored */
-  bool releasing;              /* the entry is to be read, and what it withholds to be freed */
-  int64_t seen_ceiling_tokens; /* next ceiling of the entry as last seen; 0: none */
-  int64_t ceiling_seen_us;     /* when it was first seen */
+  bool reasserting;      /* kept_tokens are to be written to the restored entry */
+  int64_t kept_tokens;   /* own grant before the store was restored */
+  bool releasing;        /* the entry is to be read, and what it withholds to be freed */
+  GArray *seen_ceilings; /* of SeenCeiling, in the order of time and height */
 
   int64_t spent_tokens;
   GHashTable *spent_by_origin; /* origin router to its part of the spent tokens */
--- a/src/core/ledger_restore.c
+++ b/src/core/ledger_restore.c
@@ -1,28 +1,42 @@
 #include "core/ledger_private.h"
 
+/* A store that does not state its era gives no sign of a restore, which ceilings would bound. */
 static bool
 has_ceilings (const DyLedger *ledger)
 {
-  return ledger->policy.copy_age_us > 0;
+  return ledger->policy.copy_age_us > 0 && ledger->era > 0;
 }
 
-/* Returns whether the entry's next ceiling may be committed up to: a copy from which the store
- * could be restored from now on states it. */
-static bool
-is_ceiling_old (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us)
+/* Returns the highest ceiling that has been in the store for so long that any copy from which the
+ * store could be restored from now on states it. */
+static int64_t
+old_ceiling (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t now_us)
 {
-  return acct->entry.next_ceiling_tokens == acct->seen_ceiling_tokens
-         && now_us - acct->ceiling_seen_us >= ledger->policy.copy_age_us;
+  int64_t ceiling = acct->entry.ceiling_tokens;
+  for (guint i = 0; i < acct->seen_ceilings->len; i++)
+    {
+      const SeenCeiling *seen = &g_array_index (acct->seen_ceilings, SeenCeiling, i);
+      if (now_us - seen->seen_us < ledger->policy.copy_age_us)
+        break;
+      ceiling = MAX (ceiling, seen->tokens);
+    }
+  return ceiling;
 }
 
-/* Notes since when the next ceiling of the entry, as read or written now, is in the store. */
+/* Notes since when the next ceiling of the entry, as read or written now, is in the store. Forgets
+ * those that are in force. */
 static void
 note_ceiling (DyLedgerAccount *acct, int64_t now_us)
 {
-  if (acct->entry.next_ceiling_tokens == acct->seen_ceiling_tokens)
-    return;
-  acct->seen_ceiling_tokens = acct->entry.next_ceiling_tokens;
-  acct->ceiling_seen_us = now_us;
+  GArray *ceilings = acct->seen_ceilings;
+  SeenCeiling seen = { acct->entry.next_ceiling_tokens, now_us };
+  while (ceilings->len > 0
+         && g_array_index (ceilings, SeenCeiling, 0).tokens <= acct->entry.ceiling_tokens)
+    g_array_remove_index (ceilings, 0);
+  if (seen.tokens > acct->entry.ceiling_tokens
+      && (ceilings->len == 0
+          || g_array_index (ceilings, SeenCeiling, ceilings->len - 1).tokens < seen.tokens))
+    g_array_append_val (ceilings, seen);
 }
 
 int64_t
@@ -32,8 +46,7 @@
   int64_t free_tokens = dy_ledger_entry_free_tokens (entry);
   if (!has_ceilings (ledger) || entry->next_ceiling_tokens == 0)
     return free_tokens;
-  int64_t ceiling
-      = is_ceiling_old (ledger, acct, now_us) ? entry->next_ceiling_tokens : entry->ceiling_tokens;
+  int64_t ceiling = old_ceiling (ledger, acct, now_us);
   return CLAMP (ceiling - dy_ledger_entry_committed_tokens (entry), 0, MAX (free_tokens, 0));
 }
 
@@ -95,8 +108,8 @@
       merge_latest (ledger, acct->name, pending);
       pending->withheld_tokens = pending->lost_tokens;
     }
-  if (pending->next_ceiling_tokens == 0 || is_ceiling_old (ledger, acct, now_us))
-    dy_ledger_entry_raise_ceiling (pending, ledger->policy.ceiling_percent);
+  pending->ceiling_tokens = old_ceiling (ledger, acct, now_us);
+  dy_ledger_entry_raise_ceiling (pending, ledger->policy.ceiling_percent);
 }
 
 void
@@ -136,7 +149,7 @@
       DyLedgerAccount *acct = value;
       keep_grant (acct);
       acct->has_entry = false;
-      acct->seen_ceiling_tokens = 0;
+      g_array_set_size (acct->seen_ceilings, 0);
       acct->retry_us = now_us;
       dy_ledger_step (ledger, acct, now_us);
     }
--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -85,12 +85,9 @@
 }
 
 const char *
-dy_stream_origins_find (const DyStreamOrigins *origins,
-                        const char *service,
-                        const char *request_id)
+dy_stream_origins_find (const DyStreamOrigins *origins, const char *service, const char *request_id)
 {
-  const Stream *stream
-      = request_id ? g_hash_table_lookup (origins->streams, request_id) : NULL;
+  const Stream *stream = request_id ? g_hash_table_lookup (origins->streams, request_id) : NULL;
   GHashTable *versions = g_hash_table_lookup (origins->services, service);
   GHashTableIter iter;
   gpointer version = NULL;
--- a/src/core/stream_origins.h
+++ b/src/core/stream_origins.h
@@ -37,10 +37,12 @@
 void dy_stream_origins_init (DyStreamOrigins *origins);
 void dy_stream_origins_finish (DyStreamOrigins *origins);
 
-/* Records the origin of a stream, instead of an earlier one of the same request. Copies the strings. */
+/* Records the origin of a stream, instead of an earlier one of the same request. Copies the
+ * strings. */
 void dy_stream_origins_add (DyStreamOrigins *origins, const DyStreamOrigin *origin);
 
-/* Records that VERSION of SERVICE is listed, or was until NOW_US. Returns whether it was not known. */
+/* Records that VERSION of SERVICE is listed, or was until NOW_US. Returns whether it was not known.
+ */
 bool dy_stream_origins_see (DyStreamOrigins *origins,
                             const char *service,
                             const char *version,
@@ -49,14 +51,14 @@
 /* Returns whether streams of SERVICE may have been begun by more than one version. */
 bool dy_stream_origins_is_mixed (const DyStreamOrigins *origins, const char *service);
 
-/* Returns the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE, or NULL if that
- * is not known here. */
+/* Returns the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE, or NULL if
+ * that is not known here. */
 const char *dy_stream_origins_find (const DyStreamOrigins *origins,
                                     const char *service,
                                     const char *request_id);
 
-/* Drops expired streams, and versions that have not been listed for so long that no stream of theirs
- * can be resumed. Returns whether a version was dropped. */
+/* Drops expired streams, and versions that have not been listed for so long that no stream of
+ * theirs can be resumed. Returns whether a version was dropped. */
 bool dy_stream_origins_evict (DyStreamOrigins *origins, int64_t now_us);
 
 /* Call VISIT for each stream, or for each version of SERVICE. */
--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -190,8 +190,7 @@
         const char *id = json_string_value (item);
         if (!id || g_hash_table_contains (origins->table.streams, id))
           continue;
-        DyStreamOrigin origin
-            = { id, service, version, now_us (origins) + LOADED_STREAM_US };
+        DyStreamOrigin origin = { id, service, version, now_us (origins) + LOADED_STREAM_US };
         dy_stream_origins_add (&origins->table, &origin);
         if (own)
           g_hash_table_add (origins->own_ids, g_strdup (id));
@@ -215,9 +214,8 @@
 static const char *
 find (const DyOrigins *origins, const char *service, const char *request_id)
 {
-  return origins->versions_loaded
-             ? dy_stream_origins_find (&origins->table, service, request_id)
-             : NULL;
+  return origins->versions_loaded ? dy_stream_origins_find (&origins->table, service, request_id)
+                                  : NULL;
 }
 
 /* Ends the lookups that are decided. FAILED: the store could not be read. */
@@ -333,8 +331,7 @@
 {
   uint32_t n_routers = dy_members_count (&origins->directory->peers->members, now_us (origins));
   if (!origins->dirty || origins->writing || !origins->streams_loaded
-      || now_us (origins) - origins->written_us
-             < dy_stream_origins_write_interval_us (n_routers))
+      || now_us (origins) - origins->written_us < dy_stream_origins_write_interval_us (n_routers))
     return;
   Encoding encoding = { origins, json_object () };
   dy_stream_origins_visit (&origins->table, encode_stream, &encoding);
@@ -487,8 +484,7 @@
   dy_stream_origins_add (&origins->table, origin);
   g_hash_table_add (origins->own_ids, g_strdup (origin->request_id));
   see_version (origins, origin->service, origin->version);
-  origins->dirty
-      = origins->dirty || dy_stream_origins_is_mixed (&origins->table, origin->service);
+  origins->dirty = origins->dirty || dy_stream_origins_is_mixed (&origins->table, origin->service);
 }
 
 DyOriginLookup *
--- a/src/services/origins.h
+++ b/src/services/origins.h
@@ -7,8 +7,8 @@
  *
  * DESCRIPTION
  *   While a service has endpoints of several versions, this router keeps the origins of the streams
- *   that it passes on in the platform's store, in one object, so that a caller can resume them at any
- *   router. docs/ORIGINS.md explains what is kept where, how long, and what is refused.
+ *   that it passes on in the platform's store, in one object, so that a caller can resume them at
+ * any router. docs/ORIGINS.md explains what is kept where, how long, and what is refused.
  *
  * FORMAT
  *   streams/NAME of the router NAME:
@@ -56,13 +56,13 @@
 /* Adds the service "origins", whose interface is a DyOrigins. */
 void dy_origins_add_service (DyKernel *kernel, DyOrigins *origins);
 
-/* Records that the stream REQUEST_ID of SERVICE was sent to an endpoint of VERSION; EXPIRES_US is the
- * time after which the caller no longer resumes it. */
+/* Records that the stream REQUEST_ID of SERVICE was sent to an endpoint of VERSION; EXPIRES_US is
+ * the time after which the caller no longer resumes it. */
 void dy_origins_record (DyOrigins *origins, const DyStreamOrigin *origin);
 
-/* Looks up the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE. If it is known
- * here, stores it in VERSION, valid until the next call, and returns NULL. Otherwise DONE is called
- * later, unless the lookup is cancelled. */
+/* Looks up the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE. If it is
+ * known here, stores it in VERSION, valid until the next call, and returns NULL. Otherwise DONE is
+ * called later, unless the lookup is cancelled. */
 DyOriginLookup *dy_origins_look_up (DyOrigins *origins,
                                     const char *service,
                                     const char *request_id,
--- a/test/test_stream_origin_table.c
+++ b/test/test_stream_origin_table.c
@@ -24,7 +24,7 @@
   { { "v1" }, { 0 }, NULL, 1, false, "v1" }, /* no other version can have begun it */
   { { "v1", "v2" }, { 0, 0 }, NULL, 1, true, NULL },
   { { "v1", "v2" }, { 0, 0 }, "v2", 1, true, "v2" },
-  { { "v1" }, { 0 }, "v0", 1, false, "v0" }, /* whose endpoints have left */
+  { { "v1" }, { 0 }, "v0", 1, false, "v0" },          /* whose endpoints have left */
   { { "v1", "v2" }, { 0, 9 }, NULL, 15, true, NULL }, /* v1 left lately */
   { { "v1", "v2" }, { 0, 30 }, NULL, 31, false, "v2" },
   { { "v1", "v2" }, { 0, 30 }, "v1", 31, false, "v2" }, /* the record has expired */
