Write the origins of streams sooner in small fleets

Cause: a router wrote origins at most each 100 ms, although seven routers may write far more often. Change: the interval is 5 ms for each router of the fleet, at least 20 ms: still at most 200 writes a second of all together.

--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -5,7 +5,7 @@
 enum
 {
   VERSION_RETENTION_US = 20 * 1000 * 1000, /* longer than callers resume a stream */
-  MIN_WRITE_INTERVAL_US = 100 * 1000,
+  MIN_WRITE_INTERVAL_US = 20 * 1000,
   WRITE_INTERVAL_PER_ROUTER_US = 5 * 1000, /* 200 writes a second of all routers together */
 };
 
