Revert "Keep a share of each budget for streams that callers resume"

Cause: the share is kept from what a home holds at the moment. After a home has moved, much of a budget is with other holders for a while, and requests were refused at once instead of waiting for its recall.

--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -60,8 +60,6 @@
   int64_t settle_interval_us; /* longest time that settled tokens stay unwritten */
   int64_t idle_return_us;     /* idle time after which a grant is returned */
   int64_t urgent_headroom_us; /* period of more urgent demand kept as headroom; 0: none */
-  /* Percentage of the paid tokens kept as headroom for rank 0, while the platform is reachable. */
-  int64_t first_rank_percent;
   /* Waiting reservations are refused before their deadline when the latest platform call failed, or
    * when other holders were asked to return unneeded tokens and had time to, but did not. */
   bool refuses_early;
--- a/src/core/ledger_account.c
+++ b/src/core/ledger_account.c
@@ -99,10 +99,7 @@
 dy_ledger_headroom_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, uint32_t rank)
 {
   double seconds = (double) ledger->policy.urgent_headroom_us / 1e6;
-  int64_t urgent = (int64_t) ((double) dy_ledger_demand_below (acct, rank) * seconds);
-  bool keeps_first = rank > 0 && acct->has_entry && !acct->failing;
-  return MAX (urgent,
-              keeps_first ? acct->entry.paid_tokens * ledger->policy.first_rank_percent / 100 : 0);
+  return (int64_t) ((double) dy_ledger_demand_below (acct, rank) * seconds);
 }
 
 /* Returns the tokens that the account's requests can still reserve, as far as is known: the rest of
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -352,7 +352,6 @@
                       .refuses_early = uses_route_table,
                       .copy_age_us = settings->store_copy_age_ms * 1000,
                       .ceiling_percent = settings->ceiling_percent,
-                      .first_rank_percent = settings->resume_percent,
                       .urgent_headroom_us = settings->keep_urgent_ms * 1000,
                       .horizon_us = settings->grant_horizon_ms * 1000,
                       .minimum_tokens = settings->grant_minimum_tokens,
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -102,8 +102,7 @@
       = route->kind == DY_ROUTE_IDEMPOTENT || (route->kind == DY_ROUTE_STREAM && route->resumable);
   plan->max_attempts = MAX (route->max_attempts, 1);
   plan->priority = account && account->has_priority ? account->priority : route->priority;
-  /* A caller has part of the stream that it resumes already. */
-  plan->rank = head->resume_from && route->kind == DY_ROUTE_STREAM ? 0 : route->priority + 1;
+  plan->rank = route->priority;
   plan->target_ms = route->target_ms;
   plan->max_event_gap_ms = route->max_event_gap_ms;
   plan->prompt_tokens = head->prompt_tokens;
