--- a/src/services/restores.c
+++ b/src/services/restores.c
@@ -50,6 +50,13 @@
          && restores->kernel->settings->store_copy_age_ms > 0;
 }
 
+static bool
+is_same_report (const DyRestoreReport *a, const DyRestoreReport *b)
+{
+  return a->incarnation_id == b->incarnation_id && a->era == b->era
+         && a->reasserted == b->reasserted && a->was_there == b->was_there;
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -59,7 +66,7 @@
   if (!is_restored (restores))
     return;
   update_own (restores);
-  if (memcmp (&restores->own, &restores->sent, sizeof restores->own) != 0)
+  if (!is_same_report (&restores->own, &restores->sent))
     {
       restores->sent = restores->own;
       send_report (restores, NULL);
