--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -108,21 +108,6 @@
   json_decref (root);
 }
 
-static void
-on_versions (void *ctx, const DyPlatformReply *reply)
-{
-  DyOrigins *origins = ctx;
-  origins->reading_versions = false;
-  if (reply->error)
-    {
-      origins->retry_us = now_us (origins) + RETRY_US;
-      return;
-    }
-  for (uint32_t i = 0; i < reply->n_objects; i++)
-    load_versions (origins, &reply->objects[i]);
-  origins->versions_loaded = true;
-}
-
 static void
 collect_version (void *ctx, const char *version)
 {
@@ -240,6 +225,34 @@
   g_list_free (lookups);
 }
 
+/* Ends all lookups: without the store's versions none can be decided. */
+static void
+refuse_lookups (DyOrigins *origins)
+{
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, origins->lookups);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    ((DyOriginLookup *) key)->waiting = true;
+  end_lookups (origins, true);
+}
+
+static void
+on_versions (void *ctx, const DyPlatformReply *reply)
+{
+  DyOrigins *origins = ctx;
+  origins->reading_versions = false;
+  if (reply->error)
+    {
+      origins->retry_us = now_us (origins) + RETRY_US;
+      refuse_lookups (origins);
+      return;
+    }
+  for (uint32_t i = 0; i < reply->n_objects; i++)
+    load_versions (origins, &reply->objects[i]);
+  origins->versions_loaded = true;
+}
+
 static void
 on_streams (void *ctx, const DyPlatformReply *reply)
 {
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -114,6 +114,27 @@
   fleet_request (&site->fleet, &request, NULL);
 }
 
+static void
+on_run_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  *(bool *) w->data = true;
+}
+
+void
+site_run_for (Site *site, int64_t ms)
+{
+  bool done = false;
+  ev_timer timer;
+  ev_now_update (site->fleet.loop);
+  ev_timer_init (&timer, on_run_timer, (double) ms / 1e3, 0.0);
+  timer.data = &done;
+  ev_timer_start (site->fleet.loop, &timer);
+  while (!done)
+    ev_run (site->fleet.loop, EVRUN_ONCE);
+}
+
 void
 site_restore_store (Site *site, const SiteRestore *restore)
 {
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -105,6 +105,9 @@
 /* Sends FAULTS (JSON text) to the store's /admin/set; fake_store.c lists the fields. */
 void site_set_store (Site *site, const char *faults);
 
+/* Runs the event loop for MS milliseconds. */
+void site_run_for (Site *site, int64_t ms);
+
 /* A return of the store to an older copy. */
 typedef struct
 {
--- a/test/test_restored_store.c
+++ b/test/test_restored_store.c
@@ -26,34 +26,13 @@
   return g_get_monotonic_time () / 1000;
 }
 
-static void
-on_run_timer (struct ev_loop *loop, ev_timer *w, int events)
-{
-  (void) loop;
-  (void) events;
-  *(bool *) w->data = true;
-}
-
-static void
-run_loop_for (Site *site, int64_t ms)
-{
-  bool done = false;
-  ev_timer timer;
-  ev_now_update (site->fleet.loop);
-  ev_timer_init (&timer, on_run_timer, (double) ms / 1e3, 0.0);
-  timer.data = &done;
-  ev_timer_start (site->fleet.loop, &timer);
-  while (!done)
-    ev_run (site->fleet.loop, EVRUN_ONCE);
-}
-
 /* Returns a time to restore the store to, some way from all writes of the test. */
 static int64_t
 copy_time_ms (Site *site)
 {
-  run_loop_for (site, MARGIN_MS);
+  site_run_for (site, MARGIN_MS);
   int64_t time_ms = now_ms ();
-  run_loop_for (site, MARGIN_MS);
+  site_run_for (site, MARGIN_MS);
   return time_ms;
 }
 
@@ -83,7 +62,7 @@
                           .extra = added,
                           .prepaid = PREPAID };
   site_restore_store (&site, &restore);
-  run_loop_for (&site, AWAY_MS + NOTICE_MS);
+  site_run_for (&site, AWAY_MS + NOTICE_MS);
   traffic_run (&site, &new_stream, &result, 1, CHECK_MS);
   ck_assert_msg (result.n_served >= MIN_SERVED * result.n_sent, "%u of %u served", result.n_served,
                  result.n_sent);
@@ -101,7 +80,7 @@
   json_decref (record);
   SiteRestore restore = { .age_ms = now_ms () - site.populated_ms + AWAY_MS, .away_ms = AWAY_MS };
   site_restore_store (&site, &restore);
-  run_loop_for (&site, AWAY_MS + NOTICE_MS);
+  site_run_for (&site, AWAY_MS + NOTICE_MS);
   for (uint32_t i = 0; i < site.n_routers; i++)
     {
       char *key = g_strdup_printf ("routers/r%u", i);
@@ -126,11 +105,11 @@
     ck_assert (site_put_worker (&site, 0, departures[_i], NULL));
   else
     ck_assert (site_remove_worker (&site, 0));
-  run_loop_for (&site, BEFORE_MS);
+  site_run_for (&site, BEFORE_MS);
   SiteRestore restore
       = { .age_ms = now_ms () - copied_ms + AWAY_MS, .away_ms = AWAY_MS, .skip = MANY_REVISIONS };
   site_restore_store (&site, &restore);
-  run_loop_for (&site, AWAY_MS + CHECK_MS);
+  site_run_for (&site, AWAY_MS + CHECK_MS);
   int64_t before = site_worker_runs (&site, 0);
   for (int i = 0; i < 20; i++)
     {
@@ -151,7 +130,7 @@
   ck_assert (site_init (&site, 2));
   for (uint32_t i = 0; i < SITE_N_WORKERS / 2; i++)
     ck_assert (site_remove_worker (&site, i));
-  run_loop_for (&site, BEFORE_MS);
+  site_run_for (&site, BEFORE_MS);
   int64_t copied_ms = copy_time_ms (&site);
   for (uint32_t i = 0; i < SITE_N_WORKERS / 2; i++)
     ck_assert (site_put_worker (&site, i, "ready", NULL));
@@ -201,7 +180,7 @@
       if (budget_cases[_i].kill)
         ck_assert (site_restart_routers (&site));
       else
-        run_loop_for (&site, AWAY_MS);
+        site_run_for (&site, AWAY_MS);
     }
   traffic_run (&site, &stream, &result, 1, AFTER_MS);
   served += result.n_served;
--- a/test/test_stream_origins.c
+++ b/test/test_stream_origins.c
@@ -20,27 +20,6 @@
   char label[16]; /* of the endpoint that began it */
 } Stream;
 
-static void
-on_timer (struct ev_loop *loop, ev_timer *w, int events)
-{
-  (void) loop;
-  (void) events;
-  *(bool *) w->data = true;
-}
-
-static void
-run_loop_for (Site *site, int64_t ms)
-{
-  bool done = false;
-  ev_timer timer;
-  ev_now_update (site->fleet.loop);
-  ev_timer_init (&timer, on_timer, (double) ms / 1e3, 0.0);
-  timer.data = &done;
-  ev_timer_start (site->fleet.loop, &timer);
-  while (!done)
-    ev_run (site->fleet.loop, EVRUN_ONCE);
-}
-
 static void
 put_version (Site *site, uint32_t i, const char *version_json)
 {
@@ -63,7 +42,7 @@
   ck_assert (site_init (site, n_routers));
   put_version (site, FIRST_WORKER, first_version);
   put_version (site, FIRST_WORKER + 1, second_version);
-  run_loop_for (site, NOTICE_MS);
+  site_run_for (site, NOTICE_MS);
 }
 
 /* Returns the number of different labels in the events of BODY. */
@@ -158,11 +137,11 @@
   Site site;
   start_site (&site, cases[_i].n_routers, first, cases[_i].second);
   begin_streams (&site, streams);
-  run_loop_for (&site, WRITE_MS);
+  site_run_for (&site, WRITE_MS);
   if (cases[_i].leaves)
     {
       ck_assert (site_remove_worker (&site, FIRST_WORKER));
-      run_loop_for (&site, NOTICE_MS);
+      site_run_for (&site, NOTICE_MS);
     }
   if (cases[_i].restart)
     ck_assert (site_restart_routers (&site));
