Keep what is known of before a restore beside entries written since

Cause: routers kept one latest entry of an account. A new home wrote its entry of the new era before it heard from the router that had lived on, and dropped the entry of before as older; nothing was added for the dead holders when the withheld tokens were freed. Change: core/latest_entries keeps the latest entry of each era, and a restored entry is completed from the latest of before its era.

--- a/src/core/latest_entries.h
+++ b/src/core/latest_entries.h
@@ -16,20 +16,21 @@
 
 typedef struct
 {
-  GHashTable *by_account; /* account to its entry and version */
+  GHashTable *by_era; /* era of the store to a table of account to its entry and version */
 } DyLatestEntries;
 
 void dy_latest_entries_init (DyLatestEntries *latest);
 void dy_latest_entries_finish (DyLatestEntries *latest);
 
-/* Keeps a copy of ENTRY unless one of ACCOUNT with a higher version is known. */
+/* Keeps a copy of ENTRY unless one of ACCOUNT with a higher version of the same era is known. */
 void dy_latest_entries_take (DyLatestEntries *latest,
                              const char *account,
                              uint64_t version,
                              const DyLedgerEntry *entry);
 
-/* Returns the entry of ACCOUNT, or NULL if none is known. */
-const DyLedgerEntry *dy_latest_entries_find (const DyLatestEntries *latest, const char *account);
+/* Returns the latest entry of ACCOUNT that was written before ERA, or NULL if none is known. */
+const DyLedgerEntry *
+dy_latest_entries_find_before (const DyLatestEntries *latest, const char *account, uint64_t era);
 
 /* Calls VISIT for each known entry. */
 void dy_latest_entries_visit (
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -103,9 +103,9 @@
   /* Returns whether this holder serves reservations of ACCOUNT; if not, its grant is returned.
    * NULL: it always does. */
   bool (*serves_account) (void *ctx, const char *account);
-  /* Returns the latest entry of ACCOUNT that the store has acknowledged to any router, as far as is
-   * known; NULL: none is known. NULL: none ever is. */
-  const DyLedgerEntry *(*latest_entry) (void *ctx, const char *account);
+  /* Returns the latest entry of ACCOUNT that the store has acknowledged to any router before ERA,
+   * as far as is known; NULL: none is known. NULL: none ever is. */
+  const DyLedgerEntry *(*latest_entry) (void *ctx, const char *account, uint64_t era);
   /* Reports a refusal before reserved() does. NULL: not reported. */
   void (*refused) (void *ctx, const DyLedgerRefusal *refusal);
 } DyLedgerActions;
--- a/src/core/ledger_restore.c
+++ b/src/core/ledger_restore.c
@@ -64,8 +64,10 @@
 merge_latest (const DyLedger *ledger, const char *account, DyLedgerEntry *entry)
 {
   const DyLedgerEntry *latest
-      = ledger->actions->latest_entry ? ledger->actions->latest_entry (ledger->ctx, account) : NULL;
-  if (latest && latest->era < ledger->era)
+      = ledger->actions->latest_entry
+            ? ledger->actions->latest_entry (ledger->ctx, account, ledger->era)
+            : NULL;
+  if (latest)
     dy_ledger_entry_merge (entry, latest);
 }
 
--- a/src/core/reservations.c
+++ b/src/core/reservations.c
@@ -9,10 +9,10 @@
 static const int64_t QUARANTINE_US = INT64_C (600) * 1000 * 1000;
 
 static const DyLedgerEntry *
-find_latest_entry (void *ctx, const char *account)
+find_latest_entry (void *ctx, const char *account, uint64_t era)
 {
   const DyHolder *holder = ctx;
-  return dy_latest_entries_find (&holder->res->latest, account);
+  return dy_latest_entries_find_before (&holder->res->latest, account, era);
 }
 
 static const DyLedgerActions ledger_actions = { .read = dy_reservations_read_entry,
--- a/test/test_ledger_restore.c
+++ b/test/test_ledger_restore.c
@@ -1,8 +1,10 @@
 /* Ledger entries of a store that was restored from an older copy, and when withheld tokens are
  * freed: tables of cases. */
 
+#include "core/latest_entries.h"
 #include "core/ledger_entry.h"
 #include "core/restore_check.h"
+#include "core/store_version.h"
 #include "kernel/error.h"
 #include "support/suite.h"
 
@@ -160,6 +162,37 @@
 }
 END_TEST
 
+static const struct
+{
+  uint64_t eras[3]; /* of the entries, in the order in which they become known; 0: none */
+  uint64_t before;
+  int64_t found; /* index of the entry that is found; -1: none */
+} latest_cases[] = {
+  { { 1, 0, 0 }, 2, 0 }, { { 1, 2, 0 }, 2, 0 }, /* a new home has written since the restore */
+  { { 2, 1, 0 }, 2, 1 }, /* what was known of before the restore arrives later */
+  { { 1, 1, 2 }, 2, 1 }, { { 1, 2, 3 }, 3, 1 }, { { 2, 0, 0 }, 2, -1 },
+};
+
+START_TEST (an_entry_of_before_the_restore_is_kept_beside_a_later_one)
+{
+  DyLatestEntries latest;
+  dy_latest_entries_init (&latest);
+  for (int i = 0; i < 3 && latest_cases[_i].eras[i]; i++)
+    {
+      DyLedgerEntry entry;
+      entry_init (&entry, 500, 600);
+      entry.paid_tokens = PAID + i;
+      dy_latest_entries_take (
+          &latest, "acct", dy_store_version (latest_cases[_i].eras[i], 10 + (uint64_t) i), &entry);
+      dy_ledger_entry_finish (&entry);
+    }
+  const DyLedgerEntry *found
+      = dy_latest_entries_find_before (&latest, "acct", latest_cases[_i].before);
+  ck_assert_int_eq (found ? found->paid_tokens - PAID : -1, latest_cases[_i].found);
+  dy_latest_entries_finish (&latest);
+}
+END_TEST
+
 START_TEST (paid_tokens_raise_the_ceilings)
 {
   DyLedgerEntry entry;
@@ -228,6 +261,8 @@
                        G_N_ELEMENTS (recoveries));
   tcase_add_loop_test (tcase, what_routers_know_of_dead_holders_is_not_freed, 0,
                        G_N_ELEMENTS (merges));
+  tcase_add_loop_test (tcase, an_entry_of_before_the_restore_is_kept_beside_a_later_one, 0,
+                       G_N_ELEMENTS (latest_cases));
   tcase_add_test (tcase, paid_tokens_raise_the_ceilings);
   tcase_add_loop_test (tcase, withheld_tokens_are_freed_only_when_nobody_is_missing, 0,
                        G_N_ELEMENTS (checks));
