Correct two comments on ledger entries after a restore

Cause: latest_entries.h did not say that the latest entry of each era is kept, and ledger_entry.h named only the holders that live. Change: comments only.

--- a/src/core/latest_entries.h
+++ b/src/core/latest_entries.h
@@ -3,13 +3,13 @@
 
 /**
  * NAME
- *   latest_entries - the latest ledger entry of each account that the store acknowledged to a
- * router
+ *   latest_entries - the latest ledger entry of each account that is known to be acknowledged
  *
  * DESCRIPTION
  *   A router tells the others each entry that the store acknowledged to it, before the grants of
- * the entry are spent. So each router has what a store that is restored from an older copy lacks,
- * also of holders that have died.
+ *   the entry are spent. So each router has what a store that is restored from an older copy lacks,
+ *   also of holders that have died. The latest entry of each era is kept: one that was written
+ *   since a restore may lack what one of before has.
  */
 
 #include "core/ledger_entry.h"
--- a/src/core/ledger_entry.h
+++ b/src/core/ledger_entry.h
@@ -20,10 +20,10 @@
  *   the era in which it was written, see store_version.h, and two ceilings on committed tokens, the
  *   sum of what is closed, withheld and granted. Only the first one may be committed up to. It is
  *   raised to what the second one was by a holder that saw that in the store longer ago than the
- *   oldest copy is old. So a copy states the most that can have been
- *   committed by the time of the restore. What that is more than is committed in the copy is
- *   withheld: holders that live take their grants from it again, and the rest is freed when all
- *   have done so and none is missing.
+ *   oldest copy is old. So a copy states the most that can have been committed by the time of the
+ *   restore. What exceeds the tokens committed in the copy is withheld: holders that live take
+ *   their grants from it again, routers add what they know of dead holders, and the rest is freed
+ *   when all routers have done so.
  *
  *   Invariant: closed_tokens + withheld_tokens + sum of granted_tokens <= paid_tokens, in each row
  *   0 <= settled_tokens <= granted_tokens. A holder spends only from its own row, so the tokens
