Add failing tests of watches that the store never answers

The stand-in store can now drop the watches that wait, or leave all of them without a reply, on connections that live on. The routers of the site tests wait 8 s for a watch, as the deployed ones do; the 500 ms before hid the fault.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 SOURCES = $(shell git ls-files '*.c' '*.h' 2>/dev/null || find src test -name '*.[ch]')
 
 # Suites of which KNOWN-RED.txt may list single tests under the sanitizers.
-SUITES_WITH_LIST = faults process soak net gateway_request directory crash_parts named_limits restored_store stream_origins
+SUITES_WITH_LIST = faults process soak net gateway_request directory crash_parts named_limits restored_store stream_origins \
+  unanswered_watch
 space = $(subst ,, )
 
 all: build
--- a/test/fakes/fake_store.c
+++ b/test/fakes/fake_store.c
@@ -12,6 +12,8 @@
  *   "late": n        the next n writes get no reply, and are executed late if their condition
  *                    still holds
  *   "forget": bool   the change history is dropped: watches get 410 or are aborted
+ *   "drop_watches": bool  the watches that wait never get a reply; their connections live on
+ *   "mute_watches": bool  watches that come get no reply either; false if missing
  *   "restore": ms    the store goes back to what it was that long ago, and its era rises by one
  *   "away_ms": n     with restore: no call but /admin/set gets a reply for that long before
  *   "put": {"key": KIND/NAME, "spec": value}
@@ -51,6 +53,7 @@
   GPtrArray *watches;
   int64_t page;           /* objects on a page */
   bool silent;            /* only /admin/set gets a reply */
+  bool mute_watches;      /* watches get no reply */
   int64_t n_lost_replies; /* number of next successful writes that get no reply */
   int64_t n_late;         /* number of next writes that are executed late and get no reply */
   int64_t n_writes;
@@ -168,9 +171,24 @@
     }
 }
 
+/* Forgets the watches that wait. Their connections stay open without a reply. */
+static void
+drop_watches (Store *store)
+{
+  for (guint i = 0; i < store->watches->len; i++)
+    {
+      Watch *watch = g_ptr_array_index (store->watches, i);
+      if (watch->call)
+        dy_http_call_watch (watch->call, NULL, NULL);
+    }
+  g_ptr_array_set_size (store->watches, 0);
+}
+
 static void
 start_watch (Store *store, DyHttpCall *call, const char *prefix, uint64_t after, int64_t wait_ms)
 {
+  if (store->mute_watches)
+    return;
   if (after < store->oldest_revision || after > store->objects.version)
     {
       reply (call, 410, json_pack ("{s:s}", "error", "gone"));
@@ -366,6 +384,9 @@
   const json_t *late = json_object_get (body, "late");
   const json_t *restore = json_object_get (body, "restore");
   store->silent = json_is_true (json_object_get (body, "silent"));
+  store->mute_watches = json_is_true (json_object_get (body, "mute_watches"));
+  if (json_is_true (json_object_get (body, "drop_watches")))
+    drop_watches (store);
   if (page)
     store->page = json_integer_value (page);
   if (lose)
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -175,7 +175,7 @@
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
       "operator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = 200\n"
       "[platform]\nkind = objects\nurl = %s\nplatform_timeout_ms = 300\n"
-      "watch_timeout_ms = 500\nvm_list_interval_ms = 100\nplatform_calls_per_s = 200\n"
+      "watch_timeout_ms = 8000\nvm_list_interval_ms = 100\nplatform_calls_per_s = 200\n"
       "[peers]\nsecret = test\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
       "store_copy_age_ms = 4000\n"
--- /dev/null
+++ b/test/test_unanswered_watch.c
@@ -0,0 +1,104 @@
+/* Watches that the platform's store never answers, on connections that live on: real router
+ * processes on a stand-in store. */
+
+#include "support/suite.h"
+#include "support/traffic.h"
+
+enum
+{
+  INTERVAL_MS = 20,
+  BEFORE_MS = 500,
+  SILENCE_MS = 3000, /* all calls, so that routers see an outage */
+  /* Time from the acknowledgement of a change until it has to be in force. */
+  APPLY_MS = 2000,
+  CHECK_MS = 2000,
+  PREPAID = 3000000,
+};
+
+static const char NEW_ROUTE[]
+    = "{\"name\":\"new\",\"host\":\"h.example\",\"pathPrefix\":\"/new/\",\"routeType\":"
+      "\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,\"service\":"
+      "\"app\",\"maxAttempts\":2}";
+
+static const TrafficStream base_stream = { "/ok/x/ok", "", INTERVAL_MS };
+static const TrafficStream new_stream = { "/new/x/ok", "", INTERVAL_MS };
+
+typedef enum
+{
+  WATCHES_DROPPED, /* those that wait; later ones are answered */
+  WATCHES_MUTED,   /* those that wait, and all that come */
+  STORE_SILENT,    /* for SILENCE_MS no call is answered; those of that time never are */
+} StoreFault;
+
+static const struct
+{
+  uint32_t n_routers;
+  StoreFault fault;
+} cases[] = { { 1, WATCHES_DROPPED }, { 2, WATCHES_DROPPED }, { 9, WATCHES_DROPPED },
+              { 2, WATCHES_MUTED },   { 9, WATCHES_MUTED },   { 2, STORE_SILENT },
+              { 9, STORE_SILENT } };
+
+static void
+begin_fault (Site *site, StoreFault fault)
+{
+  TrafficResult result;
+  static const char *const faults[]
+      = { [WATCHES_DROPPED] = "{\"drop_watches\":true}",
+          [WATCHES_MUTED] = "{\"drop_watches\":true,\"mute_watches\":true}",
+          [STORE_SILENT] = "{\"drop_watches\":true,\"silent\":true}" };
+  /* All watches wait by then. */
+  traffic_run (site, &base_stream, &result, 1, BEFORE_MS);
+  site_set_store (site, faults[fault]);
+  if (fault != STORE_SILENT)
+    return;
+  site_run_for (site, SILENCE_MS);
+  site_set_store (site, "{}");
+}
+
+START_TEST (a_route_is_served_in_time_though_watches_are_unanswered)
+{
+  TrafficResult result;
+  Site site;
+  ck_assert (site_init (&site, cases[_i].n_routers));
+  begin_fault (&site, cases[_i].fault);
+  ck_assert (site_put_routes (&site, 2, NEW_ROUTE, PREPAID));
+  site_run_for (&site, APPLY_MS);
+  traffic_run (&site, &new_stream, &result, 1, CHECK_MS);
+  ck_assert_msg (result.n_served == result.n_sent, "%u of %u served", result.n_served,
+                 result.n_sent);
+  site_finish (&site);
+}
+END_TEST
+
+START_TEST (a_leaving_endpoint_gets_no_requests_though_watches_are_unanswered)
+{
+  TrafficResult result;
+  Site site;
+  ck_assert (site_init (&site, cases[_i].n_routers));
+  begin_fault (&site, cases[_i].fault);
+  ck_assert (site_put_worker (&site, 0, "draining", NULL));
+  site_run_for (&site, APPLY_MS);
+  int64_t n_before = site_worker_runs (&site, 0);
+  traffic_run (&site, &base_stream, &result, 1, CHECK_MS);
+  ck_assert_int_eq (site_worker_runs (&site, 0), n_before);
+  ck_assert_msg (result.n_served == result.n_sent, "%u of %u served", result.n_served,
+                 result.n_sent);
+  site_finish (&site);
+}
+END_TEST
+
+int
+main (void)
+{
+  enum
+  {
+    TIMEOUT_S = 60,
+  };
+  TCase *tcase = tcase_create ("unanswered_watch");
+  tcase_set_timeout (tcase, TIMEOUT_S);
+  tcase_add_loop_test (tcase, a_route_is_served_in_time_though_watches_are_unanswered, 0,
+                       G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tcase, a_leaving_endpoint_gets_no_requests_though_watches_are_unanswered, 0,
+                       G_N_ELEMENTS (cases));
+  return suite_run ("unanswered_watch", tcase);
+}
