Bound the age of what a router knows of changes in the store

All nine routers had a watch of the route table that was sent before an outage and whose answer was lost on a connection that lived on; it ended by its own time limit, 9.7 s after it was sent, while other calls were answered for 4 s (event 2004).

A watch without an answer looks like the absence of changes, so its silence proved nothing. Now a router knows how old its knowledge is: the time since a call was sent whose answer contained or ruled out a change (core/watch_age). One router of the fleet asks for the changes since its version every half second without waiting, and tells the others; the next ones in an order that all compute alike take over after one second, all others after 1.5 to 1.8 s. A router that hears of a change that its watch has not told within 0.2 s asks itself. What a check returns replaces the watch, and after a failed check all objects are listed, as the store may answer lists but no watches. That costs two calls a second for each of the two watches of a whole fleet, of whatever size.

The watch and its checks have a file of their own (services/object_watch), used for routes and endpoints.

Event 7001 states the age of the route table, 2007 a watch that was given up. test_directory's stand-in has the new call and a table of members; its checks are as before.

--- a/src/core/members.c
+++ b/src/core/members.c
@@ -176,8 +176,10 @@
   return members->listed;
 }
 
-uint32_t
-dy_members_rank (const DyMembers *members, const char *key, int64_t now_us)
+/* Returns the number of live members that precede this router in the order for KEY, or of those
+ * among them that reach the platform. */
+static uint32_t
+count_before (const DyMembers *members, const char *key, bool with_platform, int64_t now_us)
 {
   uint64_t key_hash = hash_string (key);
   uint64_t self = combine_hashes (key_hash, hash_string (members->self_name));
@@ -190,12 +192,25 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const DyMember *member = value;
-      if (is_live (members, member, now_us) && combine_hashes (key_hash, member->name_hash) > self)
+      if (is_live (members, member, now_us) && (member->has_platform || !with_platform)
+          && combine_hashes (key_hash, member->name_hash) > self)
         rank++;
     }
   return rank;
 }
 
+uint32_t
+dy_members_rank (const DyMembers *members, const char *key, int64_t now_us)
+{
+  return count_before (members, key, false, now_us);
+}
+
+uint32_t
+dy_members_platform_rank (const DyMembers *members, const char *key, int64_t now_us)
+{
+  return count_before (members, key, true, now_us);
+}
+
 bool
 dy_members_ranks_above (const DyMembers *members, const char *account, const char *name)
 {
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -89,6 +89,9 @@
  * that all routers compute alike; UINT32_MAX if this router is leaving. */
 uint32_t dy_members_rank (const DyMembers *members, const char *key, int64_t now_us);
 
+/* Like dy_members_rank(), of the live members that reach the platform. */
+uint32_t dy_members_platform_rank (const DyMembers *members, const char *key, int64_t now_us);
+
 /* Records whether calls of the router NAME, which may be this one, to the platform succeed. */
 void dy_members_set_platform (DyMembers *members, const char *name, bool has_platform);
 
--- /dev/null
+++ b/src/core/watch_age.c
@@ -0,0 +1,79 @@
+#include "core/watch_age.h"
+
+#include <glib.h>
+#include <string.h>
+
+const DyWatchAgePolicy dy_watch_age_policy = {
+  .step_us = 500 * 1000,
+  .n_steps = 2,
+  .spread_us = 4 * 1000, /* about the time in which the store answers */
+  .max_spread_us = 300 * 1000,
+  .answer_us = 200 * 1000,
+  .retry_us = 100 * 1000,
+};
+
+void
+dy_watch_age_init (DyWatchAge *age, const DyWatchAgePolicy *policy)
+{
+  memset (age, 0, sizeof *age);
+  age->policy = *policy;
+  age->confirmed_us = INT64_MIN / 2;
+  age->failed_us = INT64_MIN / 2;
+}
+
+bool
+dy_watch_age_record_answer (DyWatchAge *age,
+                            uint64_t version,
+                            uint64_t changed_version,
+                            int64_t sent_us)
+{
+  if (version < age->version)
+    return false;
+  age->version = version;
+  age->changed_version = MAX (age->changed_version, changed_version);
+  age->confirmed_us = MAX (age->confirmed_us, sent_us);
+  age->behind_us = 0;
+  age->n_failures = 0;
+  age->check_fails = false;
+  return true;
+}
+
+void
+dy_watch_age_record_failure (DyWatchAge *age, int64_t now_us)
+{
+  age->n_failures++;
+  age->failed_us = now_us;
+}
+
+void
+dy_watch_age_record_peer (
+    DyWatchAge *age, uint64_t changed_version, int64_t confirmed_us, bool by_list, int64_t now_us)
+{
+  if (changed_version <= age->version)
+    {
+      age->confirmed_us = MAX (age->confirmed_us, confirmed_us);
+      return;
+    }
+  if (!age->behind_us)
+    age->behind_us = now_us;
+  age->check_fails = by_list;
+}
+
+static int64_t
+check_age_us (const DyWatchAgePolicy *policy, uint32_t rank)
+{
+  uint32_t n_steps = MIN (rank, policy->n_steps);
+  int64_t spread_us = (int64_t) (rank - n_steps) * policy->spread_us;
+  return policy->step_us * (n_steps + 1) + MIN (spread_us, policy->max_spread_us);
+}
+
+DyWatchAgeAction
+dy_watch_age_decide (const DyWatchAge *age, uint32_t rank, bool watching, int64_t now_us)
+{
+  if (age->version == 0 || now_us - age->failed_us < age->policy.retry_us)
+    return DY_WATCH_AGE_FRESH;
+  bool behind = age->behind_us && watching && now_us - age->behind_us >= age->policy.answer_us;
+  if (!behind && now_us - age->confirmed_us < check_age_us (&age->policy, rank))
+    return DY_WATCH_AGE_FRESH;
+  return age->check_fails || age->n_failures % 2 == 1 ? DY_WATCH_AGE_LIST : DY_WATCH_AGE_CHECK;
+}
--- /dev/null
+++ b/src/core/watch_age.h
@@ -0,0 +1,85 @@
+#ifndef DY_CORE_WATCH_AGE_H
+#define DY_CORE_WATCH_AGE_H
+
+/**
+ * NAME
+ *   watch_age - bounds the age of what a router knows of the objects that it watches
+ *
+ * DESCRIPTION
+ *   A watch that is not answered may mean that there is no change, or that its answer was lost. So
+ *   its silence proves nothing: the age of what a router knows is the time since a call was sent
+ *   whose answer contained, or ruled out, a change. A router whose knowledge has reached a certain
+ *   age checks: it asks for the changes since the version that it has, without waiting.
+ *
+ *   Routers tell each other the outcome of their checks, so one of them checks for all: routers
+ *   check in an order that all compute alike, each after a longer time than those before it. A
+ *   router that learns that a newer change exists checks at once, unless its watch is about to
+ *   return it.
+ *
+ *   A check is sent to the store as a short watch. After one that failed, all objects are listed
+ *   instead, as the store may answer lists but no watches.
+ *
+ * UNITS
+ *   Times are microseconds; the module reads no clock, the time is passed in as NOW_US. Versions
+ *   are those of core/store_version.h.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct
+{
+  int64_t step_us;   /* age at which the first router checks, and by which the next ones wait
+                        longer */
+  uint32_t n_steps;  /* routers of higher ranks wait for n_steps + 1 steps */
+  int64_t spread_us; /* by which their waits differ, so that few of them check at once */
+  int64_t max_spread_us;
+  int64_t answer_us; /* time within which a watch returns a change that another router knows of */
+  int64_t retry_us;  /* between the ends of a failed check and the start of the next one */
+} DyWatchAgePolicy;
+
+extern const DyWatchAgePolicy dy_watch_age_policy;
+
+typedef struct
+{
+  DyWatchAgePolicy policy;
+  uint64_t version;         /* up to which all changes are known; 0: no list was read */
+  uint64_t changed_version; /* at or after the latest known change, at most VERSION */
+  int64_t confirmed_us;     /* time at which there was no later change */
+  int64_t behind_us;        /* since when a later change is known to exist; 0: none is */
+  int64_t failed_us;        /* time of the latest failure */
+  uint32_t n_failures;      /* consecutive failed checks */
+  bool check_fails;         /* the router that told of the later change could not check */
+} DyWatchAge;
+
+typedef enum
+{
+  DY_WATCH_AGE_FRESH, /* nothing is to be done */
+  DY_WATCH_AGE_CHECK, /* the changes since VERSION are to be asked for */
+  DY_WATCH_AGE_LIST,  /* all objects are to be listed */
+} DyWatchAgeAction;
+
+void dy_watch_age_init (DyWatchAge *age, const DyWatchAgePolicy *policy);
+
+/* Records the answer to a call of this router that was sent at SENT_US: all changes up to VERSION
+ * are known, the latest of them is of CHANGED_VERSION or before it; 0: the answer had none. Returns
+ * false, and changes nothing, if the answer is older than what is known. */
+bool dy_watch_age_record_answer (DyWatchAge *age,
+                                 uint64_t version,
+                                 uint64_t changed_version,
+                                 int64_t sent_us);
+
+/* Records that a check failed. */
+void dy_watch_age_record_failure (DyWatchAge *age, int64_t now_us);
+
+/* Records what another router says: at CONFIRMED_US there was no change after CHANGED_VERSION.
+ * BY_LIST is whether it had to list all objects to know it. */
+void dy_watch_age_record_peer (
+    DyWatchAge *age, uint64_t changed_version, int64_t confirmed_us, bool by_list, int64_t now_us);
+
+/* Returns what the router is to do that has RANK in the order of routers, from 0. WATCHING is
+ * whether a watch is in progress; otherwise one will be sent soon. */
+DyWatchAgeAction
+dy_watch_age_decide (const DyWatchAge *age, uint32_t rank, bool watching, int64_t now_us);
+
+#endif
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -59,6 +59,10 @@
      "resumed streams whose origin was not known")                                                 \
   X (ORIGIN_WRITES, counter, "dogwoodyoke_origin_writes_total",                                    \
      "writes of the origins of streams to the platform's store")                                   \
+  X (WATCH_CHECKS, counter, "dogwoodyoke_watch_checks_total",                                      \
+     "calls that checked whether a watch had missed changes")                                      \
+  X (WATCHES_REPLACED, counter, "dogwoodyoke_watches_replaced_total",                              \
+     "watches given up as a check had shown changes that they lacked")                             \
   X (CONFIG_VERSION, gauge, "dogwoodyoke_config_version", "highest platform version in force")     \
   X (DECLARATIONS_REJECTED, counter, "dogwoodyoke_declarations_rejected_total",                    \
      "declarations rejected as invalid")
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -12,12 +12,9 @@
    * must be in force and a leaving endpoint must get no new work. */
   ROUTES_BATCH_DELAY_MS = 300,
   ENDPOINTS_BATCH_DELAY_MS = 600,
-  RETRY_MS = 200,                        /* between calls while the store is unreachable */
   PEER_REQUEST_INTERVAL_US = 300 * 1000, /* between requests for a peer's route table */
-  /* A record that disappears this soon after an outage may have expired during the outage, unless
-   * that was shorter than a record's lifetime without renewals. */
+  /* A record that disappears this soon after an outage may have expired during the outage. */
   EXPIRY_WINDOW_US = 4000 * 1000,
-  MIN_EXPIRY_OUTAGE_US = 2000 * 1000,
   EXPIRY_GRACE_US = 1200 * 1000, /* endpoints renew expired records within two seconds */
   /* A restored store may lack the records of endpoints that serve; they write them again within two
    * seconds. */
@@ -40,8 +37,9 @@
 }
 
 static void
-apply_routes (DyDirectory *directory, const DyObject *object)
+apply_routes (void *ctx, const DyObject *object)
 {
+  DyDirectory *directory = ctx;
   DyRouteTable table;
   if (strcmp (object->key, directory->dialect->routes_key) != 0 || !object->value)
     return;
@@ -152,8 +150,9 @@
 }
 
 static void
-apply_endpoint (DyDirectory *directory, const DyObject *object)
+apply_endpoint (void *ctx, const DyObject *object)
 {
+  DyDirectory *directory = ctx;
   const char *id = endpoint_id (directory, object->key);
   DyEndpointRecord record;
   json_t *document;
@@ -195,8 +194,9 @@
 
 /* Handles the endpoints that are missing from a complete list. */
 static void
-remove_unlisted (DyDirectory *directory, const DyPlatformReply *reply)
+remove_unlisted (void *ctx, const DyPlatformReply *reply)
 {
+  DyDirectory *directory = ctx;
   GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter iter;
   gpointer id;
@@ -261,90 +261,17 @@
   dy_departures_evict (&directory->departures, now);
 }
 
-static void request_objects (DyObjectWatch *watch);
-
-static void
-schedule_request (DyObjectWatch *watch, int64_t delay_ms)
-{
-  ev_timer_set (&watch->retry, (double) delay_ms / 1000.0, 0.0);
-  ev_timer_start (watch->directory->kernel->loop, &watch->retry);
-}
-
-static void
-handle_list_failure (DyObjectWatch *watch, int error)
-{
-  if (error == DY_HISTORY_GONE)
-    {
-      dy_log (DY_EVENT_HISTORY_GONE, "prefix=%s version=%" G_GUINT64_FORMAT, watch->prefix,
-              watch->version);
-      watch->version = 0;
-      request_objects (watch);
-      return;
-    }
-  watch->failing = true;
-  schedule_request (watch, RETRY_MS);
-}
-
+/* The records that were held back are listed again if they still exist. */
 static void
-on_objects (void *ctx, const DyPlatformReply *reply)
+drop_held (void *ctx)
 {
-  DyObjectWatch *watch = ctx;
-  DyDirectory *directory = watch->directory;
-  if (reply->error)
-    {
-      handle_list_failure (watch, reply->error);
-      return;
-    }
-  int64_t now = now_us (directory);
-  if (watch->failing && now - watch->replied_us >= MIN_EXPIRY_OUTAGE_US)
-    watch->recovered_us = now;
-  watch->failing = false;
-  watch->replied_us = now;
-  if (watch->listing && watch == &directory->endpoints_watch)
-    g_hash_table_remove_all (directory->held);
-  for (uint32_t i = 0; i < reply->n_objects; i++)
-    watch->apply_watched (directory, &reply->objects[i]);
-  if (watch->listing && watch == &directory->endpoints_watch)
-    remove_unlisted (directory, reply);
-  watch->version = MAX (reply->version, 1);
-  if (reply->n_objects > 0)
-    schedule_request (watch, watch->batch_delay_ms);
-  else
-    request_objects (watch);
-}
-
-static void
-request_objects (DyObjectWatch *watch)
-{
-  watch->listing = watch->version == 0;
-  dy_platform_list (watch->directory->platform, watch->prefix, watch->version, on_objects, watch);
-}
-
-static void
-on_retry (struct ev_loop *loop, ev_timer *w, int events)
-{
-  (void) loop;
-  (void) events;
-  request_objects (w->data);
+  DyDirectory *directory = ctx;
+  g_hash_table_remove_all (directory->held);
 }
 
-static void
-start_watch (DyDirectory *directory,
-             DyObjectWatch *watch,
-             const char *prefix,
-             void (*apply_watched) (DyDirectory *directory, const DyObject *object),
-             int64_t batch_delay_ms)
-{
-  memset (watch, 0, sizeof *watch);
-  watch->directory = directory;
-  watch->prefix = prefix;
-  watch->apply_watched = apply_watched;
-  watch->batch_delay_ms = batch_delay_ms;
-  watch->recovered_us = INT64_MIN / 2;
-  ev_timer_init (&watch->retry, on_retry, 0.0, 0.0);
-  watch->retry.data = watch;
-  request_objects (watch);
-}
+static const DyObjectWatcher routes_watcher = { .apply = apply_routes };
+static const DyObjectWatcher endpoints_watcher
+    = { .apply = apply_endpoint, .list_begun = drop_held, .list_ended = remove_unlisted };
 
 /* Sends the route table to a router that asked for a version above AFTER. */
 static void
@@ -364,6 +291,8 @@
 on_message (void *ctx, uint64_t link, const DyMessage *message)
 {
   DyDirectory *directory = ctx;
+  dy_object_watch_take (&directory->routes_watch, message);
+  dy_object_watch_take (&directory->endpoints_watch, message);
   if (message->type == DY_MESSAGE_CONFIG_GET)
     reply_to_peer (directory, link, message->u.config.version);
   else if (message->type == DY_MESSAGE_CONFIG && message->u.config.text)
@@ -412,10 +341,10 @@
   ev_set_priority (&directory->expiry_timer, DY_PRIORITY_TIMEOUT);
   directory->expiry_timer.data = directory;
   ev_timer_start (kernel->loop, &directory->expiry_timer);
-  start_watch (directory, &directory->routes_watch, directory->dialect->routes_prefix, apply_routes,
-               ROUTES_BATCH_DELAY_MS);
-  start_watch (directory, &directory->endpoints_watch, directory->dialect->endpoints_prefix,
-               apply_endpoint, ENDPOINTS_BATCH_DELAY_MS);
+  dy_object_watch_start (&directory->routes_watch, kernel, directory->dialect->routes_prefix,
+                         ROUTES_BATCH_DELAY_MS, &routes_watcher, directory);
+  dy_object_watch_start (&directory->endpoints_watch, kernel, directory->dialect->endpoints_prefix,
+                         ENDPOINTS_BATCH_DELAY_MS, &endpoints_watcher, directory);
   return DY_OK;
 }
 
@@ -423,10 +352,9 @@
 service_stop (void *self)
 {
   DyDirectory *directory = self;
-  struct ev_loop *loop = directory->kernel->loop;
-  ev_timer_stop (loop, &directory->expiry_timer);
-  ev_timer_stop (loop, &directory->routes_watch.retry);
-  ev_timer_stop (loop, &directory->endpoints_watch.retry);
+  ev_timer_stop (directory->kernel->loop, &directory->expiry_timer);
+  dy_object_watch_stop (&directory->routes_watch);
+  dy_object_watch_stop (&directory->endpoints_watch);
   dy_placement_finish (&directory->placement);
   dy_route_table_finish (&directory->routes);
   g_hash_table_unref (directory->endpoints);
@@ -449,10 +377,12 @@
   const DyDirectory *directory = self;
   json_t *endpoints = json_array ();
   dy_placement_visit (&directory->placement, dump_endpoint, endpoints, now_us (directory));
-  return json_pack ("{s:b, s:I, s:I, s:b, s:o}", "has_routes", directory->has_routes, "version",
-                    (json_int_t) directory->routes.version, "revision",
+  return json_pack ("{s:b, s:I, s:I, s:b, s:I, s:I, s:o}", "has_routes", directory->has_routes,
+                    "version", (json_int_t) directory->routes.version, "revision",
                     (json_int_t) directory->routes_revision, "store_failing",
-                    directory->routes_watch.failing, "endpoints", endpoints);
+                    directory->routes_watch.failing, "routes_age_ms",
+                    (json_int_t) dy_directory_routes_age_ms (directory), "endpoints_age_ms",
+                    (json_int_t) dy_directory_endpoints_age_ms (directory), "endpoints", endpoints);
 }
 
 void
@@ -481,8 +411,14 @@
   return directory->has_routes && g_hash_table_size (directory->endpoints) > 0;
 }
 
+int64_t
+dy_directory_routes_age_ms (const DyDirectory *directory)
+{
+  return dy_object_watch_age_ms (&directory->routes_watch);
+}
+
 int64_t
 dy_directory_endpoints_age_ms (const DyDirectory *directory)
 {
-  return (now_us (directory) - directory->endpoints_watch.replied_us) / 1000;
+  return dy_object_watch_age_ms (&directory->endpoints_watch);
 }
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -27,31 +27,15 @@
 #include "core/placement.h"
 #include "kernel/kernel.h"
 #include "services/dialect.h"
+#include "services/object_watch.h"
 #include "services/peers.h"
 #include "services/platform.h"
 
 #define DY_SERVICE_DIRECTORY "directory"
 
-struct DyDirectory;
-
-/* A watch on the objects under one key prefix. */
-typedef struct
-{
-  struct DyDirectory *directory;
-  const char *prefix;
-  void (*apply_watched) (struct DyDirectory *directory, const DyObject *object);
-  int64_t batch_delay_ms; /* delay after a change, so that one call returns several */
-  uint64_t version;       /* store version up to which changes were received; 0: list all objects */
-  bool listing;         /* the call in progress lists all objects instead of waiting for changes */
-  bool failing;         /* the latest call failed */
-  int64_t recovered_us; /* monotonic time of the first success after an outage */
-  int64_t replied_us;   /* monotonic time of the latest success */
-  ev_timer retry;       /* delays the next call after a failure or a change */
-} DyObjectWatch;
-
 typedef void (*DyRoutesWatcher) (void *ctx, const DyRouteTable *routes);
 
-typedef struct DyDirectory
+typedef struct
 {
   DyKernel *kernel;
   const DyDialect *dialect;
@@ -84,8 +68,8 @@
  * endpoint. */
 bool dy_directory_ready (const DyDirectory *directory);
 
-/* Returns the milliseconds since the store last answered a call for the endpoint records. The store
- * answers at once when there are changes, and otherwise when the watch's waiting time ends. */
+/* Returns the age in milliseconds of what is known of the routes, or of the endpoint records. */
+int64_t dy_directory_routes_age_ms (const DyDirectory *directory);
 int64_t dy_directory_endpoints_age_ms (const DyDirectory *directory);
 
 #endif
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -497,7 +497,7 @@
                                           .has_priority = request->plan.kind == DY_ROUTE_STREAM } };
   dy_log (DY_EVENT_REQUEST_PLACED,
           "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
-          " attempt=%u resume=%s version=%s list_ms=%" G_GINT64_FORMAT,
+          " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT,
           request->plan.id, dy_placement_endpoint_id (endpoint), predicted_us,
           request->n_started + request->n_refused + 1,
           spec.head.resume_from ? spec.head.resume_from : "-", request->attempt_version,
@@ -733,9 +733,10 @@
   int error = dy_gateway_plan_init (&plan, gateway, call);
   if (error)
     {
-      dy_log (DY_EVENT_REQUEST_REFUSED, "request=%s kind=%s routes_version=%" G_GUINT64_FORMAT,
+      dy_log (DY_EVENT_REQUEST_REFUSED, "request=%s kind=%s routes_version=%" G_GUINT64_FORMAT
+              " routes_age_ms=%" G_GINT64_FORMAT,
               plan.id[0] ? plan.id : "-", dy_error_info (error)->kind,
-              gateway->directory->routes.version);
+              gateway->directory->routes.version, dy_directory_routes_age_ms (gateway->directory));
       dy_gateway_refuse (gateway, call, error);
       dy_gateway_plan_finish (&plan);
       return;
--- /dev/null
+++ b/src/services/object_watch.c
@@ -0,0 +1,284 @@
+#include "services/object_watch.h"
+
+#include "kernel/error.h"
+#include "kernel/log.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define AGE_PREFIX "watch-ages/"
+
+enum
+{
+  RETRY_MS = 200, /* between calls while the store is unreachable */
+  /* A record that disappears soon after an outage may have expired during the outage, unless that
+   * was shorter than a record's lifetime without renewals. */
+  MIN_OUTAGE_US = 2000 * 1000,
+  US_PER_MS = 1000,
+};
+
+static const double CHECK_INTERVAL_S = 0.1;
+
+static int64_t
+now_us (const DyObjectWatch *watch)
+{
+  return dy_kernel_now_us (watch->kernel);
+}
+
+static void request_changes (DyObjectWatch *watch);
+
+static void
+schedule_request (DyObjectWatch *watch, int64_t delay_ms)
+{
+  ev_timer_set (&watch->retry, (double) delay_ms / 1e3, 0.0);
+  ev_timer_start (watch->kernel->loop, &watch->retry);
+}
+
+/* Sends another call in place of the current one, whose answer no longer counts. */
+static void
+replace_call (DyObjectWatch *watch, const char *reason)
+{
+  if (!watch->current)
+    return;
+  dy_log (DY_EVENT_WATCH_REPLACED, "prefix=%s reason=%s ms=%" G_GINT64_FORMAT, watch->prefix,
+          reason, (now_us (watch) - watch->current->sent_us) / US_PER_MS);
+  dy_counters_add (&watch->kernel->counters, DY_COUNTER_WATCHES_REPLACED, 1);
+  request_changes (watch);
+}
+
+/* Returns the version at or after that of the latest change in REPLY; 0: it has none. The version
+ * of a removal is not known, so the whole reply's stands for it. */
+static uint64_t
+latest_change (const DyPlatformReply *reply)
+{
+  uint64_t version = 0;
+  for (uint32_t i = 0; i < reply->n_objects; i++)
+    version = MAX (version, reply->objects[i].value ? reply->objects[i].version : reply->version);
+  return version;
+}
+
+static void
+record_success (DyObjectWatch *watch)
+{
+  int64_t now = now_us (watch);
+  if (watch->failing && now - watch->replied_us >= MIN_OUTAGE_US)
+    watch->recovered_us = now;
+  watch->failing = false;
+  watch->replied_us = now;
+}
+
+static void
+apply_reply (DyObjectWatch *watch, const DyPlatformReply *reply, bool lists)
+{
+  watch->listing = lists;
+  if (lists && watch->watcher->list_begun)
+    watch->watcher->list_begun (watch->ctx);
+  for (uint32_t i = 0; i < reply->n_objects; i++)
+    watch->watcher->apply (watch->ctx, &reply->objects[i]);
+  if (lists && watch->watcher->list_ended)
+    watch->watcher->list_ended (watch->ctx, reply);
+  watch->listing = false;
+  if (watch->watcher->updated)
+    watch->watcher->updated (watch->ctx, reply->version);
+}
+
+/* The store lacks changes since the known version. */
+static void
+list_again (DyObjectWatch *watch)
+{
+  dy_log (DY_EVENT_HISTORY_GONE, "prefix=%s version=%" G_GUINT64_FORMAT, watch->prefix,
+          watch->age.version);
+  watch->age.version = 0;
+  request_changes (watch);
+}
+
+static void
+on_changes (void *ctx, const DyPlatformReply *reply)
+{
+  DyObjectWatchCall *call = ctx;
+  DyObjectWatch *watch = call->watch;
+  call->busy = false;
+  if (call != watch->current)
+    {
+      if (!watch->current && !ev_is_active (&watch->retry))
+        request_changes (watch);
+      return;
+    }
+  watch->current = NULL;
+  if (reply->error == DY_HISTORY_GONE)
+    {
+      list_again (watch);
+      return;
+    }
+  if (reply->error)
+    {
+      watch->failing = true;
+      schedule_request (watch, RETRY_MS);
+      return;
+    }
+  record_success (watch);
+  if (dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1), latest_change (reply),
+                                  call->sent_us))
+    apply_reply (watch, reply, call->lists);
+  if (reply->n_objects > 0)
+    schedule_request (watch, watch->batch_delay_ms);
+  else
+    request_changes (watch);
+}
+
+/* Lists the objects if none were read, or waits for changes. */
+static void
+request_changes (DyObjectWatch *watch)
+{
+  DyObjectWatchCall *call = NULL;
+  for (uint32_t i = 0; i < DY_OBJECT_WATCH_CALLS && !call; i++)
+    if (!watch->calls[i].busy)
+      call = &watch->calls[i];
+  watch->current = call;
+  /* The checks go on, and one of the calls ends within its time limit. */
+  if (!call)
+    return;
+  watch->suspect = false;
+  call->busy = true;
+  call->lists = watch->age.version == 0;
+  call->sent_us = now_us (watch);
+  dy_platform_list (watch->platform, watch->prefix, watch->age.version, on_changes, call);
+}
+
+static void
+on_retry (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  request_changes (w->data);
+}
+
+/* Tells all routers up to which change this one has confirmed what it knows, and how long ago. */
+static void
+send_age (DyObjectWatch *watch, bool by_list)
+{
+  int64_t age_ms = (now_us (watch) - watch->age.confirmed_us) / US_PER_MS;
+  json_t *root = json_pack ("{s:I, s:I, s:b}", "changed", (json_int_t) watch->age.changed_version,
+                            "age_ms", (json_int_t) age_ms, "by_list", by_list);
+  char *text = json_dumps (root, JSON_COMPACT);
+  char *key = g_strconcat (AGE_PREFIX, watch->prefix, NULL);
+  dy_peers_send_object (watch->peers, NULL, key, text);
+  g_free (key);
+  free (text);
+  json_decref (root);
+}
+
+static void
+on_checked (void *ctx, const DyPlatformReply *reply)
+{
+  DyObjectWatchCall *call = ctx;
+  DyObjectWatch *watch = call->watch;
+  call->busy = false;
+  if (reply->error == DY_HISTORY_GONE)
+    {
+      list_again (watch);
+      return;
+    }
+  if (reply->error)
+    {
+      watch->failing = true;
+      watch->suspect = true;
+      dy_watch_age_record_failure (&watch->age, now_us (watch));
+      return;
+    }
+  uint64_t changed = latest_change (reply);
+  bool has_changes = changed > watch->age.version;
+  record_success (watch);
+  if (!dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1), changed, call->sent_us))
+    return;
+  apply_reply (watch, reply, call->lists);
+  if (has_changes || watch->suspect)
+    replace_call (watch, has_changes ? "late" : "outage");
+  send_age (watch, call->lists);
+}
+
+static void
+on_check_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyObjectWatch *watch = w->data;
+  (void) loop;
+  (void) events;
+  if (watch->check.busy)
+    return;
+  uint32_t rank = dy_members_platform_rank (&watch->peers->members, watch->prefix, now_us (watch));
+  DyWatchAgeAction action
+      = dy_watch_age_decide (&watch->age, rank, watch->current != NULL, now_us (watch));
+  if (action == DY_WATCH_AGE_FRESH)
+    return;
+  watch->check.busy = true;
+  watch->check.sent_us = now_us (watch);
+  watch->check.lists = action == DY_WATCH_AGE_LIST;
+  dy_counters_add (&watch->kernel->counters, DY_COUNTER_WATCH_CHECKS, 1);
+  if (watch->check.lists)
+    dy_platform_list (watch->platform, watch->prefix, 0, on_checked, &watch->check);
+  else
+    dy_platform_changes (watch->platform, watch->prefix, watch->age.version, on_checked,
+                         &watch->check);
+}
+
+void
+dy_object_watch_start (DyObjectWatch *watch,
+                       DyKernel *kernel,
+                       const char *prefix,
+                       int64_t batch_delay_ms,
+                       const DyObjectWatcher *watcher,
+                       void *ctx)
+{
+  memset (watch, 0, sizeof *watch);
+  watch->kernel = kernel;
+  watch->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
+  watch->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
+  watch->prefix = prefix;
+  watch->watcher = watcher;
+  watch->ctx = ctx;
+  watch->batch_delay_ms = batch_delay_ms;
+  watch->recovered_us = INT64_MIN / 2;
+  watch->check.watch = watch;
+  for (uint32_t i = 0; i < DY_OBJECT_WATCH_CALLS; i++)
+    watch->calls[i].watch = watch;
+  dy_watch_age_init (&watch->age, &dy_watch_age_policy);
+  ev_timer_init (&watch->retry, on_retry, 0.0, 0.0);
+  watch->retry.data = watch;
+  ev_timer_init (&watch->check_timer, on_check_timer, CHECK_INTERVAL_S, CHECK_INTERVAL_S);
+  watch->check_timer.data = watch;
+  ev_timer_start (kernel->loop, &watch->check_timer);
+  request_changes (watch);
+}
+
+void
+dy_object_watch_stop (DyObjectWatch *watch)
+{
+  ev_timer_stop (watch->kernel->loop, &watch->retry);
+  ev_timer_stop (watch->kernel->loop, &watch->check_timer);
+}
+
+void
+dy_object_watch_take (DyObjectWatch *watch, const DyMessage *message)
+{
+  const char *key = message->u.config.key;
+  if (message->type != DY_MESSAGE_CONFIG || !message->u.config.text
+      || !g_str_has_prefix (key, AGE_PREFIX)
+      || strcmp (key + strlen (AGE_PREFIX), watch->prefix) != 0)
+    return;
+  json_t *root = json_loadb (message->u.config.text, message->u.config.n_text, 0, NULL);
+  const json_t *changed = json_object_get (root, "changed");
+  const json_t *age_ms = json_object_get (root, "age_ms");
+  if (json_is_integer (changed) && json_is_integer (age_ms) && json_integer_value (age_ms) >= 0)
+    dy_watch_age_record_peer (&watch->age, (uint64_t) json_integer_value (changed),
+                              now_us (watch) - json_integer_value (age_ms) * US_PER_MS,
+                              json_is_true (json_object_get (root, "by_list")), now_us (watch));
+  json_decref (root);
+}
+
+int64_t
+dy_object_watch_age_ms (const DyObjectWatch *watch)
+{
+  if (watch->age.confirmed_us < 0)
+    return INT64_MAX;
+  return (now_us (watch) - watch->age.confirmed_us) / US_PER_MS;
+}
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -12,6 +12,7 @@
   CALL_GET,
   CALL_PUT,
   CALL_LIST,
+  CALL_CHANGES,
   CALL_VMS,
 } CallKind;
 
@@ -21,7 +22,7 @@
   CallKind kind;
   char *key;
   char *value;
-  uint64_t version; /* EXPECTED of a put, AFTER of a list */
+  uint64_t version; /* EXPECTED of a put, AFTER of a list or of changes */
   int64_t sent_us;
   DyPlatformDone done;
   void *ctx;
@@ -95,7 +96,7 @@
 static void
 log_slow_call (const Call *call, int error, bool rejected)
 {
-  static const char *const names[] = { "get", "put", "list", "vms" };
+  static const char *const names[] = { "get", "put", "list", "changes", "vms" };
   int64_t time_us = g_get_monotonic_time () - call->sent_us;
   if (!is_failure (error) && (is_watch (call) || time_us < SLOW_CALL_US))
     return;
@@ -139,6 +140,9 @@
     case CALL_LIST:
       ops->list (platform->impl, call->key, call->version, on_reply, call);
       break;
+    case CALL_CHANGES:
+      ops->changes (platform->impl, call->key, call->version, on_reply, call);
+      break;
     case CALL_VMS:
       ops->vms (platform->impl, on_reply, call);
       break;
@@ -184,8 +188,8 @@
 breaker_rejects (DyPlatform *platform, CallKind kind)
 {
   int64_t now_us = g_get_monotonic_time ();
-  int64_t *probe_sent_us
-      = kind == CALL_LIST ? &platform->list_probe_sent_us : &platform->probe_sent_us;
+  bool lists = kind == CALL_LIST || kind == CALL_CHANGES;
+  int64_t *probe_sent_us = lists ? &platform->list_probe_sent_us : &platform->probe_sent_us;
   if (platform->n_failures < FAILURES_TO_OPEN)
     return false;
   if (now_us - *probe_sent_us < platform->probe_interval_us)
@@ -316,6 +320,14 @@
   submit (platform, &call, prefix, NULL);
 }
 
+void
+dy_platform_changes (
+    DyPlatform *platform, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx)
+{
+  Call call = { .kind = CALL_CHANGES, .version = after, .done = done, .ctx = ctx };
+  submit (platform, &call, prefix, NULL);
+}
+
 void
 dy_platform_vms (DyPlatform *platform, DyPlatformDone done, void *ctx)
 {
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -83,6 +83,8 @@
    * lists those that changed after that version, and waits for a change if there is none. When the
    * wait times out, the list is empty and the error DY_OK. */
   void (*list) (void *impl, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx);
+  /* Lists the objects with the prefix that changed after the version AFTER, without waiting. */
+  void (*changes) (void *impl, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx);
   /* Reads the VM list. The reply's value is
    * {"vms": [{"name": text, "address": "ip:port", "data_centre": text, "leaving": bool}]}. */
   void (*vms) (void *impl, DyPlatformDone done, void *ctx);
@@ -149,6 +151,8 @@
                       void *ctx);
 void dy_platform_list (
     DyPlatform *platform, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx);
+void dy_platform_changes (
+    DyPlatform *platform, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx);
 void dy_platform_vms (DyPlatform *platform, DyPlatformDone done, void *ctx);
 
 /* Adds a watcher, which stays until dy_platform_finish(). It is called at once if the platform has
--- a/src/services/platform_http.c
+++ b/src/services/platform_http.c
@@ -172,23 +172,41 @@
   g_free (url);
 }
 
+/* Lists the objects with PREFIX that changed after the version AFTER, and waits up to WAIT_MS for a
+ * change if there is none; AFTER 0: lists all objects. */
 static void
-http_list (void *self, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx)
+start_list (PlatformHttp *impl,
+            const char *prefix,
+            uint64_t after,
+            int64_t wait_ms,
+            DyPlatformDone done,
+            void *ctx)
 {
-  PlatformHttp *impl = self;
   char *escaped = g_uri_escape_string (prefix, NULL, FALSE);
   char *url = after ? g_strdup_printf ("%s/v1/objects?prefix=%s&watch=%" G_GUINT64_FORMAT
                                        "&wait_ms=%" G_GINT64_FORMAT,
-                                       impl->url, escaped, after, impl->watch_timeout_ms)
+                                       impl->url, escaped, after, wait_ms)
                     : g_strdup_printf ("%s/v1/objects?prefix=%s", impl->url, escaped);
-  DyHttpSpec spec = { .method = "GET",
-                      .url = url,
-                      .timeout_ms = after ? impl->watch_timeout_ms + impl->timeout_ms : 0 };
+  DyHttpSpec spec
+      = { .method = "GET", .url = url, .timeout_ms = after ? wait_ms + impl->timeout_ms : 0 };
   start_call (impl, &spec, true, done, ctx);
   g_free (url);
   g_free (escaped);
 }
 
+static void
+http_list (void *self, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx)
+{
+  PlatformHttp *impl = self;
+  start_list (impl, prefix, after, impl->watch_timeout_ms, done, ctx);
+}
+
+static void
+http_changes (void *self, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx)
+{
+  start_list (self, prefix, after, 0, done, ctx);
+}
+
 static void
 http_vms (void *self, DyPlatformDone done, void *ctx)
 {
@@ -218,8 +236,12 @@
   g_free (impl);
 }
 
-const DyPlatformOps dy_platform_http_ops
-    = { .get = http_get, .put = http_put, .list = http_list, .vms = http_vms, .free = http_free };
+const DyPlatformOps dy_platform_http_ops = { .get = http_get,
+                                             .put = http_put,
+                                             .list = http_list,
+                                             .changes = http_changes,
+                                             .vms = http_vms,
+                                             .free = http_free };
 
 void *
 dy_platform_http_new (struct ev_loop *loop,
--- a/src/services/platform_memory.c
+++ b/src/services/platform_memory.c
@@ -165,6 +165,12 @@
   g_queue_push_tail (&impl->watches, watch);
 }
 
+static void
+memory_changes (void *self, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx)
+{
+  reply_list (self, prefix, after, done, ctx);
+}
+
 static void
 memory_vms (void *self, DyPlatformDone done, void *ctx)
 {
@@ -185,9 +191,12 @@
   g_free (impl);
 }
 
-const DyPlatformOps dy_platform_memory_ops = {
-  .get = memory_get, .put = memory_put, .list = memory_list, .vms = memory_vms, .free = memory_free
-};
+const DyPlatformOps dy_platform_memory_ops = { .get = memory_get,
+                                               .put = memory_put,
+                                               .list = memory_list,
+                                               .changes = memory_changes,
+                                               .vms = memory_vms,
+                                               .free = memory_free };
 
 void *
 dy_platform_memory_new (struct ev_loop *loop)
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -19,11 +19,12 @@
 {
   MAX_CALLS = 16,
   CALLS_PER_S = 1000,
+  PEER_TIMEOUT_US = 1000 * 1000,
 };
 
 typedef struct
 {
-  char kind; /* 'g'et, 'p'ut, 'l'ist or 'w'atch */
+  char kind; /* 'g'et, 'p'ut, 'l'ist, 'w'atch or 'c'hanges */
   char *key;
   DyPlatformDone done;
   void *ctx;
@@ -80,6 +81,13 @@
   record_call (self, after ? 'w' : 'l', prefix, done, ctx);
 }
 
+static void
+store_changes (void *self, const char *prefix, uint64_t after, DyPlatformDone done, void *ctx)
+{
+  (void) after;
+  record_call (self, 'c', prefix, done, ctx);
+}
+
 static void
 store_free (void *self)
 {
@@ -88,8 +96,11 @@
     g_free (store->calls[i].key);
 }
 
-static const DyPlatformOps store_ops
-    = { .get = store_get, .put = store_put, .list = store_list, .free = store_free };
+static const DyPlatformOps store_ops = { .get = store_get,
+                                         .put = store_put,
+                                         .list = store_list,
+                                         .changes = store_changes,
+                                         .free = store_free };
 
 /* Returns the index of the open call of KIND for a key that begins with PREFIX, or -1. */
 static int
@@ -131,6 +142,7 @@
   fixture->loop = ev_default_loop (EVFLAG_AUTO);
   dy_kernel_init (&fixture->kernel, fixture->loop, &fixture->settings);
   fixture->settings.data_centre = data_centre;
+  dy_members_init (&fixture->peers.members, "r0", PEER_TIMEOUT_US);
   dy_platform_init (&fixture->platform, fixture->loop, &fixture->kernel.counters, CALLS_PER_S,
                     &store_ops, &fixture->store);
 }
@@ -139,6 +151,7 @@
 fixture_finish (Fixture *fixture)
 {
   dy_kernel_finish (&fixture->kernel);
+  dy_members_finish (&fixture->peers.members);
   dy_platform_finish (&fixture->platform);
 }
 
