Keep versions of services under a kind that the platform permits

Callers saw two things. A service's versions were never stored, so after a restart of all routers a resume of a stream whose version had gone was decided from nothing known. And each refusal counted as a failed call: two in a row opened the breaker, which for half a second rejected calls that the store would have answered, those of the ledger and the lists of a start among them (2001 and 2002 in turn from 8.5 s before the traffic on, 19 times in one router's log).

A call that the platform does not permit ends as forbidden, which is an answer and says nothing about whether the store is reached.

The stand-in store refuses the kind as the platform does. With it, case 7 of stream_origins/a_resumed_stream_goes_on_at_the_version_that_began_it failed before (8 of 12 resumed), as did the new directory/writes_that_the_store_refuses_do_not_open_the_breaker.

--- a/src/kernel/error.h
+++ b/src/kernel/error.h
@@ -81,7 +81,8 @@
   X (OVERLOADED, -36, "overloaded", 503, 7, NOT_RUN, 1,                                            \
      "this router has more requests than it can handle")                                           \
   X (ORIGIN_UNKNOWN, -37, "origin_unknown", 503, 7, NOT_RUN, 1,                                    \
-     "the software version that began the stream is not known")
+     "the software version that began the stream is not known")                                    \
+  X (FORBIDDEN, -38, "forbidden", 403, 4, NOT_RUN, 0, "the platform does not permit the call")
 
 typedef enum
 {
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -10,6 +10,7 @@
 {
   DY_HTTP_OK = 200,
   DY_HTTP_LAST_SUCCESS = 299, /* end of the range of successes */
+  DY_HTTP_FORBIDDEN = 403,
   DY_HTTP_NOT_FOUND = 404,
   DY_HTTP_REQUEST_TIMEOUT = 408,
   DY_HTTP_CONFLICT = 409,
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -733,7 +733,8 @@
   int error = dy_gateway_plan_init (&plan, gateway, call);
   if (error)
     {
-      dy_log (DY_EVENT_REQUEST_REFUSED, "request=%s kind=%s routes_version=%" G_GUINT64_FORMAT
+      dy_log (DY_EVENT_REQUEST_REFUSED,
+              "request=%s kind=%s routes_version=%" G_GUINT64_FORMAT
               " routes_age_ms=%" G_GINT64_FORMAT,
               plan.id[0] ? plan.id : "-", dy_error_info (error)->kind,
               gateway->directory->routes.version, dy_directory_routes_age_ms (gateway->directory));
--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define STREAMS_PREFIX "streams/"
-#define VERSIONS_PREFIX "versions/"
+#define VERSIONS_PREFIX "stream-versions/" /* the platform has a kind "versions" of its own */
 
 static const double TICK_S = 0.05;
 
--- a/src/services/origins.h
+++ b/src/services/origins.h
@@ -13,7 +13,7 @@
  * FORMAT
  *   streams/NAME of the router NAME:
  *     {"streams": {service: {version: [request id, ...]}}}
- *   versions/SERVICE, written by the router that is the home of the service's name:
+ *   stream-versions/SERVICE, written by the router that is the home of the service's name:
  *     {"versions": [version, ...]}
  *
  * ERRORS
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -44,10 +44,12 @@
   SLOW_CALL_US = 250 * 1000,
 };
 
+/* Returns whether ERROR is no answer of the platform to the call itself. */
 static bool
 is_failure (int error)
 {
-  return error && error != DY_NOT_FOUND && error != DY_CONFLICT && error != DY_HISTORY_GONE;
+  return error && error != DY_NOT_FOUND && error != DY_CONFLICT && error != DY_HISTORY_GONE
+         && error != DY_FORBIDDEN;
 }
 
 static void
@@ -98,7 +100,8 @@
 {
   static const char *const names[] = { "get", "put", "list", "changes", "vms" };
   int64_t time_us = g_get_monotonic_time () - call->sent_us;
-  if (!is_failure (error) && (is_watch (call) || time_us < SLOW_CALL_US))
+  bool failed = is_failure (error) || error == DY_FORBIDDEN;
+  if (!failed && (is_watch (call) || time_us < SLOW_CALL_US))
     return;
   dy_log (DY_EVENT_PLATFORM_CALL_SLOW, "call=%s key=%s kind=%s rejected=%d ms=%" G_GINT64_FORMAT,
           is_watch (call) ? "watch" : names[call->kind], call->key ? call->key : "-",
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -27,6 +27,7 @@
  *                    When the calling code repeats a write whose reply was lost, this may be
  *                    the version that the earlier write created.
  *   DY_HISTORY_GONE  the store no longer keeps the changes after the version that a watch names
+ *   DY_FORBIDDEN     the platform does not permit the call, which had no effect
  *   DY_RATE_LIMITED  the platform refused the call, which had no effect
  *   DY_UNAVAILABLE, DY_TIMEOUT, DY_PROTOCOL  no usable reply; a write may have taken effect
  */
--- a/test/fakes/fake_store.c
+++ b/test/fakes/fake_store.c
@@ -20,7 +20,8 @@
  *                    with restore: the object is written at the return, before any other call
  *   "skip": n        with restore: n revisions are then given out, as if to other objects
  *
- * All answers have the header Store-Era. */
+ * All answers have the header Store-Era. Writes of the kind "versions" get 403, as the platform has
+ * a kind of that name. */
 
 #include "net/http_server.h"
 #include "services/object_store.h"
@@ -324,6 +325,11 @@
 {
   Write *write = read_write (store, call, key, body);
   store->n_writes++;
+  if (g_str_has_prefix (key, "versions/"))
+    {
+      reply (call, 403, json_pack ("{s:s}", "error", "the kind is the platform's"));
+      return;
+    }
   if (store->n_late > 0)
     {
       defer_write (write);
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -198,6 +198,25 @@
 }
 END_TEST
 
+/* A call that the store refuses was answered, so the store is not away. */
+START_TEST (writes_that_the_store_refuses_do_not_open_the_breaker)
+{
+  static const DyPlatformReply refused = { .error = DY_FORBIDDEN };
+  Fixture fixture;
+  fixture_init (&fixture);
+  for (int i = 0; i < 3; i++)
+    {
+      dy_platform_put (&fixture.platform, "versions/app", "{}", 0, ignore_reply, NULL);
+      answer_call (&fixture, 'p', "versions/", &refused);
+    }
+  ck_assert (!fixture.platform.down);
+  dy_platform_get (&fixture.platform, "ledger/a", ignore_reply, NULL);
+  run_for (&fixture, 1000);
+  ck_assert_int_ge (find_call (&fixture.store, 'g', "ledger/"), 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 static const char record[] = "{\"service\":\"app\",\"address\":\"127.0.0.1:1\",\"zone\":\"dc-a\","
                              "\"slots\":6,\"state\":\"ready\",\"sequence\":1}";
 static const DyObject listed[] = { { "servers/e0", 1, record, sizeof record - 1 },
@@ -492,6 +511,7 @@
   TCase *tcase = tcase_create ("directory");
   tcase_set_timeout (tcase, 30);
   tcase_add_test (tcase, ledger_calls_that_time_out_do_not_hold_off_the_endpoint_watch);
+  tcase_add_test (tcase, writes_that_the_store_refuses_do_not_open_the_breaker);
   tcase_add_test (tcase, watch_keeps_its_connection_when_other_calls_time_out);
   tcase_add_test (tcase, attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice);
   tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
