Do not serve as a fleet of one before the VM list was read

Part of the cause: a router that had waited 1.7 s for members stopped waiting, also if it knew of none as it had not read the VM list. All 81 reported ready within 0.5 s of the return, each the home of every account, and wrote 24 ledger entries each (126 to 213 conflicts a second, 412 writes); the VM list was read up to 3 s later, as a failed read was repeated only at the usual interval.

The wait now begins when a router first knows of a member, from the VM list or as others connect to it. The VM list is read again every 0.2 s until a read succeeds, and its members are dialled at once.

start_without_store/routers_are_ready_only_once_they_know_each_other (2 and 9 real routers) failed before: ready with 0 members. It passes now, with all members within 1.5 s of the store's return.

--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -8,6 +8,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Between reads of the VM list until one succeeds; a router accepts no request before. */
+static const double FIRST_VM_LIST_RETRY_S = 0.2;
+
 enum
 {
   DIAL_MIN_US = 50 * 1000,
@@ -86,17 +89,35 @@
   g_list_free (links);
 }
 
-/* Stops joining once all listed members are connected or the wait limit has passed. */
+/* Stops joining once all listed members are connected, or the wait limit has passed since there was
+ * someone to wait for: a router that knows no other one must not act as a fleet of one. */
 static void
 update_joining (DyPeers *peers)
 {
   const DySettings *settings = peers->kernel->settings;
   int64_t wait_limit_us = (settings->peer_timeout_ms + settings->heartbeat_ms) * 1000;
+  if (!peers->members_since_us
+      && (peers->vm_list_read || g_hash_table_size (peers->members.by_name) > 0))
+    peers->members_since_us = dy_peers_now_us (peers);
   if ((peers->vm_list_read && dy_members_all_connected (&peers->members))
-      || dy_peers_now_us (peers) - peers->started_us >= wait_limit_us)
+      || (peers->members_since_us
+          && dy_peers_now_us (peers) - peers->members_since_us >= wait_limit_us))
     peers->members.joining = false;
 }
 
+/* Dials the members to which there is no connection. */
+static void
+dial_members (DyPeers *peers)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peers->members.by_name);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (!g_hash_table_contains (peers->dialed, name))
+      dial (peers, value);
+}
+
 static void
 on_heartbeat_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -112,11 +133,10 @@
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
       DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
-      if (!link)
-        dial (peers, value);
-      else if (link->authenticated)
+      if (link && link->authenticated)
         dy_peers_send_heartbeat (link, DY_MESSAGE_PING);
     }
+  dial_members (peers);
   dy_counters_set (&peers->kernel->counters, DY_COUNTER_MEMBERS,
                    dy_members_count (&peers->members, dy_peers_now_us (peers)));
 }
@@ -179,6 +199,17 @@
   }
   remove_unlisted (peers, listed);
   g_hash_table_unref (listed);
+  dial_members (peers);
+}
+
+/* Reads the VM list after DELAY_S, and at the usual interval from then on. */
+static void
+read_vm_list_after (DyPeers *peers, double delay_s)
+{
+  double interval_s = (double) peers->kernel->settings->vm_list_interval_ms / 1000.0;
+  ev_timer_stop (peers->kernel->loop, &peers->vm_list_timer);
+  ev_timer_set (&peers->vm_list_timer, delay_s, interval_s);
+  ev_timer_start (peers->kernel->loop, &peers->vm_list_timer);
 }
 
 static void
@@ -187,7 +218,11 @@
   DyPeers *peers = ctx;
   peers->vm_list_in_progress = false;
   if (reply->error)
-    return;
+    {
+      if (!peers->vm_list_read)
+        read_vm_list_after (peers, FIRST_VM_LIST_RETRY_S);
+      return;
+    }
   json_t *root = json_loadb (reply->value, reply->n_value, 0, NULL);
   const json_t *vms = json_object_get (root, "vms");
   if (json_is_array (vms))
@@ -231,12 +266,11 @@
   const DySettings *settings = peers->kernel->settings;
   ev_timer_init (&peers->heartbeat_timer, on_heartbeat_timer, 0.0,
                  (double) settings->heartbeat_ms / 1000.0);
-  ev_timer_init (&peers->vm_list_timer, on_vm_list_timer, 0.0,
-                 (double) settings->vm_list_interval_ms / 1000.0);
+  ev_timer_init (&peers->vm_list_timer, on_vm_list_timer, 0.0, 0.0);
   ev_set_priority (&peers->heartbeat_timer, DY_PRIORITY_TIMEOUT);
   peers->heartbeat_timer.data = peers;
   peers->vm_list_timer.data = peers;
-  ev_timer_start (peers->kernel->loop, &peers->vm_list_timer);
+  read_vm_list_after (peers, 0.0);
   ev_timer_start (peers->kernel->loop, &peers->heartbeat_timer);
 }
 
@@ -248,7 +282,6 @@
   peers->kernel = kernel;
   peers->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
   peers->listen_fd = -1;
-  peers->started_us = dy_peers_now_us (peers);
   dy_members_init (&peers->members, settings->node_name, settings->peer_timeout_ms * 1000);
   peers->members.joining = settings->peer_secret[0] != '\0';
   peers->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dy_peers_free_link);
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -70,7 +70,7 @@
   ev_io accept_io;
   ev_timer heartbeat_timer;
   ev_timer vm_list_timer;
-  int64_t started_us;        /* monotonic time at which the service was started */
+  int64_t members_since_us;  /* monotonic time at which members were first known; 0: none are */
   bool vm_list_in_progress;  /* a call for the VM list is in progress */
   bool vm_list_read;         /* the VM list was read at least once */
   GHashTable *links;         /* link number to DyPeerLink */
@@ -88,7 +88,7 @@
 void dy_peers_watch (DyPeers *peers, const DyPeersWatcher *watcher, void *ctx);
 
 /* Returns whether this router knows its members: it is connected to all that are listed, or has
- * waited for the peer timeout and one heartbeat interval. Until then it must accept no request, as
+ * waited for the peer timeout and one heartbeat interval since it first knew of any. Until then it must accept no request, as
  * a router that it does not know yet may already have a record of it. */
 bool dy_peers_members_known (const DyPeers *peers);
 
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -10,6 +10,7 @@
 {
   CALL_TIMEOUT_MS = 10000,
   DISCONNECT_AFTER_MS = 150,
+  VM_LIST_INTERVAL_MS = 100,
 };
 
 static const char *
@@ -175,13 +176,13 @@
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
       "operator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = 200\n"
       "[platform]\nkind = objects\nurl = %s\nplatform_timeout_ms = 300\n"
-      "watch_timeout_ms = 8000\nvm_list_interval_ms = 100\nplatform_calls_per_s = 200\n"
+      "watch_timeout_ms = 8000\nvm_list_interval_ms = %d\nplatform_calls_per_s = 200\n"
       "[peers]\nsecret = test\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
       "store_copy_age_ms = 4000\n"
       "[log]\nlevel = info\n",
       i, site->callers[i], site->ready[i], site->operators[i], site->peers[i],
-      site->relayed ? site->store_relays[i] : site->store);
+      site->relayed ? site->store_relays[i] : site->store, site->vm_list_interval_ms);
   bool ok = g_file_set_contents (path, text, -1, NULL);
   g_free (text);
   g_free (path);
@@ -218,13 +219,21 @@
 }
 
 bool
-site_restart_routers (Site *site)
+site_restart_routers_unready (Site *site, int vm_list_interval_ms)
 {
   bool ok = true;
+  site->vm_list_interval_ms = vm_list_interval_ms;
   for (uint32_t i = 0; i < site->n_routers; i++)
     fleet_kill (&site->router_process[i]);
   for (uint32_t i = 0; ok && i < site->n_routers; i++)
-    ok = site_start_router (site, i);
+    ok = write_settings (site, i) && site_start_router (site, i);
+  return ok;
+}
+
+bool
+site_restart_routers (Site *site)
+{
+  bool ok = site_restart_routers_unready (site, site->vm_list_interval_ms);
   for (uint32_t i = 0; ok && i < site->n_routers; i++)
     ok = site_wait_ready (site, i, 200);
   return ok;
@@ -307,6 +316,7 @@
 {
   memset (site, 0, sizeof *site);
   site->relayed = relayed;
+  site->vm_list_interval_ms = VM_LIST_INTERVAL_MS;
   signal (SIGPIPE, SIG_IGN);
   site->fleet.loop = ev_default_loop (EVFLAG_AUTO);
   site->dir = g_dir_make_tmp ("site-XXXXXX", NULL);
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -36,6 +36,7 @@
   char *operators[SITE_MAX_ROUTERS]; /* where routers accept operators */
   char *peers[SITE_MAX_ROUTERS];     /* where routers accept other routers */
   char *workers[SITE_N_WORKERS];
+  int vm_list_interval_ms;
   bool relayed; /* routers connect to store and workers through relays */
   char *store_relays[SITE_MAX_ROUTERS];
   char *worker_relays[SITE_N_WORKERS];
@@ -85,6 +86,10 @@
 /* Kills all routers, starts them again and waits until they are ready. */
 bool site_restart_routers (Site *site);
 
+/* Kills all routers and starts them again, with another interval of reading the VM list. Does not
+ * wait until they are ready. */
+bool site_restart_routers_unready (Site *site, int vm_list_interval_ms);
+
 /* Waits until router I answers with HTTP STATUS at its readiness address. */
 bool site_wait_ready (Site *site, uint32_t i, unsigned status);
 
