Tell other routers the changes of ledger entries, not whole entries

Each router sent all entries that it knew on each new connection, 80 of them, and each entry that it wrote to all others.

Entries have a row for each router that serves the account, and one for each that died since; most writes change one or two. On a new connection each side names the versions that it has, and the other asks for those that are later than its own, once a second at most and from one router. The messages have keys that earlier builds ignore; these still take whole entries.

--- a/src/core/latest_entries.c
+++ b/src/core/latest_entries.c
@@ -73,6 +73,18 @@
   dy_ledger_entry_copy (&known->entry, entry);
 }
 
+const DyLedgerEntry *
+dy_latest_entries_find (const DyLatestEntries *latest,
+                        const char *account,
+                        uint64_t era,
+                        uint64_t *version)
+{
+  const Latest *known = find_in_era (latest, account, era);
+  if (known)
+    *version = known->version;
+  return known ? &known->entry : NULL;
+}
+
 const DyLedgerEntry *
 dy_latest_entries_find_before (const DyLatestEntries *latest, const char *account, uint64_t era)
 {
--- a/src/core/latest_entries.h
+++ b/src/core/latest_entries.h
@@ -28,6 +28,13 @@
                              uint64_t version,
                              const DyLedgerEntry *entry);
 
+/* Returns the latest entry of ACCOUNT that was written in ERA and sets VERSION, or returns NULL if
+ * none is known. */
+const DyLedgerEntry *dy_latest_entries_find (const DyLatestEntries *latest,
+                                             const char *account,
+                                             uint64_t era,
+                                             uint64_t *version);
+
 /* Returns the latest entry of ACCOUNT that was written before ERA, or NULL if none is known. */
 const DyLedgerEntry *
 dy_latest_entries_find_before (const DyLatestEntries *latest, const char *account, uint64_t era);
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -25,9 +25,6 @@
   uint64_t era;          /* of the key that is read or written */
 } PlatformCall;
 
-/* Key prefix of the entries that routers tell each other: {"version": number, "entry": entry}. */
-#define COPY_PREFIX "entries/"
-
 static int64_t
 now_us (const DyBudgets *budgets)
 {
@@ -120,61 +117,11 @@
   g_free (call);
 }
 
-/* Tells the router NAME, or all if it is NULL, ENTRY of ACCOUNT, which the store has as VERSION. */
-static void
-send_entry (const DyBudgets *budgets,
-            const char *name,
-            const char *account,
-            uint64_t version,
-            const DyLedgerEntry *entry)
-{
-  char *key = g_strconcat (COPY_PREFIX, account, NULL);
-  char *entry_text = dy_ledger_entry_format (entry);
-  char *text
-      = g_strdup_printf ("{\"version\":%" G_GUINT64_FORMAT ",\"entry\":%s}", version, entry_text);
-  dy_peers_send_object (budgets->peers, name, key, text);
-  g_free (text);
-  free (entry_text);
-  g_free (key);
-}
-
-static void
-share_entry (const PlatformCall *call, uint64_t version)
-{
-  DyBudgets *budgets = call->budgets;
-  if (budgets->kernel->settings->store_copy_age_ms == 0)
-    return;
-  dy_reservations_take_entry (&budgets->reservations, call->account, version, &call->written);
-  send_entry (budgets, NULL, call->account, version, &call->written);
-}
-
-typedef struct
-{
-  const DyBudgets *budgets;
-  const char *name;
-} Recipient;
-
-static void
-send_known_entry (void *ctx, const char *account, uint64_t version, const DyLedgerEntry *entry)
-{
-  const Recipient *recipient = ctx;
-  send_entry (recipient->budgets, recipient->name, account, version, entry);
-}
-
-/* Takes the entry of ACCOUNT that another router has written. */
-static void
-take_shared_entry (DyBudgets *budgets, const char *account, const char *text, size_t n)
+/* Copies are needed only where the store may be restored from an older one. */
+static bool
+shares_entries (const DyBudgets *budgets)
 {
-  DyLedgerEntry entry;
-  json_t *root = json_loadb (text, n, 0, NULL);
-  char *entry_text = json_dumps (json_object_get (root, "entry"), JSON_COMPACT);
-  uint64_t version = (uint64_t) json_integer_value (json_object_get (root, "version"));
-  dy_ledger_entry_init (&entry);
-  if (entry_text && dy_ledger_entry_parse (&entry, entry_text, strlen (entry_text)) == DY_OK)
-    dy_reservations_take_entry (&budgets->reservations, account, version, &entry);
-  dy_ledger_entry_finish (&entry);
-  free (entry_text);
-  json_decref (root);
+  return budgets->kernel->settings->store_copy_age_ms != 0;
 }
 
 static void
@@ -188,8 +135,8 @@
       dy_log (DY_EVENT_LEDGER_CONFLICT, "account=%s version=%" G_GUINT64_FORMAT, call->account,
               reply->version);
     }
-  if (!reply->error)
-    share_entry (call, reply->version);
+  if (!reply->error && shares_entries (budgets))
+    dy_shared_entries_share (&budgets->shared, call->account, reply->version, &call->written);
   dy_reservations_on_write (&budgets->reservations, call->pool, call->account, reply->error,
                             reply->version, now_us (budgets));
   g_hash_table_remove (budgets->calls, call);
@@ -260,13 +207,8 @@
 on_message (void *ctx, uint64_t link, const DyMessage *message)
 {
   DyBudgets *budgets = ctx;
-  const char *key = message->u.config.key;
-  if (message->type == DY_MESSAGE_CONFIG && g_str_has_prefix (key, COPY_PREFIX))
-    {
-      take_shared_entry (budgets, key + strlen (COPY_PREFIX), message->u.config.text,
-                         message->u.config.n_text);
-      return;
-    }
+  if (dy_shared_entries_take (&budgets->shared, link, message))
+    return;
   dy_reservations_on_message (&budgets->reservations, link, message, now_us (budgets));
 }
 
@@ -274,8 +216,7 @@
 on_peer_up (void *ctx, const char *name)
 {
   DyBudgets *budgets = ctx;
-  Recipient recipient = { budgets, name };
-  dy_latest_entries_visit (&budgets->reservations.latest, send_known_entry, &recipient);
+  dy_shared_entries_on_up (&budgets->shared, name);
   dy_reservations_on_up (&budgets->reservations, name, now_us (budgets));
 }
 
@@ -332,6 +273,7 @@
   (void) events;
   update_platform_state (budgets);
   dy_reservations_tick (&budgets->reservations, now_us (budgets));
+  dy_shared_entries_tick (&budgets->shared);
 }
 
 static int
@@ -367,6 +309,7 @@
   budgets->paid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   dy_reservations_init (&budgets->reservations, &policy, &budgets->peers->members,
                         (uint32_t) kernel->incarnation_id, &actions, budgets);
+  dy_shared_entries_init (&budgets->shared, kernel, budgets->peers, &budgets->reservations);
   dy_peers_watch (budgets->peers, &peers_watcher, budgets);
   ev_timer_init (&budgets->tick, on_tick, TICK_S, TICK_S);
   ev_set_priority (&budgets->tick, DY_PRIORITY_TIMEOUT);
@@ -396,6 +339,7 @@
   ev_timer_stop (budgets->kernel->loop, &budgets->tick);
   g_hash_table_unref (budgets->calls);
   g_hash_table_unref (budgets->paid);
+  dy_shared_entries_finish (&budgets->shared);
   dy_reservations_finish (&budgets->reservations);
 }
 
--- a/src/services/budgets.h
+++ b/src/services/budgets.h
@@ -22,6 +22,7 @@
 #include "kernel/kernel.h"
 #include "services/peers.h"
 #include "services/platform.h"
+#include "services/shared_entries.h"
 
 #define DY_SERVICE_BUDGETS "budgets"
 
@@ -31,6 +32,7 @@
   DyPlatform *platform;
   DyPeers *peers;
   DyReservations reservations;
+  DySharedEntries shared;
   GHashTable *calls; /* set of the platform calls in progress */
   GHashTable *paid;  /* account to its paid tokens by the route table, an int64_t */
   ev_timer tick;
--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -339,7 +339,9 @@
   g_hash_table_iter_init (&iter, peers->members.by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     json_array_append_new (list, dump_member (peers, value));
-  return json_pack ("{s:o, s:i}", "members", list, "links", (int) g_hash_table_size (peers->links));
+  return json_pack ("{s:o, s:i, s:I}", "members", list, "links",
+                    (int) g_hash_table_size (peers->links), "bytes_sent",
+                    (json_int_t) peers->kernel->counters.values[DY_COUNTER_PEER_BYTES_OUT]);
 }
 
 void
@@ -411,13 +413,30 @@
     dy_peers_send (peers, name, message);
 }
 
+/* Returns whether KEY fits. MESSAGE refers to TEXT. */
+static bool
+fill_object (DyMessage *message, const char *key, const char *text)
+{
+  memset (message, 0, sizeof *message);
+  message->type = DY_MESSAGE_CONFIG;
+  message->u.config.text = text;
+  message->u.config.n_text = text ? (uint32_t) strlen (text) : 0;
+  return g_strlcpy (message->u.config.key, key, DY_KEY_SIZE) < DY_KEY_SIZE;
+}
+
+void
+dy_peers_reply_object (DyPeers *peers, uint64_t link, const char *key, const char *text)
+{
+  DyMessage message;
+  if (fill_object (&message, key, text))
+    dy_peers_reply (peers, link, &message);
+}
+
 void
 dy_peers_send_object (DyPeers *peers, const char *name, const char *key, const char *text)
 {
-  DyMessage message = { .type = DY_MESSAGE_CONFIG };
-  message.u.config.text = text;
-  message.u.config.n_text = text ? (uint32_t) strlen (text) : 0;
-  if (g_strlcpy (message.u.config.key, key, DY_KEY_SIZE) >= DY_KEY_SIZE)
+  DyMessage message;
+  if (!fill_object (&message, key, text))
     return;
   if (name)
     dy_peers_send (peers, name, &message);
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -88,8 +88,8 @@
 void dy_peers_watch (DyPeers *peers, const DyPeersWatcher *watcher, void *ctx);
 
 /* Returns whether this router knows its members: it is connected to all that are listed, or has
- * waited for the peer timeout and one heartbeat interval since it first knew of any. Until then it must accept no request, as
- * a router that it does not know yet may already have a record of it. */
+ * waited for the peer timeout and one heartbeat interval since it first knew of any. Until then it
+ * must accept no request, as a router that it does not know yet may already have a record of it. */
 bool dy_peers_members_known (const DyPeers *peers);
 
 /* Sends MESSAGE to the router NAME. Returns DY_OK, or DY_UNAVAILABLE if there is no connection. */
@@ -102,6 +102,9 @@
  * router NAME, or to all connected routers if NAME is NULL. Does nothing if the key is too long. */
 void dy_peers_send_object (DyPeers *peers, const char *name, const char *key, const char *text);
 
+/* Sends the object KEY with the value TEXT on the connection LINK, if that is open. */
+void dy_peers_reply_object (DyPeers *peers, uint64_t link, const char *key, const char *text);
+
 /* Sends MESSAGE on the connection LINK; drops it if that connection is closed. */
 void dy_peers_reply (DyPeers *peers, uint64_t link, const DyMessage *message);
 
