Count a broken connection as a crash only with evidence that the endpoint failed

Each connection that the cut reset counted as a crash of the endpoint under the request. As no output came from the cut routers, prompt parts that only they served looked like the cause, and were blocked in all routers.

A broken connection is now held until there is evidence (core/crash_evidence). The endpoint crashed if it starts again or is gone, or if the link is known to work: another endpoint answers soon after on an old connection, and no other request failed elsewhere meanwhile, or a new connection to another endpoint can be opened (services/link_probe, a TCP connection without a request). It did not if it answers itself on another connection. Outputs and answers that come meanwhile clear what is held.

To cut single routers off in tests, routers take a local address for connections to endpoints (node.connect_from, for VMs with several addresses), and the relays cut by source address, in three ways: silent, reset, and new connections only.

Tests' streams can now be sent to some of the routers.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -481,6 +481,12 @@
   unref_endpoint (endpoint);
 }
 
+const DyPlacementEndpoint *
+dy_placement_find (const DyPlacement *placement, const char *id)
+{
+  return g_hash_table_lookup (placement->by_id, id);
+}
+
 const char *
 dy_placement_endpoint_id (const DyPlacementEndpoint *endpoint)
 {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -156,6 +156,9 @@
 /* Returns whether ENDPOINT is leaving or was removed, possibly after it was chosen. */
 bool dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint);
 
+/* Returns the endpoint ID, or NULL if there is none. */
+const DyPlacementEndpoint *dy_placement_find (const DyPlacement *placement, const char *id);
+
 const char *dy_placement_endpoint_id (const DyPlacementEndpoint *endpoint);
 const char *dy_placement_endpoint_address (const DyPlacementEndpoint *endpoint);
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -66,6 +66,7 @@
   X (LIMIT_ENDED, 6012, MESSAGE, "endpoint limit ended")                                           \
   X (ENDPOINT_HELD, 6013, MESSAGE, "record of an endpoint that left is held back")                 \
   X (VERSION_SEEN, 6014, MESSAGE, "software version of a service seen")                            \
+  X (LINK_FAILED, 6015, INFO, "broken connection not counted as a crash")                          \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -26,6 +26,7 @@
   char *operator_listen;
   char *peer_listen;
   char *ready_listen;
+  char *connect_from;
   char *platform_kind;
   char *platform_url;
   char *declarations_dir;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -134,6 +134,9 @@
                           .connected = transfer->connected,
                           .etag = transfer->etag,
                           .sent_us = transfer->sent_us };
+  long n_connects = 1;
+  curl_easy_getinfo (transfer->easy, CURLINFO_NUM_CONNECTS, &n_connects);
+  result.reused = n_connects == 0;
   result.status = dy_http_transfer_status (transfer);
   const DyHttpTransferWatcher *watcher = transfer->watcher;
   void *ctx = transfer->ctx;
@@ -335,6 +338,15 @@
   return size * n;
 }
 
+/* Binds FD to the local address SOURCE and any port. Returns whether that worked. */
+static bool
+bind_source (int fd, const char *source)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  return inet_pton (AF_INET, source, &addr.sin_addr) == 1
+         && bind (fd, (const struct sockaddr *) &addr, sizeof addr) == 0;
+}
+
 static curl_socket_t
 open_socket (void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
 {
@@ -343,6 +355,11 @@
   int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   if (fd < 0)
     return CURL_SOCKET_BAD;
+  if (client->source && client->source[0] && !bind_source (fd, client->source))
+    {
+      close (fd);
+      return CURL_SOCKET_BAD;
+    }
   add_socket (client, fd);
   client->n_connections++;
   return fd;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -49,6 +49,7 @@
   struct ev_loop *loop;
   CURLM *multi;
   ev_timer timer;
+  const char *source; /* local IP address of connections; NULL or empty: any */
   uint32_t n_transfers;
   GHashTable *sockets;    /* set of the open connections, by socket descriptor */
   uint64_t n_connections; /* number of sockets opened since init */
@@ -67,6 +68,7 @@
   unsigned status; /* HTTP status code, 0 when no answer began */
   uint64_t etag;   /* ETag of the answer, a decimal number; 0 when absent */
   int64_t sent_us; /* monotonic time at which the request was sent; 0: it was not */
+  bool reused;     /* it was sent on a connection that had been used before */
 } DyHttpResult;
 
 typedef struct
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -117,11 +117,19 @@
   return true;
 }
 
+static void
+notify_end (const DyDirectory *directory, const char *id)
+{
+  if (directory->end_watcher)
+    directory->end_watcher (directory->end_watcher_ctx, id);
+}
+
 static void
 remove_endpoint (DyDirectory *directory, const char *id, const char *reason)
 {
   const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
   dy_log (DY_EVENT_ENDPOINT_REMOVED, "endpoint=%s reason=%s", id, reason);
+  notify_end (directory, id);
   if (state)
     dy_departures_add (&directory->departures, id, state->start_ms, now_us (directory));
   dy_placement_remove (&directory->placement, id);
@@ -182,6 +190,8 @@
       state = g_new0 (EndpointState, 1);
       g_hash_table_insert (directory->endpoints, g_strdup (id), state);
     }
+  else if (state->start_ms != record.start_ms)
+    notify_end (directory, id);
   state->expiring = false;
   state->start_ms = record.start_ms;
   if (record.leaving)
@@ -405,6 +415,13 @@
     watcher (ctx, &directory->routes);
 }
 
+void
+dy_directory_watch_ends (DyDirectory *directory, DyEndpointEndWatcher watcher, void *ctx)
+{
+  directory->end_watcher = watcher;
+  directory->end_watcher_ctx = ctx;
+}
+
 bool
 dy_directory_ready (const DyDirectory *directory)
 {
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -35,6 +35,9 @@
 
 typedef void (*DyRoutesWatcher) (void *ctx, const DyRouteTable *routes);
 
+/* The endpoint ID has started again, or its record was removed. */
+typedef void (*DyEndpointEndWatcher) (void *ctx, const char *id);
+
 typedef struct
 {
   DyKernel *kernel;
@@ -55,6 +58,8 @@
   ev_timer expiry_timer;
   DyRoutesWatcher watcher;
   void *watcher_ctx;
+  DyEndpointEndWatcher end_watcher;
+  void *end_watcher_ctx;
 } DyDirectory;
 
 /* Adds the service "directory", whose interface is a DyDirectory. */
@@ -64,6 +69,10 @@
  * one watcher: a second call replaces it. */
 void dy_directory_watch (DyDirectory *directory, DyRoutesWatcher watcher, void *ctx);
 
+/* Calls WATCHER when the latest known start of an endpoint is over. A directory has one such
+ * watcher. */
+void dy_directory_watch_ends (DyDirectory *directory, DyEndpointEndWatcher watcher, void *ctx);
+
 /* Returns whether requests can be routed, that is whether there are a route table and at least one
  * endpoint. */
 bool dy_directory_ready (const DyDirectory *directory);
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -2,6 +2,7 @@
 
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "services/gateway_crashes.h"
 #include "services/gateway_refusal.h"
 #include "services/gateway_request.h"
 
@@ -168,6 +169,7 @@
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gateway->rng = g_rand_new_with_seed ((uint32_t) kernel->incarnation_id);
   dy_http_client_init (&gateway->client, kernel->loop);
+  gateway->client.source = settings->connect_from;
   dy_quarantine_init (&gateway->quarantine, MAX_CRASHES, QUARANTINE_US);
   dy_resend_budget_init (&gateway->resend_budget, (double) settings->resend_ratio_thousandths / 1e3,
                          (double) settings->resend_slack_thousandths / 1e3,
@@ -175,6 +177,7 @@
   ev_timer_init (&gateway->tick, on_tick, TICK_S, TICK_S);
   gateway->tick.data = gateway;
   ev_timer_start (kernel->loop, &gateway->tick);
+  dy_gateway_crashes_init (gateway);
   dy_directory_watch (gateway->directory, apply_routes, gateway);
   dy_peers_watch (gateway->directory->peers, &peers_watcher, gateway);
   return listen_on (gateway, settings);
@@ -208,6 +211,7 @@
   dy_http_server_finish (&gateway->ready_server);
   g_hash_table_unref (gateway->requests);
   g_hash_table_unref (gateway->max_idle_by_service);
+  dy_gateway_crashes_finish (gateway);
   dy_http_client_finish (&gateway->client);
   dy_quarantine_finish (&gateway->quarantine);
   dy_resend_budget_finish (&gateway->resend_budget);
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -14,6 +14,7 @@
  *   ready, 503 otherwise.
  */
 
+#include "core/crash_evidence.h"
 #include "core/quarantine.h"
 #include "core/resend.h"
 #include "kernel/kernel.h"
@@ -22,6 +23,7 @@
 #include "services/budgets.h"
 #include "services/directory.h"
 #include "services/endpoint_limits.h"
+#include "services/link_probe.h"
 #include "services/origins.h"
 #include "services/part_blocks.h"
 
@@ -41,6 +43,9 @@
   DyHttpClient client;
   DyResendBudget resend_budget;
   DyQuarantine quarantine;
+  DyCrashEvidence crash_evidence;
+  DyLinkProbe crash_probe;
+  ev_timer crash_timer; /* decides on failures; runs while there are any */
   GHashTable *requests; /* set of the requests in progress */
   /* Service name to the seconds for which its endpoints keep an idle connection. */
   GHashTable *max_idle_by_service;
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -3,6 +3,7 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
+#include "services/gateway_crashes.h"
 
 #include <string.h>
 
@@ -64,6 +65,7 @@
   const DyAnswerHead *answer = &attempt->answer;
   attempt->head_received = true;
   attempt->status = status;
+  dy_gateway_record_bytes (gateway, dy_placement_endpoint_id (attempt->endpoint));
   bool other_request = answer->request_id && strcmp (answer->request_id, attempt->request_id) != 0;
   bool success = status >= DY_HTTP_OK && status <= DY_HTTP_LAST_SUCCESS;
   attempt->foreign
@@ -88,6 +90,7 @@
 {
   DyGatewayAttempt *attempt = ctx;
   (void) transfer;
+  dy_gateway_record_bytes (attempt->gateway, dy_placement_endpoint_id (attempt->endpoint));
   attempt->paused = !attempt->watcher->data (attempt->ctx, data, n);
   return !attempt->paused;
 }
@@ -176,6 +179,7 @@
   DyGatewayAttemptResult out = { 0 };
   attempt->transfer = NULL;
   attempt->sent = result->connected;
+  out.is_new_connection = !result->reused;
   if (result->sent_us)
     {
       attempt->send_us = result->sent_us - attempt->placed_us;
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -2,35 +2,202 @@
 
 #include "kernel/log.h"
 
+static const double DECIDE_INTERVAL_S = 0.05;
+
+/* What a crash would tell of the request. */
+typedef struct
+{
+  char *request_id;
+  uint64_t body_hash;
+  bool had_output;
+  GArray *parts; /* of uint64_t: ids of the prompt's parts that may be the cause */
+} Suspicion;
+
+static void
+free_suspicion (void *payload)
+{
+  Suspicion *suspicion = payload;
+  g_array_unref (suspicion->parts);
+  g_free (suspicion->request_id);
+  g_free (suspicion);
+}
+
+static void
+log_crash (const Suspicion *suspicion, const char *endpoint_id, DyEvidence evidence)
+{
+  static const char *const names[] = { [DY_EVIDENCE_LINK_WORKS] = "link_works",
+                                       [DY_EVIDENCE_RESTARTED] = "restarted",
+                                       [DY_EVIDENCE_ALIVE] = "alive",
+                                       [DY_EVIDENCE_NONE] = "none" };
+  const uint64_t *parts = (const uint64_t *) (const void *) suspicion->parts->data;
+  GString *text = g_string_new (suspicion->parts->len ? NULL : "-");
+  for (guint i = 0; i < suspicion->parts->len; i++)
+    g_string_append_printf (text, "%s%" G_GINT64_MODIFIER "x", i ? "," : "", parts[i]);
+  bool counts = evidence == DY_EVIDENCE_LINK_WORKS || evidence == DY_EVIDENCE_RESTARTED;
+  dy_log (counts ? DY_EVENT_ENDPOINT_CRASHED : DY_EVENT_LINK_FAILED,
+          "request=%s endpoint=%s output=%d parts=%s evidence=%s", suspicion->request_id,
+          endpoint_id, suspicion->had_output, text->str, names[evidence]);
+  g_string_free (text, TRUE);
+}
+
+static void
+on_decided (void *ctx, void *payload, const char *endpoint_id, DyEvidence evidence)
+{
+  DyGateway *gateway = ctx;
+  Suspicion *suspicion = payload;
+  log_crash (suspicion, endpoint_id, evidence);
+  if (evidence == DY_EVIDENCE_LINK_WORKS || evidence == DY_EVIDENCE_RESTARTED)
+    {
+      dy_gateway_report_crash (gateway, suspicion->body_hash);
+      if (!suspicion->had_output)
+        dy_part_blocks_report_crash (gateway->part_blocks, endpoint_id,
+                                     (const uint64_t *) (const void *) suspicion->parts->data,
+                                     suspicion->parts->len);
+    }
+  free_suspicion (suspicion);
+}
+
+static const DyCrashEvidenceWatcher evidence_watcher
+    = { .decided = on_decided, .free_payload = free_suspicion };
+
+static void
+on_probed (void *ctx, bool works, int64_t started_us)
+{
+  DyGateway *gateway = ctx;
+  if (works)
+    dy_crash_evidence_link_works (&gateway->crash_evidence, started_us);
+}
+
+typedef struct
+{
+  const DyGateway *gateway;
+  const char *endpoint_id; /* NULL: none found yet */
+  guint32 n_found;
+} ProbeChoice;
+
+/* Chooses each of the endpoints that did not fail with the same probability. */
 static void
-log_crash (const DyGatewayPlan *plan, const char *endpoint_id, bool had_output)
+consider_for_probe (
+    void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
 {
-  GString *parts = g_string_new (plan->n_parts ? NULL : "-");
-  for (uint32_t i = 0; i < plan->n_parts; i++)
-    g_string_append_printf (parts, "%s%" G_GINT64_MODIFIER "x", i ? "," : "", plan->parts[i]);
-  dy_log (DY_EVENT_ENDPOINT_CRASHED, "request=%s endpoint=%s output=%d parts=%s", plan->id,
-          endpoint_id, had_output, parts->str);
-  g_string_free (parts, TRUE);
+  ProbeChoice *choice = ctx;
+  (void) service;
+  (void) in_flight;
+  if (breaker_open || dy_crash_evidence_has_failed (&choice->gateway->crash_evidence, id))
+    return;
+  choice->n_found++;
+  if (g_rand_int_range (choice->gateway->rng, 0, (gint32) choice->n_found) == 0)
+    choice->endpoint_id = id;
+}
+
+/* Opens a connection to an endpoint if that would tell a crash from a fault of the link. */
+static void
+probe_link (DyGateway *gateway, int64_t now_us)
+{
+  ProbeChoice choice = { .gateway = gateway };
+  DyPlacement *placement = &gateway->directory->placement;
+  if (gateway->crash_probe.fd >= 0
+      || !dy_crash_evidence_needs_probe (&gateway->crash_evidence, now_us))
+    return;
+  dy_placement_visit (placement, consider_for_probe, &choice, now_us);
+  const DyPlacementEndpoint *endpoint
+      = choice.endpoint_id ? dy_placement_find (placement, choice.endpoint_id) : NULL;
+  if (endpoint)
+    dy_link_probe_start (&gateway->crash_probe, dy_placement_endpoint_address (endpoint),
+                         gateway->client.source);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyGateway *gateway = w->data;
+  int64_t now_us = dy_kernel_now_us (gateway->kernel);
+  (void) events;
+  dy_crash_evidence_tick (&gateway->crash_evidence, now_us);
+  probe_link (gateway, now_us);
+  if (gateway->crash_evidence.failures->len == 0)
+    ev_timer_stop (loop, &gateway->crash_timer);
+}
+
+static void
+on_endpoint_end (void *ctx, const char *id)
+{
+  DyGateway *gateway = ctx;
+  dy_crash_evidence_restarted (&gateway->crash_evidence, id);
+}
+
+void
+dy_gateway_crashes_init (DyGateway *gateway)
+{
+  dy_crash_evidence_init (&gateway->crash_evidence, &dy_crash_evidence_policy, &evidence_watcher,
+                          gateway);
+  dy_link_probe_init (&gateway->crash_probe, gateway->kernel->loop, on_probed, gateway);
+  ev_timer_init (&gateway->crash_timer, on_timer, DECIDE_INTERVAL_S, DECIDE_INTERVAL_S);
+  gateway->crash_timer.data = gateway;
+  dy_directory_watch_ends (gateway->directory, on_endpoint_end, gateway);
+}
+
+void
+dy_gateway_crashes_finish (DyGateway *gateway)
+{
+  ev_timer_stop (gateway->kernel->loop, &gateway->crash_timer);
+  dy_link_probe_finish (&gateway->crash_probe);
+  dy_crash_evidence_finish (&gateway->crash_evidence);
 }
 
 void
 dy_gateway_record_crash (DyGateway *gateway,
                          const DyGatewayPlan *plan,
-                         const char *endpoint_id,
-                         bool had_output)
+                         const DyGatewayBreak *broken)
 {
-  log_crash (plan, endpoint_id, had_output);
-  dy_gateway_report_crash (gateway, plan->body_hash);
-  if (!had_output)
-    dy_part_blocks_report_crash (gateway->part_blocks, endpoint_id, plan->parts, plan->n_parts);
+  Suspicion *suspicion = g_new0 (Suspicion, 1);
+  suspicion->request_id = g_strdup (plan->id);
+  suspicion->body_hash = plan->body_hash;
+  suspicion->had_output = broken->had_output;
+  suspicion->parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  g_array_append_vals (suspicion->parts, plan->parts, plan->n_parts);
+  dy_crash_evidence_fail (&gateway->crash_evidence, broken->endpoint_id, plan->id,
+                          broken->is_new_connection, suspicion, dy_kernel_now_us (gateway->kernel));
+  ev_timer_start (gateway->kernel->loop, &gateway->crash_timer);
+}
+
+/* Removes the parts of the plan CTX from those that may have caused a crash. */
+static void
+clear_parts (void *ctx, void *payload)
+{
+  const DyGatewayPlan *plan = ctx;
+  GArray *parts = ((Suspicion *) payload)->parts;
+  for (guint i = parts->len; i > 0; i--)
+    for (uint32_t k = 0; k < plan->n_parts; k++)
+      if (g_array_index (parts, uint64_t, i - 1) == plan->parts[k])
+        {
+          g_array_remove_index (parts, i - 1);
+          break;
+        }
 }
 
 void
 dy_gateway_record_output (DyGateway *gateway, const DyGatewayPlan *plan)
 {
+  dy_crash_evidence_visit (&gateway->crash_evidence, clear_parts, (void *) plan);
   dy_part_blocks_report_output (gateway->part_blocks, plan->parts, plan->n_parts);
 }
 
+void
+dy_gateway_record_success (DyGateway *gateway, const DyGatewayPlan *plan)
+{
+  dy_crash_evidence_forget (&gateway->crash_evidence, plan->id);
+  dy_gateway_report_success (gateway, plan->body_hash);
+}
+
+void
+dy_gateway_record_bytes (DyGateway *gateway, const char *endpoint_id)
+{
+  if (gateway->crash_evidence.failures->len > 0)
+    dy_crash_evidence_bytes (&gateway->crash_evidence, endpoint_id,
+                             dy_kernel_now_us (gateway->kernel));
+}
+
 bool
 dy_gateway_is_blocked (DyGateway *gateway, const DyGatewayPlan *plan, bool may_try)
 {
--- a/src/services/gateway_crashes.h
+++ b/src/services/gateway_crashes.h
@@ -7,21 +7,37 @@
  *
  * DESCRIPTION
  *   A request is similar to another one if it is the same request again (core/quarantine), or if
- *   their prompts share a part (services/part_blocks).
+ *   their prompts share a part (services/part_blocks). A connection that broke counts as a crash of
+ *   the endpoint once there is evidence of that (core/crash_evidence).
  */
 
 #include "services/gateway_plan.h"
 
-/* Records that the connection to ENDPOINT_ID broke before the answer to the request of PLAN was
- * complete. HAD_OUTPUT is whether part of the answer had arrived. */
+void dy_gateway_crashes_init (DyGateway *gateway);
+void dy_gateway_crashes_finish (DyGateway *gateway);
+
+typedef struct
+{
+  const char *endpoint_id;
+  bool had_output;        /* part of the answer had arrived */
+  bool is_new_connection; /* opened for the request */
+} DyGatewayBreak;
+
+/* Records that the connection to an endpoint broke before the answer to the request of PLAN was
+ * complete. */
 void dy_gateway_record_crash (DyGateway *gateway,
                               const DyGatewayPlan *plan,
-                              const char *endpoint_id,
-                              bool had_output);
+                              const DyGatewayBreak *broken);
 
 /* Records that the first part of the answer arrived. */
 void dy_gateway_record_output (DyGateway *gateway, const DyGatewayPlan *plan);
 
+/* Records that the request of PLAN had a complete answer. */
+void dy_gateway_record_success (DyGateway *gateway, const DyGatewayPlan *plan);
+
+/* Records that bytes of an answer came from ENDPOINT_ID. */
+void dy_gateway_record_bytes (DyGateway *gateway, const char *endpoint_id);
+
 /* Returns whether the request of PLAN must not be sent. If MAY_TRY, one with a blocked part may be
  * let through as a trial. */
 bool dy_gateway_is_blocked (DyGateway *gateway, const DyGatewayPlan *plan, bool may_try);
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -348,10 +348,12 @@
 }
 
 static void
-record_crash (const Request *request)
+record_crash (const Request *request, bool is_new_connection)
 {
-  dy_gateway_record_crash (request->gateway, &request->plan, latest_endpoint_id (request),
-                           request->attempt.prompt_read);
+  DyGatewayBreak broken = { .endpoint_id = latest_endpoint_id (request),
+                            .had_output = request->attempt.prompt_read,
+                            .is_new_connection = is_new_connection };
+  dy_gateway_record_crash (request->gateway, &request->plan, &broken);
 }
 
 static void
@@ -364,7 +366,7 @@
   if (result->complete && expects_events (request)
       && !dy_event_stream_at_boundary (&request->events))
     {
-      record_crash (request);
+      record_crash (request, result->is_new_connection);
       retry_or_fail (request, DY_ATTEMPT_BROKEN, false);
       return;
     }
@@ -377,7 +379,7 @@
   if (!result->complete)
     {
       if (result->crashed)
-        record_crash (request);
+        record_crash (request, result->is_new_connection);
       retry_or_fail (request, result->outcome, false);
       return;
     }
@@ -390,7 +392,7 @@
   request->may_have_run = true;
   request->n_started++;
   if (request->attempt.is_success)
-    dy_gateway_report_success (gateway, request->plan.body_hash);
+    dy_gateway_record_success (gateway, &request->plan);
   if (request->attempt.is_success && !expects_events (request))
     dy_gateway_record_output (request->gateway, &request->plan);
   finish_answer (request);
--- a/test/support/relay.c
+++ b/test/support/relay.c
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,6 +28,7 @@
 typedef struct Flow
 {
   Relay *relay;
+  uint32_t source;         /* IP address */
   Direction directions[2]; /* to the target, and from it */
   bool lost_bytes;         /* bytes were dropped in either direction */
 } Flow;
@@ -55,11 +57,19 @@
     g_ptr_array_remove_fast (flow->relay->flows, flow);
 }
 
+static RelayCut
+cut_of (const Relay *relay, uint32_t source)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (relay->cuts, GUINT_TO_POINTER (source)));
+}
+
 static bool
 is_dropped (const Direction *dir)
 {
-  RelayFault fault = dir->flow->relay->fault;
-  return fault == RELAY_DROP || (fault == RELAY_DROP_REPLIES && dir == &dir->flow->directions[1]);
+  const Flow *flow = dir->flow;
+  RelayFault fault = flow->relay->fault;
+  return cut_of (flow->relay, flow->source) == RELAY_CUT_SILENT || fault == RELAY_DROP
+         || (fault == RELAY_DROP_REPLIES && dir == &dir->flow->directions[1]);
 }
 
 static void
@@ -97,13 +107,29 @@
     forward (dir, block, (size_t) n);
 }
 
+static void
+reset_at_close (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 static void
 on_accept (struct ev_loop *loop, ev_io *w, int events)
 {
   Relay *relay = w->data;
   struct sockaddr_in addr;
+  struct sockaddr_in source = { .sin_family = AF_INET };
+  socklen_t n_source = sizeof source;
   (void) events;
-  int fd = accept (relay->fd, NULL, NULL);
+  int fd = accept (relay->fd, (struct sockaddr *) &source, &n_source);
+  RelayCut cut = cut_of (relay, source.sin_addr.s_addr);
+  if (fd >= 0 && (cut == RELAY_CUT_RESET || cut == RELAY_CUT_NEW))
+    {
+      reset_at_close (fd);
+      close (fd);
+      return;
+    }
   int to = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd < 0 || dy_address_parse (relay->target, &addr)
       || connect (to, (struct sockaddr *) &addr, sizeof addr))
@@ -114,6 +140,7 @@
     }
   Flow *flow = g_new0 (Flow, 1);
   flow->relay = relay;
+  flow->source = source.sin_addr.s_addr;
   for (int i = 0; i < 2; i++)
     {
       Direction *dir = &flow->directions[i];
@@ -138,6 +165,7 @@
   memset (relay, 0, sizeof *relay);
   relay->loop = loop;
   relay->target = g_strdup (target);
+  relay->cuts = g_hash_table_new (NULL, NULL);
   relay->flows = g_ptr_array_new_with_free_func (free_flow);
   relay->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt (relay->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -159,6 +187,7 @@
   ev_io_stop (relay->loop, &relay->io);
   close (relay->fd);
   g_ptr_array_unref (relay->flows);
+  g_hash_table_unref (relay->cuts);
   g_free (relay->target);
   memset (relay, 0, sizeof *relay);
 }
@@ -172,15 +201,34 @@
       g_ptr_array_remove_index_fast (relay->flows, i - 1);
 }
 
+static void
+reset_flow (const Flow *flow)
+{
+  for (int k = 0; k < 2; k++)
+    reset_at_close (flow->directions[k].from);
+}
+
+void
+relay_set_cut (Relay *relay, const char *source, RelayCut cut)
+{
+  struct in_addr addr;
+  inet_pton (AF_INET, source, &addr);
+  g_hash_table_insert (relay->cuts, GUINT_TO_POINTER (addr.s_addr), GINT_TO_POINTER (cut));
+  for (guint i = relay->flows->len; i > 0; i--)
+    {
+      const Flow *flow = g_ptr_array_index (relay->flows, i - 1);
+      if (flow->source != addr.s_addr
+          || !(cut == RELAY_CUT_RESET || (cut == RELAY_CUT_NONE && flow->lost_bytes)))
+        continue;
+      reset_flow (flow);
+      g_ptr_array_remove_index_fast (relay->flows, i - 1);
+    }
+}
+
 void
 relay_reset (Relay *relay)
 {
-  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
   for (guint i = 0; i < relay->flows->len; i++)
-    {
-      const Flow *flow = g_ptr_array_index (relay->flows, i);
-      for (int k = 0; k < 2; k++)
-        setsockopt (flow->directions[k].from, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-    }
+    reset_flow (g_ptr_array_index (relay->flows, i));
   g_ptr_array_set_size (relay->flows, 0);
 }
--- a/test/support/relay.h
+++ b/test/support/relay.h
@@ -25,11 +25,21 @@
   RELAY_N_FAULTS,
 } RelayFault;
 
+/* A cut between one source and the target. */
+typedef enum
+{
+  RELAY_CUT_NONE,
+  RELAY_CUT_SILENT, /* bytes are dropped, connections stay open */
+  RELAY_CUT_RESET,  /* connections are reset, new ones as soon as they are accepted */
+  RELAY_CUT_NEW,    /* new connections are reset, open ones live on */
+} RelayCut;
+
 typedef struct
 {
   struct ev_loop *loop;
   int fd;
-  char *target; /* "address:port" */
+  char *target;     /* "address:port" */
+  GHashTable *cuts; /* IPv4 address of a source, in network byte order, to its RelayCut */
   RelayFault fault;
   ev_io io;
   GPtrArray *flows; /* connections to the relay, each with its connection to the target */
@@ -43,6 +53,10 @@
  * as the rest of their streams would be corrupt. */
 void relay_set_fault (Relay *relay, RelayFault fault);
 
+/* Sets the cut of the connections from the IP address SOURCE. RELAY_CUT_NONE ends it and closes the
+ * connections that lost bytes. */
+void relay_set_cut (Relay *relay, const char *source, RelayCut cut);
+
 /* Closes all connections with a TCP reset. */
 void relay_reset (Relay *relay);
 
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -11,6 +11,7 @@
   CALL_TIMEOUT_MS = 10000,
   DISCONNECT_AFTER_MS = 150,
   VM_LIST_INTERVAL_MS = 100,
+  SOURCE_SIZE = 16, /* bytes, of an IP address as text */
 };
 
 static const char *
@@ -168,20 +169,39 @@
   return NULL;
 }
 
+/* Formats the address from which router I connects to the workers. */
+static void
+format_source (uint32_t i, char *source)
+{
+  g_snprintf (source, SOURCE_SIZE, "127.0.1.%u", i + 1);
+}
+
+void
+site_cut_router (Site *site, uint32_t i, RelayCut cut)
+{
+  char source[SOURCE_SIZE];
+  format_source (i, source);
+  for (uint32_t k = 0; k < site->n_workers; k++)
+    relay_set_cut (&site->worker_relay[k], source, cut);
+}
+
 static bool
 write_settings (Site *site, uint32_t i)
 {
+  char source[SOURCE_SIZE];
   char *path = g_strdup_printf ("%s/r%u.ini", site->dir, i);
+  format_source (i, source);
   char *text = g_strdup_printf (
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
-      "operator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = 200\n"
+      "connect_from = %s\noperator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = "
+      "200\n"
       "[platform]\nkind = objects\nurl = %s\nplatform_timeout_ms = 300\n"
       "watch_timeout_ms = 8000\nvm_list_interval_ms = %d\nplatform_calls_per_s = 200\n"
       "[peers]\nsecret = test\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
       "store_copy_age_ms = 4000\n"
       "[log]\nlevel = info\n",
-      i, site->callers[i], site->ready[i], site->operators[i], site->peers[i],
+      i, site->callers[i], site->ready[i], source, site->operators[i], site->peers[i],
       site->relayed ? site->store_relays[i] : site->store, site->vm_list_interval_ms);
   bool ok = g_file_set_contents (path, text, -1, NULL);
   g_free (text);
@@ -258,7 +278,7 @@
 {
   struct ev_loop *loop = site->fleet.loop;
   bool ok = true;
-  for (uint32_t i = 0; ok && i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; ok && i < site->n_workers; i++)
     {
       site->worker_relays[i] = fleet_free_address ();
       ok = relay_init (&site->worker_relay[i], loop, site->worker_relays[i], site->workers[i]);
@@ -274,7 +294,7 @@
 static void
 finish_relays (Site *site)
 {
-  for (uint32_t i = 0; i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; i < site->n_workers; i++)
     {
       relay_finish (&site->worker_relay[i]);
       g_free (site->worker_relays[i]);
@@ -296,7 +316,7 @@
   char *store_argv[] = { store, site->store, NULL };
   bool ok = fleet_spawn (&site->fleet, &site->store_process, "store", store_argv)
             && fleet_wait_line (&site->store_process, "ready");
-  for (uint32_t i = 0; ok && i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; ok && i < site->n_workers; i++)
     ok = site_start_worker (site, i);
   g_free (store);
   return ok;
@@ -306,13 +326,13 @@
 populate_store (Site *site, int64_t prepaid)
 {
   bool ok = site_put_routes (site, 1, NULL, prepaid);
-  for (uint32_t i = 0; ok && i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; ok && i < site->n_workers; i++)
     ok = site_put_worker (site, i, "ready", NULL);
   return ok;
 }
 
 static bool
-init (Site *site, uint32_t n_routers, bool relayed, int64_t prepaid)
+init (Site *site, uint32_t n_routers, uint32_t n_workers, bool relayed, int64_t prepaid)
 {
   memset (site, 0, sizeof *site);
   site->relayed = relayed;
@@ -321,8 +341,9 @@
   site->fleet.loop = ev_default_loop (EVFLAG_AUTO);
   site->dir = g_dir_make_tmp ("site-XXXXXX", NULL);
   site->n_routers = n_routers;
+  site->n_workers = n_workers;
   site->store = fleet_free_address ();
-  for (uint32_t i = 0; i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; i < site->n_workers; i++)
     site->workers[i] = fleet_free_address ();
   if (relayed)
     site->run_log = g_build_filename (site->dir, "runs", NULL);
@@ -347,13 +368,19 @@
 bool
 site_init (Site *site, uint32_t n_routers)
 {
-  return init (site, n_routers, false, 1000000);
+  return init (site, n_routers, SITE_N_WORKERS, false, 1000000);
 }
 
 bool
 site_init_relayed (Site *site, uint32_t n_routers, int64_t prepaid)
 {
-  return init (site, n_routers, true, prepaid);
+  return init (site, n_routers, SITE_N_WORKERS, true, prepaid);
+}
+
+bool
+site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
+{
+  return init (site, n_routers, n_workers, true, prepaid);
 }
 
 void
@@ -370,7 +397,7 @@
       g_free (site->operators[i]);
       g_free (site->peers[i]);
     }
-  for (uint32_t i = 0; i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; i < site->n_workers; i++)
     {
       fleet_kill (&site->worker_process[i]);
       g_free (site->workers[i]);
@@ -426,7 +453,7 @@
 site_count_runs (Site *site, const char *id)
 {
   int64_t runs = 0;
-  for (uint32_t i = 0; i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; i < site->n_workers; i++)
     {
       json_t *stats = fleet_call (&site->fleet, "GET", site->workers[i], "/admin/stats", NULL);
       runs += json_integer_value (json_object_get (json_object_get (stats, "runs"), id));
@@ -439,7 +466,7 @@
 site_worker_stat (Site *site, const char *name)
 {
   int64_t sum = 0;
-  for (uint32_t i = 0; i < SITE_N_WORKERS; i++)
+  for (uint32_t i = 0; i < site->n_workers; i++)
     {
       json_t *stats = fleet_call (&site->fleet, "GET", site->workers[i], "/admin/stats", NULL);
       sum += json_integer_value (json_object_get (stats, name));
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -23,7 +23,8 @@
 enum
 {
   SITE_MAX_ROUTERS = 9,
-  SITE_N_WORKERS = 4, /* the first two serve "app", the others "llm" */
+  SITE_N_WORKERS = 4, /* unless said otherwise; the first two serve "app", the others "llm" */
+  SITE_MAX_WORKERS = 10,
 };
 
 typedef struct
@@ -35,17 +36,18 @@
   char *ready[SITE_MAX_ROUTERS];     /* where routers report readiness */
   char *operators[SITE_MAX_ROUTERS]; /* where routers accept operators */
   char *peers[SITE_MAX_ROUTERS];     /* where routers accept other routers */
-  char *workers[SITE_N_WORKERS];
+  char *workers[SITE_MAX_WORKERS];
   int vm_list_interval_ms;
   bool relayed; /* routers connect to store and workers through relays */
   char *store_relays[SITE_MAX_ROUTERS];
-  char *worker_relays[SITE_N_WORKERS];
+  char *worker_relays[SITE_MAX_WORKERS];
   Relay store_relay[SITE_MAX_ROUTERS];
-  Relay worker_relay[SITE_N_WORKERS];
+  Relay worker_relay[SITE_MAX_WORKERS];
   char *run_log; /* path of the file with the request id of each run; NULL without relays */
   FleetProcess store_process;
   FleetProcess router_process[SITE_MAX_ROUTERS];
-  FleetProcess worker_process[SITE_N_WORKERS];
+  FleetProcess worker_process[SITE_MAX_WORKERS];
+  uint32_t n_workers;
   uint32_t n_routers;
   uint64_t last_id;     /* number in the id of the last request sent */
   int64_t populated_ms; /* monotonic time after which only routers have written to the store */
@@ -77,6 +79,9 @@
 /* As site_init(), with relays in front of the store and each worker, a run log, and PREPAID tokens
  * for the account. */
 bool site_init_relayed (Site *site, uint32_t n_routers, int64_t prepaid);
+
+/* The same with N_WORKERS workers. */
+bool site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
 void site_finish (Site *site);
 
 /* Starts router I or worker I; one that runs already is killed first. */
@@ -110,6 +115,9 @@
 /* Sends FAULTS (JSON text) to the store's /admin/set; fake_store.c lists the fields. */
 void site_set_store (Site *site, const char *faults);
 
+/* Sets the cut between router I and all workers of a site with relays. */
+void site_cut_router (Site *site, uint32_t i, RelayCut cut);
+
 /* Runs the event loop for MS milliseconds. */
 void site_run_for (Site *site, int64_t ms);
 
--- a/test/support/traffic.c
+++ b/test/support/traffic.c
@@ -37,8 +37,10 @@
   char *id = g_strdup_printf ("X-Request-Id: request-%" G_GUINT64_FORMAT, number);
   char *parts = g_strdup_printf ("X-Prompt-Prefix: %sf%07" G_GINT64_MODIFIER "x:2",
                                  sender->stream->parts, number);
-  char *url = g_strconcat ("http://", site->callers[sender->result->n_sent % site->n_routers],
-                           sender->stream->target, NULL);
+  const TrafficStream *stream = sender->stream;
+  uint32_t n_routers = stream->n_routers ? stream->n_routers : site->n_routers;
+  uint32_t router = stream->first_router + sender->result->n_sent % n_routers;
+  char *url = g_strconcat ("http://", site->callers[router], stream->target, NULL);
   const char *const headers[] = { "Host: h.example",
                                   "Authorization: Bearer k1",
                                   "X-Token-Counts: 10,5",
--- a/test/support/traffic.h
+++ b/test/support/traffic.h
@@ -17,6 +17,8 @@
   const char *target;
   const char *parts; /* "ID:TOKENS," for each part of the prompt but the last */
   int64_t interval_ms;
+  uint32_t first_router;
+  uint32_t n_routers; /* from first_router on, to which the stream is sent; 0: all */
 } TrafficStream;
 
 typedef struct
--- a/test/test_crash_parts.c
+++ b/test/test_crash_parts.c
@@ -16,9 +16,10 @@
 };
 
 /* Most sound requests share the first part with those that crash endpoints. */
-static const TrafficStream streams[] = { { "/s/x/later", "a1:4,", SOUND_INTERVAL_MS },
-                                         { "/s/x/later", "a2:4,c3:4,", 5 * SOUND_INTERVAL_MS },
-                                         { "/s/x/later", "a1:4,bad0:4,", CRASHING_INTERVAL_MS } };
+static const TrafficStream streams[]
+    = { { "/s/x/later", "a1:4,", SOUND_INTERVAL_MS, 0, 0 },
+        { "/s/x/later", "a2:4,c3:4,", 5 * SOUND_INTERVAL_MS, 0, 0 },
+        { "/s/x/later", "a1:4,bad0:4,", CRASHING_INTERVAL_MS, 0, 0 } };
 static const uint32_t N_SOUND = G_N_ELEMENTS (streams) - 1;
 
 static const struct
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -5,6 +5,7 @@
 #include "kernel/error.h"
 #include "net/address.h"
 #include "platform/dialect.h"
+#include "services/gateway_crashes.h"
 #include "services/gateway_request.h"
 #include "support/canned.h"
 #include "support/endless.h"
@@ -144,6 +145,7 @@
   gateway->rng = g_rand_new_with_seed (1);
   dy_http_client_init (&gateway->client, fixture->kernel.loop);
   dy_quarantine_init (&gateway->quarantine, 3, 1000 * 1000);
+  dy_gateway_crashes_init (gateway);
   dy_resend_budget_init (&gateway->resend_budget, 0.2, 100.0, 10 * 1000 * 1000);
   ck_assert_int_eq (dy_http_server_init (&gateway->server, fixture->kernel.loop, fixture->address,
                                          MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_BODY_BYTES,
@@ -179,6 +181,7 @@
   dy_http_server_finish (&gateway->server);
   g_hash_table_unref (gateway->requests);
   g_hash_table_unref (gateway->max_idle_by_service);
+  dy_gateway_crashes_finish (gateway);
   dy_http_client_finish (&gateway->client);
   dy_quarantine_finish (&gateway->quarantine);
   dy_crash_cause_finish (&fixture->part_blocks.cause);
--- a/test/test_named_limits.c
+++ b/test/test_named_limits.c
@@ -21,10 +21,10 @@
 static const char NO_LIMIT[] = "{\"limit\":null}";
 static const double MIN_SERVED = 0.95; /* by the other endpoint */
 
-static const TrafficStream streams[] = { { "/s/x/stream", "a1:4,", INTERVAL_MS },
-                                         { "/s/x/stream", "a2:4,", INTERVAL_MS },
-                                         { "/s/x/stream", "a3:4,", INTERVAL_MS },
-                                         { "/s/x/stream", "a4:4,", INTERVAL_MS } };
+static const TrafficStream streams[] = { { "/s/x/stream", "a1:4,", INTERVAL_MS, 0, 0 },
+                                         { "/s/x/stream", "a2:4,", INTERVAL_MS, 0, 0 },
+                                         { "/s/x/stream", "a3:4,", INTERVAL_MS, 0, 0 },
+                                         { "/s/x/stream", "a4:4,", INTERVAL_MS, 0, 0 } };
 
 static const uint32_t router_counts[] = { 2, 9 };
 
--- a/test/test_restored_store.c
+++ b/test/test_restored_store.c
@@ -18,7 +18,7 @@
 
 static const double MIN_SERVED = 0.9;
 
-static const TrafficStream base_stream = { "/ok/x/ok", "", INTERVAL_MS };
+static const TrafficStream base_stream = { "/ok/x/ok", "", INTERVAL_MS, 0, 0 };
 
 static int64_t
 now_ms (void)
@@ -48,7 +48,7 @@
       = "{\"name\":\"new\",\"host\":\"h.example\",\"pathPrefix\":\"/new/\",\"routeType\":"
         "\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,\"service\":"
         "\"app\",\"maxAttempts\":2}";
-  static const TrafficStream new_stream = { "/new/x/ok", "", INTERVAL_MS };
+  static const TrafficStream new_stream = { "/new/x/ok", "", INTERVAL_MS, 0, 0 };
   TrafficResult result;
   Site site;
   ck_assert (site_init (&site, route_cases[_i].n_routers));
@@ -165,7 +165,7 @@
     SPEND_MS = 1500,
     AFTER_MS = 3000,
   };
-  static const TrafficStream stream = { "/s/x/stream", "a1:4,", 5 };
+  static const TrafficStream stream = { "/s/x/stream", "a1:4,", 5, 0, 0 };
   TrafficResult result;
   int64_t served = 0;
   Site site;
--- a/test/test_start_without_store.c
+++ b/test/test_start_without_store.c
@@ -68,7 +68,7 @@
 
 START_TEST (budgets_are_served_once_the_store_is_back)
 {
-  static const TrafficStream stream = { "/s/x/stream", "a1:4,", INTERVAL_MS };
+  static const TrafficStream stream = { "/s/x/stream", "a1:4,", INTERVAL_MS, 0, 0 };
   TrafficResult result;
   Site site;
   ck_assert (site_init (&site, router_counts[_i]));
@@ -117,7 +117,7 @@
  * restart must leave their links to requests. */
 START_TEST (a_restart_of_all_routers_costs_a_tenth_of_a_small_link)
 {
-  static const TrafficStream stream = { "/s/x/stream", "a1:4,", INTERVAL_MS };
+  static const TrafficStream stream = { "/s/x/stream", "a1:4,", INTERVAL_MS, 0, 0 };
   TrafficResult result;
   Site site;
   ck_assert (site_init (&site, LARGEST_FLEET));
--- a/test/test_unanswered_watch.c
+++ b/test/test_unanswered_watch.c
@@ -20,8 +20,8 @@
       "\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,\"service\":"
       "\"app\",\"maxAttempts\":2}";
 
-static const TrafficStream base_stream = { "/ok/x/ok", "", INTERVAL_MS };
-static const TrafficStream new_stream = { "/new/x/ok", "", INTERVAL_MS };
+static const TrafficStream base_stream = { "/ok/x/ok", "", INTERVAL_MS, 0, 0 };
+static const TrafficStream new_stream = { "/new/x/ok", "", INTERVAL_MS, 0, 0 };
 
 typedef enum
 {
