Relay requests of a router that does not reach the endpoints

Such a router went on choosing endpoints that it could not reach, and nothing passed a request on.

A router now judges by its own new connections, and by probes once one failed, whether it reaches the endpoints (core/reach, services/reachability). It is out if connections to three endpoints failed and none worked. A request that cannot leave has its attempt made by the router with the fewest open relays among those that reach the endpoints, or is refused at once if there is none (services/relays, relay_server). Only the attempt is relayed: budget, attempts, resumes, deadline and settlement stay where the caller is. It goes one hop, as a router that is out itself answers that nothing was sent. A lost connection between the two leaves the outcome unknown, so what is not idempotent is not sent again; the other router cancels when it is told to, when the connection closes, and at the caller's time limit. Routers of earlier builds do not answer the question and are never asked to relay.

The stand-in's memory of a refused write is freed.

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -54,8 +54,21 @@
   DY_MESSAGE_KEY_STATE,  /* reply to DY_MESSAGE_KEY_QUERY */
   /* An endpoint failed while it ran a request, or a request had a complete answer. */
   DY_MESSAGE_CRASH,
+  DY_MESSAGE_RELAY, /* part of a relayed request or answer, see services/relays.h */
 } DyMessageType;
 
+/* Parts of a relay: to the router that makes the attempt, and from it. */
+typedef enum
+{
+  DY_RELAY_OPEN = 1,
+  DY_RELAY_BODY,
+  DY_RELAY_CANCEL,
+  DY_RELAY_PLACED,
+  DY_RELAY_HEAD,
+  DY_RELAY_DATA,
+  DY_RELAY_END,
+} DyRelayPart;
+
 /* State of the requests with one idempotency key. */
 typedef enum
 {
@@ -194,6 +207,14 @@
       uint64_t body_hash;
       bool cleared; /* a request with this body had a complete answer; false: an endpoint failed */
     } crash;
+    /* DY_MESSAGE_RELAY */
+    struct
+    {
+      uint64_t number; /* of the relay, unique among those of the router that asked for it */
+      DyRelayPart part;
+      const char *data; /* in memory of the sender or in the received frame */
+      uint32_t n_data;  /* bytes of data */
+    } relay;
   } u;
 } DyMessage;
 
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -13,7 +13,9 @@
 #include "services/operators.h"
 #include "services/peers.h"
 #include "services/platform.h"
+#include "services/reachability.h"
 #include "services/registration.h"
+#include "services/relays.h"
 #include "services/restores.h"
 
 #include <argp.h>
@@ -48,7 +50,9 @@
   DyPartBlocks part_blocks;
   DyRestores restores;
   DyOrigins origins;
+  DyReachability reachability;
   DyGateway gateway;
+  DyRelays relays;
   DyOperators operators;
   bool ready_logged;
   int64_t drain_until_us; /* monotonic time at which a drain ends at the latest */
@@ -277,7 +281,9 @@
   dy_endpoint_limits_add_service (kernel, &daemon->limits);
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
   dy_origins_add_service (kernel, &daemon->origins);
+  dy_reachability_add_service (kernel, &daemon->reachability);
   dy_gateway_add_service (kernel, &daemon->gateway);
+  dy_relays_add_service (kernel, &daemon->relays);
   daemon->operators.ready = directory_ready;
   daemon->operators.ready_ctx = &daemon->directory;
 }
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -63,6 +63,11 @@
      "calls that checked whether a watch had missed changes")                                      \
   X (WATCHES_REPLACED, counter, "dogwoodyoke_watches_replaced_total",                              \
      "watches given up as a check had shown changes that they lacked")                             \
+  X (OUT_OF_REACH, gauge, "dogwoodyoke_out_of_reach",                                              \
+     "1: this router does not reach the endpoints")                                                \
+  X (RELAYS, counter, "dogwoodyoke_relays_total",                                                  \
+     "attempts that other routers were asked to make")                                             \
+  X (RELAYS_SERVED, counter, "dogwoodyoke_relays_served_total", "attempts made for other routers") \
   X (CONFIG_VERSION, gauge, "dogwoodyoke_config_version", "highest platform version in force")     \
   X (DECLARATIONS_REJECTED, counter, "dogwoodyoke_declarations_rejected_total",                    \
      "declarations rejected as invalid")
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -67,6 +67,8 @@
   X (ENDPOINT_HELD, 6013, MESSAGE, "record of an endpoint that left is held back")                 \
   X (VERSION_SEEN, 6014, MESSAGE, "software version of a service seen")                            \
   X (LINK_FAILED, 6015, INFO, "broken connection not counted as a crash")                          \
+  X (OUT_OF_REACH, 6016, WARNING, "endpoints out of reach")                                        \
+  X (REACHES_AGAIN, 6017, MESSAGE, "endpoints reached again")                                      \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
@@ -76,7 +78,9 @@
   X (REQUEST_BLOCKED, 7007, INFO, "request has a blocked part")                                    \
   X (REQUEST_TRIED, 7008, WARNING, "request with a blocked part let through")                      \
   X (LIMIT_APPLIED, 7009, INFO, "endpoint passed over for its limit")                              \
-  X (ORIGIN_FOUND, 7010, INFO, "origin of a resumed stream looked up")
+  X (ORIGIN_FOUND, 7010, INFO, "origin of a resumed stream looked up")                             \
+  X (REQUEST_RELAYED, 7011, INFO, "request relayed")                                               \
+  X (RELAY_PLACED, 7012, INFO, "relayed request sent to endpoint")
 
 typedef enum
 {
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -5,6 +5,7 @@
 #include "services/gateway_crashes.h"
 #include "services/gateway_refusal.h"
 #include "services/gateway_request.h"
+#include "services/relays.h"
 
 #include <string.h>
 
@@ -164,6 +165,8 @@
   gateway->budgets = dy_kernel_find (kernel, DY_SERVICE_BUDGETS);
   gateway->limits = dy_kernel_find (kernel, DY_SERVICE_ENDPOINT_LIMITS);
   gateway->origins = dy_kernel_find (kernel, DY_SERVICE_ORIGINS);
+  gateway->reachability = dy_kernel_find (kernel, DY_SERVICE_REACHABILITY);
+  gateway->relays = dy_kernel_find (kernel, DY_SERVICE_RELAYS);
   gateway->part_blocks = dy_kernel_find (kernel, DY_SERVICE_PART_BLOCKS);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -26,6 +26,7 @@
 #include "services/link_probe.h"
 #include "services/origins.h"
 #include "services/part_blocks.h"
+#include "services/reachability.h"
 
 #define DY_SERVICE_GATEWAY "gateway"
 
@@ -38,6 +39,8 @@
   DyPartBlocks *part_blocks;
   DyEndpointLimits *limits;
   DyOrigins *origins;
+  DyReachability *reachability;
+  struct DyRelays *relays;
   DyHttpServer server;
   DyHttpServer ready_server;
   DyHttpClient client;
@@ -61,8 +64,8 @@
  * other routers. */
 void dy_gateway_report_crash (DyGateway *gateway, uint64_t body_hash);
 
-/* Clears the failures recorded for BODY_HASH, as such a request got a complete answer, and
- * broadcasts it to the other routers if there were any. */
+/* Clears the failures recorded for BODY_HASH, as such a request got a complete answer or the link
+ * to the endpoint had failed, and broadcasts it to the other routers if there were any. */
 void dy_gateway_report_success (DyGateway *gateway, uint64_t body_hash);
 
 /* Returns whether the drain has lasted so long that a new request might not end before the router
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -4,6 +4,7 @@
 #include "kernel/log.h"
 #include "net/http_status.h"
 #include "services/gateway_crashes.h"
+#include "services/relays.h"
 
 #include <string.h>
 
@@ -47,7 +48,7 @@
 take_limit (DyGatewayAttempt *attempt, bool success)
 {
   int64_t per_1000_s = attempt->answer.limit_per_1000_s;
-  const char *endpoint_id = dy_placement_endpoint_id (attempt->endpoint);
+  const char *endpoint_id = attempt->endpoint_id;
   if (per_1000_s > 0)
     dy_log (DY_EVENT_LIMIT_NAMED, "request=%s endpoint=%s per_1000_s=%" G_GINT64_FORMAT,
             attempt->request_id, endpoint_id, per_1000_s);
@@ -65,7 +66,7 @@
   const DyAnswerHead *answer = &attempt->answer;
   attempt->head_received = true;
   attempt->status = status;
-  dy_gateway_record_bytes (gateway, dy_placement_endpoint_id (attempt->endpoint));
+  dy_gateway_record_bytes (gateway, attempt->endpoint_id);
   bool other_request = answer->request_id && strcmp (answer->request_id, attempt->request_id) != 0;
   bool success = status >= DY_HTTP_OK && status <= DY_HTTP_LAST_SUCCESS;
   attempt->foreign
@@ -90,7 +91,7 @@
 {
   DyGatewayAttempt *attempt = ctx;
   (void) transfer;
-  dy_gateway_record_bytes (attempt->gateway, dy_placement_endpoint_id (attempt->endpoint));
+  dy_gateway_record_bytes (attempt->gateway, attempt->endpoint_id);
   attempt->paused = !attempt->watcher->data (attempt->ctx, data, n);
   return !attempt->paused;
 }
@@ -148,8 +149,9 @@
 static void
 release (DyGatewayAttempt *attempt, DyPlacementOutcome outcome)
 {
-  dy_placement_end (&attempt->gateway->directory->placement, attempt->endpoint, &attempt->work,
-                    attempt->prompt_read, outcome, now_us (attempt));
+  if (attempt->endpoint)
+    dy_placement_end (&attempt->gateway->directory->placement, attempt->endpoint, &attempt->work,
+                      attempt->prompt_read, outcome, now_us (attempt));
   g_ptr_array_unref (attempt->lines);
   g_free (attempt->request_id);
   g_free (attempt->service);
@@ -166,10 +168,20 @@
   dy_log (DY_EVENT_ENDPOINT_FAILED,
           "request=%s endpoint=%s error=%s status=%u sent=%d left=%d head=%d foreign=%d not_run=%d "
           "end=%d",
-          attempt->request_id, dy_placement_endpoint_id (attempt->endpoint),
-          dy_error_info (result->error)->kind, attempt->status, attempt->sent,
-          attempt->endpoint_left, attempt->head_received, attempt->foreign, attempt->answer.not_run,
-          outcome);
+          attempt->request_id, attempt->endpoint_id, dy_error_info (result->error)->kind,
+          attempt->status, attempt->sent, attempt->endpoint_left, attempt->head_received,
+          attempt->foreign, attempt->answer.not_run, outcome);
+}
+
+/* Records what the attempt tells of new connections to endpoints. */
+static void
+record_reach (const DyGatewayAttempt *attempt, const DyHttpResult *result)
+{
+  bool failed = result->error && !attempt->head_received && !attempt->foreign;
+  if (attempt->endpoint_left || result->reused)
+    return;
+  if (failed || attempt->head_received)
+    dy_reachability_record (attempt->gateway->reachability, attempt->endpoint_id, !failed);
 }
 
 static void
@@ -187,6 +199,7 @@
                            attempt->send_us);
     }
   DyPlacementOutcome outcome = classify (attempt, result, &out);
+  record_reach (attempt, result);
   if (outcome != DY_PLACEMENT_ANSWERED)
     log_failure (attempt, result, outcome);
   release (attempt, outcome);
@@ -197,20 +210,20 @@
     = { .before_send = on_before_send, .head = on_head, .data = on_data, .done = on_done };
 
 static void
-start (DyGatewayAttempt *attempt)
+start (DyGatewayAttempt *attempt, const DyForwardedRequest *forwarded)
 {
   DyGateway *gateway = attempt->gateway;
-  const GString *body = dy_http_call_body (attempt->call);
-  const char *method = dy_http_call_method (attempt->call);
+  const char *method = forwarded->method;
   char *url = g_strconcat ("http://", dy_placement_endpoint_address (attempt->endpoint),
-                           dy_http_call_target (attempt->call), NULL);
+                           forwarded->target, NULL);
   int64_t idle_s = max_idle_s (attempt);
-  bool has_body = body->len > 0 || strcmp (method, "POST") == 0 || strcmp (method, "PUT") == 0;
+  bool has_body
+      = forwarded->n_body > 0 || strcmp (method, "POST") == 0 || strcmp (method, "PUT") == 0;
   DyHttpSpec spec = { .method = method,
                       .url = url,
                       .headers = (const char *const *) attempt->lines->pdata,
-                      .body = has_body ? body->str : NULL,
-                      .n_body = body->len,
+                      .body = has_body ? forwarded->body : NULL,
+                      .n_body = forwarded->n_body,
                       .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                       .timeout_ms = DY_HTTP_MAX_STREAM_MS,
                       .max_body_bytes = DY_HTTP_MAX_STREAM_BYTES,
@@ -240,34 +253,42 @@
                                          : g_strconcat (name, ";", NULL));
 }
 
-static void
-build_lines (DyGatewayAttempt *attempt, const DyAttemptHead *head)
+GPtrArray *
+dy_gateway_forwarded_lines (const DyDialect *dialect, DyHttpCall *call)
 {
-  HeaderCopy copy = { .dialect = attempt->gateway->dialect, .lines = attempt->lines };
-  dy_http_call_visit_headers (attempt->call, copy_header, &copy);
+  HeaderCopy copy = { .dialect = dialect, .lines = g_ptr_array_new_with_free_func (g_free) };
+  dy_http_call_visit_headers (call, copy_header, &copy);
   if (!copy.has_accept)
     g_ptr_array_add (copy.lines, g_strdup ("Accept:"));
   if (!copy.has_content_type)
     g_ptr_array_add (copy.lines, g_strdup ("Content-Type:"));
-  copy.dialect->encode_attempt (head, copy.lines);
   g_ptr_array_add (copy.lines, NULL);
+  return copy.lines;
 }
 
-void
-dy_gateway_attempt_init (DyGatewayAttempt *attempt,
-                         DyGateway *gateway,
-                         DyPlacementEndpoint *endpoint,
-                         const DyGatewayAttemptSpec *spec,
-                         const DyGatewayAttemptWatcher *watcher,
-                         void *ctx)
+static void
+build_lines (DyGatewayAttempt *attempt, const DyGatewayAttemptSpec *spec)
+{
+  for (const char *const *line = spec->forwarded->lines; *line; line++)
+    g_ptr_array_add (attempt->lines, g_strdup (*line));
+  attempt->gateway->dialect->encode_attempt (&spec->head, attempt->lines);
+  g_ptr_array_add (attempt->lines, NULL);
+}
+
+/* Resets ATTEMPT, but for the array of headers. */
+static void
+reset (DyGatewayAttempt *attempt,
+       DyGateway *gateway,
+       const DyGatewayAttemptSpec *spec,
+       const DyGatewayAttemptWatcher *watcher,
+       void *ctx)
 {
   GPtrArray *headers = attempt->headers;
+  g_free (attempt->endpoint_id);
   memset (attempt, 0, sizeof *attempt);
   attempt->gateway = gateway;
-  attempt->endpoint = endpoint;
   attempt->watcher = watcher;
   attempt->ctx = ctx;
-  attempt->call = spec->call;
   attempt->request_id = g_strdup (spec->request_id);
   attempt->service = g_strdup (spec->service);
   attempt->work = spec->work;
@@ -276,9 +297,82 @@
   attempt->lines = g_ptr_array_new_with_free_func (g_free);
   attempt->headers = headers ? headers : g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_set_size (attempt->headers, 0);
-  build_lines (attempt, &spec->head);
+}
+
+void
+dy_gateway_attempt_init (DyGatewayAttempt *attempt,
+                         DyGateway *gateway,
+                         DyPlacementEndpoint *endpoint,
+                         const DyGatewayAttemptSpec *spec,
+                         const DyGatewayAttemptWatcher *watcher,
+                         void *ctx)
+{
+  reset (attempt, gateway, spec, watcher, ctx);
+  attempt->endpoint = endpoint;
+  attempt->endpoint_id = g_strdup (dy_placement_endpoint_id (endpoint));
+  build_lines (attempt, spec);
   dy_placement_begin (&gateway->directory->placement, endpoint, &attempt->work, attempt->placed_us);
-  start (attempt);
+  start (attempt, spec->forwarded);
+}
+
+static void
+on_relay_placed (void *ctx, const char *endpoint_id, const char *version)
+{
+  DyGatewayAttempt *attempt = ctx;
+  g_free (attempt->endpoint_id);
+  attempt->endpoint_id = g_strdup (endpoint_id);
+  attempt->watcher->placed (attempt->ctx, endpoint_id, version);
+}
+
+static void
+on_relay_head (void *ctx, unsigned status, bool is_success, const char *const *headers)
+{
+  DyGatewayAttempt *attempt = ctx;
+  attempt->head_received = true;
+  attempt->status = status;
+  attempt->is_success = is_success;
+  for (; headers[0] && headers[1]; headers += 2)
+    add_header (attempt->headers, headers[0], headers[1]);
+}
+
+static bool
+on_relay_data (void *ctx, const char *data, size_t n)
+{
+  DyGatewayAttempt *attempt = ctx;
+  attempt->paused = !attempt->watcher->data (attempt->ctx, data, n);
+  return !attempt->paused;
+}
+
+static void
+on_relay_done (void *ctx, const DyGatewayAttemptResult *result)
+{
+  DyGatewayAttempt *attempt = ctx;
+  attempt->relay = NULL;
+  attempt->sent = result->outcome != DY_ATTEMPT_NOT_SENT;
+  release (attempt, DY_PLACEMENT_CANCELLED);
+  attempt->watcher->done (attempt->ctx, result);
+}
+
+static const DyRelayWatcher relay_watcher = {
+  .placed = on_relay_placed, .head = on_relay_head, .data = on_relay_data, .done = on_relay_done
+};
+
+bool
+dy_gateway_attempt_init_relayed (DyGatewayAttempt *attempt,
+                                 DyGateway *gateway,
+                                 const DyGatewayRelay *relay,
+                                 const DyGatewayAttemptSpec *spec,
+                                 const DyGatewayAttemptWatcher *watcher,
+                                 void *ctx)
+{
+  DyRelaySpec relay_spec
+      = { .attempt = spec, .plan = relay->plan, .version = relay->version, .avoid = relay->avoid };
+  reset (attempt, gateway, spec, watcher, ctx);
+  attempt->relay
+      = dy_relays_start (gateway->relays, relay->peer, &relay_spec, &relay_watcher, attempt);
+  if (!attempt->relay)
+    release (attempt, DY_PLACEMENT_CANCELLED);
+  return attempt->relay != NULL;
 }
 
 void
@@ -287,11 +381,16 @@
   if (attempt->headers)
     g_ptr_array_unref (attempt->headers);
   attempt->headers = NULL;
+  g_free (attempt->endpoint_id);
+  attempt->endpoint_id = NULL;
 }
 
 bool
 dy_gateway_attempt_was_sent (const DyGatewayAttempt *attempt)
 {
+  /* Whether a relay was sent on is not known here. */
+  if (attempt->relay)
+    return true;
   return attempt->transfer ? dy_http_transfer_was_sent (attempt->transfer) : attempt->sent;
 }
 
@@ -301,29 +400,41 @@
   if (attempt->prompt_read)
     return;
   attempt->prompt_read = true;
-  dy_placement_prompt_read (attempt->endpoint, &attempt->work);
+  if (attempt->endpoint)
+    dy_placement_prompt_read (attempt->endpoint, &attempt->work);
 }
 
 void
 dy_gateway_attempt_reject (DyGatewayAttempt *attempt)
 {
-  dy_http_transfer_reject (attempt->transfer);
+  if (attempt->relay)
+    dy_relay_call_reject (attempt->relay);
+  else
+    dy_http_transfer_reject (attempt->transfer);
 }
 
 void
 dy_gateway_attempt_resume (DyGatewayAttempt *attempt)
 {
-  if (!attempt->transfer || !attempt->paused)
+  if (!attempt->paused)
     return;
   attempt->paused = false;
-  dy_http_transfer_resume (attempt->transfer);
+  if (attempt->relay)
+    dy_relay_call_resume (attempt->relay);
+  else if (attempt->transfer)
+    dy_http_transfer_resume (attempt->transfer);
 }
 
 void
 dy_gateway_attempt_cancel (DyGatewayAttempt *attempt, DyPlacementOutcome outcome)
 {
+  if (attempt->transfer && outcome == DY_PLACEMENT_FAILED && !attempt->head_received)
+    dy_reachability_record (attempt->gateway->reachability, attempt->endpoint_id, false);
   if (attempt->transfer)
     dy_http_transfer_cancel (attempt->transfer);
+  if (attempt->relay)
+    dy_relay_call_cancel (attempt->relay);
   attempt->transfer = NULL;
+  attempt->relay = NULL;
   release (attempt, outcome);
 }
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -32,6 +32,9 @@
 
 typedef struct
 {
+  /* A relayed attempt is about to be sent to an endpoint. NULL for attempts that are not relayed.
+   */
+  void (*placed) (void *ctx, const char *endpoint_id, const char *version);
   /* Takes part of the answer's body. Returns false to pause; after dy_gateway_attempt_resume() the
    * same part is delivered again. */
   bool (*data) (void *ctx, const char *data, size_t n);
@@ -39,10 +42,20 @@
   void (*done) (void *ctx, const DyGatewayAttemptResult *result);
 } DyGatewayAttemptWatcher;
 
+/* The part of a caller's request that is forwarded. */
 typedef struct
 {
-  DyHttpCall *call;       /* the caller's request */
-  const char *request_id; /* empty: none */
+  const char *method;
+  const char *target;
+  const char *body;
+  size_t n_body;
+  const char *const *lines; /* headers, "Name: value" as libcurl takes them, NULL at the end */
+} DyForwardedRequest;
+
+typedef struct
+{
+  const DyForwardedRequest *forwarded; /* only read until dy_gateway_attempt_init() returns */
+  const char *request_id;              /* empty: none */
   const char *service;
   DyPromptWork work;
   DyAttemptHead head;
@@ -55,8 +68,9 @@
   const DyGatewayAttemptWatcher *watcher;
   void *ctx;
   DyHttpTransfer *transfer;
-  DyHttpCall *call;
-  char *request_id; /* empty: none */
+  struct DyRelayCall *relay; /* in place of TRANSFER if another router makes the attempt */
+  char *endpoint_id;         /* valid until the next attempt; of a relay, NULL until it is known */
+  char *request_id;          /* empty: none */
   char *service;
   DyPromptWork work;
   int64_t placed_us;  /* monotonic time at which the endpoint was chosen */
@@ -83,6 +97,27 @@
                               const DyGatewayAttemptWatcher *watcher,
                               void *ctx);
 
+/* What a relayed attempt needs beyond its specification. */
+typedef struct
+{
+  const char *peer; /* name of the router that is to make it */
+  const struct DyGatewayPlan *plan;
+  const char *version;      /* only endpoints of this software version; NULL: any */
+  const char *const *avoid; /* ids of endpoints not to choose, NULL at the end */
+} DyGatewayRelay;
+
+/* Has another router make the attempt. Returns false, with nothing started, if it cannot be asked.
+ */
+bool dy_gateway_attempt_init_relayed (DyGatewayAttempt *attempt,
+                                      DyGateway *gateway,
+                                      const DyGatewayRelay *relay,
+                                      const DyGatewayAttemptSpec *spec,
+                                      const DyGatewayAttemptWatcher *watcher,
+                                      void *ctx);
+
+/* Returns the header lines of CALL that are forwarded, to be freed with g_ptr_array_unref(). */
+GPtrArray *dy_gateway_forwarded_lines (const DyDialect *dialect, DyHttpCall *call);
+
 /* Frees the answer's headers, which stay valid after the attempt has ended. */
 void dy_gateway_attempt_finish (DyGatewayAttempt *attempt);
 
--- a/src/services/gateway_plan.h
+++ b/src/services/gateway_plan.h
@@ -19,7 +19,7 @@
 
 #include "services/gateway.h"
 
-typedef struct
+typedef struct DyGatewayPlan
 {
   char *id;      /* request id; empty: none */
   char *account; /* name; NULL: none */
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -40,6 +40,7 @@
   DyTicket *ticket;
   DyGatewayAttempt attempt;
   bool attempt_open;
+  bool relayed;       /* another router makes the latest attempt */
   GPtrArray *tried;   /* ids of the endpoints tried, NULL at the end */
   uint32_t n_started; /* attempts that may have run */
   uint32_t n_refused; /* attempts that certainly did not run */
@@ -336,24 +337,15 @@
   send_attempt (request);
 }
 
-/* Returns the id of the endpoint of the latest attempt, which may have been removed since. */
-static const char *
-latest_endpoint_id (const Request *request)
-{
-  enum
-  {
-    N_AFTER = 2, /* itself and the NULL at the end */
-  };
-  return g_ptr_array_index (request->tried, request->tried->len - N_AFTER);
-}
-
+/* For a relayed attempt, the other router does this. */
 static void
 record_crash (const Request *request, bool is_new_connection)
 {
-  DyGatewayBreak broken = { .endpoint_id = latest_endpoint_id (request),
+  DyGatewayBreak broken = { .endpoint_id = request->attempt.endpoint_id,
                             .had_output = request->attempt.prompt_read,
                             .is_new_connection = is_new_connection };
-  dy_gateway_record_crash (request->gateway, &request->plan, &broken);
+  if (!request->relayed)
+    dy_gateway_record_crash (request->gateway, &request->plan, &broken);
 }
 
 static void
@@ -398,9 +390,6 @@
   finish_answer (request);
 }
 
-static const DyGatewayAttemptWatcher attempt_watcher
-    = { .data = on_attempt_data, .done = on_attempt_done };
-
 static void
 add_tried (Request *request, const char *endpoint_id)
 {
@@ -450,15 +439,63 @@
   dy_origins_record (request->gateway->origins, &origin);
 }
 
+/* Records the endpoint that the attempt is about to be sent to. */
 static void
-send_attempt (Request *request)
+take_placement (Request *request, const char *endpoint_id, const char *version)
+{
+  add_tried (request, endpoint_id);
+  g_free (request->attempt_version);
+  request->attempt_version = g_strdup (version);
+  if (request->plan.kind == DY_ROUTE_STREAM && request->plan.repeatable && !request->version)
+    record_origin (request);
+}
+
+static void
+on_relay_placed (void *ctx, const char *endpoint_id, const char *version)
+{
+  Request *request = ctx;
+  take_placement (request, endpoint_id, version);
+}
+
+static const DyGatewayAttemptWatcher attempt_watcher
+    = { .placed = on_relay_placed, .data = on_attempt_data, .done = on_attempt_done };
+
+/* Fails a request for which no endpoint can be reached. */
+static void
+fail_without_endpoint (Request *request)
+{
+  fail_request (request, request->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT);
+}
+
+/* Has another router make the attempt, as this one does not reach the endpoints. */
+static void
+relay_attempt (Request *request, const DyGatewayAttemptSpec *spec)
 {
   DyGateway *gateway = request->gateway;
-  if (dy_http_call_is_disconnected (request->call))
+  DyGatewayRelay relay = { .peer = dy_reachability_choose_peer (gateway->reachability),
+                           .plan = &request->plan,
+                           .version = request->version,
+                           .avoid = (const char *const *) request->tried->pdata };
+  request->relayed = true;
+  request->attempt_open = relay.peer
+                          && dy_gateway_attempt_init_relayed (&request->attempt, gateway, &relay,
+                                                              spec, &attempt_watcher, request);
+  if (!request->attempt_open)
     {
-      end_disconnected (request);
+      fail_without_endpoint (request);
       return;
     }
+  dy_log (DY_EVENT_REQUEST_RELAYED, "request=%s node=%s attempt=%u", request->plan.id, relay.peer,
+          request->n_started + request->n_refused + 1);
+  count (request, DY_COUNTER_ATTEMPTS);
+  arm_read_timer (request);
+}
+
+/* Sends the request to an endpoint that this router chooses. */
+static void
+place_attempt (Request *request, DyGatewayAttemptSpec *spec)
+{
+  DyGateway *gateway = request->gateway;
   DyPlacementQuery query = { .service = request->plan.service,
                              .work = request->plan.work,
                              .avoid = (const char *const *) request->tried->pdata,
@@ -477,37 +514,57 @@
     dy_endpoint_limits_log_skip (gateway->limits, request->plan.id, gated);
   if (!endpoint)
     {
-      fail_request (request, request->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT);
+      fail_without_endpoint (request);
+      return;
+    }
+  request->relayed = false;
+  spec->head.endpoint_id = dy_placement_endpoint_id (endpoint);
+  take_placement (request, spec->head.endpoint_id, dy_placement_endpoint_version (endpoint));
+  dy_log (DY_EVENT_REQUEST_PLACED,
+          "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
+          " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT,
+          request->plan.id, spec->head.endpoint_id, predicted_us,
+          request->n_started + request->n_refused + 1,
+          spec->head.resume_from ? spec->head.resume_from : "-", request->attempt_version,
+          dy_directory_endpoints_age_ms (gateway->directory));
+  count (request, DY_COUNTER_ATTEMPTS);
+  request->attempt_open = true;
+  dy_gateway_attempt_init (&request->attempt, gateway, endpoint, spec, &attempt_watcher, request);
+  arm_read_timer (request);
+}
+
+static void
+send_attempt (Request *request)
+{
+  DyGateway *gateway = request->gateway;
+  if (dy_http_call_is_disconnected (request->call))
+    {
+      end_disconnected (request);
       return;
     }
-  add_tried (request, dy_placement_endpoint_id (endpoint));
-  g_free (request->attempt_version);
-  request->attempt_version = g_strdup (dy_placement_endpoint_version (endpoint));
-  if (request->plan.kind == DY_ROUTE_STREAM && request->plan.repeatable && !request->version)
-    record_origin (request);
   dy_event_stream_drop_partial (&request->events);
   g_string_truncate (request->body, 0);
-  DyGatewayAttemptSpec spec = { .call = request->call,
+  const GString *body = dy_http_call_body (request->call);
+  GPtrArray *lines = dy_gateway_forwarded_lines (gateway->dialect, request->call);
+  DyForwardedRequest forwarded = { .method = dy_http_call_method (request->call),
+                                   .target = dy_http_call_target (request->call),
+                                   .body = body->str,
+                                   .n_body = body->len,
+                                   .lines = (const char *const *) lines->pdata };
+  DyGatewayAttemptSpec spec = { .forwarded = &forwarded,
                                 .request_id = request->plan.id,
                                 .service = request->plan.service,
                                 .work = request->plan.work,
                                 .head = { .account = request->plan.account,
-                                          .endpoint_id = dy_placement_endpoint_id (endpoint),
                                           .resume_from = resume_point (request),
                                           .time_left_ms = time_left_ms (request),
                                           .priority = request->plan.priority,
                                           .has_priority = request->plan.kind == DY_ROUTE_STREAM } };
-  dy_log (DY_EVENT_REQUEST_PLACED,
-          "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
-          " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT,
-          request->plan.id, dy_placement_endpoint_id (endpoint), predicted_us,
-          request->n_started + request->n_refused + 1,
-          spec.head.resume_from ? spec.head.resume_from : "-", request->attempt_version,
-          dy_directory_endpoints_age_ms (gateway->directory));
-  count (request, DY_COUNTER_ATTEMPTS);
-  request->attempt_open = true;
-  dy_gateway_attempt_init (&request->attempt, gateway, endpoint, &spec, &attempt_watcher, request);
-  arm_read_timer (request);
+  if (dy_reachability_is_out (gateway->reachability))
+    relay_attempt (request, &spec);
+  else
+    place_attempt (request, &spec);
+  g_ptr_array_unref (lines);
 }
 
 static void
@@ -572,7 +629,7 @@
   if (!request->attempt_open || !resend_allowed (request))
     return;
   dy_log (DY_EVENT_ATTEMPT_ABANDONED, "request=%s endpoint=%s silence_ms=%" G_GINT64_FORMAT,
-          request->plan.id, dy_placement_endpoint_id (request->attempt.endpoint),
+          request->plan.id, request->attempt.endpoint_id ? request->attempt.endpoint_id : "-",
           read_timeout_ms (request));
   bool sent = dy_gateway_attempt_was_sent (&request->attempt);
   cancel_attempt (request, DY_PLACEMENT_FAILED);
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -33,7 +33,7 @@
 
 enum
 {
-  DY_MAX_PEERS_WATCHERS = 12,
+  DY_MAX_PEERS_WATCHERS = 16,
 };
 
 typedef struct DyPeerLink DyPeerLink;
@@ -48,6 +48,8 @@
   void (*down) (void *ctx, const char *name);
   /* A heartbeat came on the connection LINK; CONFIG_VERSION is the sender's. */
   void (*heartbeat) (void *ctx, uint64_t link, uint64_t config_version);
+  /* The connection LINK, which either side opened, is closed. */
+  void (*link_closed) (void *ctx, uint64_t link);
   /* A new router incarnation, ID, was authenticated. */
   void (*incarnation_seen) (void *ctx, uint64_t id);
   /* The router incarnation ID of the VM NAME is known to be dead. */
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -315,6 +315,7 @@
   DyPeers *peers = link->peers;
   char node[DY_NAME_SIZE];
   bool lost = link->dialed && link->authenticated;
+  uint64_t number = link->number;
   g_strlcpy (node, link->node, sizeof node);
   GHashTableIter iter;
   gpointer value;
@@ -323,6 +324,7 @@
     if (value == link)
       g_hash_table_iter_remove (&iter);
   g_hash_table_remove (peers->links, &link->number);
+  NOTIFY_WATCHERS (peers, link_closed, number);
   if (!lost)
     return;
   dy_members_disconnected (&peers->members, node);
--- /dev/null
+++ b/src/services/reachability.c
@@ -0,0 +1,210 @@
+#include "services/reachability.h"
+
+#include "kernel/error.h"
+#include "kernel/log.h"
+
+#include <string.h>
+
+#define REACH_KEY "reach"
+
+static const double TICK_S = 0.05;
+
+static int64_t
+now_us (const DyReachability *reachability)
+{
+  return dy_kernel_now_us (reachability->kernel);
+}
+
+/* Tells the router on LINK, or all if it is 0, whether this one is out. */
+static void
+send_state (const DyReachability *reachability, uint64_t link, bool asks)
+{
+  json_t *root = json_pack ("{s:s, s:b, s:b}", "node", reachability->kernel->settings->node_name,
+                            "out", reachability->reach.is_out, "asks", asks);
+  char *text = json_dumps (root, JSON_COMPACT);
+  if (link)
+    dy_peers_reply_object (reachability->peers, link, REACH_KEY, text);
+  else
+    dy_peers_send_object (reachability->peers, NULL, REACH_KEY, text);
+  free (text);
+  json_decref (root);
+}
+
+static void
+report_change (DyReachability *reachability)
+{
+  bool out = reachability->reach.is_out;
+  dy_log (out ? DY_EVENT_OUT_OF_REACH : DY_EVENT_REACHES_AGAIN, "failed=%u",
+          g_hash_table_size (reachability->reach.failed));
+  dy_counters_set (&reachability->kernel->counters, DY_COUNTER_OUT_OF_REACH, out);
+  send_state (reachability, 0, out);
+}
+
+void
+dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works)
+{
+  uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
+  bool changed
+      = works ? dy_reach_record_success (&reachability->reach, now_us (reachability))
+              : dy_reach_record_failure (&reachability->reach, endpoint, n, now_us (reachability));
+  if (changed)
+    report_change (reachability);
+}
+
+static void
+on_probed (void *ctx, bool works, int64_t started_us)
+{
+  DyReachability *reachability = ctx;
+  (void) started_us;
+  char *id = g_steal_pointer (&reachability->probed_id);
+  dy_reachability_record (reachability, id, works);
+  g_free (id);
+}
+
+typedef struct
+{
+  const DyReachability *reachability;
+  const char *id;
+  guint32 n_found;
+  bool has_failed; /* the endpoint ID has */
+} ProbeChoice;
+
+/* Chooses any of the endpoints, if possible of those that have not failed. */
+static void
+consider (void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
+{
+  ProbeChoice *choice = ctx;
+  bool has_failed = dy_reach_has_failed (&choice->reachability->reach, id);
+  (void) service;
+  (void) in_flight;
+  (void) breaker_open;
+  if (choice->id && has_failed && !choice->has_failed)
+    return;
+  if (!choice->id || has_failed != choice->has_failed)
+    choice->n_found = 0;
+  choice->n_found++;
+  if (g_rand_int_range (choice->reachability->rng, 0, (gint32) choice->n_found) != 0)
+    return;
+  choice->id = id;
+  choice->has_failed = has_failed;
+}
+
+static void
+probe (DyReachability *reachability)
+{
+  ProbeChoice choice = { .reachability = reachability };
+  DyPlacement *placement = &reachability->directory->placement;
+  if (reachability->probe.fd >= 0
+      || !dy_reach_take_probe (&reachability->reach, now_us (reachability)))
+    return;
+  dy_placement_visit (placement, consider, &choice, now_us (reachability));
+  if (!choice.id)
+    return;
+  g_free (reachability->probed_id);
+  reachability->probed_id = g_strdup (choice.id);
+  const DyPlacementEndpoint *endpoint = dy_placement_find (placement, choice.id);
+  dy_link_probe_start (&reachability->probe, dy_placement_endpoint_address (endpoint),
+                       reachability->source);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyReachability *reachability = w->data;
+  (void) loop;
+  (void) events;
+  probe (reachability);
+  if (dy_reach_take_question (&reachability->reach, now_us (reachability)))
+    send_state (reachability, 0, true);
+}
+
+static void
+on_message (void *ctx, uint64_t link, const DyMessage *message)
+{
+  DyReachability *reachability = ctx;
+  if (message->type != DY_MESSAGE_CONFIG || strcmp (message->u.config.key, REACH_KEY) != 0
+      || !message->u.config.text)
+    return;
+  json_t *root = json_loadb (message->u.config.text, message->u.config.n_text, 0, NULL);
+  const char *node = json_string_value (json_object_get (root, "node"));
+  if (node)
+    dy_reach_record_peer (&reachability->reach, node, json_is_true (json_object_get (root, "out")),
+                          now_us (reachability));
+  if (node && json_is_true (json_object_get (root, "asks")))
+    send_state (reachability, link, false);
+  json_decref (root);
+}
+
+static const DyPeersWatcher peers_watcher = { .message = on_message };
+
+static int
+service_start (void *self, DyKernel *kernel)
+{
+  DyReachability *reachability = self;
+  reachability->kernel = kernel;
+  reachability->directory = dy_kernel_find (kernel, DY_SERVICE_DIRECTORY);
+  reachability->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
+  reachability->source = kernel->settings->connect_from;
+  reachability->rng = g_rand_new_with_seed ((uint32_t) kernel->incarnation_id);
+  dy_reach_init (&reachability->reach, &dy_reach_policy);
+  dy_link_probe_init (&reachability->probe, kernel->loop, on_probed, reachability);
+  dy_peers_watch (reachability->peers, &peers_watcher, reachability);
+  ev_timer_init (&reachability->timer, on_timer, TICK_S, TICK_S);
+  reachability->timer.data = reachability;
+  ev_timer_start (kernel->loop, &reachability->timer);
+  return DY_OK;
+}
+
+static void
+service_stop (void *self)
+{
+  DyReachability *reachability = self;
+  ev_timer_stop (reachability->kernel->loop, &reachability->timer);
+  dy_link_probe_finish (&reachability->probe);
+  dy_reach_finish (&reachability->reach);
+  g_rand_free (reachability->rng);
+  g_free (reachability->probed_id);
+}
+
+static json_t *
+service_dump (void *self)
+{
+  const DyReachability *reachability = self;
+  return json_pack ("{s:b, s:i, s:I}", "out", reachability->reach.is_out, "failed",
+                    (int) g_hash_table_size (reachability->reach.failed), "since_ms",
+                    (json_int_t) ((now_us (reachability) - reachability->reach.changed_us) / 1000));
+}
+
+void
+dy_reachability_add_service (DyKernel *kernel, DyReachability *reachability)
+{
+  DyService service = { .name = DY_SERVICE_REACHABILITY,
+                        .self = reachability,
+                        .start = service_start,
+                        .stop = service_stop,
+                        .dump = service_dump };
+  dy_kernel_add (kernel, &service);
+}
+
+bool
+dy_reachability_is_out (const DyReachability *reachability)
+{
+  return reachability->reach.is_out;
+}
+
+static bool
+is_connected (void *ctx, const char *name)
+{
+  const DyReachability *reachability = ctx;
+  const DyMember *member = dy_members_find (&reachability->peers->members, name);
+  return member && member->incarnation_id != 0
+         && now_us (reachability) - member->last_heartbeat_us
+                <= reachability->peers->members.timeout_us;
+}
+
+const char *
+dy_reachability_choose_peer (const DyReachability *reachability)
+{
+  return dy_reach_choose_peer (&reachability->reach, is_connected, (void *) reachability,
+                               now_us (reachability));
+}
--- /dev/null
+++ b/src/services/reachability.h
@@ -0,0 +1,49 @@
+#ifndef DY_SERVICES_REACHABILITY_H
+#define DY_SERVICES_REACHABILITY_H
+
+/**
+ * NAME
+ *   reachability - whether this router and the others reach the endpoints
+ *
+ * DESCRIPTION
+ *   Feeds core/reach with the connections of requests and with probes (services/link_probe), and
+ *   exchanges what routers know, as objects sent by dy_peers_send_object():
+ *   reach   {"node": router, "out": bool, "asks": bool}
+ *   A router that asks gets the same object of each other one. One that changes tells all.
+ *
+ *   A router of a build that does not know this object never answers, so nothing is relayed through
+ *   it.
+ */
+
+#include "core/reach.h"
+#include "services/directory.h"
+#include "services/link_probe.h"
+
+#define DY_SERVICE_REACHABILITY "reachability"
+
+typedef struct
+{
+  DyKernel *kernel;
+  DyDirectory *directory;
+  DyPeers *peers;
+  DyReach reach;
+  DyLinkProbe probe;
+  char *probed_id;    /* endpoint of the probe in progress */
+  const char *source; /* local IP address of connections to endpoints; empty: any */
+  GRand *rng;
+  ev_timer timer;
+} DyReachability;
+
+/* Adds the service "reachability", whose interface is a DyReachability. */
+void dy_reachability_add_service (DyKernel *kernel, DyReachability *reachability);
+
+/* Records that a new connection to ENDPOINT failed or was silent, or that one worked. */
+void dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works);
+
+/* Returns whether this router does not reach the endpoints. */
+bool dy_reachability_is_out (const DyReachability *reachability);
+
+/* Returns the name of the router to relay a request through, or NULL. */
+const char *dy_reachability_choose_peer (const DyReachability *reachability);
+
+#endif
--- a/src/services/wire.c
+++ b/src/services/wire.c
@@ -22,7 +22,8 @@
 pack_bytes (msgpack_packer *pk, const uint8_t *data, size_t n)
 {
   msgpack_pack_bin (pk, n);
-  msgpack_pack_bin_body (pk, data, n);
+  if (n > 0)
+    msgpack_pack_bin_body (pk, data, n);
 }
 
 static void
@@ -126,6 +127,12 @@
     case DY_MESSAGE_CONFIG_END:
       pack_config (pk, message);
       break;
+    case DY_MESSAGE_RELAY:
+      pack_header (pk, message->type, 3);
+      msgpack_pack_uint64 (pk, message->u.relay.number);
+      msgpack_pack_uint32 (pk, message->u.relay.part);
+      pack_bytes (pk, (const uint8_t *) message->u.relay.data, message->u.relay.n_data);
+      break;
     case DY_MESSAGE_CRASH:
       pack_header (pk, message->type, 2);
       msgpack_pack_uint64 (pk, message->u.crash.body_hash);
@@ -272,6 +279,21 @@
   return reader->failed ? DY_KEY_UNKNOWN : (DyKeyState) value;
 }
 
+static void
+read_relay (Reader *reader, DyMessage *message)
+{
+  message->u.relay.number = read_unsigned (reader);
+  uint64_t part = read_unsigned (reader);
+  const msgpack_object *field = next_field (reader, MSGPACK_OBJECT_BIN);
+  if (part < DY_RELAY_OPEN || part > DY_RELAY_END)
+    reader->failed = true;
+  if (!field || reader->failed)
+    return;
+  message->u.relay.part = (DyRelayPart) part;
+  message->u.relay.data = field->via.bin.ptr;
+  message->u.relay.n_data = field->via.bin.size;
+}
+
 static void
 read_content (Reader *reader, DyMessage *message)
 {
@@ -338,6 +360,9 @@
     case DY_MESSAGE_CONFIG_END:
       read_config (reader, message);
       break;
+    case DY_MESSAGE_RELAY:
+      read_relay (reader, message);
+      break;
     case DY_MESSAGE_CRASH:
       message->u.crash.body_hash = read_unsigned (reader);
       message->u.crash.cleared = read_unsigned (reader) != 0;
--- a/src/services/wire.h
+++ b/src/services/wire.h
@@ -27,7 +27,8 @@
 /* Appends MESSAGE to OUT as one frame, with its length. */
 void dy_wire_pack (const DyMessage *message, msgpack_sbuffer *out);
 
-/* Decodes a payload of N bytes. The text of a CONFIG points into DATA and is not terminated.
+/* Decodes a payload of N bytes. The text of a CONFIG and the data of a RELAY
+ * point into DATA; the text is not terminated.
  * Returns DY_OK, or DY_PROTOCOL if the payload does not have the format above. */
 int dy_wire_unpack (const char *data, size_t n, DyMessage *message);
 
--- a/test/fakes/fake_store.c
+++ b/test/fakes/fake_store.c
@@ -328,6 +328,7 @@
   if (g_str_has_prefix (key, "versions/"))
     {
       reply (call, 403, json_pack ("{s:s}", "error", "the kind is the platform's"));
+      free_write (write);
       return;
     }
   if (store->n_late > 0)
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -635,7 +635,7 @@
 
 START_TEST (messages_round_trip_through_the_wire_format)
 {
-  for (int type = DY_MESSAGE_HELLO; type <= DY_MESSAGE_CRASH; type++)
+  for (int type = DY_MESSAGE_HELLO; type <= DY_MESSAGE_RELAY; type++)
     {
       DyMessage message;
       DyMessage decoded;
@@ -650,6 +650,12 @@
           message.u.reserve.idempotent = true;
           g_strlcpy (message.u.reserve.account, "magnolia", DY_NAME_SIZE);
         }
+      if (type == DY_MESSAGE_RELAY)
+        {
+          message.u.relay.part = DY_RELAY_DATA;
+          message.u.relay.data = "ab";
+          message.u.relay.n_data = 2;
+        }
       if (type == DY_MESSAGE_SETTLED)
         message.u.result.error = DY_NOT_FOUND;
       msgpack_sbuffer_init (&out);
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -56,6 +56,7 @@
   DyDirectory directory;
   DyPartBlocks part_blocks; /* knows of no crash */
   DyEndpointLimits limits;  /* knows of no limit */
+  DyReachability reachability;
   DyGateway gateway;
   char *address; /* where the gateway accepts callers */
   Endpoint endpoints[N_ENDPOINTS];
@@ -146,6 +147,11 @@
   dy_http_client_init (&gateway->client, fixture->kernel.loop);
   dy_quarantine_init (&gateway->quarantine, 3, 1000 * 1000);
   dy_gateway_crashes_init (gateway);
+  fixture->reachability.kernel = &fixture->kernel;
+  fixture->reachability.directory = &fixture->directory;
+  fixture->reachability.peers = &fixture->peers;
+  dy_reach_init (&fixture->reachability.reach, &dy_reach_policy);
+  gateway->reachability = &fixture->reachability;
   dy_resend_budget_init (&gateway->resend_budget, 0.2, 100.0, 10 * 1000 * 1000);
   ck_assert_int_eq (dy_http_server_init (&gateway->server, fixture->kernel.loop, fixture->address,
                                          MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_BODY_BYTES,
@@ -182,6 +188,7 @@
   g_hash_table_unref (gateway->requests);
   g_hash_table_unref (gateway->max_idle_by_service);
   dy_gateway_crashes_finish (gateway);
+  dy_reach_finish (&fixture->reachability.reach);
   dy_http_client_finish (&gateway->client);
   dy_quarantine_finish (&gateway->quarantine);
   dy_crash_cause_finish (&fixture->part_blocks.cause);
--- /dev/null
+++ b/test/test_reach.c
@@ -0,0 +1,174 @@
+/* Which routers reach the endpoints: cases in virtual time. */
+
+#include "support/suite.h"
+
+#include "core/reach.h"
+
+enum
+{
+  MS = 1000, /* microseconds */
+  MAX_STEPS = 8,
+};
+
+typedef enum
+{
+  END,
+  FAIL, /* a new connection to ENDPOINT fails */
+  WORK, /* one works */
+} StepKind;
+
+typedef struct
+{
+  int64_t at_ms;
+  StepKind kind;
+  const char *endpoint;
+} Step;
+
+static const struct
+{
+  const char *name;
+  uint32_t n_endpoints;
+  Step steps[MAX_STEPS];
+  bool is_out;
+} cases[] = {
+  { "one endpoint fails", 10, { { 0, FAIL, "e1" } }, false },
+  { "one endpoint fails often",
+    10,
+    { { 0, FAIL, "e1" }, { 10, FAIL, "e1" }, { 20, FAIL, "e1" }, { 30, FAIL, "e1" } },
+    false },
+  { "three endpoints fail",
+    10,
+    { { 0, FAIL, "e1" }, { 10, FAIL, "e2" }, { 20, FAIL, "e3" } },
+    true },
+  { "one works between",
+    10,
+    { { 0, FAIL, "e1" }, { 10, FAIL, "e2" }, { 15, WORK, NULL }, { 20, FAIL, "e3" } },
+    false },
+  { "three endpoints fail over a long time",
+    10,
+    { { 0, FAIL, "e1" }, { 2000, FAIL, "e2" }, { 4000, FAIL, "e3" } },
+    false },
+  { "both endpoints of two fail", 2, { { 0, FAIL, "e1" }, { 10, FAIL, "e2" } }, true },
+  { "the only endpoint fails", 1, { { 0, FAIL, "e1" } }, true },
+  { "one works again",
+    10,
+    { { 0, FAIL, "e1" }, { 10, FAIL, "e2" }, { 20, FAIL, "e3" }, { 500, WORK, NULL } },
+    false },
+};
+
+START_TEST (a_router_is_out_if_connections_to_several_endpoints_fail_and_none_works)
+{
+  DyReach reach;
+  dy_reach_init (&reach, &dy_reach_policy);
+  for (int i = 0; i < MAX_STEPS && cases[_i].steps[i].kind != END; i++)
+    {
+      const Step *step = &cases[_i].steps[i];
+      bool before = reach.is_out;
+      bool changed = step->kind == FAIL ? dy_reach_record_failure (
+                         &reach, step->endpoint, cases[_i].n_endpoints, step->at_ms * MS)
+                                        : dy_reach_record_success (&reach, step->at_ms * MS);
+      ck_assert_msg (changed == (before != reach.is_out), "%s: step %d", cases[_i].name, i);
+    }
+  ck_assert_msg (reach.is_out == cases[_i].is_out, "%s", cases[_i].name);
+  dy_reach_finish (&reach);
+}
+END_TEST
+
+typedef struct
+{
+  const char *name;
+  bool is_out;
+  int64_t heard_ms;
+  uint32_t n_relays;
+} PeerSpec;
+
+static const struct
+{
+  const char *name;
+  PeerSpec peers[3];
+  const char *chosen;
+} choices[] = {
+  { "none known", { { NULL, false, 0, 0 } }, NULL },
+  { "one", { { "r1", false, 1000, 0 } }, "r1" },
+  { "out itself", { { "r1", true, 1000, 0 } }, NULL },
+  { "heard too long ago", { { "r1", false, -1000, 0 } }, NULL },
+  { "the one with fewer relays", { { "r1", false, 1000, 2 }, { "r2", false, 900, 1 } }, "r2" },
+  { "one that is not connected", { { "gone", false, 1000, 0 }, { "r2", false, 900, 1 } }, "r2" },
+};
+
+static bool
+is_usable (void *ctx, const char *name)
+{
+  (void) ctx;
+  return strcmp (name, "gone") != 0;
+}
+
+START_TEST (a_request_is_relayed_through_a_router_that_reaches_the_endpoints)
+{
+  enum
+  {
+    NOW_MS = 1000,
+  };
+  DyReach reach;
+  dy_reach_init (&reach, &dy_reach_policy);
+  for (size_t i = 0; i < G_N_ELEMENTS (choices[_i].peers) && choices[_i].peers[i].name; i++)
+    {
+      const PeerSpec *peer = &choices[_i].peers[i];
+      dy_reach_record_peer (&reach, peer->name, peer->is_out, peer->heard_ms * MS);
+      for (uint32_t k = 0; k < peer->n_relays; k++)
+        dy_reach_begin_relay (&reach, peer->name);
+    }
+  const char *chosen = dy_reach_choose_peer (&reach, is_usable, NULL, NOW_MS * MS);
+  ck_assert_msg (g_strcmp0 (chosen, choices[_i].chosen) == 0, "%s: %s", choices[_i].name,
+                 chosen ? chosen : "-");
+  dy_reach_finish (&reach);
+}
+END_TEST
+
+/* A router that is out spreads its relays evenly. */
+START_TEST (relays_are_spread_over_large_fleets)
+{
+  enum
+  {
+    N_PEERS = 80,
+    N_RELAYS = 400,
+  };
+  DyReach reach;
+  dy_reach_init (&reach, &dy_reach_policy);
+  for (int i = 0; i < N_PEERS; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "r%d", i);
+      dy_reach_record_peer (&reach, name, false, 0);
+    }
+  GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
+  for (int i = 0; i < N_RELAYS; i++)
+    {
+      const char *name = dy_reach_choose_peer (&reach, is_usable, NULL, 0);
+      ck_assert_ptr_nonnull (name);
+      dy_reach_begin_relay (&reach, name);
+      gpointer n = g_hash_table_lookup (counts, name);
+      g_hash_table_insert (counts, (gpointer) name, GINT_TO_POINTER (GPOINTER_TO_INT (n) + 1));
+    }
+  GHashTableIter iter;
+  gpointer n;
+  g_hash_table_iter_init (&iter, counts);
+  while (g_hash_table_iter_next (&iter, NULL, &n))
+    ck_assert_int_eq (GPOINTER_TO_INT (n), N_RELAYS / N_PEERS);
+  g_hash_table_unref (counts);
+  dy_reach_finish (&reach);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tcase = tcase_create ("reach");
+  tcase_add_loop_test (tcase,
+                       a_router_is_out_if_connections_to_several_endpoints_fail_and_none_works, 0,
+                       G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tcase, a_request_is_relayed_through_a_router_that_reaches_the_endpoints, 0,
+                       G_N_ELEMENTS (choices));
+  tcase_add_test (tcase, relays_are_spread_over_large_fleets);
+  return suite_run ("reach", tcase);
+}
