Count a broken connection against the same request at once

Probes may also go to an endpoint that failed if there is no other one: a new connection to it shows as well that the link works.

--- a/src/core/crash_evidence.c
+++ b/src/core/crash_evidence.c
@@ -183,6 +183,13 @@
     }
 }
 
+void
+dy_crash_evidence_link_failed (DyCrashEvidence *evidence)
+{
+  while (evidence->failures->len > 0)
+    decide (evidence, evidence->failures->len - 1, DY_EVIDENCE_NONE);
+}
+
 void
 dy_crash_evidence_tick (DyCrashEvidence *evidence, int64_t now_us)
 {
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -15,7 +15,7 @@
  *   - Bytes from another endpoint soon after: the link works, so the endpoint crashed; unless
  *     another request failed at another endpoint meanwhile, or the failed connection was new, as
  *     old connections may live on over a link on which new ones fail.
- *   - A new connection to another endpoint that was opened soon after: the link works.
+ *   - A new connection to an endpoint that was opened soon after: the link works.
  *
  *   A failure for which there is none of these is dropped.
  *
@@ -88,7 +88,7 @@
 /* Returns whether a connection to ENDPOINT broke and was not decided on. */
 bool dy_crash_evidence_has_failed (const DyCrashEvidence *evidence, const char *endpoint);
 
-/* Records that a new connection to an endpoint that did not fail was opened at OPENED_US. */
+/* Records that a new connection to an endpoint was opened at OPENED_US. */
 void dy_crash_evidence_link_works (DyCrashEvidence *evidence, int64_t opened_us);
 
 /* Drops the failures of the request REQUEST, which was answered elsewhere. */
@@ -102,6 +102,9 @@
 /* Records that ENDPOINT has started again, or is gone. */
 void dy_crash_evidence_restarted (DyCrashEvidence *evidence, const char *endpoint);
 
+/* Drops all failures, as the link has failed. */
+void dy_crash_evidence_link_failed (DyCrashEvidence *evidence);
+
 /* Decides on the failures that are old enough. */
 void dy_crash_evidence_tick (DyCrashEvidence *evidence, int64_t now_us);
 
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -46,14 +46,13 @@
   DyGateway *gateway = ctx;
   Suspicion *suspicion = payload;
   log_crash (suspicion, endpoint_id, evidence);
-  if (evidence == DY_EVIDENCE_LINK_WORKS || evidence == DY_EVIDENCE_RESTARTED)
-    {
-      dy_gateway_report_crash (gateway, suspicion->body_hash);
-      if (!suspicion->had_output)
-        dy_part_blocks_report_crash (gateway->part_blocks, endpoint_id,
-                                     (const uint64_t *) (const void *) suspicion->parts->data,
-                                     suspicion->parts->len);
-    }
+  bool counts = evidence == DY_EVIDENCE_LINK_WORKS || evidence == DY_EVIDENCE_RESTARTED;
+  if (counts && !suspicion->had_output)
+    dy_part_blocks_report_crash (gateway->part_blocks, endpoint_id,
+                                 (const uint64_t *) (const void *) suspicion->parts->data,
+                                 suspicion->parts->len);
+  if (evidence == DY_EVIDENCE_NONE)
+    dy_gateway_report_success (gateway, suspicion->body_hash);
   free_suspicion (suspicion);
 }
 
@@ -72,19 +71,25 @@
 {
   const DyGateway *gateway;
   const char *endpoint_id; /* NULL: none found yet */
+  bool has_failed;         /* that endpoint has */
   guint32 n_found;
 } ProbeChoice;
 
-/* Chooses each of the endpoints that did not fail with the same probability. */
+/* Chooses any of the endpoints, if possible of those that did not fail. */
 static void
 consider_for_probe (
     void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
 {
   ProbeChoice *choice = ctx;
+  bool has_failed = dy_crash_evidence_has_failed (&choice->gateway->crash_evidence, id);
   (void) service;
   (void) in_flight;
-  if (breaker_open || dy_crash_evidence_has_failed (&choice->gateway->crash_evidence, id))
+  (void) breaker_open;
+  if (choice->endpoint_id && has_failed && !choice->has_failed)
     return;
+  if (has_failed != choice->has_failed)
+    choice->n_found = 0;
+  choice->has_failed = has_failed;
   choice->n_found++;
   if (g_rand_int_range (choice->gateway->rng, 0, (gint32) choice->n_found) == 0)
     choice->endpoint_id = id;
@@ -113,6 +118,8 @@
   DyGateway *gateway = w->data;
   int64_t now_us = dy_kernel_now_us (gateway->kernel);
   (void) events;
+  if (dy_reachability_is_out (gateway->reachability))
+    dy_crash_evidence_link_failed (&gateway->crash_evidence);
   dy_crash_evidence_tick (&gateway->crash_evidence, now_us);
   probe_link (gateway, now_us);
   if (gateway->crash_evidence.failures->len == 0)
@@ -159,6 +166,8 @@
   dy_crash_evidence_fail (&gateway->crash_evidence, broken->endpoint_id, plan->id,
                           broken->is_new_connection, suspicion, dy_kernel_now_us (gateway->kernel));
   ev_timer_start (gateway->kernel->loop, &gateway->crash_timer);
+  /* The same request may come again at once, so this counts until it is decided otherwise. */
+  dy_gateway_report_crash (gateway, plan->body_hash);
 }
 
 /* Removes the parts of the plan CTX from those that may have caused a crash. */
