Do not report a refused connection as one that was used before

Failures on old connections do not count for whether a router reaches the endpoints, so under a cut that refuses connections it never found that it does not.

A transfer is reused only if it was connected. net/a_refused_connection_is_not_reported_as_reused failed before.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -136,7 +136,7 @@
                           .sent_us = transfer->sent_us };
   long n_connects = 1;
   curl_easy_getinfo (transfer->easy, CURLINFO_NUM_CONNECTS, &n_connects);
-  result.reused = n_connects == 0;
+  result.reused = transfer->connected && n_connects == 0;
   result.status = dy_http_transfer_status (transfer);
   const DyHttpTransferWatcher *watcher = transfer->watcher;
   void *ctx = transfer->ctx;
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -310,6 +310,22 @@
 }
 END_TEST
 
+/* Where no connection was made, none was used before. */
+START_TEST (a_refused_connection_is_not_reported_as_reused)
+{
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  DyHttpClient client;
+  dy_http_client_init (&client, loop);
+  DyHttpResult result = post (&client, address);
+  ck_assert_int_eq (result.error, DY_UNAVAILABLE);
+  ck_assert (!result.connected);
+  ck_assert (!result.reused);
+  dy_http_client_finish (&client);
+  g_free (address);
+}
+END_TEST
+
 static bool
 has_bytes (int fd)
 {
@@ -644,6 +660,7 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, ambiguous_framing_is_rejected, 0, (int) G_N_ELEMENTS (framing_cases));
   tcase_add_loop_test (tcase, a_call_is_sent_once, 0, (int) G_N_ELEMENTS (call_cases));
+  tcase_add_test (tcase, a_refused_connection_is_not_reported_as_reused);
   tcase_add_test (tcase, a_connection_with_unread_bytes_is_not_reused);
   tcase_add_test (tcase, socket_whose_connecting_timed_out_is_forgotten);
   tcase_add_test (tcase, connections_with_the_same_local_port_are_not_confused);
