Probe the link to endpoints with a health check

Under a cut that takes connections and drops or resets what is sent on them, a probe that only opened a connection said that the link works, so requests were sent where no answer comes from.

A probe asks for the service's health check, from the route table, and any byte of an answer counts.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -493,6 +493,12 @@
   return endpoint->id;
 }
 
+const char *
+dy_placement_endpoint_service (const DyPlacementEndpoint *endpoint)
+{
+  return endpoint->service;
+}
+
 const char *
 dy_placement_endpoint_address (const DyPlacementEndpoint *endpoint)
 {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -161,6 +161,7 @@
 
 const char *dy_placement_endpoint_id (const DyPlacementEndpoint *endpoint);
 const char *dy_placement_endpoint_address (const DyPlacementEndpoint *endpoint);
+const char *dy_placement_endpoint_service (const DyPlacementEndpoint *endpoint);
 
 /* Returns the software version of ENDPOINT. If its record states none, it is one that no other
  * endpoint and no other start of this one has. */
--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -27,6 +27,7 @@
 {
   DyRouteService *service = data;
   g_free (service->name);
+  g_free (service->health_path);
   g_free (service);
 }
 
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -57,6 +57,7 @@
 typedef struct
 {
   char *name;
+  char *health_path;     /* of the endpoints' health check; NULL: not stated */
   uint32_t event_tokens; /* output tokens per event of a stream */
 } DyRouteService;
 
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -422,6 +422,14 @@
   directory->end_watcher_ctx = ctx;
 }
 
+const char *
+dy_directory_health_path (const DyDirectory *directory, const DyPlacementEndpoint *endpoint)
+{
+  const DyRouteService *service
+      = dy_route_table_service (&directory->routes, dy_placement_endpoint_service (endpoint));
+  return service ? service->health_path : NULL;
+}
+
 bool
 dy_directory_ready (const DyDirectory *directory)
 {
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -73,6 +73,10 @@
  * watcher. */
 void dy_directory_watch_ends (DyDirectory *directory, DyEndpointEndWatcher watcher, void *ctx);
 
+/* Returns the path of the health check of ENDPOINT, or NULL if it is not known. */
+const char *dy_directory_health_path (const DyDirectory *directory,
+                                      const DyPlacementEndpoint *endpoint);
+
 /* Returns whether requests can be routed, that is whether there are a route table and at least one
  * endpoint. */
 bool dy_directory_ready (const DyDirectory *directory);
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -109,6 +109,7 @@
       = choice.endpoint_id ? dy_placement_find (placement, choice.endpoint_id) : NULL;
   if (endpoint)
     dy_link_probe_start (&gateway->crash_probe, dy_placement_endpoint_address (endpoint),
+                         dy_directory_health_path (gateway->directory, endpoint),
                          gateway->client.source);
 }
 
--- a/src/services/link_probe.c
+++ b/src/services/link_probe.c
@@ -12,6 +12,7 @@
 
 static const double CONNECT_TIMEOUT_S = 0.3;
 static const double RESET_WAIT_S = 0.05;
+static const double ANSWER_TIMEOUT_S = 0.5;
 
 static void
 close_probe (DyLinkProbe *probe)
@@ -21,6 +22,7 @@
   if (probe->fd >= 0)
     close (probe->fd);
   probe->fd = -1;
+  g_clear_pointer (&probe->request, g_free);
 }
 
 static void
@@ -44,7 +46,7 @@
   DyLinkProbe *probe = w->data;
   (void) loop;
   (void) events;
-  end_probe (probe, probe->connected);
+  end_probe (probe, probe->connected && !probe->request);
 }
 
 static void
@@ -54,7 +56,13 @@
   int error = 0;
   socklen_t n = sizeof error;
   (void) events;
-  if (probe->connected || getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &error, &n) || error)
+  if (probe->connected)
+    {
+      char byte;
+      end_probe (probe, probe->request && recv (probe->fd, &byte, 1, MSG_DONTWAIT) == 1);
+      return;
+    }
+  if (getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &error, &n) || error)
     {
       end_probe (probe, false);
       return;
@@ -63,7 +71,9 @@
   ev_io_stop (loop, &probe->io);
   ev_io_set (&probe->io, probe->fd, EV_READ);
   ev_io_start (loop, &probe->io);
-  set_timer (probe, RESET_WAIT_S);
+  if (probe->request)
+    send (probe->fd, probe->request, strlen (probe->request), MSG_NOSIGNAL | MSG_DONTWAIT);
+  set_timer (probe, probe->request ? ANSWER_TIMEOUT_S : RESET_WAIT_S);
 }
 
 void
@@ -87,7 +97,7 @@
 }
 
 bool
-dy_link_probe_start (DyLinkProbe *probe, const char *address, const char *source)
+dy_link_probe_start (DyLinkProbe *probe, const char *address, const char *path, const char *source)
 {
   struct sockaddr_in remote;
   struct sockaddr_in local = { .sin_family = AF_INET };
@@ -106,6 +116,9 @@
       return false;
     }
   probe->connected = false;
+  if (path)
+    probe->request = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n",
+                                      path, address);
   probe->started_us = g_get_monotonic_time ();
   ev_io_set (&probe->io, probe->fd, EV_WRITE);
   ev_io_start (probe->loop, &probe->io);
--- a/src/services/link_probe.h
+++ b/src/services/link_probe.h
@@ -3,11 +3,13 @@
 
 /**
  * NAME
- *   link_probe - tells whether new connections to an address work
+ *   link_probe - tells whether new connections to an endpoint work
  *
  * DESCRIPTION
- *   Opens a TCP connection, waits a short time for a reset, and closes it. Nothing is sent, so the
- *   other side has no request to handle.
+ *   Opens a TCP connection and asks for the endpoint's health check. Any byte of an answer shows
+ * that the link works, whatever the answer says: a link may accept connections and then pass on
+ *   nothing. Where no health check is known, a connection that is not reset for a short time
+ * counts.
  */
 
 #include <ev.h>
@@ -24,6 +26,7 @@
   void *ctx;
   int fd; /* -1: no probe is in progress */
   bool connected;
+  char *request;      /* to be sent once connected; NULL: none */
   int64_t started_us; /* monotonic time */
   ev_io io;
   ev_timer timer;
@@ -34,8 +37,10 @@
 /* Ends the probe in progress without a callback. */
 void dy_link_probe_finish (DyLinkProbe *probe);
 
-/* Starts a probe of ADDRESS, "ip:port", from the local address SOURCE; NULL or empty: any. Returns
- * false if one is in progress or none can be started. */
-bool dy_link_probe_start (DyLinkProbe *probe, const char *address, const char *source);
+/* Starts a probe of ADDRESS, "ip:port", with a health check of PATH (may be NULL), from the local
+ * address SOURCE; NULL or empty: any. Returns false if one is in progress or none can be started.
+ */
+bool
+dy_link_probe_start (DyLinkProbe *probe, const char *address, const char *path, const char *source);
 
 #endif
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -104,6 +104,7 @@
   reachability->probed_id = g_strdup (choice.id);
   const DyPlacementEndpoint *endpoint = dy_placement_find (placement, choice.id);
   dy_link_probe_start (&reachability->probe, dy_placement_endpoint_address (endpoint),
+                       dy_directory_health_path (reachability->directory, endpoint),
                        reachability->source);
 }
 
--- a/test/support/relay.c
+++ b/test/support/relay.c
@@ -84,6 +84,20 @@
   g_string_free (delayed, TRUE);
 }
 
+static void
+reset_at_close (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+static void
+reset_flow (const Flow *flow)
+{
+  for (int k = 0; k < 2; k++)
+    reset_at_close (flow->directions[k].from);
+}
+
 static void
 on_readable (struct ev_loop *loop, ev_io *w, int events)
 {
@@ -92,6 +106,11 @@
   char block[BLOCK_BYTES];
   (void) events;
   ssize_t n = recv (dir->from, block, sizeof block, MSG_DONTWAIT);
+  if (n > 0 && cut_of (flow->relay, flow->source) == RELAY_CUT_DATA)
+    {
+      reset_flow (flow);
+      n = 0;
+    }
   if (n <= 0)
     g_ptr_array_remove_fast (flow->relay->flows, flow);
   else if (is_dropped (dir))
@@ -107,13 +126,6 @@
     forward (dir, block, (size_t) n);
 }
 
-static void
-reset_at_close (int fd)
-{
-  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-}
-
 static void
 on_accept (struct ev_loop *loop, ev_io *w, int events)
 {
@@ -201,13 +213,6 @@
       g_ptr_array_remove_index_fast (relay->flows, i - 1);
 }
 
-static void
-reset_flow (const Flow *flow)
-{
-  for (int k = 0; k < 2; k++)
-    reset_at_close (flow->directions[k].from);
-}
-
 void
 relay_set_cut (Relay *relay, const char *source, RelayCut cut)
 {
--- a/test/support/relay.h
+++ b/test/support/relay.h
@@ -32,6 +32,7 @@
   RELAY_CUT_SILENT, /* bytes are dropped, connections stay open */
   RELAY_CUT_RESET,  /* connections are reset, new ones as soon as they are accepted */
   RELAY_CUT_NEW,    /* new connections are reset, open ones live on */
+  RELAY_CUT_DATA,   /* connections are reset as soon as anything is sent */
 } RelayCut;
 
 typedef struct
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -52,7 +52,8 @@
         "\"priority\":0,\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1}],"
         "\"maxAttempts\":2,\"sticky\":true,\"resumable\":false}";
   return g_strdup_printf (
-      "{\"version\":%d,\"routes\":[%s%s%s],\"services\":[{\"name\":\"app\"},{\"name\":\"llm\","
+      "{\"version\":%d,\"routes\":[%s%s%s],\"services\":[{\"name\":\"app\",\"healthPath\":\"/"
+      "health\"},{\"name\":\"llm\",\"healthPath\":\"/health\","
       "\"runtime\":{\"slots\":8,\"kvCapacity\":10000,\"stride\":1}}],\"limits\":{"
       "\"maxHeaderBytes\":16384,\"maxBodyBytes\":4096,\"headerTimeoutMs\":3000,"
       "\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"acct\",\"apiKeys\":[\"k1\"],"
