Take silent attempts as a reason for probes only

An attempt that was given up because its endpoint was silent counted as a failed connection, so that a few slow endpoints at once could make a router relay its requests.

test_directory's table of members is made only where no service makes one, which leaked three bytes in the sanitizer run.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -22,6 +22,7 @@
 {
   memset (reach, 0, sizeof *reach);
   reach->policy = *policy;
+  reach->silent_us = INT64_MIN / 2;
   reach->probed_us = INT64_MIN / 2;
   reach->asked_us = INT64_MIN / 2;
   reach->failed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -46,6 +47,20 @@
       g_hash_table_iter_remove (&iter);
 }
 
+void
+dy_reach_record_silence (DyReach *reach, int64_t now_us)
+{
+  reach->silent_us = now_us;
+}
+
+/* Returns whether there is a sign that the endpoints may be out of reach. */
+static bool
+is_suspect (const DyReach *reach, int64_t now_us)
+{
+  return reach->is_out || g_hash_table_size (reach->failed) > 0
+         || now_us - reach->silent_us <= reach->policy.window_us;
+}
+
 bool
 dy_reach_record_failure (DyReach *reach, const char *endpoint, uint32_t n_endpoints, int64_t now_us)
 {
@@ -64,6 +79,7 @@
 {
   bool was_out = reach->is_out;
   g_hash_table_remove_all (reach->failed);
+  reach->silent_us = INT64_MIN / 2;
   reach->is_out = false;
   if (was_out)
     reach->changed_us = now_us;
@@ -75,8 +91,7 @@
 {
   if (!reach->is_out)
     forget_old_failures (reach, now_us);
-  if ((!reach->is_out && g_hash_table_size (reach->failed) == 0)
-      || now_us - reach->probed_us < reach->policy.probe_interval_us)
+  if (!is_suspect (reach, now_us) || now_us - reach->probed_us < reach->policy.probe_interval_us)
     return false;
   reach->probed_us = now_us;
   return true;
@@ -91,8 +106,7 @@
 bool
 dy_reach_take_question (DyReach *reach, int64_t now_us)
 {
-  if ((!reach->is_out && g_hash_table_size (reach->failed) == 0)
-      || now_us - reach->asked_us < reach->policy.ask_interval_us)
+  if (!is_suspect (reach, now_us) || now_us - reach->asked_us < reach->policy.ask_interval_us)
     return false;
   reach->asked_us = now_us;
   return true;
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -41,6 +41,7 @@
   int64_t changed_us; /* time of the latest change of is_out */
   GHashTable
       *failed; /* endpoint id to the time of its latest failure, an int64_t, since one worked */
+  int64_t silent_us; /* time of the latest silence since one worked */
   int64_t probed_us; /* time of the latest probe */
   int64_t asked_us;  /* time of the latest question */
   GHashTable *peers; /* router name to what it says */
@@ -49,7 +50,10 @@
 void dy_reach_init (DyReach *reach, const DyReachPolicy *policy);
 void dy_reach_finish (DyReach *reach);
 
-/* Records that a new connection to ENDPOINT failed, or that it was silent; N_ENDPOINTS are known.
+/* Records that an endpoint was silent, which may be its own slowness: probes are to show. */
+void dy_reach_record_silence (DyReach *reach, int64_t now_us);
+
+/* Records that a new connection to ENDPOINT failed; N_ENDPOINTS are known.
  * Returns whether the router is out from now on and was not before. */
 bool dy_reach_record_failure (DyReach *reach,
                               const char *endpoint,
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -429,7 +429,7 @@
 dy_gateway_attempt_cancel (DyGatewayAttempt *attempt, DyPlacementOutcome outcome)
 {
   if (attempt->transfer && outcome == DY_PLACEMENT_FAILED && !attempt->head_received)
-    dy_reachability_record (attempt->gateway->reachability, attempt->endpoint_id, false);
+    dy_reachability_record_silence (attempt->gateway->reachability);
   if (attempt->transfer)
     dy_http_transfer_cancel (attempt->transfer);
   if (attempt->relay)
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -51,6 +51,12 @@
     report_change (reachability);
 }
 
+void
+dy_reachability_record_silence (DyReachability *reachability)
+{
+  dy_reach_record_silence (&reachability->reach, now_us (reachability));
+}
+
 static void
 on_probed (void *ctx, bool works, int64_t started_us)
 {
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -37,7 +37,10 @@
 /* Adds the service "reachability", whose interface is a DyReachability. */
 void dy_reachability_add_service (DyKernel *kernel, DyReachability *reachability);
 
-/* Records that a new connection to ENDPOINT failed or was silent, or that one worked. */
+/* Records that an endpoint was silent for longer than expected. */
+void dy_reachability_record_silence (DyReachability *reachability);
+
+/* Records that a new connection to ENDPOINT failed, or that one worked. */
 void dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works);
 
 /* Returns whether this router does not reach the endpoints. */
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -44,6 +44,7 @@
   Store store;
   DyPlatform platform;
   DyPeers peers;
+  bool has_members; /* PEERS has a table of members, but is not started */
   DyDirectory directory;
 } Fixture;
 
@@ -142,7 +143,6 @@
   fixture->loop = ev_default_loop (EVFLAG_AUTO);
   dy_kernel_init (&fixture->kernel, fixture->loop, &fixture->settings);
   fixture->settings.data_centre = data_centre;
-  dy_members_init (&fixture->peers.members, "r0", PEER_TIMEOUT_US);
   dy_platform_init (&fixture->platform, fixture->loop, &fixture->kernel.counters, CALLS_PER_S,
                     &store_ops, &fixture->store);
 }
@@ -151,13 +151,16 @@
 fixture_finish (Fixture *fixture)
 {
   dy_kernel_finish (&fixture->kernel);
-  dy_members_finish (&fixture->peers.members);
+  if (fixture->has_members)
+    dy_members_finish (&fixture->peers.members);
   dy_platform_finish (&fixture->platform);
 }
 
 static void
 start_directory (Fixture *fixture)
 {
+  dy_members_init (&fixture->peers.members, "r0", PEER_TIMEOUT_US);
+  fixture->has_members = true;
   DyService dialect = { .name = DY_SERVICE_DIALECT, .self = (void *) &dy_platform_dialect };
   DyService peers = { .name = DY_SERVICE_PEERS, .self = &fixture->peers };
   dy_kernel_add (&fixture->kernel, &dialect);
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -13,8 +13,9 @@
 typedef enum
 {
   END,
-  FAIL, /* a new connection to ENDPOINT fails */
-  WORK, /* one works */
+  FAIL,   /* a new connection to ENDPOINT fails */
+  WORK,   /* one works */
+  SILENT, /* an endpoint does not answer in time */
 } StepKind;
 
 typedef struct
@@ -50,6 +51,10 @@
     false },
   { "both endpoints of two fail", 2, { { 0, FAIL, "e1" }, { 10, FAIL, "e2" } }, true },
   { "the only endpoint fails", 1, { { 0, FAIL, "e1" } }, true },
+  { "silence alone",
+    10,
+    { { 0, SILENT, NULL }, { 10, SILENT, NULL }, { 20, SILENT, NULL }, { 30, SILENT, NULL } },
+    false },
   { "one works again",
     10,
     { { 0, FAIL, "e1" }, { 10, FAIL, "e2" }, { 20, FAIL, "e3" }, { 500, WORK, NULL } },
@@ -64,6 +69,13 @@
     {
       const Step *step = &cases[_i].steps[i];
       bool before = reach.is_out;
+      if (step->kind == SILENT)
+        {
+          dy_reach_record_silence (&reach, step->at_ms * MS);
+          ck_assert_msg (dy_reach_take_probe (&reach, (step->at_ms + 1000 * i) * MS), "%s: probe",
+                         cases[_i].name);
+          continue;
+        }
       bool changed = step->kind == FAIL ? dy_reach_record_failure (
                          &reach, step->endpoint, cases[_i].n_endpoints, step->at_ms * MS)
                                         : dy_reach_record_success (&reach, step->at_ms * MS);
