--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -482,9 +482,28 @@
 }
 
 const DyPlacementEndpoint *
-dy_placement_find (const DyPlacement *placement, const char *id)
+dy_placement_choose_for_probe (const DyPlacement *placement,
+                               bool (*has_failed) (const void *ctx, const char *id),
+                               const void *ctx)
 {
-  return g_hash_table_lookup (placement->by_id, id);
+  const DyPlacementEndpoint *chosen = NULL;
+  bool chosen_failed = false;
+  gint32 n_alike = 0;
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+  g_hash_table_iter_init (&iter, placement->by_id);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      bool failed = has_failed (ctx, id);
+      if (chosen && failed && !chosen_failed)
+        continue;
+      n_alike = failed == chosen_failed ? n_alike + 1 : 1;
+      chosen_failed = failed;
+      if (g_rand_int_range (placement->rng, 0, n_alike) == 0)
+        chosen = value;
+    }
+  return chosen;
 }
 
 const char *
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -67,46 +67,21 @@
     dy_crash_evidence_link_works (&gateway->crash_evidence, started_us);
 }
 
-typedef struct
+static bool
+has_failed (const void *ctx, const char *id)
 {
-  const DyGateway *gateway;
-  const char *endpoint_id; /* NULL: none found yet */
-  bool has_failed;         /* that endpoint has */
-  guint32 n_found;
-} ProbeChoice;
-
-/* Chooses any of the endpoints, if possible of those that did not fail. */
-static void
-consider_for_probe (
-    void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
-{
-  ProbeChoice *choice = ctx;
-  bool has_failed = dy_crash_evidence_has_failed (&choice->gateway->crash_evidence, id);
-  (void) service;
-  (void) in_flight;
-  (void) breaker_open;
-  if (choice->endpoint_id && has_failed && !choice->has_failed)
-    return;
-  if (has_failed != choice->has_failed)
-    choice->n_found = 0;
-  choice->has_failed = has_failed;
-  choice->n_found++;
-  if (g_rand_int_range (choice->gateway->rng, 0, (gint32) choice->n_found) == 0)
-    choice->endpoint_id = id;
+  return dy_crash_evidence_has_failed (&((const DyGateway *) ctx)->crash_evidence, id);
 }
 
 /* Opens a connection to an endpoint if that would tell a crash from a fault of the link. */
 static void
 probe_link (DyGateway *gateway, int64_t now_us)
 {
-  ProbeChoice choice = { .gateway = gateway };
-  DyPlacement *placement = &gateway->directory->placement;
   if (gateway->crash_probe.fd >= 0
       || !dy_crash_evidence_needs_probe (&gateway->crash_evidence, now_us))
     return;
-  dy_placement_visit (placement, consider_for_probe, &choice, now_us);
   const DyPlacementEndpoint *endpoint
-      = choice.endpoint_id ? dy_placement_find (placement, choice.endpoint_id) : NULL;
+      = dy_placement_choose_for_probe (&gateway->directory->placement, has_failed, gateway);
   if (endpoint)
     dy_link_probe_start (&gateway->crash_probe, dy_placement_endpoint_address (endpoint),
                          dy_directory_health_path (gateway->directory, endpoint),
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -67,48 +67,24 @@
   g_free (id);
 }
 
-typedef struct
+static bool
+has_failed (const void *ctx, const char *id)
 {
-  const DyReachability *reachability;
-  const char *id;
-  guint32 n_found;
-  bool has_failed; /* the endpoint ID has */
-} ProbeChoice;
-
-/* Chooses any of the endpoints, if possible of those that have not failed. */
-static void
-consider (void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
-{
-  ProbeChoice *choice = ctx;
-  bool has_failed = dy_reach_has_failed (&choice->reachability->reach, id);
-  (void) service;
-  (void) in_flight;
-  (void) breaker_open;
-  if (choice->id && has_failed && !choice->has_failed)
-    return;
-  if (!choice->id || has_failed != choice->has_failed)
-    choice->n_found = 0;
-  choice->n_found++;
-  if (g_rand_int_range (choice->reachability->rng, 0, (gint32) choice->n_found) != 0)
-    return;
-  choice->id = id;
-  choice->has_failed = has_failed;
+  return dy_reach_has_failed (&((const DyReachability *) ctx)->reach, id);
 }
 
 static void
 probe (DyReachability *reachability)
 {
-  ProbeChoice choice = { .reachability = reachability };
-  DyPlacement *placement = &reachability->directory->placement;
   if (reachability->probe.fd >= 0
       || !dy_reach_take_probe (&reachability->reach, now_us (reachability)))
     return;
-  dy_placement_visit (placement, consider, &choice, now_us (reachability));
-  if (!choice.id)
+  const DyPlacementEndpoint *endpoint = dy_placement_choose_for_probe (
+      &reachability->directory->placement, has_failed, reachability);
+  if (!endpoint)
     return;
   g_free (reachability->probed_id);
-  reachability->probed_id = g_strdup (choice.id);
-  const DyPlacementEndpoint *endpoint = dy_placement_find (placement, choice.id);
+  reachability->probed_id = g_strdup (dy_placement_endpoint_id (endpoint));
   dy_link_probe_start (&reachability->probe, dy_placement_endpoint_address (endpoint),
                        dy_directory_health_path (reachability->directory, endpoint),
                        reachability->source);
@@ -152,7 +128,6 @@
   reachability->directory = dy_kernel_find (kernel, DY_SERVICE_DIRECTORY);
   reachability->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
   reachability->source = kernel->settings->connect_from;
-  reachability->rng = g_rand_new_with_seed ((uint32_t) kernel->incarnation_id);
   dy_reach_init (&reachability->reach, &dy_reach_policy);
   dy_link_probe_init (&reachability->probe, kernel->loop, on_probed, reachability);
   dy_peers_watch (reachability->peers, &peers_watcher, reachability);
@@ -169,7 +144,6 @@
   ev_timer_stop (reachability->kernel->loop, &reachability->timer);
   dy_link_probe_finish (&reachability->probe);
   dy_reach_finish (&reachability->reach);
-  g_rand_free (reachability->rng);
   g_free (reachability->probed_id);
 }
 
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -30,7 +30,6 @@
   DyLinkProbe probe;
   char *probed_id;    /* endpoint of the probe in progress */
   const char *source; /* local IP address of connections to endpoints; empty: any */
-  GRand *rng;
   ev_timer timer;
 } DyReachability;
 
