Let tests of mixed fleets run with routers of earlier builds

The settings of all site tests had the new key connect_from, which earlier builds reject, so no router of one started beside this build's. It is written only where routers are cut off from workers.

--- a/test/support/site.c
+++ b/test/support/site.c
@@ -192,9 +192,12 @@
   char source[SOURCE_SIZE];
   char *path = g_strdup_printf ("%s/r%u.ini", site->dir, i);
   format_source (i, source);
+  /* Earlier builds, which tests of mixed fleets run, do not know the key. */
+  char *connect_from
+      = site->has_sources ? g_strdup_printf ("connect_from = %s\n", source) : g_strdup ("");
   char *text = g_strdup_printf (
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
-      "connect_from = %s\noperator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = "
+      "%soperator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = "
       "200\n"
       "[platform]\nkind = objects\nurl = %s\nplatform_timeout_ms = 300\n"
       "watch_timeout_ms = 8000\nvm_list_interval_ms = %d\nplatform_calls_per_s = 200\n"
@@ -202,10 +205,11 @@
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
       "store_copy_age_ms = 4000\n"
       "[log]\nlevel = info\n",
-      i, site->callers[i], site->ready[i], source, site->operators[i], site->peers[i],
+      i, site->callers[i], site->ready[i], connect_from, site->operators[i], site->peers[i],
       site->relayed ? site->store_relays[i] : site->store, site->vm_list_interval_ms);
   bool ok = g_file_set_contents (path, text, -1, NULL);
   g_free (text);
+  g_free (connect_from);
   g_free (path);
   return ok;
 }
@@ -343,6 +347,7 @@
   site->dir = g_dir_make_tmp ("site-XXXXXX", NULL);
   site->n_routers = n_routers;
   site->n_workers = n_workers;
+  site->has_sources = n_workers > SITE_N_WORKERS;
   site->store = fleet_free_address ();
   for (uint32_t i = 0; i < site->n_workers; i++)
     site->workers[i] = fleet_free_address ();
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -48,6 +48,7 @@
   FleetProcess router_process[SITE_MAX_ROUTERS];
   FleetProcess worker_process[SITE_MAX_WORKERS];
   uint32_t n_workers;
+  bool has_sources; /* each router connects to workers from an address of its own */
   uint32_t n_routers;
   uint64_t last_id;     /* number in the id of the last request sent */
   int64_t populated_ms; /* monotonic time after which only routers have written to the store */
@@ -80,7 +81,7 @@
  * for the account. */
 bool site_init_relayed (Site *site, uint32_t n_routers, int64_t prepaid);
 
-/* The same with N_WORKERS workers. */
+/* The same with N_WORKERS workers, for site_cut_router(). */
 bool site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
 void site_finish (Site *site);
 
