--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -99,7 +99,7 @@
                               void (*visit) (void *ctx, void *payload),
                               void *ctx);
 
-/* Records that ENDPOINT has started again, or is gone. */
+/* Records that ENDPOINT has started again, or that its record was removed. */
 void dy_crash_evidence_restarted (DyCrashEvidence *evidence, const char *endpoint);
 
 /* Drops all failures, as the link has failed. */
--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -49,7 +49,7 @@
   int64_t behind_us;        /* since when a later change is known to exist; 0: none is */
   int64_t failed_us;        /* time of the latest failure */
   uint32_t n_failures;      /* consecutive failed checks */
-  bool check_fails;         /* the router that told of the later change could not check */
+  bool check_fails;         /* the router that reported the later change had to list */
 } DyWatchAge;
 
 typedef enum
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -90,7 +90,7 @@
 void dy_peers_watch (DyPeers *peers, const DyPeersWatcher *watcher, void *ctx);
 
 /* Returns whether this router knows its members: it is connected to all that are listed, or has
- * waited for the peer timeout and one heartbeat interval since it first knew of any. Until then it
+ * waited for the peer timeout and one heartbeat interval since the first was listed. Until then it
  * must accept no request, as a router that it does not know yet may already have a record of it. */
 bool dy_peers_members_known (const DyPeers *peers);
 
--- a/src/services/relays.h
+++ b/src/services/relays.h
@@ -10,8 +10,8 @@
  *   the endpoint, sends the request and passes the answer on. All else stays where the caller is
  *   connected: budget, limits on attempts, resumed streams, the settlement.
  *
- *   A relayed attempt is never relayed again. The other router cancels it when it is told to, when
- *   the connection between the two is lost and when the caller's time is over.
+ *   A relayed attempt is never relayed again. The other router cancels it on request, when the
+ *   connection between the two is lost and when the caller's time limit has passed.
  *
  * FORMAT
  *   Messages of type DY_MESSAGE_RELAY with the number that the asking router gave the relay:
