Do not send frames that the other router would reject

Cause: a router that hears of a later route table in a heartbeat asks for it; one of more than 64 KiB was sent as one frame, which the receiver takes for a broken one: it closed the connection, and the next heartbeat led to the same again. Change: a frame above the maximum is not sent; event 4006. The router that asked reads the store. Test: store_calls/a_route_table_above_the_frame_size..., 1 to 24 routers; with 24 routers it failed in a tree without this change (connections lost), and passes.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -45,6 +45,7 @@
   X (PEER_REJECTED, 4003, WARNING, "peer rejected")                                                \
   X (REGISTERED, 4004, MESSAGE, "own record written")                                              \
   X (HISTORY_GONE, 4005, WARNING, "watch history gone")                                            \
+  X (PEER_MESSAGE_TOO_LARGE, 4006, WARNING, "message to a peer too large")                         \
   X (LEDGER_CONFLICT, 5001, INFO, "ledger write conflict")                                         \
   X (LEDGER_INVALID, 5002, WARNING, "ledger entry invalid")                                        \
   X (SETTLE_FAILED, 5003, WARNING, "settlement not acknowledged")                                  \
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -52,6 +52,14 @@
       return;
     }
   dy_wire_pack (message, &link->out);
+  if (link->out.size - before > DY_MAX_FRAME_BYTES + DY_FRAME_HEADER_BYTES)
+    {
+      /* The other side would close the connection. */
+      dy_log (DY_EVENT_PEER_MESSAGE_TOO_LARGE, "node=%s type=%d bytes=%zu", link->node,
+              (int) message->type, link->out.size - before);
+      link->out.size = before;
+      return;
+    }
   dy_counters_add (&link->peers->kernel->counters, DY_COUNTER_PEER_MESSAGES_OUT, 1);
   dy_counters_add (&link->peers->kernel->counters, DY_COUNTER_PEER_BYTES_OUT,
                    (int64_t) (link->out.size - before));
--- a/test/fakes/fake_store.c
+++ b/test/fakes/fake_store.c
@@ -20,6 +20,8 @@
  *                    with restore: the object is written at the return, before any other call
  *   "skip": n        with restore: n revisions are then given out, as if to other objects
  *
+ * GET /admin/stats returns the number of calls to each kind of objects, refused ones included.
+ *
  * All answers have the header Store-Era. Writes of the kind "versions" get 403, as the platform has
  * a kind of that name. */
 
@@ -58,6 +60,7 @@
   int64_t n_lost_replies; /* number of next successful writes that get no reply */
   int64_t n_late;         /* number of next writes that are executed late and get no reply */
   int64_t n_writes;
+  json_t *n_calls; /* kind to the number of calls */
   Snapshots snapshots;
   int64_t restore_ms; /* age of the copy to return to when restore_timer ends */
   uint64_t skip;      /* revisions to give out then */
@@ -458,6 +461,15 @@
   json_decref (body);
 }
 
+static void
+count_call (Store *store, const char *path)
+{
+  char *kind = g_strndup (path, strcspn (path, "/"));
+  json_int_t n = json_integer_value (json_object_get (store->n_calls, kind));
+  json_object_set_new (store->n_calls, kind, json_integer (n + 1));
+  g_free (kind);
+}
+
 static void
 handle (void *ctx, DyHttpCall *call)
 {
@@ -469,6 +481,13 @@
       set_faults (store, call);
       return;
     }
+  if (strcmp (path, "/admin/stats") == 0)
+    {
+      reply (call, 200, json_incref (store->n_calls));
+      return;
+    }
+  if (g_str_has_prefix (path, prefix))
+    count_call (store, path + sizeof prefix - 1);
   if (store->silent || store->away)
     return;
   if (!g_str_has_prefix (path, prefix))
@@ -494,6 +513,7 @@
   signal (SIGPIPE, SIG_IGN);
   store.loop = ev_default_loop (EVFLAG_AUTO);
   store.watches = g_ptr_array_new_with_free_func (free_watch);
+  store.n_calls = json_object ();
   dy_object_store_init (&store.objects);
   snapshots_init (&store.snapshots, SNAPSHOT_AGE_US);
   ev_timer_init (&store.restore_timer, on_restore, 0.0, 0.0);
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -170,6 +170,24 @@
   return NULL;
 }
 
+int64_t
+site_store_calls (Site *site, const char *kind)
+{
+  json_t *stats = fleet_call (&site->fleet, "GET", site->store, "/admin/stats", NULL);
+  int64_t n = json_integer_value (json_object_get (stats, kind));
+  json_decref (stats);
+  return n;
+}
+
+uint32_t
+site_count_output (const Site *site, uint32_t i, const char *text)
+{
+  uint32_t n = 0;
+  for (const char *at = site->router_process[i].output->str; (at = strstr (at, text)); at++)
+    n++;
+  return n;
+}
+
 /* Formats the address from which router I connects to the workers. */
 static void
 format_source (uint32_t i, char *source)
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -22,7 +22,7 @@
 
 enum
 {
-  SITE_MAX_ROUTERS = 9,
+  SITE_MAX_ROUTERS = 24,
   SITE_N_WORKERS = 4, /* unless said otherwise; the first two serve "app", the others "llm" */
   SITE_MAX_WORKERS = 10,
 };
@@ -138,6 +138,12 @@
 /* Returns the object KEY of the store as a new reference, or NULL if there is none. */
 json_t *site_store_object (Site *site, const char *key);
 
+/* Returns the number of calls to objects of KIND that the store has received. */
+int64_t site_store_calls (Site *site, const char *kind);
+
+/* Returns the number of times that TEXT occurs in what router I has printed. */
+uint32_t site_count_output (const Site *site, uint32_t i, const char *text);
+
 /* Returns how often the request ID ran, summed over all workers. */
 int64_t site_count_runs (Site *site, const char *id);
 
--- /dev/null
+++ b/test/test_store_calls.c
@@ -0,0 +1,120 @@
+/* How many calls routers make to the platform's store, and how changes reach all of them: real
+ * router processes on a stand-in store. */
+
+#include "support/site.h"
+#include "support/suite.h"
+
+enum
+{
+  N_CHANGES = 8,
+  CHANGE_INTERVAL_MS = 250,
+  SETTLE_MS = 1500,
+  APPLY_MS = 1000, /* time in which a change is to be in force at all routers */
+  PREPAID = 3000000,
+  /* Two for each change of either kind, one for each of two checks a second of either kind, and
+   * half of that for delays. Does not depend on the number of routers. */
+  MAX_CALLS = 2 * 2 * N_CHANGES + 3 * 2 * (N_CHANGES * CHANGE_INTERVAL_MS + APPLY_MS) / 1000,
+  N_LARGE_ROUTES = 400, /* of about 200 bytes: more than a frame between routers holds */
+};
+
+static const uint32_t fleets[] = { 1, 2, 9, 24 };
+
+static int64_t
+count_calls (Site *site)
+{
+  return site_store_calls (site, "config") + site_store_calls (site, "servers");
+}
+
+/* Returns the number of routers whose route table has VERSION. */
+static uint32_t
+count_updated (Site *site, int version)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < site->n_routers; i++)
+    {
+      json_t *dump = fleet_call (&site->fleet, "GET", site->operators[i], "/dump", NULL);
+      const json_t *directory = json_object_get (dump, "directory");
+      n += json_integer_value (json_object_get (directory, "version")) == version;
+      json_decref (dump);
+    }
+  return n;
+}
+
+START_TEST (changes_reach_all_routers_for_calls_that_do_not_grow_with_the_fleet)
+{
+  Site site;
+  int version = 1;
+  ck_assert (site_init (&site, fleets[_i]));
+  site_run_for (&site, SETTLE_MS);
+  int64_t n_before = count_calls (&site);
+  for (int i = 0; i < N_CHANGES; i++)
+    {
+      ck_assert (site_put_routes (&site, ++version, NULL, PREPAID));
+      ck_assert (site_put_worker (&site, 0, i % 2 ? "ready" : "draining", NULL));
+      site_run_for (&site, CHANGE_INTERVAL_MS);
+    }
+  site_run_for (&site, APPLY_MS - CHANGE_INTERVAL_MS);
+  int64_t n_calls = count_calls (&site) - n_before;
+  uint32_t n_updated = count_updated (&site, version);
+  ck_assert_msg (n_updated == site.n_routers, "%u of %u routers", n_updated, site.n_routers);
+  ck_assert_msg (n_calls <= MAX_CALLS, "%" G_GINT64_FORMAT " calls, allowed %d", n_calls,
+                 MAX_CALLS);
+  site_finish (&site);
+}
+END_TEST
+
+/* Returns additional routes that make the route table larger than a frame. */
+static char *
+large_routes (void)
+{
+  GString *text = g_string_new (NULL);
+  for (int i = 0; i < N_LARGE_ROUTES; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"name\":\"large-%d\",\"host\":\"h.example\",\"pathPrefix\":\"/large-%d/\","
+        "\"routeType\":\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,"
+        "\"service\":\"app\",\"maxAttempts\":2}",
+        i ? "," : "", i, i);
+  return g_string_free (text, FALSE);
+}
+
+START_TEST (a_route_table_above_the_frame_size_reaches_all_routers_and_breaks_no_connection)
+{
+  Site site;
+  char *extra = large_routes ();
+  ck_assert (site_init (&site, fleets[_i]));
+  site_run_for (&site, SETTLE_MS);
+  for (int version = 2; version <= N_CHANGES; version++)
+    {
+      ck_assert (site_put_routes (&site, version, extra, PREPAID));
+      site_run_for (&site, APPLY_MS);
+      uint32_t n_updated = count_updated (&site, version);
+      ck_assert_msg (n_updated == site.n_routers, "version %d: %u of %u routers", version,
+                     n_updated, site.n_routers);
+    }
+  for (uint32_t i = 0; i < site.n_routers; i++)
+    {
+      ck_assert_uint_eq (site_count_output (&site, i, "peer rejected"), 0);
+      ck_assert_uint_eq (site_count_output (&site, i, "peer lost"), 0);
+    }
+  g_free (extra);
+  site_finish (&site);
+}
+END_TEST
+
+int
+main (void)
+{
+  enum
+  {
+    TIMEOUT_S = 60,
+  };
+  TCase *tcase = tcase_create ("store_calls");
+  tcase_set_timeout (tcase, TIMEOUT_S);
+  tcase_add_loop_test (tcase, changes_reach_all_routers_for_calls_that_do_not_grow_with_the_fleet,
+                       0, G_N_ELEMENTS (fleets));
+  tcase_add_loop_test (
+      tcase, a_route_table_above_the_frame_size_reaches_all_routers_and_breaks_no_connection, 0,
+      G_N_ELEMENTS (fleets));
+  return suite_run ("store_calls", tcase);
+}
