Read the VM list often only while it lacks a router

Change: core/vm_list_pace decides: every 0.2 s (the heartbeat's tick) until this router is on the list, after 1 s while a router is connected that is not, at [platform] vm_list_idle_ms (15 s as deployed) once the list has not changed for two intervals. A router joins only once it is listed itself, for the same limit of time as before. A peer counts as reaching the store until its first heartbeat says otherwise. Services' versions are written by routers that know their members only. A peer's confirmation ends a run of failed checks. Tests: vm_list_pace (table); store_calls/routers_of_a_first_start_..., with an interval of 60 s.

--- a/src/core/watch_age.c
+++ b/src/core/watch_age.c
@@ -54,6 +54,8 @@
   if (changed_version <= age->version)
     {
       age->confirmed_us = MAX (age->confirmed_us, confirmed_us);
+      if (!by_list)
+        age->n_failures = 0;
       return;
     }
   if (!age->behind_us)
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -94,6 +94,12 @@
            "time after which a watch without changes returns"),
   INTEGER (
       "platform", vm_list_interval_ms, "2000", 100, 60000, "interval between reads of the VM list"),
+  INTEGER ("platform",
+           vm_list_idle_ms,
+           "100",
+           100,
+           600000,
+           "interval while the VM list does not change, if longer"),
   STRING ("peers", "secret", peer_secret, "", "shared secret of all routers; empty: no peers"),
   INTEGER ("peers", heartbeat_ms, "300", 10, 60000, "interval between heartbeats"),
   INTEGER ("peers",
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -38,6 +38,7 @@
   int64_t platform_calls_per_s;
   int64_t watch_timeout_ms;
   int64_t vm_list_interval_ms;
+  int64_t vm_list_idle_ms;
   int64_t heartbeat_ms;
   int64_t peer_timeout_ms;
   int64_t reserve_wait_ms;
--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -136,6 +136,7 @@
 {
   const DyMembers *members = &origins->directory->peers->members;
   if (object->synced || object->busy || !origins->versions_loaded
+      || !dy_peers_members_known (origins->directory->peers)
       || now_us (origins) < object->next_try_us
       || dy_members_home (members, object->service, NULL, now_us (origins)))
     return;
--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -1,5 +1,6 @@
 #include "services/peers_private.h"
 
+#include "core/vm_list_pace.h"
 #include "kernel/priority.h"
 #include "net/address.h"
 
@@ -8,9 +9,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Between reads of the VM list until one succeeds; a router accepts no request before. */
-static const double FIRST_VM_LIST_RETRY_S = 0.2;
-
 enum
 {
   DIAL_MIN_US = 50 * 1000,
@@ -99,7 +97,7 @@
   if (!peers->members_since_us
       && (peers->vm_list_read || g_hash_table_size (peers->members.by_name) > 0))
     peers->members_since_us = dy_peers_now_us (peers);
-  if ((peers->vm_list_read && dy_members_all_connected (&peers->members))
+  if ((peers->vm_list_has_self && dy_members_all_connected (&peers->members))
       || (peers->members_since_us
           && dy_peers_now_us (peers) - peers->members_since_us >= wait_limit_us))
     peers->members.joining = false;
@@ -118,29 +116,6 @@
       dial (peers, value);
 }
 
-static void
-on_heartbeat_timer (struct ev_loop *loop, ev_timer *w, int events)
-{
-  DyPeers *peers = w->data;
-  GHashTableIter iter;
-  gpointer name;
-  gpointer value;
-  (void) loop;
-  (void) events;
-  close_stale_links (peers);
-  update_joining (peers);
-  g_hash_table_iter_init (&iter, peers->members.by_name);
-  while (g_hash_table_iter_next (&iter, &name, &value))
-    {
-      DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
-      if (link && link->authenticated)
-        dy_peers_send_heartbeat (link, DY_MESSAGE_PING);
-    }
-  dial_members (peers);
-  dy_counters_set (&peers->kernel->counters, DY_COUNTER_MEMBERS,
-                   dy_members_count (&peers->members, dy_peers_now_us (peers)));
-}
-
 static void
 remove_member (DyPeers *peers, const char *name)
 {
@@ -182,6 +157,7 @@
 static void
 apply_vm_list (DyPeers *peers, const json_t *vms)
 {
+  bool changed = !peers->vm_list_read;
   peers->vm_list_read = true;
   GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
   const json_t *vm;
@@ -194,35 +170,29 @@
     if (!name || !address || !data_centre || strlen (name) >= DY_NAME_SIZE)
       continue;
     g_hash_table_add (listed, (gpointer) name);
+    if (strcmp (name, peers->members.self_name) == 0)
+      peers->vm_list_has_self = true;
+    else if (!dy_members_find (&peers->members, name))
+      changed = true;
     dy_members_put (&peers->members, name, address, data_centre,
                     json_is_true (json_object_get (vm, "leaving")));
   }
+  guint n_members = g_hash_table_size (peers->members.by_name);
   remove_unlisted (peers, listed);
+  if (changed || g_hash_table_size (peers->members.by_name) != n_members)
+    peers->members_changed_us = dy_peers_now_us (peers);
   g_hash_table_unref (listed);
   dial_members (peers);
 }
 
-/* Reads the VM list after DELAY_S, and at the usual interval from then on. */
-static void
-read_vm_list_after (DyPeers *peers, double delay_s)
-{
-  double interval_s = (double) peers->kernel->settings->vm_list_interval_ms / 1000.0;
-  ev_timer_stop (peers->kernel->loop, &peers->vm_list_timer);
-  ev_timer_set (&peers->vm_list_timer, delay_s, interval_s);
-  ev_timer_start (peers->kernel->loop, &peers->vm_list_timer);
-}
-
 static void
 on_vm_list (void *ctx, const DyPlatformReply *reply)
 {
   DyPeers *peers = ctx;
   peers->vm_list_in_progress = false;
+  peers->vm_list_us = dy_peers_now_us (peers);
   if (reply->error)
-    {
-      if (!peers->vm_list_read)
-        read_vm_list_after (peers, FIRST_VM_LIST_RETRY_S);
-      return;
-    }
+    return;
   json_t *root = json_loadb (reply->value, reply->n_value, 0, NULL);
   const json_t *vms = json_object_get (root, "vms");
   if (json_is_array (vms))
@@ -230,18 +200,68 @@
   json_decref (root);
 }
 
+/* Returns whether a router is connected to this one that is not on the VM list. */
+static bool
+lacks_peer (const DyPeers *peers)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peers->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyPeerLink *link = value;
+      if (link->authenticated && !link->dialed && !dy_members_find (&peers->members, link->node)
+          && strcmp (link->node, peers->members.self_name) != 0)
+        return true;
+    }
+  return false;
+}
+
+/* Reads the VM list if that is due. */
 static void
-on_vm_list_timer (struct ev_loop *loop, ev_timer *w, int events)
+update_vm_list (DyPeers *peers)
 {
-  DyPeers *peers = w->data;
-  (void) loop;
-  (void) events;
-  if (peers->vm_list_in_progress)
+  const DySettings *settings = peers->kernel->settings;
+  const DyVmListPace pace
+      = { settings->vm_list_interval_ms * 1000, settings->vm_list_idle_ms * 1000 };
+  const DyVmListState state
+      = { .joining = peers->members.joining,
+          .read = peers->vm_list_read,
+          .lists_self = peers->vm_list_has_self,
+          .lacks_peer = lacks_peer (peers),
+          .unchanged_us = dy_peers_now_us (peers) - peers->members_changed_us };
+  if (peers->vm_list_in_progress
+      || (peers->vm_list_us
+          && dy_peers_now_us (peers) - peers->vm_list_us < dy_vm_list_pace_wait_us (&pace, &state)))
     return;
   peers->vm_list_in_progress = true;
   dy_platform_vms (peers->platform, on_vm_list, peers);
 }
 
+static void
+on_heartbeat_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyPeers *peers = w->data;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  (void) loop;
+  (void) events;
+  close_stale_links (peers);
+  update_joining (peers);
+  g_hash_table_iter_init (&iter, peers->members.by_name);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
+      if (link && link->authenticated)
+        dy_peers_send_heartbeat (link, DY_MESSAGE_PING);
+    }
+  dial_members (peers);
+  update_vm_list (peers);
+  dy_counters_set (&peers->kernel->counters, DY_COUNTER_MEMBERS,
+                   dy_members_count (&peers->members, dy_peers_now_us (peers)));
+}
+
 static int
 listen_on (DyPeers *peers, const char *text)
 {
@@ -266,11 +286,8 @@
   const DySettings *settings = peers->kernel->settings;
   ev_timer_init (&peers->heartbeat_timer, on_heartbeat_timer, 0.0,
                  (double) settings->heartbeat_ms / 1000.0);
-  ev_timer_init (&peers->vm_list_timer, on_vm_list_timer, 0.0, 0.0);
   ev_set_priority (&peers->heartbeat_timer, DY_PRIORITY_TIMEOUT);
   peers->heartbeat_timer.data = peers;
-  peers->vm_list_timer.data = peers;
-  read_vm_list_after (peers, 0.0);
   ev_timer_start (peers->kernel->loop, &peers->heartbeat_timer);
 }
 
@@ -307,7 +324,6 @@
 {
   DyPeers *peers = self;
   ev_timer_stop (peers->kernel->loop, &peers->heartbeat_timer);
-  ev_timer_stop (peers->kernel->loop, &peers->vm_list_timer);
   ev_io_stop (peers->kernel->loop, &peers->accept_io);
   if (peers->listen_fd >= 0)
     close (peers->listen_fd);
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -11,6 +11,8 @@
  *   secret by a keyed hash (HMAC-SHA256) over the other side's nonce. A router sends its requests
  *   and heartbeats on the connection that it dialled, and the replies come back on the same one.
  *
+ *   The VM list is read at the pace of core/vm_list_pace.h.
+ *
  *   Until the VM list has been read for the first time, the routers that dial this one count as its
  *   members, so a router that starts during an outage of the platform finds the others.
  *
@@ -71,15 +73,17 @@
   int listen_fd;
   ev_io accept_io;
   ev_timer heartbeat_timer;
-  ev_timer vm_list_timer;
-  int64_t members_since_us;  /* monotonic time at which members were first known; 0: none are */
-  bool vm_list_in_progress;  /* a call for the VM list is in progress */
-  bool vm_list_read;         /* the VM list was read at least once */
-  GHashTable *links;         /* link number to DyPeerLink */
-  GHashTable *dialed;        /* router name to the DyPeerLink that this router dialled */
-  GHashTable *dial_states;   /* router name to the backoff state of its dial attempts */
-  GHashTable *incarnations;  /* router name to the id of the latest authenticated incarnation */
-  uint64_t last_link_number; /* number of the latest link; 0: none yet */
+  int64_t members_since_us;   /* monotonic time at which members were first known; 0: none are */
+  bool vm_list_in_progress;   /* a call for the VM list is in progress */
+  bool vm_list_read;          /* the VM list was read at least once */
+  bool vm_list_has_self;      /* this router was on it */
+  int64_t vm_list_us;         /* monotonic time at which the latest read of the VM list ended */
+  int64_t members_changed_us; /* monotonic time of the latest change of the VM list */
+  GHashTable *links;          /* link number to DyPeerLink */
+  GHashTable *dialed;         /* router name to the DyPeerLink that this router dialled */
+  GHashTable *dial_states;    /* router name to the backoff state of its dial attempts */
+  GHashTable *incarnations;   /* router name to the id of the latest authenticated incarnation */
+  uint64_t last_link_number;  /* number of the latest link; 0: none yet */
   GRand *rng;
 } DyPeers;
 
@@ -89,9 +93,10 @@
 /* Adds a watcher, which stays until the service stops; at most DY_MAX_PEERS_WATCHERS. */
 void dy_peers_watch (DyPeers *peers, const DyPeersWatcher *watcher, void *ctx);
 
-/* Returns whether this router knows its members: it is connected to all that are listed, or has
- * waited for the peer timeout and one heartbeat interval since the first was listed. Until then it
- * must accept no request, as a router that it does not know yet may already have a record of it. */
+/* Returns whether this router knows its members: it is listed itself and connected to all that are
+ * listed, or has waited for the peer timeout and one heartbeat interval since the first was listed.
+ * Until then it must accept no request, as a router that it does not know yet may already have a
+ * record of it. */
 bool dy_peers_members_known (const DyPeers *peers);
 
 /* Sends MESSAGE to the router NAME. Returns DY_OK, or DY_UNAVAILABLE if there is no connection. */
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -180,6 +180,8 @@
     dy_backoff_reset (&dial->backoff);
   dy_members_record_heartbeat (&peers->members, link->node, link->incarnation_id, false,
                                dy_peers_now_us (peers));
+  /* Until its first heartbeat says otherwise. */
+  dy_members_set_platform (&peers->members, link->node, true);
   dy_log (DY_EVENT_PEER_UP, "node=%s", link->node);
   NOTIFY_WATCHERS (peers, up, link->node);
   return true;
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -11,6 +11,7 @@
   CALL_TIMEOUT_MS = 10000,
   DISCONNECT_AFTER_MS = 150,
   VM_LIST_INTERVAL_MS = 100,
+  PREPAID = 1000000,
   SOURCE_SIZE = 16, /* bytes, of an IP address as text */
 };
 
@@ -355,11 +356,16 @@
 }
 
 static bool
-init (Site *site, uint32_t n_routers, uint32_t n_workers, bool relayed, int64_t prepaid)
+init (Site *site,
+      uint32_t n_routers,
+      uint32_t n_workers,
+      bool relayed,
+      int64_t prepaid,
+      int vm_list_interval_ms)
 {
   memset (site, 0, sizeof *site);
   site->relayed = relayed;
-  site->vm_list_interval_ms = VM_LIST_INTERVAL_MS;
+  site->vm_list_interval_ms = vm_list_interval_ms;
   signal (SIGPIPE, SIG_IGN);
   site->fleet.loop = ev_default_loop (EVFLAG_AUTO);
   site->dir = g_dir_make_tmp ("site-XXXXXX", NULL);
@@ -392,19 +398,25 @@
 bool
 site_init (Site *site, uint32_t n_routers)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, 1000000);
+  return init (site, n_routers, SITE_N_WORKERS, false, PREPAID, VM_LIST_INTERVAL_MS);
+}
+
+bool
+site_init_listing (Site *site, uint32_t n_routers, int vm_list_interval_ms)
+{
+  return init (site, n_routers, SITE_N_WORKERS, false, PREPAID, vm_list_interval_ms);
 }
 
 bool
 site_init_relayed (Site *site, uint32_t n_routers, int64_t prepaid)
 {
-  return init (site, n_routers, SITE_N_WORKERS, true, prepaid);
+  return init (site, n_routers, SITE_N_WORKERS, true, prepaid, VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, prepaid);
+  return init (site, n_routers, n_workers, true, prepaid, VM_LIST_INTERVAL_MS);
 }
 
 void
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -83,6 +83,9 @@
 
 /* The same with N_WORKERS workers, for site_cut_router(). */
 bool site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
+
+/* As site_init(), with VM_LIST_INTERVAL_MS between the reads of the VM list. */
+bool site_init_listing (Site *site, uint32_t n_routers, int vm_list_interval_ms);
 void site_finish (Site *site);
 
 /* Starts router I or worker I; one that runs already is killed first. */
--- a/test/test_spread.c
+++ b/test/test_spread.c
@@ -20,8 +20,8 @@
 {
   uint32_t n_routers;
   uint32_t n_mute;
-} fleets[] = { { 1, 0 },   { 2, 0 },   { 9, 0 },   { 9, 3 },    { 18, 2 },
-               { 81, 0 },  { 81, 8 },  { 300, 0 }, { 300, 30 }, { 300, 100 } };
+} fleets[] = { { 1, 0 },  { 2, 0 },  { 9, 0 },   { 9, 3 },    { 18, 2 },
+               { 81, 0 }, { 81, 8 }, { 300, 0 }, { 300, 30 }, { 300, 100 } };
 
 typedef struct
 {
@@ -119,8 +119,8 @@
         n_received[i] += fleet->n_received[i];
     }
   for (uint32_t i = 0; i < fleet->n; i++)
-    ck_assert_msg (n_received[i] >= min_received, "router %u: %u of %d", i,
-                   n_received[i], N_MESSAGES);
+    ck_assert_msg (n_received[i] >= min_received, "router %u: %u of %d", i, n_received[i],
+                   N_MESSAGES);
   g_free (n_received);
   free_fleet (fleet);
 }
--- a/test/test_store_calls.c
+++ b/test/test_store_calls.c
@@ -14,6 +14,9 @@
   /* Two for each change of either kind, one for each of two checks a second of either kind, and
    * half of that for delays. Does not depend on the number of routers. */
   MAX_CALLS = 2 * 2 * N_CHANGES + 3 * 2 * (N_CHANGES * CHANGE_INTERVAL_MS + APPLY_MS) / 1000,
+  LONG_VM_LIST_INTERVAL_MS = 60000,
+  JOIN_MS = 2500, /* after the last router is ready */
+  IDLE_MS = 2000,
   N_LARGE_ROUTES = 400, /* of about 200 bytes: more than a frame between routers holds */
 };
 
@@ -63,6 +66,40 @@
 }
 END_TEST
 
+/* Returns the number of connections to members, over all routers. */
+static uint32_t
+count_connections (Site *site)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < site->n_routers; i++)
+    {
+      json_t *dump = fleet_call (&site->fleet, "GET", site->operators[i], "/dump", NULL);
+      const json_t *members = json_object_get (json_object_get (dump, "peers"), "members");
+      const json_t *member;
+      size_t k;
+      json_array_foreach (members, k, member)
+      {
+        n += json_is_true (json_object_get (member, "connected"));
+      }
+      json_decref (dump);
+    }
+  return n;
+}
+
+/* The first ones read the VM list before the others are on it. */
+START_TEST (routers_of_a_first_start_know_each_other_long_before_the_next_read_of_the_vm_list)
+{
+  Site site;
+  ck_assert (site_init_listing (&site, fleets[_i], LONG_VM_LIST_INTERVAL_MS));
+  site_run_for (&site, JOIN_MS);
+  ck_assert_uint_eq (count_connections (&site), site.n_routers * (site.n_routers - 1));
+  int64_t n_lists = site_store_calls (&site, "routers");
+  site_run_for (&site, IDLE_MS);
+  ck_assert_int_eq (site_store_calls (&site, "routers"), n_lists);
+  site_finish (&site);
+}
+END_TEST
+
 /* Returns additional routes that make the route table larger than a frame. */
 static char *
 large_routes (void)
@@ -113,6 +150,9 @@
   tcase_set_timeout (tcase, TIMEOUT_S);
   tcase_add_loop_test (tcase, changes_reach_all_routers_for_calls_that_do_not_grow_with_the_fleet,
                        0, G_N_ELEMENTS (fleets));
+  tcase_add_loop_test (
+      tcase, routers_of_a_first_start_know_each_other_long_before_the_next_read_of_the_vm_list, 0,
+      G_N_ELEMENTS (fleets));
   tcase_add_loop_test (
       tcase, a_route_table_above_the_frame_size_reaches_all_routers_and_breaks_no_connection, 0,
       G_N_ELEMENTS (fleets));
