Do not write a router's record that the store has already

Cause: a restarted router creates its record, is told that it exists, and wrote the same contents again: two writes a router at each restart of all. Change: the refusal contains the record; it is written only if it differs. Test: store_calls/a_restart_writes_the_record_of_a_router_once, 1 to 24 routers: two writes a router before.

--- a/src/services/registration.c
+++ b/src/services/registration.c
@@ -12,20 +12,41 @@
 /* Writes the record if the store holds version EXPECTED of it, 0 if it holds none. */
 static void write_record (DyRegistration *registration, uint64_t expected);
 
+static void
+finish (DyRegistration *registration, uint64_t version)
+{
+  registration->done = true;
+  dy_log (DY_EVENT_REGISTERED, "key=%s version=%" G_GUINT64_FORMAT, registration->key, version);
+}
+
+/* Returns whether REPLY, to a write that found a record, shows one with the same contents, which an
+ * earlier incarnation of this router wrote. */
+static bool
+is_own_record (const DyRegistration *registration, const DyPlatformReply *reply)
+{
+  json_t *stored = reply->value ? json_loadb (reply->value, reply->n_value, 0, NULL) : NULL;
+  json_t *own = json_loads (registration->text, 0, NULL);
+  bool equal = json_equal (stored, own);
+  json_decref (stored);
+  json_decref (own);
+  return equal;
+}
+
 static void
 on_written (void *ctx, const DyPlatformReply *reply)
 {
   DyRegistration *registration = ctx;
   if (reply->error == DY_OK)
     {
-      registration->done = true;
-      dy_log (DY_EVENT_REGISTERED, "key=%s version=%" G_GUINT64_FORMAT, registration->key,
-              reply->version);
+      finish (registration, reply->version);
       return;
     }
   if (reply->error == DY_CONFLICT && reply->version)
     {
-      write_record (registration, reply->version);
+      if (is_own_record (registration, reply))
+        finish (registration, reply->version);
+      else
+        write_record (registration, reply->version);
       return;
     }
   ev_timer_set (&registration->retry, RETRY_S, 0.0);
--- a/test/fakes/fake_store.c
+++ b/test/fakes/fake_store.c
@@ -20,7 +20,8 @@
  *                    with restore: the object is written at the return, before any other call
  *   "skip": n        with restore: n revisions are then given out, as if to other objects
  *
- * GET /admin/stats returns the number of calls to each kind of objects, refused ones included.
+ * GET /admin/stats returns the number of calls to each kind of objects as KIND, and of writes among
+ * them as "KIND writes", refused ones included.
  *
  * All answers have the header Store-Era. Writes of the kind "versions" get 403, as the platform has
  * a kind of that name. */
@@ -462,12 +463,22 @@
 }
 
 static void
-count_call (Store *store, const char *path)
+count (Store *store, const char *name)
 {
-  char *kind = g_strndup (path, strcspn (path, "/"));
-  json_int_t n = json_integer_value (json_object_get (store->n_calls, kind));
-  json_object_set_new (store->n_calls, kind, json_integer (n + 1));
+  json_int_t n = json_integer_value (json_object_get (store->n_calls, name));
+  json_object_set_new (store->n_calls, name, json_integer (n + 1));
+}
+
+static void
+count_call (Store *store, const DyHttpCall *call, const char *path)
+{
+  char *kind = g_strndup (path, strcspn (path, "/?"));
+  char *writes = g_strconcat (kind, " writes", NULL);
+  count (store, kind);
+  if (strcmp (dy_http_call_method (call), "GET") != 0)
+    count (store, writes);
   g_free (kind);
+  g_free (writes);
 }
 
 static void
@@ -487,7 +498,7 @@
       return;
     }
   if (g_str_has_prefix (path, prefix))
-    count_call (store, path + sizeof prefix - 1);
+    count_call (store, call, path + sizeof prefix - 1);
   if (store->silent || store->away)
     return;
   if (!g_str_has_prefix (path, prefix))
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -141,7 +141,8 @@
 /* Returns the object KEY of the store as a new reference, or NULL if there is none. */
 json_t *site_store_object (Site *site, const char *key);
 
-/* Returns the number of calls to objects of KIND that the store has received. */
+/* Returns the number of calls to objects of KIND that the store has received, or with " writes"
+ * after the kind that of writes. */
 int64_t site_store_calls (Site *site, const char *kind);
 
 /* Returns the number of times that TEXT occurs in what router I has printed. */
--- a/test/test_store_calls.c
+++ b/test/test_store_calls.c
@@ -100,6 +100,17 @@
 }
 END_TEST
 
+START_TEST (a_restart_writes_the_record_of_a_router_once)
+{
+  Site site;
+  ck_assert (site_init (&site, fleets[_i]));
+  int64_t n_writes = site_store_calls (&site, "routers writes");
+  ck_assert (site_restart_routers (&site));
+  ck_assert_int_eq (site_store_calls (&site, "routers writes") - n_writes, site.n_routers);
+  site_finish (&site);
+}
+END_TEST
+
 /* Returns additional routes that make the route table larger than a frame. */
 static char *
 large_routes (void)
@@ -153,6 +164,8 @@
   tcase_add_loop_test (
       tcase, routers_of_a_first_start_know_each_other_long_before_the_next_read_of_the_vm_list, 0,
       G_N_ELEMENTS (fleets));
+  tcase_add_loop_test (tcase, a_restart_writes_the_record_of_a_router_once, 0,
+                       G_N_ELEMENTS (fleets));
   tcase_add_loop_test (
       tcase, a_route_table_above_the_frame_size_reaches_all_routers_and_breaks_no_connection, 0,
       G_N_ELEMENTS (fleets));
