Check watched objects as often as their bounds need

Cause: the first router checks routes and endpoints each 0.5 s, which a bound of 2 s needs; the large site allows 4 s, and these checks are half of the calls of a small twin. Change: the interval is a quarter of the bound in the platform's settings, 0.5 to 1 s (routes_bound_ms, endpoints_bound_ms; 2 s unless set). The last routers check after three intervals and 0.3 s at the most. Test: watch_age/checks_are_as_frequent_as_the_bound_of_changes_needs. unanswered_watch runs with the bound of 2 s as before.

--- a/src/core/vm_list_pace.c
+++ b/src/core/vm_list_pace.c
@@ -4,7 +4,7 @@
 
 enum
 {
-  JOINING_WAIT_US = 200 * 1000,      /* a router accepts no request before it has joined */
+  JOINING_WAIT_US = 200 * 1000, /* a router accepts no request before it has joined */
   LACKS_PEER_WAIT_US = 1000 * 1000,
   N_UNCHANGED = 2, /* intervals without a change after which the list is read seldom */
 };
--- a/src/core/vm_list_pace.h
+++ b/src/core/vm_list_pace.h
@@ -26,10 +26,10 @@
 
 typedef struct
 {
-  bool joining;       /* this router started recently and may not know its members */
-  bool read;          /* the list was read at least once */
-  bool lists_self;    /* this router is on it */
-  bool lacks_peer;    /* a router that is connected to this one is not on it */
+  bool joining;         /* this router started recently and may not know its members */
+  bool read;            /* the list was read at least once */
+  bool lists_self;      /* this router is on it */
+  bool lacks_peer;      /* a router that is connected to this one is not on it */
   int64_t unchanged_us; /* time since the latest change */
 } DyVmListState;
 
--- a/src/core/watch_age.c
+++ b/src/core/watch_age.c
@@ -14,6 +14,19 @@
   .retry_us = 100 * 1000,
 };
 
+DyWatchAgePolicy
+dy_watch_age_policy_for (int64_t bound_us)
+{
+  enum
+  {
+    STEPS_PER_BOUND = 4, /* the last routers check after three of them and the spread */
+    MAX_STEP_US = 1000 * 1000,
+  };
+  DyWatchAgePolicy policy = dy_watch_age_policy;
+  policy.step_us = CLAMP (bound_us / STEPS_PER_BOUND, policy.step_us, MAX_STEP_US);
+  return policy;
+}
+
 void
 dy_watch_age_init (DyWatchAge *age, const DyWatchAgePolicy *policy)
 {
--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -39,8 +39,12 @@
   int64_t retry_us;  /* between the ends of a failed check and the start of the next one */
 } DyWatchAgePolicy;
 
+/* For changes that must be known within 2 s. */
 extern const DyWatchAgePolicy dy_watch_age_policy;
 
+/* Returns the policy for changes that must be known BOUND_US after they were made. */
+DyWatchAgePolicy dy_watch_age_policy_for (int64_t bound_us);
+
 typedef struct
 {
   DyWatchAgePolicy policy;
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -39,6 +39,8 @@
   int64_t watch_timeout_ms;
   int64_t vm_list_interval_ms;
   int64_t vm_list_idle_ms;
+  int64_t routes_bound_ms;
+  int64_t endpoints_bound_ms;
   int64_t heartbeat_ms;
   int64_t peer_timeout_ms;
   int64_t reserve_wait_ms;
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -359,12 +359,18 @@
   directory->expiry_timer.data = directory;
   ev_timer_start (kernel->loop, &directory->expiry_timer);
   dy_spread_init (&directory->spread, kernel, directory->peers);
-  dy_object_watch_start (&directory->routes_watch, kernel, &directory->spread,
-                         directory->dialect->routes_prefix, ROUTES_BATCH_DELAY_MS, &routes_watcher,
-                         directory);
-  dy_object_watch_start (&directory->endpoints_watch, kernel, &directory->spread,
-                         directory->dialect->endpoints_prefix, ENDPOINTS_BATCH_DELAY_MS,
-                         &endpoints_watcher, directory);
+  const DyObjectWatchSpec routes = { .prefix = directory->dialect->routes_prefix,
+                                     .batch_delay_ms = ROUTES_BATCH_DELAY_MS,
+                                     .bound_ms = kernel->settings->routes_bound_ms,
+                                     .watcher = &routes_watcher,
+                                     .ctx = directory };
+  const DyObjectWatchSpec endpoints = { .prefix = directory->dialect->endpoints_prefix,
+                                        .batch_delay_ms = ENDPOINTS_BATCH_DELAY_MS,
+                                        .bound_ms = kernel->settings->endpoints_bound_ms,
+                                        .watcher = &endpoints_watcher,
+                                        .ctx = directory };
+  dy_object_watch_start (&directory->routes_watch, kernel, &directory->spread, &routes);
+  dy_object_watch_start (&directory->endpoints_watch, kernel, &directory->spread, &endpoints);
   return DY_OK;
 }
 
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -308,25 +308,23 @@
 dy_object_watch_start (DyObjectWatch *watch,
                        DyKernel *kernel,
                        DySpread *spread,
-                       const char *prefix,
-                       int64_t batch_delay_ms,
-                       const DyObjectWatcher *watcher,
-                       void *ctx)
+                       const DyObjectWatchSpec *spec)
 {
+  DyWatchAgePolicy policy = dy_watch_age_policy_for (spec->bound_ms * US_PER_MS);
   memset (watch, 0, sizeof *watch);
   watch->kernel = kernel;
   watch->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
   watch->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
   watch->spread = spread;
-  watch->prefix = prefix;
-  watch->watcher = watcher;
-  watch->ctx = ctx;
-  watch->batch_delay_ms = batch_delay_ms;
+  watch->prefix = spec->prefix;
+  watch->watcher = spec->watcher;
+  watch->ctx = spec->ctx;
+  watch->batch_delay_ms = spec->batch_delay_ms;
   watch->recovered_us = INT64_MIN / 2;
   watch->check.watch = watch;
   for (uint32_t i = 0; i < DY_OBJECT_WATCH_CALLS; i++)
     watch->calls[i].watch = watch;
-  dy_watch_age_init (&watch->age, &dy_watch_age_policy);
+  dy_watch_age_init (&watch->age, &policy);
   ev_timer_init (&watch->retry, on_retry, 0.0, 0.0);
   watch->retry.data = watch;
   ev_timer_init (&watch->check_timer, on_check_timer, CHECK_INTERVAL_S, CHECK_INTERVAL_S);
--- a/src/services/object_watch.h
+++ b/src/services/object_watch.h
@@ -81,14 +81,20 @@
   ev_timer check_timer;
 } DyObjectWatch;
 
-/* Starts to list and watch the objects whose keys begin with PREFIX. SPREAD must outlive WATCH. */
+typedef struct
+{
+  const char *prefix;     /* of the keys; as the texts and pointers below, in use until the stop */
+  int64_t batch_delay_ms; /* delay after a change, so that one call returns several */
+  int64_t bound_ms;       /* time within which a change must be known */
+  const DyObjectWatcher *watcher;
+  void *ctx;
+} DyObjectWatchSpec;
+
+/* Starts to list and watch objects. SPREAD must outlive WATCH. */
 void dy_object_watch_start (DyObjectWatch *watch,
                             DyKernel *kernel,
                             DySpread *spread,
-                            const char *prefix,
-                            int64_t batch_delay_ms,
-                            const DyObjectWatcher *watcher,
-                            void *ctx);
+                            const DyObjectWatchSpec *spec);
 void dy_object_watch_stop (DyObjectWatch *watch);
 
 /* Takes what another router says about its checks, if MESSAGE is of that kind. */
--- a/test/test_vm_list_pace.c
+++ b/test/test_vm_list_pace.c
@@ -34,10 +34,7 @@
     { .read = true, .lists_self = true, .unchanged_us = 5000 * MS },
     3000 },
   { "unchanged", &usual, { .read = true, .lists_self = true, .unchanged_us = 6000 * MS }, 15000 },
-  { "a short interval is never made longer",
-    &quick,
-    { .joining = true, .lacks_peer = true },
-    100 },
+  { "a short interval is never made longer", &quick, { .joining = true, .lacks_peer = true }, 100 },
 };
 
 START_TEST (the_vm_list_is_read_often_only_while_it_lacks_a_router)
--- a/test/test_watch_age.c
+++ b/test/test_watch_age.c
@@ -167,6 +167,23 @@
   MAX_AGE_US = 2000 * MS, /* changes must be in force 2 s after their acknowledgement */
 };
 
+/* The time between the checks of the first router, by the time within which changes must be known,
+ * and the age at which the last routers check. */
+static const struct
+{
+  int64_t bound_ms;
+  int64_t step_ms;
+} bounds[] = { { 0, 500 }, { 2000, 500 }, { 3000, 750 }, { 4000, 1000 }, { 60000, 1000 } };
+
+START_TEST (checks_are_as_frequent_as_the_bound_of_changes_needs)
+{
+  DyWatchAgePolicy policy = dy_watch_age_policy_for (bounds[_i].bound_ms * MS);
+  ck_assert_int_eq (policy.step_us, bounds[_i].step_ms * MS);
+  ck_assert_int_le (policy.step_us * (policy.n_steps + 1) + policy.max_spread_us,
+                    MAX (bounds[_i].bound_ms, 2000) * MS);
+}
+END_TEST
+
 /* Fleets in which no watch is answered. The first N_CUT routers do not reach the store, and the
  * others know that or not. */
 static const struct
@@ -236,6 +253,8 @@
   TCase *tcase = tcase_create ("watch_age");
   tcase_add_loop_test (tcase, a_router_checks_when_its_knowledge_is_old_or_behind, 0,
                        G_N_ELEMENTS (decisions));
+  tcase_add_loop_test (tcase, checks_are_as_frequent_as_the_bound_of_changes_needs, 0,
+                       G_N_ELEMENTS (bounds));
   tcase_add_loop_test (tcase, the_age_is_bounded_for_few_calls_in_fleets_of_all_sizes, 0,
                        G_N_ELEMENTS (fleets));
   return suite_run ("watch_age", tcase);
