Send heartbeats one way between two routers

Cause: each of two routers sent the other one a heartbeat an interval and replied to the other's: four messages a pair. With 295 routers these are 2,940 messages a second a router, nearly all of its processor time. Change: a router sends none to a member that was heard within nine tenths of the interval; of two, one sends and the other one replies. As replies come on the sender's connection, both sides take from either connection whether the other one reaches the store.

--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -238,6 +238,16 @@
   dy_platform_vms (peers->platform, on_vm_list, peers);
 }
 
+/* Returns whether a heartbeat of MEMBER came within the last interval, so that none need be asked
+ * for: of two routers, one sends and the other one replies. Replies take some time, so a little
+ * less than the interval counts. */
+static bool
+is_heard (const DyPeers *peers, const DyMember *member)
+{
+  int64_t interval_us = peers->kernel->settings->heartbeat_ms * 1000;
+  return dy_peers_now_us (peers) - member->last_heartbeat_us < interval_us * 9 / 10;
+}
+
 static void
 on_heartbeat_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -253,7 +263,7 @@
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
       DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
-      if (link && link->authenticated)
+      if (link && link->authenticated && !is_heard (peers, value))
         dy_peers_send_heartbeat (link, DY_MESSAGE_PING);
     }
   dial_members (peers);
@@ -355,9 +365,10 @@
   g_hash_table_iter_init (&iter, peers->members.by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     json_array_append_new (list, dump_member (peers, value));
-  return json_pack ("{s:o, s:i, s:I}", "members", list, "links",
-                    (int) g_hash_table_size (peers->links), "bytes_sent",
-                    (json_int_t) peers->kernel->counters.values[DY_COUNTER_PEER_BYTES_OUT]);
+  return json_pack (
+      "{s:o, s:i, s:I, s:I}", "members", list, "links", (int) g_hash_table_size (peers->links),
+      "messages_sent", (json_int_t) peers->kernel->counters.values[DY_COUNTER_PEER_MESSAGES_OUT],
+      "bytes_sent", (json_int_t) peers->kernel->counters.values[DY_COUNTER_PEER_BYTES_OUT]);
 }
 
 void
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -192,8 +192,7 @@
 {
   DyPeers *peers = link->peers;
   NOTIFY_WATCHERS (peers, heartbeat, link->number, message->u.heartbeat.config_version);
-  if (link->dialed || !peers->vm_list_read)
-    dy_members_set_platform (&peers->members, link->node, message->u.heartbeat.has_platform);
+  dy_members_set_platform (&peers->members, link->node, message->u.heartbeat.has_platform);
   dy_members_record_heartbeat (&peers->members, link->node, link->incarnation_id,
                                message->u.heartbeat.leaving, dy_peers_now_us (peers));
   if (message->type == DY_MESSAGE_PING)
