Spread written ledger entries along a tree

Cause: the home of an account told each written entry to all routers, one message each: bursts of 294 sends at one VM.

--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -365,10 +365,13 @@
 static json_t *
 service_dump (void *self)
 {
-  const DyReservations *res = &((const DyBudgets *) self)->reservations;
-  return json_pack ("{s:o, s:o, s:i, s:i, s:i, s:i}", "home", dump_pool (res, DY_POOL_HOME), "own",
-                    dump_pool (res, DY_POOL_OWN), "tickets", (int) g_hash_table_size (res->tickets),
-                    "keys", (int) g_hash_table_size (res->reg.by_key), "usages",
+  const DyBudgets *budgets = self;
+  const DyReservations *res = &budgets->reservations;
+  return json_pack ("{s:o, s:o, s:o, s:i, s:i, s:i, s:i}", "entries",
+                    dy_shared_entries_versions (&budgets->shared), "home",
+                    dump_pool (res, DY_POOL_HOME), "own", dump_pool (res, DY_POOL_OWN), "tickets",
+                    (int) g_hash_table_size (res->tickets), "keys",
+                    (int) g_hash_table_size (res->reg.by_key), "usages",
                     (int) g_hash_table_size (res->usages.table), "recoveries",
                     (int) g_hash_table_size (res->recoveries.table));
 }
--- a/src/services/shared_entries.c
+++ b/src/services/shared_entries.c
@@ -52,6 +52,7 @@
   shared->kernel = kernel;
   shared->peers = peers;
   shared->reservations = reservations;
+  dy_spread_init (&shared->spread, kernel, peers);
   shared->wanted = g_hash_table_new_full (hash_wanted, equal_wanted, g_free, NULL);
 }
 
@@ -59,6 +60,7 @@
 dy_shared_entries_finish (DySharedEntries *shared)
 {
   g_hash_table_unref (shared->wanted);
+  dy_spread_finish (&shared->spread);
 }
 
 static int64_t
@@ -67,19 +69,22 @@
   return dy_kernel_now_us (shared->kernel);
 }
 
-/* Sends the object KEY/ACCOUNT on the connection LINK, or to all routers if it is 0. */
+/* Sends the object KEY/ACCOUNT on the connection LINK, or to all routers, along a tree, if it is 0.
+ * Whoever misses it is behind the next change, and asks. */
 static void
 send_json (
     DySharedEntries *shared, uint64_t link, const char *prefix, const char *account, json_t *root)
 {
-  char *text = json_dumps (root, JSON_COMPACT);
   char *key = g_strconcat (prefix, account, NULL);
   if (link)
-    dy_peers_reply_object (shared->peers, link, key, text);
+    {
+      char *text = json_dumps (root, JSON_COMPACT);
+      dy_peers_reply_object (shared->peers, link, key, text);
+      free (text);
+    }
   else
-    dy_peers_send_object (shared->peers, NULL, key, text);
+    dy_spread_send (&shared->spread, key, root);
   g_free (key);
-  free (text);
   json_decref (root);
 }
 
@@ -313,6 +318,7 @@
   if (!is_entry && !is_changes && !is_versions && strcmp (key, WANTED_KEY) != 0)
     return false;
   json_t *root = json_loadb (message->u.config.text, message->u.config.n_text, 0, NULL);
+  dy_spread_pass_on (&shared->spread, message, root);
   if (is_entry)
     take_whole_entry (shared, key + strlen (ENTRY_PREFIX), root);
   else if (is_changes)
@@ -335,11 +341,18 @@
       ctx, json_pack ("{s:s, s:I}", "account", account, "version", (json_int_t) version));
 }
 
-void
-dy_shared_entries_on_up (DySharedEntries *shared, const char *name)
+json_t *
+dy_shared_entries_versions (const DySharedEntries *shared)
 {
   json_t *root = json_array ();
   dy_latest_entries_visit (&shared->reservations->latest, add_version, root);
+  return root;
+}
+
+void
+dy_shared_entries_on_up (DySharedEntries *shared, const char *name)
+{
+  json_t *root = dy_shared_entries_versions (shared);
   char *text = json_dumps (root, JSON_COMPACT);
   if (json_array_size (root) > 0)
     dy_peers_send_object (shared->peers, name, VERSIONS_KEY, text);
--- a/src/services/shared_entries.h
+++ b/src/services/shared_entries.h
@@ -7,13 +7,14 @@
  *
  * DESCRIPTION
  *   Each router keeps the latest entries (core/latest_entries). A router tells all others each
- * entry that it wrote, as what it changed in the version before (core/entry_changes). One that
- * lacks that version asks the sender for the whole entry. When a connection is made, each side
- * names the versions that it has, and the other asks for those that are later than its own. So a
- *   connection costs little when both know the same, as after a restart of the whole fleet.
+ *   entry that it wrote, as what it changed in the version before (core/entry_changes), along a
+ *   tree (services/spread.h). One that lacks that version asks the router from which it has the
+ *   change for the whole entry. When a connection is made, each side names the versions that it
+ *   has, and the other asks for those that are later than its own. So a connection costs little
+ *   when both know the same, as after a restart of the whole fleet.
  *
  * FORMAT
- *   Objects sent by dy_peers_send_object():
+ *   Objects, of which the first two are spread when an entry was written:
  *   entries/ACCOUNT          {"version": number, "entry": ledger entry}
  *   entry-changes/ACCOUNT    {"version": number, "base": number, "entry": the changed rows and all
  *                            other fields of the entry, "removed": ["hex id of a holder", ...]}
@@ -27,11 +28,13 @@
 
 #include "core/reservations.h"
 #include "services/peers.h"
+#include "services/spread.h"
 
 typedef struct
 {
   DyKernel *kernel;
   DyPeers *peers;
+  DySpread spread;
   DyReservations *reservations; /* which keeps the latest entries */
   GHashTable *wanted;           /* set of entries that other routers were asked for */
 } DySharedEntries;
@@ -54,6 +57,9 @@
 /* Names the versions that this router has to the router NAME. */
 void dy_shared_entries_on_up (DySharedEntries *shared, const char *name);
 
+/* Returns the versions that this router has, as in "entry-versions". */
+json_t *dy_shared_entries_versions (const DySharedEntries *shared);
+
 /* Repeats requests that got no reply. To be called regularly. */
 void dy_shared_entries_tick (DySharedEntries *shared);
 
