Pass on the latest state of each changed object only

The limit took the texts as they are, not as JSON strings. Change: services/object_changes keeps the last change of each key, counts escaped bytes, and checks what comes from peers. Test: object_changes: two tables; the encoding of before fails two rows of the first (the earlier versions are sent too, and an earlier version makes the message too large). store_calls has a route table of 26 KB and two versions at once now.

--- /dev/null
+++ b/src/services/object_changes.c
@@ -0,0 +1,91 @@
+#include "services/object_changes.h"
+
+#include <string.h>
+
+enum
+{
+  FIELD_BYTES = 64, /* of a change without its texts, at most */
+  ESCAPE_BYTES = 6, /* of a control character: a backslash, "u" and four digits */
+};
+
+/* Returns the bytes of TEXT, which may be NULL, as a JSON string. */
+static size_t
+encoded_size (const char *text)
+{
+  size_t n = 0;
+  for (const char *c = text ? text : ""; *c; c++)
+    {
+      bool is_control = (unsigned char) *c < ' ';
+      n += is_control ? ESCAPE_BYTES : (*c == '"' || *c == '\\') ? 2 : 1;
+    }
+  return n;
+}
+
+/* Returns whether a later change of the same object follows the one at I. */
+static bool
+is_superseded (const DyObject *objects, uint32_t n, uint32_t i)
+{
+  for (uint32_t k = i + 1; k < n; k++)
+    if (strcmp (objects[k].key, objects[i].key) == 0)
+      return true;
+  return false;
+}
+
+json_t *
+dy_object_changes_encode (const DyObject *objects, uint32_t n, size_t max_bytes)
+{
+  json_t *changes = json_array ();
+  size_t n_bytes = 0;
+  for (uint32_t i = 0; i < n && n_bytes <= max_bytes; i++)
+    {
+      const DyObject *object = &objects[i];
+      if (is_superseded (objects, n, i))
+        continue;
+      n_bytes += FIELD_BYTES + encoded_size (object->key) + encoded_size (object->value);
+      json_array_append_new (changes,
+                             json_pack ("{s:s, s:I, s:s?}", "key", object->key, "version",
+                                        (json_int_t) object->version, "value", object->value));
+    }
+  if (n_bytes <= max_bytes)
+    return changes;
+  json_decref (changes);
+  return NULL;
+}
+
+static bool
+is_valid (const json_t *change, const char *prefix)
+{
+  const char *key = json_string_value (json_object_get (change, "key"));
+  const json_t *value = json_object_get (change, "value");
+  return key && g_str_has_prefix (key, prefix)
+         && json_is_integer (json_object_get (change, "version"))
+         && (json_is_string (value) || json_is_null (value));
+}
+
+bool
+dy_object_changes_are_valid (const json_t *changes, const char *prefix)
+{
+  const json_t *change;
+  size_t i;
+  json_array_foreach (changes, i, change)
+  {
+    if (!is_valid (change, prefix))
+      return false;
+  }
+  return json_is_array (changes);
+}
+
+bool
+dy_object_changes_get (const json_t *changes, size_t i, DyObject *object)
+{
+  const json_t *change = json_array_get (changes, i);
+  const json_t *value = json_object_get (change, "value");
+  if (!change)
+    return false;
+  *object
+      = (DyObject){ .key = json_string_value (json_object_get (change, "key")),
+                    .version = (uint64_t) json_integer_value (json_object_get (change, "version")),
+                    .value = json_string_value (value),
+                    .n_value = json_string_length (value) };
+  return true;
+}
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -3,6 +3,8 @@
 #include "core/store_version.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "services/object_changes.h"
+#include "services/wire.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -11,9 +13,7 @@
 
 enum
 {
-  /* Changes of more text are not passed on: a frame between routers holds little more, and the
-   * store has the faster link. */
-  MAX_SPREAD_BYTES = 32 * 1024,
+  MAX_SPREAD_BYTES = DY_MAX_FRAME_BYTES - 8 * 1024, /* the rest is for the other fields */
   RETRY_MS = 200, /* between calls while the store is unreachable */
   /* A record that disappears soon after an outage may have expired during the outage, unless that
    * was shorter than a record's lifetime without renewals. */
@@ -113,26 +113,6 @@
     watch->watcher->updated (watch->ctx, reply->version);
 }
 
-/* Returns REPLY's objects as JSON, or NULL if they are too many to be passed on. */
-static json_t *
-encode_changes (const DyPlatformReply *reply)
-{
-  json_t *changes = json_array ();
-  size_t n_bytes = 0;
-  for (uint32_t i = 0; i < reply->n_objects; i++)
-    {
-      const DyObject *object = &reply->objects[i];
-      n_bytes += strlen (object->key) + object->n_value;
-      json_array_append_new (changes,
-                             json_pack ("{s:s, s:I, s:s?}", "key", object->key, "version",
-                                        (json_int_t) object->version, "value", object->value));
-    }
-  if (n_bytes <= MAX_SPREAD_BYTES)
-    return changes;
-  json_decref (changes);
-  return NULL;
-}
-
 /* Tells all routers up to which change this one has confirmed what it knows, and how long ago. With
  * REPLY, the answer to CALL, its changes are passed on. */
 static void
@@ -141,7 +121,10 @@
   int64_t age_ms = (now_us (watch) - watch->age.confirmed_us) / US_PER_MS;
   json_t *root = json_pack ("{s:I, s:I, s:b}", "changed", (json_int_t) watch->age.changed_version,
                             "age_ms", (json_int_t) age_ms, "by_list", call->lists);
-  json_t *changes = reply && !call->lists ? encode_changes (reply) : NULL;
+  json_t *changes
+      = reply && !call->lists
+            ? dy_object_changes_encode (reply->objects, reply->n_objects, MAX_SPREAD_BYTES)
+            : NULL;
   if (changes)
     {
       json_object_set_new (root, "base", json_integer ((json_int_t) call->base));
@@ -340,63 +323,39 @@
   ev_timer_stop (watch->kernel->loop, &watch->check_timer);
 }
 
-/* Applies CHANGES, of which all fields were checked. */
 static void
 apply_changes (DyObjectWatch *watch, const json_t *changes)
 {
-  const json_t *change;
-  size_t i;
+  DyObject object;
   watch->taking = true;
-  json_array_foreach (changes, i, change)
-  {
-    const json_t *value = json_object_get (change, "value");
-    DyObject object
-        = { .key = json_string_value (json_object_get (change, "key")),
-            .version = (uint64_t) json_integer_value (json_object_get (change, "version")),
-            .value = json_string_value (value),
-            .n_value = json_string_length (value) };
+  for (size_t i = 0; dy_object_changes_get (changes, i, &object); i++)
     watch->watcher->apply (watch->ctx, &object);
-  }
   watch->taking = false;
   if (watch->watcher->updated)
     watch->watcher->updated (watch->ctx, watch->age.version);
 }
 
-static bool
-is_valid_change (const DyObjectWatch *watch, const json_t *change)
-{
-  const char *key = json_string_value (json_object_get (change, "key"));
-  const json_t *value = json_object_get (change, "value");
-  return key && g_str_has_prefix (key, watch->prefix)
-         && json_is_integer (json_object_get (change, "version"))
-         && (json_is_string (value) || json_is_null (value));
-}
-
 /* Takes the changes in ROOT, which were confirmed at CONFIRMED_US, if they follow on what is known.
  */
 static void
 take_changes (DyObjectWatch *watch, const json_t *root, uint64_t changed, int64_t confirmed_us)
 {
   const json_t *changes = json_object_get (root, "changes");
-  const json_t *change;
-  size_t i;
   uint64_t version = (uint64_t) json_integer_value (json_object_get (root, "version"));
-  if (!json_is_array (changes)
+  if (!changes
       || !dy_watch_age_may_take (
           &watch->age, (uint64_t) json_integer_value (json_object_get (root, "base")),
           (uint64_t) json_integer_value (json_object_get (root, "base_changed")), version))
     return;
-  json_array_foreach (changes, i, change)
-  {
-    if (!is_valid_change (watch, change))
-      {
-        dy_log (DY_EVENT_SPREAD_INVALID, "prefix=%s version=%" G_GUINT64_FORMAT, watch->prefix,
-                version);
-        return;
-      }
-  }
+  if (!dy_object_changes_are_valid (changes, watch->prefix))
+    {
+      dy_log (DY_EVENT_SPREAD_INVALID, "prefix=%s version=%" G_GUINT64_FORMAT, watch->prefix,
+              version);
+      return;
+    }
   dy_watch_age_record_answer (&watch->age, version, changed, confirmed_us);
-  dy_counters_add (&watch->kernel->counters, DY_COUNTER_CHANGES_TAKEN, (int64_t) i);
+  dy_counters_add (&watch->kernel->counters, DY_COUNTER_CHANGES_TAKEN,
+                   (int64_t) json_array_size (changes));
   apply_changes (watch, changes);
 }
 
--- /dev/null
+++ b/test/test_object_changes.c
@@ -0,0 +1,89 @@
+/* Changes of objects as other routers get them: tables of cases. */
+
+#include "support/suite.h"
+
+#include "services/object_changes.h"
+
+#include <string.h>
+
+#define OBJECT(key, version, value) { key, version, value, sizeof value - 1 }
+#define REMOVAL(key, version) { key, version, NULL, 0 }
+
+enum
+{
+  MAX_BYTES = 300,
+  MAX_OBJECTS = 4,
+};
+
+/* Longer than a change may be once its quotes are escaped. */
+static const char quotes[] = "\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"";
+
+static const struct
+{
+  const char *name;
+  DyObject objects[MAX_OBJECTS];
+  uint32_t n;
+  const char *text; /* NULL: too large */
+} encodings[] = {
+  { "one", { OBJECT ("k/a", 7, "x") }, 1, "[{\"key\":\"k/a\",\"version\":7,\"value\":\"x\"}]" },
+  { "removed", { REMOVAL ("k/a", 7) }, 1, "[{\"key\":\"k/a\",\"version\":7,\"value\":null}]" },
+  { "the latest of each object",
+    { OBJECT ("k/a", 7, "x"), OBJECT ("k/b", 8, "y"), REMOVAL ("k/a", 9), OBJECT ("k/a", 10, "z") },
+    4,
+    "[{\"key\":\"k/b\",\"version\":8,\"value\":\"y\"},"
+    "{\"key\":\"k/a\",\"version\":10,\"value\":\"z\"}]" },
+  { "too large", { { "k/a", 7, quotes, sizeof quotes - 1 } }, 1, NULL },
+  { "an earlier state is too large",
+    { { "k/a", 7, quotes, sizeof quotes - 1 }, OBJECT ("k/a", 8, "x") },
+    2,
+    "[{\"key\":\"k/a\",\"version\":8,\"value\":\"x\"}]" },
+};
+
+START_TEST (of_each_object_the_latest_state_is_passed_on)
+{
+  json_t *changes
+      = dy_object_changes_encode (encodings[_i].objects, encodings[_i].n, MAX_BYTES);
+  char *text = changes ? json_dumps (changes, JSON_COMPACT) : NULL;
+  ck_assert_pstr_eq (text, encodings[_i].text);
+  ck_assert (!changes || dy_object_changes_are_valid (changes, "k/"));
+  free (text);
+  json_decref (changes);
+}
+END_TEST
+
+static const struct
+{
+  const char *text;
+  bool valid;
+} inputs[] = {
+  { "[]", true },
+  { "[{\"key\":\"k/a\",\"version\":7,\"value\":\"x\"}]", true },
+  { "{}", false },
+  { "null", false },
+  { "[7]", false },
+  { "[{\"key\":\"other/a\",\"version\":7,\"value\":\"x\"}]", false },
+  { "[{\"key\":\"k/a\",\"value\":\"x\"}]", false },
+  { "[{\"key\":\"k/a\",\"version\":\"7\",\"value\":\"x\"}]", false },
+  { "[{\"key\":\"k/a\",\"version\":7}]", false },
+  { "[{\"key\":\"k/a\",\"version\":7,\"value\":{}}]", false },
+  { "[{\"key\":\"k/a\",\"version\":7,\"value\":\"x\"},{\"key\":null}]", false },
+};
+
+START_TEST (changes_of_another_format_are_not_valid)
+{
+  json_t *changes = json_loads (inputs[_i].text, JSON_DECODE_ANY, NULL);
+  ck_assert_msg (dy_object_changes_are_valid (changes, "k/") == inputs[_i].valid, "%s",
+                 inputs[_i].text);
+  json_decref (changes);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tcase = tcase_create ("object_changes");
+  tcase_add_loop_test (tcase, of_each_object_the_latest_state_is_passed_on, 0,
+                       G_N_ELEMENTS (encodings));
+  tcase_add_loop_test (tcase, changes_of_another_format_are_not_valid, 0, G_N_ELEMENTS (inputs));
+  return suite_run ("object_changes", tcase);
+}
--- a/test/test_store_calls.c
+++ b/test/test_store_calls.c
@@ -20,7 +20,8 @@
   JOIN_MS = 2500, /* after the last router is ready */
   IDLE_MS = 2000,
   TRAFFIC_MS = 1500,
-  HEARTBEAT_MS = 50, /* of the routers' settings */
+  HEARTBEAT_MS = 50,    /* of the routers' settings */
+  N_USUAL_ROUTES = 130, /* 26 KB */
   LAST_LARGE_VERSION = 4,
   N_LARGE_ROUTES = 400, /* of about 200 bytes: more than a frame between routers holds */
 };
@@ -48,16 +49,34 @@
   return n;
 }
 
+/* Returns N additional routes. */
+static char *
+format_routes (int n)
+{
+  GString *text = g_string_new (NULL);
+  for (int i = 0; i < n; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"name\":\"large-%d\",\"host\":\"h.example\",\"pathPrefix\":\"/large-%d/\","
+        "\"routeType\":\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,"
+        "\"service\":\"app\",\"maxAttempts\":2}",
+        i ? "," : "", i, i);
+  return g_string_free (text, FALSE);
+}
+
 START_TEST (changes_reach_all_routers_for_calls_that_do_not_grow_with_the_fleet)
 {
   Site site;
   int version = 1;
+  char *extra = format_routes (N_USUAL_ROUTES);
   ck_assert (site_init (&site, fleets[_i]));
   site_run_for (&site, SETTLE_MS);
   int64_t n_before = count_calls (&site);
   for (int i = 0; i < N_CHANGES; i++)
     {
-      ck_assert (site_put_routes (&site, ++version, NULL, PREPAID));
+      /* Two versions at once are in one answer of the store. */
+      ck_assert (site_put_routes (&site, ++version, extra, PREPAID));
+      ck_assert (site_put_routes (&site, ++version, extra, PREPAID));
       ck_assert (site_put_worker (&site, 0, i % 2 ? "ready" : "draining", NULL));
       site_run_for (&site, CHANGE_INTERVAL_MS);
     }
@@ -67,6 +86,7 @@
   ck_assert_msg (n_updated == site.n_routers, "%u of %u routers", n_updated, site.n_routers);
   ck_assert_msg (n_calls <= MAX_CALLS, "%" G_GINT64_FORMAT " calls, allowed %d", n_calls,
                  MAX_CALLS);
+  g_free (extra);
   site_finish (&site);
 }
 END_TEST
@@ -185,25 +205,10 @@
 }
 END_TEST
 
-/* Returns additional routes that make the route table larger than a frame. */
-static char *
-large_routes (void)
-{
-  GString *text = g_string_new (NULL);
-  for (int i = 0; i < N_LARGE_ROUTES; i++)
-    g_string_append_printf (
-        text,
-        "%s{\"name\":\"large-%d\",\"host\":\"h.example\",\"pathPrefix\":\"/large-%d/\","
-        "\"routeType\":\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,"
-        "\"service\":\"app\",\"maxAttempts\":2}",
-        i ? "," : "", i, i);
-  return g_string_free (text, FALSE);
-}
-
 START_TEST (a_route_table_above_the_frame_size_reaches_all_routers_and_breaks_no_connection)
 {
   Site site;
-  char *extra = large_routes ();
+  char *extra = format_routes (N_LARGE_ROUTES);
   ck_assert (site_init (&site, fleets[_i]));
   site_run_for (&site, SETTLE_MS);
   for (int version = 2; version <= LAST_LARGE_VERSION; version++)
