Count a list as a change where it may hide a removal

Cause: a list does not show removals, so a router that had just started and listed the endpoints took the highest listed version for the latest change. Change: a list counts as a change at its own version unless no listed object is later than what was known and as many objects are listed. Test: watch_age/a_list_may_hide_a_later_change_than_it_shows (table; the rule of before fails its rows with a removal and for the first list). A test with real routers that restarts each of four in turn passed on the faulty code, too, so it is not kept.

--- a/src/core/watch_age.c
+++ b/src/core/watch_age.c
@@ -53,6 +53,16 @@
   return true;
 }
 
+uint64_t
+dy_watch_age_list_change (const DyWatchAge *age,
+                          uint64_t version,
+                          uint64_t latest,
+                          bool same_number)
+{
+  bool unchanged = age->version != 0 && latest <= age->version && same_number;
+  return unchanged ? 0 : version;
+}
+
 void
 dy_watch_age_record_failure (DyWatchAge *age, int64_t now_us)
 {
--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -49,7 +49,7 @@
 {
   DyWatchAgePolicy policy;
   uint64_t version;         /* up to which all changes are known; 0: no list was read */
-  uint64_t changed_version; /* at or after the latest known change, at most VERSION */
+  uint64_t changed_version; /* at or after the latest change up to VERSION, at most VERSION */
   int64_t confirmed_us;     /* time at which there was no later change */
   int64_t behind_us;        /* since when a later change is known to exist; 0: none is */
   int64_t failed_us;        /* time of the latest failure */
@@ -67,13 +67,22 @@
 void dy_watch_age_init (DyWatchAge *age, const DyWatchAgePolicy *policy);
 
 /* Records the answer to a call of this router that was sent at SENT_US: all changes up to VERSION
- * are known, the latest of them is of CHANGED_VERSION or before it; 0: the answer had none. Returns
- * false, and changes nothing, if the answer is older than what is known. */
+ * are known, the latest of them is of CHANGED_VERSION or before it; 0: the answer had none. For
+ * a list, see dy_watch_age_list_change(). Returns false, and changes nothing, if the answer is
+ * older than what is known. */
 bool dy_watch_age_record_answer (DyWatchAge *age,
                                  uint64_t version,
                                  uint64_t changed_version,
                                  int64_t sent_us);
 
+/* Returns the version at or after the latest change since the known version by a list of VERSION,
+ * or 0 if there was none. LATEST is the highest version of a listed object. SAME_NUMBER is whether
+ * as many objects are listed as were known: a list does not show when others were removed. */
+uint64_t dy_watch_age_list_change (const DyWatchAge *age,
+                                   uint64_t version,
+                                   uint64_t latest,
+                                   bool same_number);
+
 /* Records that a check failed. */
 void dy_watch_age_record_failure (DyWatchAge *age, int64_t now_us);
 
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -68,15 +68,17 @@
   request_changes (watch);
 }
 
-/* Returns the version at or after that of the latest change in REPLY; 0: it has none. The version
- * of a removal is not known, so the whole reply's stands for it. */
+/* Returns the version at or after that of the latest change in REPLY, a list if LISTS; 0: it has
+ * none. The version of a removal is not known, so the whole reply's stands for it. */
 static uint64_t
-latest_change (const DyPlatformReply *reply)
+latest_change (const DyObjectWatch *watch, const DyPlatformReply *reply, bool lists)
 {
   uint64_t version = 0;
   for (uint32_t i = 0; i < reply->n_objects; i++)
     version = MAX (version, reply->objects[i].value ? reply->objects[i].version : reply->version);
-  return version;
+  return lists ? dy_watch_age_list_change (&watch->age, reply->version, version,
+                                           reply->n_objects == g_hash_table_size (watch->keys))
+               : version;
 }
 
 static void
@@ -98,14 +100,26 @@
     record_success (watch);
 }
 
+static void
+apply_object (DyObjectWatch *watch, const DyObject *object)
+{
+  if (object->value)
+    g_hash_table_add (watch->keys, g_strdup (object->key));
+  else
+    g_hash_table_remove (watch->keys, object->key);
+  watch->watcher->apply (watch->ctx, object);
+}
+
 static void
 apply_reply (DyObjectWatch *watch, const DyPlatformReply *reply, bool lists)
 {
   watch->listing = lists;
   if (lists && watch->watcher->list_begun)
     watch->watcher->list_begun (watch->ctx);
+  if (lists)
+    g_hash_table_remove_all (watch->keys);
   for (uint32_t i = 0; i < reply->n_objects; i++)
-    watch->watcher->apply (watch->ctx, &reply->objects[i]);
+    apply_object (watch, &reply->objects[i]);
   if (lists && watch->watcher->list_ended)
     watch->watcher->list_ended (watch->ctx, reply);
   watch->listing = false;
@@ -196,8 +210,8 @@
       return;
     }
   record_success (watch);
-  if (dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1), latest_change (reply),
-                                  call->sent_us))
+  if (dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1),
+                                  latest_change (watch, reply, call->lists), call->sent_us))
     {
       apply_reply (watch, reply, call->lists);
       if (!call->lists && reply->n_objects > 0)
@@ -252,7 +266,7 @@
       dy_watch_age_record_failure (&watch->age, now_us (watch));
       return;
     }
-  uint64_t changed = latest_change (reply);
+  uint64_t changed = latest_change (watch, reply, call->lists);
   bool has_changes = changed > watch->age.version;
   record_success (watch);
   if (!dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1), changed, call->sent_us))
@@ -304,6 +318,7 @@
   watch->ctx = spec->ctx;
   watch->batch_delay_ms = spec->batch_delay_ms;
   watch->recovered_us = INT64_MIN / 2;
+  watch->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   watch->check.watch = watch;
   for (uint32_t i = 0; i < DY_OBJECT_WATCH_CALLS; i++)
     watch->calls[i].watch = watch;
@@ -321,6 +336,7 @@
 {
   ev_timer_stop (watch->kernel->loop, &watch->retry);
   ev_timer_stop (watch->kernel->loop, &watch->check_timer);
+  g_hash_table_unref (watch->keys);
 }
 
 static void
@@ -329,7 +345,7 @@
   DyObject object;
   watch->taking = true;
   for (size_t i = 0; dy_object_changes_get (changes, i, &object); i++)
-    watch->watcher->apply (watch->ctx, &object);
+    apply_object (watch, &object);
   watch->taking = false;
   if (watch->watcher->updated)
     watch->watcher->updated (watch->ctx, watch->age.version);
--- a/src/services/object_watch.h
+++ b/src/services/object_watch.h
@@ -68,6 +68,7 @@
   void *ctx;
   int64_t batch_delay_ms; /* delay after a change, so that one call returns several */
   DyWatchAge age;
+  GHashTable *keys; /* set of the keys of all known objects */
   DyObjectWatchCall calls[DY_OBJECT_WATCH_CALLS];
   DyObjectWatchCall *current; /* whose answer counts; NULL: none is in progress */
   DyObjectWatchCall check;
--- a/test/test_object_changes.c
+++ b/test/test_object_changes.c
@@ -6,8 +6,14 @@
 
 #include <string.h>
 
-#define OBJECT(key, version, value) { key, version, value, sizeof value - 1 }
-#define REMOVAL(key, version) { key, version, NULL, 0 }
+#define OBJECT(key, version, value)                                                                \
+  {                                                                                                \
+    key, version, value, sizeof value - 1                                                          \
+  }
+#define REMOVAL(key, version)                                                                      \
+  {                                                                                                \
+    key, version, NULL, 0                                                                          \
+  }
 
 enum
 {
@@ -16,7 +22,10 @@
 };
 
 /* Longer than a change may be once its quotes are escaped. */
-static const char quotes[] = "\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"";
+static const char quotes[]
+    = "\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\""
+      "\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\""
+      "\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"\"";
 
 static const struct
 {
@@ -41,8 +50,7 @@
 
 START_TEST (of_each_object_the_latest_state_is_passed_on)
 {
-  json_t *changes
-      = dy_object_changes_encode (encodings[_i].objects, encodings[_i].n, MAX_BYTES);
+  json_t *changes = dy_object_changes_encode (encodings[_i].objects, encodings[_i].n, MAX_BYTES);
   char *text = changes ? json_dumps (changes, JSON_COMPACT) : NULL;
   ck_assert_pstr_eq (text, encodings[_i].text);
   ck_assert (!changes || dy_object_changes_are_valid (changes, "k/"));
--- a/test/test_watch_age.c
+++ b/test/test_watch_age.c
@@ -167,6 +167,34 @@
   MAX_AGE_US = 2000 * MS, /* changes must be in force 2 s after their acknowledgement */
 };
 
+/* What a list of version 20 says of changes to a router that knows all up to KNOWN. */
+static const struct
+{
+  const char *name;
+  uint64_t known;
+  uint64_t latest;
+  bool same_number;
+  uint64_t change;
+} lists[] = {
+  { "nothing changed", 10, 9, true, 0 },
+  { "an object was removed, which the list does not show", 10, 9, false, 20 },
+  { "an object was changed", 10, 15, true, 20 },
+  { "one was added", 10, 15, false, 20 },
+  { "the first list", 0, 9, false, 20 },
+  { "the first list, of nothing", 0, 0, true, 20 },
+};
+
+START_TEST (a_list_may_hide_a_later_change_than_it_shows)
+{
+  DyWatchAge age;
+  dy_watch_age_init (&age, &dy_watch_age_policy);
+  if (lists[_i].known)
+    dy_watch_age_record_answer (&age, lists[_i].known, lists[_i].known, 0);
+  uint64_t change = dy_watch_age_list_change (&age, 20, lists[_i].latest, lists[_i].same_number);
+  ck_assert_msg (change == lists[_i].change, "%s: %d", lists[_i].name, (int) change);
+}
+END_TEST
+
 /* The time between the checks of the first router, by the time within which changes must be known,
  * and the age at which the last routers check. */
 static const struct
@@ -253,6 +281,8 @@
   TCase *tcase = tcase_create ("watch_age");
   tcase_add_loop_test (tcase, a_router_checks_when_its_knowledge_is_old_or_behind, 0,
                        G_N_ELEMENTS (decisions));
+  tcase_add_loop_test (tcase, a_list_may_hide_a_later_change_than_it_shows, 0,
+                       G_N_ELEMENTS (lists));
   tcase_add_loop_test (tcase, checks_are_as_frequent_as_the_bound_of_changes_needs, 0,
                        G_N_ELEMENTS (bounds));
   tcase_add_loop_test (tcase, the_age_is_bounded_for_few_calls_in_fleets_of_all_sizes, 0,
