Let only the watcher pass on what its watch returns, and spread late checks

Cause: routers that start alone each open a watch before they know each other; at the first change all of these returned and each router passed it on: 24 messages to each of 24 routers (test with the messages logged). Routers that know of a change which did not arrive in 200 ms asked the store at the same time. Change: a watch's changes are passed on by the present watcher only. After the 200 ms routers wait for one another as they do for checks, up to 0.3 s, so the first one's answer serves the others. The bound of the age, 2 s, is unchanged.

--- a/src/core/watch_age.c
+++ b/src/core/watch_age.c
@@ -86,12 +86,18 @@
   age->check_fails = by_list;
 }
 
+/* Returns how much longer than the routers before them those of RANK wait. */
 static int64_t
-check_age_us (const DyWatchAgePolicy *policy, uint32_t rank)
+spread_us (const DyWatchAgePolicy *policy, uint32_t rank)
 {
   uint32_t n_steps = MIN (rank, policy->n_steps);
-  int64_t spread_us = (int64_t) (rank - n_steps) * policy->spread_us;
-  return policy->step_us * (n_steps + 1) + MIN (spread_us, policy->max_spread_us);
+  return MIN ((int64_t) (rank - n_steps) * policy->spread_us, policy->max_spread_us);
+}
+
+static int64_t
+check_age_us (const DyWatchAgePolicy *policy, uint32_t rank)
+{
+  return policy->step_us * (MIN (rank, policy->n_steps) + 1) + spread_us (policy, rank);
 }
 
 bool
@@ -110,7 +116,9 @@
 {
   if (age->version == 0 || now_us - age->failed_us < age->policy.retry_us)
     return DY_WATCH_AGE_FRESH;
-  bool behind = age->behind_us && waiting && now_us - age->behind_us >= age->policy.answer_us;
+  bool behind
+      = age->behind_us && waiting
+        && now_us - age->behind_us >= age->policy.answer_us + spread_us (&age->policy, rank);
   if (!behind && now_us - age->confirmed_us < check_age_us (&age->policy, rank))
     return DY_WATCH_AGE_FRESH;
   return age->check_fails || age->n_failures % 2 == 1 ? DY_WATCH_AGE_LIST : DY_WATCH_AGE_CHECK;
--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -14,8 +14,8 @@
  *   Routers tell each other the outcome of their checks, so one of them checks for all: routers
  *   check in an order that all compute alike, each after a longer time than those before it. Only
  *   the first router keeps a watch; it passes the changes on, and so does a router whose check
- *   returns some. A router that learns that a newer change exists checks after a short time, unless
- *   the change itself arrives before.
+ *   returns some. A router that learns that a newer change exists checks after a short time, which
+ *   differs between routers, unless the change itself arrives before.
  *
  *   A check is sent to the store as a short watch. After one that failed, all objects are listed
  *   instead, as the store may answer lists but no watches.
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -214,7 +214,8 @@
                                   latest_change (watch, reply, call->lists), call->sent_us))
     {
       apply_reply (watch, reply, call->lists);
-      if (!call->lists && reply->n_objects > 0)
+      /* A router that no longer watches may have a call left from before. */
+      if (!call->lists && reply->n_objects > 0 && is_watcher (watch))
         spread_age (watch, call, reply);
     }
   continue_watch (watch, reply->n_objects > 0);
