--- a/src/core/members.c
+++ b/src/core/members.c
@@ -212,6 +212,39 @@
   return count_before (members, key, true, now_us);
 }
 
+uint32_t
+dy_members_first (
+    const DyMembers *members, const char *key, int64_t now_us, const char **names, uint32_t max)
+{
+  uint64_t key_hash = hash_string (key);
+  uint64_t *hashes = g_new (uint64_t, max + 1);
+  uint32_t n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, members->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyMember *member = value;
+      if (!dy_members_is_live (members, member, now_us))
+        continue;
+      uint64_t hash = combine_hashes (key_hash, member->name_hash);
+      uint32_t i = n;
+      for (; i > 0 && hashes[i - 1] < hash; i--)
+        if (i < max)
+          {
+            hashes[i] = hashes[i - 1];
+            names[i] = names[i - 1];
+          }
+      if (i >= max)
+        continue;
+      hashes[i] = hash;
+      names[i] = member->name;
+      n = MIN (n + 1, max);
+    }
+  g_free (hashes);
+  return n;
+}
+
 bool
 dy_members_ranks_above (const DyMembers *members, const char *account, const char *name)
 {
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -92,6 +92,11 @@
 /* Like dy_members_rank(), of the live members that reach the platform. */
 uint32_t dy_members_platform_rank (const DyMembers *members, const char *key, int64_t now_us);
 
+/* Stores the names of up to MAX live members in NAMES, this router left out, those first in the
+ * order of dy_members_rank() for KEY; they are valid until MEMBERS changes. Returns how many. */
+uint32_t dy_members_first (
+    const DyMembers *members, const char *key, int64_t now_us, const char **names, uint32_t max);
+
 /* Records whether calls of the router NAME, which may be this one, to the platform succeed. */
 void dy_members_set_platform (DyMembers *members, const char *name, bool has_platform);
 
--- a/src/services/shared_entries.c
+++ b/src/services/shared_entries.c
@@ -52,7 +52,6 @@
   shared->kernel = kernel;
   shared->peers = peers;
   shared->reservations = reservations;
-  dy_spread_init (&shared->spread, kernel, peers);
   shared->wanted = g_hash_table_new_full (hash_wanted, equal_wanted, g_free, NULL);
 }
 
@@ -60,7 +59,6 @@
 dy_shared_entries_finish (DySharedEntries *shared)
 {
   g_hash_table_unref (shared->wanted);
-  dy_spread_finish (&shared->spread);
 }
 
 static int64_t
@@ -69,25 +67,34 @@
   return dy_kernel_now_us (shared->kernel);
 }
 
-/* Sends the object KEY/ACCOUNT on the connection LINK, or to all routers, along a tree, if it is 0.
- * Whoever misses it is behind the next change, and asks. */
+/* Sends the object PREFIX/ACCOUNT on the connection LINK, or to the keepers of the account if it is
+ * 0. */
 static void
 send_json (
     DySharedEntries *shared, uint64_t link, const char *prefix, const char *account, json_t *root)
 {
+  const char *keepers[DY_ENTRY_KEEPERS];
+  char *text = json_dumps (root, JSON_COMPACT);
   char *key = g_strconcat (prefix, account, NULL);
+  uint32_t n = link ? 0
+                    : dy_members_first (&shared->peers->members, account, now_us (shared), keepers,
+                                        DY_ENTRY_KEEPERS);
   if (link)
-    {
-      char *text = json_dumps (root, JSON_COMPACT);
-      dy_peers_reply_object (shared->peers, link, key, text);
-      free (text);
-    }
-  else
-    dy_spread_send (&shared->spread, key, root);
+    dy_peers_reply_object (shared->peers, link, key, text);
+  for (uint32_t i = 0; i < n; i++)
+    dy_peers_send_object (shared->peers, keepers[i], key, text);
   g_free (key);
+  free (text);
   json_decref (root);
 }
 
+/* Returns whether this router is a keeper of ACCOUNT. */
+static bool
+keeps (const DySharedEntries *shared, const char *account)
+{
+  return dy_members_rank (&shared->peers->members, account, now_us (shared)) < DY_ENTRY_KEEPERS;
+}
+
 static json_t *
 entry_to_json (const DyLedgerEntry *entry)
 {
@@ -211,7 +218,7 @@
 {
   uint64_t known;
   Wanted key = { .version = version };
-  if (strlen (account) >= sizeof key.account
+  if (strlen (account) >= sizeof key.account || !keeps (shared, account)
       || (dy_latest_entries_find (&shared->reservations->latest, account,
                                   dy_store_version_era (version), &known)
           && known >= version))
@@ -318,7 +325,6 @@
   if (!is_entry && !is_changes && !is_versions && strcmp (key, WANTED_KEY) != 0)
     return false;
   json_t *root = json_loadb (message->u.config.text, message->u.config.n_text, 0, NULL);
-  dy_spread_pass_on (&shared->spread, message, root);
   if (is_entry)
     take_whole_entry (shared, key + strlen (ENTRY_PREFIX), root);
   else if (is_changes)
--- a/src/services/shared_entries.h
+++ b/src/services/shared_entries.h
@@ -6,15 +6,16 @@
  *   shared_entries - routers tell each other the ledger entries that they wrote
  *
  * DESCRIPTION
- *   Each router keeps the latest entries (core/latest_entries). A router tells all others each
- *   entry that it wrote, as what it changed in the version before (core/entry_changes), along a
- *   tree (services/spread.h). One that lacks that version asks the router from which it has the
- *   change for the whole entry. When a connection is made, each side names the versions that it
- *   has, and the other asks for those that are later than its own. So a connection costs little
- *   when both know the same, as after a restart of the whole fleet.
+ *   Each router keeps the latest entries (core/latest_entries) of the accounts whose home it is or
+ *   may soon be: the keepers of an account are the first DY_ENTRY_KEEPERS live routers in the order
+ *   of its homes, that is all routers of a small fleet. A router tells the keepers each entry that
+ *   it wrote, as what it changed in the version before (core/entry_changes). One that lacks that
+ *   version asks the sender for the whole entry. When a connection is made, each side names the
+ *   versions that it has, and the other asks for those that are later than its own. So a
+ *   connection costs little when both know the same, as after a restart of the whole fleet.
  *
  * FORMAT
- *   Objects, of which the first two are spread when an entry was written:
+ *   Objects sent by dy_peers_send_object():
  *   entries/ACCOUNT          {"version": number, "entry": ledger entry}
  *   entry-changes/ACCOUNT    {"version": number, "base": number, "entry": the changed rows and all
  *                            other fields of the entry, "removed": ["hex id of a holder", ...]}
@@ -28,13 +29,16 @@
 
 #include "core/reservations.h"
 #include "services/peers.h"
-#include "services/spread.h"
+
+enum
+{
+  DY_ENTRY_KEEPERS = 12,
+};
 
 typedef struct
 {
   DyKernel *kernel;
   DyPeers *peers;
-  DySpread spread;
   DyReservations *reservations; /* which keeps the latest entries */
   GHashTable *wanted;           /* set of entries that other routers were asked for */
 } DySharedEntries;
@@ -45,7 +49,7 @@
                              DyReservations *reservations);
 void dy_shared_entries_finish (DySharedEntries *shared);
 
-/* Keeps ENTRY of ACCOUNT, which the store acknowledged as VERSION, and tells the other routers. */
+/* Keeps ENTRY of ACCOUNT, which the store acknowledged as VERSION, and tells the keepers. */
 void dy_shared_entries_share (DySharedEntries *shared,
                               const char *account,
                               uint64_t version,
--- a/test/test_spread.c
+++ b/test/test_spread.c
@@ -127,6 +127,31 @@
 }
 END_TEST
 
+START_TEST (the_first_members_for_a_key_are_those_of_the_lowest_ranks)
+{
+  enum
+  {
+    N_FIRST = 12,
+  };
+  const char *names[N_FIRST];
+  Fleet *fleet = new_fleet (fleets[_i].n_routers, 0);
+  for (uint32_t i = 0; i < fleet->n; i++)
+    {
+      uint32_t n = dy_members_first (&fleet->members[i], "account", 0, names, N_FIRST);
+      ck_assert_uint_eq (n, MIN (fleet->n - 1, N_FIRST));
+      uint32_t rank = dy_members_rank (&fleet->members[i], "account", 0);
+      for (uint32_t k = 0; k < n; k++)
+        {
+          /* The order of the others leaves this router out. */
+          uint32_t other = (uint32_t) g_ascii_strtoull (names[k] + 1, NULL, 10);
+          ck_assert_uint_eq (dy_members_rank (&fleet->members[other], "account", 0),
+                             k < rank ? k : k + 1);
+        }
+    }
+  free_fleet (fleet);
+}
+END_TEST
+
 /* What may be taken from another router: changes after BASE up to VERSION, where CHANGED is the
  * latest change up to BASE, by one that knows all up to KNOWN, of which OWN_CHANGED is the latest.
  */
@@ -209,6 +234,8 @@
                        G_N_ELEMENTS (fleets));
   tcase_add_loop_test (tcase, routers_that_pass_nothing_on_keep_few_messages_from_others, 0,
                        G_N_ELEMENTS (fleets));
+  tcase_add_loop_test (tcase, the_first_members_for_a_key_are_those_of_the_lowest_ranks, 0,
+                       G_N_ELEMENTS (fleets));
   tcase_add_loop_test (tcase, changes_are_taken_if_they_follow_on_what_is_known, 0,
                        G_N_ELEMENTS (takes));
   tcase_add_loop_test (tcase, the_age_is_bounded_for_few_calls_though_routers_pass_nothing_on, 0,
