Log what an ended request had left, and count abandoned attempts

The lines of an ended request could not show whether time or attempts were left, which route table bounded it, nor whether its caller had got the head of an answer, so four causes of answers that end early looked alike. 7004 has status, begun, left_ms and routes_version, 7005 attempt, allowed and left_ms; two counters tell abandoned attempts and requests that end by one.

--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -97,6 +97,7 @@
   plan->service = g_strdup (dy_route_pick_target (route, g_rand_int (gateway->rng)));
   plan->resume_from = g_strdup (head->resume_from);
   plan->resumes_id = g_strdup (head->resumes_id);
+  plan->routes_version = gateway->directory->routes.version;
   plan->kind = route->kind;
   plan->repeatable
       = route->kind == DY_ROUTE_IDEMPOTENT || (route->kind == DY_ROUTE_STREAM && route->resumable);
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -124,16 +124,28 @@
     remove_request (request);
 }
 
+/* Returns the milliseconds until the request's time limit; -1: not limited. */
+static int64_t
+left_ms (const Request *request)
+{
+  if (request->plan.end_us == INT64_MAX)
+    return -1;
+  return MAX ((request->plan.end_us - now_us (request)) / 1000, 0);
+}
+
 static void
 log_end (const Request *request, const char *outcome)
 {
   dy_log (DY_EVENT_REQUEST_ENDED,
           "request=%s account=%s service=%s outcome=%s ms=%" G_GINT64_FORMAT
-          " started=%u refused=%u events=%" G_GUINT64_FORMAT " send_ms=%" G_GINT64_FORMAT,
+          " started=%u refused=%u events=%" G_GUINT64_FORMAT " send_ms=%" G_GINT64_FORMAT
+          " status=%u begun=%d left_ms=%" G_GINT64_FORMAT " routes_version=%" G_GUINT64_FORMAT,
           request->plan.id, request->plan.account ? request->plan.account : "-",
           request->plan.service, outcome, (now_us (request) - request->plan.arrived_us) / 1000,
           request->n_started, request->n_refused, request->events.n_events,
-          request->attempt.send_us < 0 ? -1 : request->attempt.send_us / 1000);
+          request->attempt.send_us < 0 ? -1 : request->attempt.send_us / 1000,
+          request->attempt.status, request->stream_started, left_ms (request),
+          request->plan.routes_version);
 }
 
 /* Ends the request without a complete answer: answers ERROR, or aborts a stream that was begun. */
@@ -628,12 +640,18 @@
   (void) events;
   if (!request->attempt_open || !resend_allowed (request))
     return;
-  dy_log (DY_EVENT_ATTEMPT_ABANDONED, "request=%s endpoint=%s silence_ms=%" G_GINT64_FORMAT,
+  dy_log (DY_EVENT_ATTEMPT_ABANDONED,
+          "request=%s endpoint=%s silence_ms=%" G_GINT64_FORMAT
+          " attempt=%u allowed=%u left_ms=%" G_GINT64_FORMAT,
           request->plan.id, request->attempt.endpoint_id ? request->attempt.endpoint_id : "-",
-          read_timeout_ms (request));
+          read_timeout_ms (request), request->n_started + 1, request->plan.max_attempts,
+          left_ms (request));
   bool sent = dy_gateway_attempt_was_sent (&request->attempt);
+  count (request, DY_COUNTER_ABANDONED);
   cancel_attempt (request, DY_PLACEMENT_FAILED);
   retry_or_fail (request, sent ? DY_ATTEMPT_UNANSWERED : DY_ATTEMPT_NOT_SENT, false);
+  if (request->state == REQUEST_OVER)
+    count (request, DY_COUNTER_ABANDONED_LAST);
 }
 
 static void
