End a begun stream whose resumed run fails

Callers saw a stream that neither went on nor ended, also past the time limits of the route and of the caller: it broke, and the endpoint that it was resumed at answered with a failure. The complete answer was passed on as a reply, which a call whose response is queued takes silently as nothing, and the request's deadline timer was stopped with it.

A complete answer other than a success to a begun stream counts as a broken attempt now: the stream is continued elsewhere while attempts, budget and time are left, and aborted otherwise.

The fixture has a third endpoint, in another data centre, and a route of three attempts; its routes are joined from a list. The test of held-up answers sums all endpoints.

--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -387,8 +387,14 @@
       retry_or_fail (request, result->outcome, false);
       return;
     }
+  /* A begun stream cannot end with another answer; it is continued elsewhere or broken off. */
+  if (request->stream_started && !request->attempt.is_success)
+    {
+      retry_or_fail (request, DY_ATTEMPT_BROKEN, false);
+      return;
+    }
   /* After an endpoint's own failure, a repeatable request may succeed at another endpoint. */
-  if (result->endpoint_error && request->plan.repeatable && !request->stream_started)
+  if (result->endpoint_error && request->plan.repeatable)
     {
       retry_or_fail (request, DY_ATTEMPT_BROKEN, true);
       return;
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -22,34 +22,16 @@
   "\"service\":\"app\",\"maxAttempts\":" attempts more "}"
 #define RESUMABLE ",\"resumable\":true"
 
-static const char routes_text[]
-    = "{\"version\":1,\"routes\":[" ROUTE ("once", "/", "non_idempotent", "1", "") "," ROUTE (
-        "ok",
-        "/ok/",
-        "idempotent",
-        "2",
-        "") "," ROUTE ("ok1",
-                       "/ok1/",
-                       "idempotent",
-                       "1",
-                       "") "," ROUTE ("s",
-                                      "/s/",
-                                      "streaming",
-                                      "1",
-                                      "") "," ROUTE ("r1",
-                                                     "/r1/",
-                                                     "streaming",
-                                                     "1",
-                                                     RESUMABLE) "," ROUTE ("r2",
-                                                                           "/r2/",
-                                                                           "streaming",
-                                                                           "2",
-                                                                           RESUMABLE) "],"
-                                                                                      "\"services\""
-                                                                                      ":[{\"name\":"
-                                                                                      "\"app\"}],"
-                                                                                      "\"limits\":{"
-                                                                                      "}}";
+static const char *const routes[] = {
+  ROUTE ("once", "/", "non_idempotent", "1", ""),
+  ROUTE ("ok", "/ok/", "idempotent", "2", ""),
+  ROUTE ("ok1", "/ok1/", "idempotent", "1", ""),
+  ROUTE ("s", "/s/", "streaming", "1", ""),
+  ROUTE ("r1", "/r1/", "streaming", "1", RESUMABLE),
+  ROUTE ("r2", "/r2/", "streaming", "2", RESUMABLE),
+  ROUTE ("r3", "/r3/", "streaming", "3", RESUMABLE),
+  NULL,
+};
 
 static void
 answer_request (void *ctx, DyHttpCall *call)
@@ -84,7 +66,7 @@
   DyEndpointRecord record = { .id = id,
                               .service = "app",
                               .address = fixture->endpoints[i].address,
-                              .data_centre = "dc-a",
+                              .data_centre = i < FIXTURE_N_NEAR ? "dc-a" : "dc-b",
                               .version = "1",
                               .slots = 8,
                               .leaving = leaving };
@@ -102,10 +84,14 @@
   fixture->peers.members.by_name = g_hash_table_new (NULL, NULL);
   directory->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dy_placement_init (&directory->placement, &dy_placement_policy, "dc-a", 1);
-  ck_assert_int_eq (
-      dy_platform_dialect.decode_routes (routes_text, strlen (routes_text), &directory->routes),
-      DY_OK);
+  char *list = g_strjoinv (",", (char **) routes);
+  char *text = g_strdup_printf (
+      "{\"version\":1,\"routes\":[%s],\"services\":[{\"name\":\"app\"}],\"limits\":{}}", list);
+  ck_assert_int_eq (dy_platform_dialect.decode_routes (text, strlen (text), &directory->routes),
+                    DY_OK);
   directory->has_routes = true;
+  g_free (text);
+  g_free (list);
 }
 
 static void
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -12,7 +12,7 @@
  *     /      non-idempotent, one attempt
  *     /ok/   idempotent, two attempts; /ok1/ one attempt
  *     /s/    streaming, one attempt
- *     /r1/   streaming, resumable, one attempt; /r2/ two attempts
+ *     /r1/   streaming, resumable, one attempt; /r2/ two, /r3/ three attempts
  */
 
 #include "services/gateway.h"
@@ -20,7 +20,8 @@
 
 enum
 {
-  FIXTURE_N_ENDPOINTS = 2,
+  FIXTURE_N_ENDPOINTS = 3,
+  FIXTURE_N_NEAR = 2, /* of them, in the data centre of the gateway, which prefers them */
 };
 
 typedef struct
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -74,6 +74,7 @@
 {
   Fixture fixture;
   FixtureAnswer answer;
+  int n_requests = 0;
   fixture_init (&fixture);
   for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
     {
@@ -82,7 +83,9 @@
     }
   fixture_send (&fixture, "/ok/x", &answer, 1);
   ck_assert_uint_eq (answer.result.status, 200);
-  ck_assert_int_eq (fixture.endpoints[0].n_requests + fixture.endpoints[1].n_requests, 1);
+  for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
+    n_requests += fixture.endpoints[i].n_requests;
+  ck_assert_int_eq (n_requests, 1);
   fixture_free_answers (&answer, 1);
   fixture_finish (&fixture);
 }
