Decide the course of a request in one table

What follows the end of an attempt, a timeout or a caller's leaving was decided in six functions of the gateway, each with its own guards, and one combination, a complete failure after a begun stream, had no end at all. core/request_course has a rule for each of 7 states and 16 events, without I/O and clock, and uses core/resend. Silence leads to another attempt, with the open one counted, or to nothing; it cannot end a request.

Not used yet.

--- /dev/null
+++ b/src/core/request_course.c
@@ -0,0 +1,254 @@
+#include "core/request_course.h"
+
+#include "core/resend.h"
+#include "kernel/error.h"
+
+enum
+{
+  MIN_ATTEMPT_MS = 20, /* remaining time below which another attempt is not worthwhile */
+};
+
+typedef enum
+{
+  IGNORE,
+  RESERVE,
+  SEND,    /* nothing is counted */
+  OPEN,    /* the attempt */
+  BEGIN,   /* the stream */
+  PASS_ON, /* the answer */
+  RETRY_OR_PASS_ON,
+  RETRY_RAN,   /* after an attempt that may have run */
+  RETRY_UNRUN, /* after one that did not */
+  REPLACE,     /* the open attempt, if another one may be sent */
+  DENY,
+  NO_ENDPOINT,
+  EXPIRE,
+  DROP,
+} Rule;
+
+/* What may come in any state before the end. */
+#define ANY_TIME                                                                                   \
+  [DY_COURSE_DEADLINE] = EXPIRE, [DY_COURSE_CALLER_LEFT] = DROP, [DY_COURSE_STOP] = DROP
+
+#define TO_BE_STARTED [DY_COURSE_STARTED] = OPEN, [DY_COURSE_NO_ENDPOINT] = NO_ENDPOINT, ANY_TIME
+
+#define ATTEMPT_OPEN                                                                               \
+  [DY_COURSE_ANSWERED] = PASS_ON, [DY_COURSE_BROKEN] = RETRY_RAN,                                  \
+  [DY_COURSE_NOT_RUN] = RETRY_UNRUN, [DY_COURSE_NOT_SENT] = RETRY_UNRUN,                           \
+  [DY_COURSE_ENDPOINT_LEFT] = SEND, [DY_COURSE_SILENT] = REPLACE, ANY_TIME
+
+static const Rule rules[DY_COURSE_N_STATES][DY_COURSE_N_EVENTS] = {
+  [DY_COURSE_LOOKING_UP] = { [DY_COURSE_GRANTED] = RESERVE, [DY_COURSE_DENIED] = DENY, ANY_TIME },
+  [DY_COURSE_RESERVING] = { [DY_COURSE_GRANTED] = SEND, [DY_COURSE_DENIED] = DENY, ANY_TIME },
+  [DY_COURSE_PLACING] = { TO_BE_STARTED },
+  [DY_COURSE_RESUMING] = { TO_BE_STARTED },
+  [DY_COURSE_RUNNING] = { [DY_COURSE_DATA] = BEGIN,
+                          [DY_COURSE_DECLINED] = PASS_ON,
+                          [DY_COURSE_FAILED] = RETRY_OR_PASS_ON,
+                          ATTEMPT_OPEN },
+  [DY_COURSE_STREAMING]
+  = { [DY_COURSE_DECLINED] = RETRY_RAN, [DY_COURSE_FAILED] = RETRY_RAN, ATTEMPT_OPEN },
+};
+
+void
+dy_course_init (DyCourse *course, bool looks_up, bool repeatable, uint32_t max_attempts)
+{
+  *course = (DyCourse){ .state = looks_up ? DY_COURSE_LOOKING_UP : DY_COURSE_RESERVING,
+                        .repeatable = repeatable,
+                        .max_attempts = max_attempts };
+}
+
+bool
+dy_course_has_attempt (const DyCourse *course)
+{
+  return course->state == DY_COURSE_RUNNING || course->state == DY_COURSE_STREAMING;
+}
+
+bool
+dy_course_ends (DyCourseAction action)
+{
+  return action >= DY_COURSE_PASS_ON;
+}
+
+static bool
+is_begun (const DyCourse *course)
+{
+  return course->state == DY_COURSE_RESUMING || course->state == DY_COURSE_STREAMING;
+}
+
+static DyCourseStep
+wait_on (void)
+{
+  return (DyCourseStep){ .action = DY_COURSE_WAIT };
+}
+
+static DyCourseStep
+end (DyCourse *course, DyCourseAction action)
+{
+  course->state = DY_COURSE_OVER;
+  return (DyCourseStep){ .action = action };
+}
+
+static DyCourseStep
+end_with_error (DyCourse *course, int error)
+{
+  DyCourseStep step = end (course, is_begun (course) ? DY_COURSE_ABORT : DY_COURSE_REFUSE);
+  step.error = error;
+  return step;
+}
+
+static DyCourseStep
+send_again (DyCourse *course)
+{
+  course->state = is_begun (course) ? DY_COURSE_RESUMING : DY_COURSE_PLACING;
+  return (DyCourseStep){ .action = DY_COURSE_SEND };
+}
+
+/* Counts an attempt that ended; RAN is whether it may have run. */
+static void
+count_attempt (DyCourse *course, bool ran)
+{
+  if (ran)
+    course->n_started++;
+  else
+    course->n_refused++;
+  course->may_have_run = course->may_have_run || ran;
+}
+
+/* Returns DY_OK if another attempt may follow those counted, or the error for the caller. */
+static int
+decide (const DyCourse *course, bool ran, const DyCourseSituation *situation)
+{
+  DyResendQuery query = { .outcome = ran ? DY_ATTEMPT_BROKEN : DY_ATTEMPT_NOT_RUN,
+                          .repeatable = course->repeatable,
+                          .may_have_run = course->may_have_run,
+                          .answer_seen = is_begun (course),
+                          .n_started = course->n_started,
+                          .n_refused = course->n_refused,
+                          .max_attempts = situation->blocked ? 0 : course->max_attempts,
+                          .within_budget = situation->within_budget,
+                          .time_left_ms = situation->time_left_ms,
+                          .time_needed_ms = MIN_ATTEMPT_MS };
+  return dy_resend_decide (&query);
+}
+
+static DyCourseStep
+retry (DyCourse *course, bool ran, const DyCourseSituation *situation)
+{
+  count_attempt (course, ran);
+  int error = decide (course, ran, situation);
+  return error ? end_with_error (course, error) : send_again (course);
+}
+
+static DyCourseStep
+pass_on (DyCourse *course)
+{
+  count_attempt (course, true);
+  return end (course, DY_COURSE_PASS_ON);
+}
+
+/* A failure may be none at another endpoint, and is passed on where the request cannot be sent to
+ * another one. */
+static DyCourseStep
+retry_or_pass_on (DyCourse *course, const DyCourseSituation *situation)
+{
+  count_attempt (course, true);
+  if (course->repeatable && decide (course, true, situation) == DY_OK)
+    return send_again (course);
+  return end (course, DY_COURSE_PASS_ON);
+}
+
+static DyCourseStep
+replace (DyCourse *course, const DyCourseSituation *situation)
+{
+  DyCourse next = *course;
+  count_attempt (&next, situation->sent);
+  if (!course->repeatable || !situation->has_other || decide (&next, situation->sent, situation))
+    return wait_on ();
+  *course = next;
+  DyCourseStep step = send_again (course);
+  step.abandons = true;
+  return step;
+}
+
+/* For the request itself, ends in which an open attempt is cut short. */
+static void
+cut_short (DyCourse *course, const DyCourseSituation *situation)
+{
+  course->may_have_run
+      = course->may_have_run || (dy_course_has_attempt (course) && situation->sent);
+}
+
+static DyCourseStep
+expire (DyCourse *course, const DyCourseSituation *situation)
+{
+  int error = DY_NO_ENDPOINT;
+  cut_short (course, situation);
+  if (course->state == DY_COURSE_LOOKING_UP)
+    error = DY_ORIGIN_UNKNOWN;
+  else if (course->state == DY_COURSE_RESERVING)
+    error = DY_BUDGET_UNAVAILABLE;
+  else if (course->may_have_run)
+    error = DY_TIMEOUT;
+  bool abandons = dy_course_has_attempt (course);
+  DyCourseStep step = end_with_error (course, error);
+  step.abandons = abandons;
+  return step;
+}
+
+static DyCourseStep
+drop (DyCourse *course, const DyCourseSituation *situation)
+{
+  bool abandons = dy_course_has_attempt (course);
+  cut_short (course, situation);
+  DyCourseStep step = end (course, DY_COURSE_DROP);
+  step.abandons = abandons;
+  return step;
+}
+
+static DyCourseStep
+end_without_endpoint (DyCourse *course)
+{
+  int error = course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT;
+  return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
+}
+
+DyCourseStep
+dy_course_step (DyCourse *course, DyCourseEvent event, const DyCourseSituation *situation)
+{
+  switch (rules[course->state][event])
+    {
+    case RESERVE:
+      course->state = DY_COURSE_RESERVING;
+      return (DyCourseStep){ .action = DY_COURSE_RESERVE };
+    case SEND:
+      return send_again (course);
+    case OPEN:
+      course->state = is_begun (course) ? DY_COURSE_STREAMING : DY_COURSE_RUNNING;
+      return wait_on ();
+    case BEGIN:
+      course->state = DY_COURSE_STREAMING;
+      return wait_on ();
+    case PASS_ON:
+      return pass_on (course);
+    case RETRY_OR_PASS_ON:
+      return retry_or_pass_on (course, situation);
+    case RETRY_RAN:
+      return retry (course, true, situation);
+    case RETRY_UNRUN:
+      return retry (course, false, situation);
+    case REPLACE:
+      return replace (course, situation);
+    case DENY:
+      return end_with_error (course, situation->error);
+    case NO_ENDPOINT:
+      return end_without_endpoint (course);
+    case EXPIRE:
+      return expire (course, situation);
+    case DROP:
+      return drop (course, situation);
+    case IGNORE:
+      break;
+    }
+  return wait_on ();
+}
--- /dev/null
+++ b/test/test_request_course.c
@@ -0,0 +1,249 @@
+/* The course of a request: each state with each event, and random sequences of events. */
+
+#include "core/request_course.h"
+#include "kernel/error.h"
+#include "support/suite.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* A cell has the action and the next state:
+ * w wait, r reserve, s send, p pass on, e refuse with an error, a abort, d drop;
+ * L looking up, V reserving, P placing, R running, Q resuming, S streaming, O over.
+ * The columns are the events in their order: granted, denied, started, no endpoint; data, answered,
+ * declined, failed; broken, not run, not sent, endpoint left; silent, deadline, caller left, stop.
+ */
+static const char action_letters[] = "wrspead";
+static const char state_letters[] = "LVPRQSO";
+
+static const struct
+{
+  const char *name;
+  bool may_resend;
+  const char *rows[DY_COURSE_N_STATES];
+} tables[] = {
+  { "another attempt is allowed",
+    true,
+    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL eO dO dO",
+      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV eO dO dO",
+      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP eO dO dO",
+      "wR wR wR wR  wS pO pO sP  sP sP sP sP  sP eO dO dO",
+      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ aO dO dO",
+      "wS wS wS wS  wS pO sQ sQ  sQ sQ sQ sQ  sQ aO dO dO",
+      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO" } },
+  { "no other attempt is allowed",
+    false,
+    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL eO dO dO",
+      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV eO dO dO",
+      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP eO dO dO",
+      "wR wR wR wR  wS pO pO pO  eO eO eO sP  wR eO dO dO",
+      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ aO dO dO",
+      "wS wS wS wS  wS pO aO aO  aO aO aO sQ  wS aO dO dO",
+      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO" } },
+};
+
+static const DyCourseSituation all_allowed = { .error = DY_SUSPENDED,
+                                               .sent = true,
+                                               .within_budget = true,
+                                               .has_other = true,
+                                               .time_left_ms = 1000 };
+
+static DyCourse
+course_in (DyCourseState state)
+{
+  bool begun = state == DY_COURSE_RESUMING || state == DY_COURSE_STREAMING;
+  return (DyCourse){ .state = state,
+                     .repeatable = true,
+                     .may_have_run = begun,
+                     .max_attempts = 3,
+                     .n_started = begun ? 1 : 0 };
+}
+
+/* Returns the cell of EVENT in ROW, whose cells are separated by spaces. */
+static const char *
+cell (const char *row, int event)
+{
+  for (row += strspn (row, " "); event > 0; event--)
+    {
+      row += strcspn (row, " ");
+      row += strspn (row, " ");
+    }
+  return row;
+}
+
+START_TEST (each_event_in_each_state_has_its_action)
+{
+  for (int state = 0; state < DY_COURSE_N_STATES; state++)
+    for (int event = 0; event < DY_COURSE_N_EVENTS; event++)
+      {
+        const char *expected = cell (tables[_i].rows[state], event);
+        DyCourse course = course_in ((DyCourseState) state);
+        DyCourseSituation situation = all_allowed;
+        situation.within_budget = tables[_i].may_resend;
+        bool had_attempt = dy_course_has_attempt (&course);
+        DyCourseStep step = dy_course_step (&course, (DyCourseEvent) event, &situation);
+        ck_assert_msg (action_letters[step.action] == expected[0]
+                           && state_letters[course.state] == expected[1],
+                       "%s: state %c, event %d: %c%c, expected %.2s", tables[_i].name,
+                       state_letters[state], event, action_letters[step.action],
+                       state_letters[course.state], expected);
+        bool has_error = step.action == DY_COURSE_REFUSE || step.action == DY_COURSE_ABORT;
+        ck_assert_msg (has_error == (step.error != DY_OK), "state %d, event %d", state, event);
+        bool cuts = event >= DY_COURSE_SILENT && step.action != DY_COURSE_WAIT;
+        ck_assert_msg (step.abandons == (had_attempt && cuts), "state %d, event %d", state, event);
+      }
+}
+END_TEST
+
+static const struct
+{
+  const char *name;
+  DyCourseState state;
+  DyCourseEvent event;
+  bool may_have_run; /* by an earlier attempt */
+  bool sent;         /* the open attempt */
+  int error;
+} error_cases[] = {
+  { "denied", DY_COURSE_RESERVING, DY_COURSE_DENIED, false, false, DY_SUSPENDED },
+  { "late, origin", DY_COURSE_LOOKING_UP, DY_COURSE_DEADLINE, false, false, DY_ORIGIN_UNKNOWN },
+  { "late, budget", DY_COURSE_RESERVING, DY_COURSE_DEADLINE, false, false, DY_BUDGET_UNAVAILABLE },
+  { "late, not sent", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, false, false, DY_NO_ENDPOINT },
+  { "late, sent", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, false, true, DY_TIMEOUT },
+  { "late, sent before", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, true, false, DY_TIMEOUT },
+  { "late, streaming", DY_COURSE_STREAMING, DY_COURSE_DEADLINE, true, true, DY_TIMEOUT },
+  { "no endpoint", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, false, false, DY_NO_ENDPOINT },
+  { "none after one", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, true, false, DY_OUTCOME_UNKNOWN },
+  { "none to resume", DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT, true, false, DY_STREAM_BROKEN },
+  { "broken", DY_COURSE_RUNNING, DY_COURSE_BROKEN, false, true, DY_OUTCOME_UNKNOWN },
+  { "not run", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, false, true, DY_NO_ENDPOINT },
+  { "not run after one", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, true, true, DY_OUTCOME_UNKNOWN },
+  { "stream broken", DY_COURSE_STREAMING, DY_COURSE_BROKEN, true, true, DY_STREAM_BROKEN },
+  { "stream failed", DY_COURSE_STREAMING, DY_COURSE_FAILED, true, true, DY_STREAM_BROKEN },
+};
+
+START_TEST (error_tells_what_may_have_run)
+{
+  DyCourse course = course_in (error_cases[_i].state);
+  DyCourseSituation situation = all_allowed;
+  situation.within_budget = false;
+  situation.sent = error_cases[_i].sent;
+  course.may_have_run = error_cases[_i].may_have_run;
+  DyCourseStep step = dy_course_step (&course, error_cases[_i].event, &situation);
+  ck_assert_msg (step.error == error_cases[_i].error, "%s: %d", error_cases[_i].name, step.error);
+}
+END_TEST
+
+/* What forbids another attempt; the defaults allow it. */
+static const struct
+{
+  const char *name;
+  bool not_repeatable;
+  bool beyond_budget;
+  bool blocked;
+  bool no_other;
+  bool no_time;
+  uint32_t n_started;
+  uint32_t n_refused;
+  bool waits;
+} silence_cases[] = {
+  { .name = "allowed", .n_started = 1 },
+  { .name = "not repeatable", .not_repeatable = true, .waits = true },
+  { .name = "beyond the retry budget", .beyond_budget = true, .waits = true },
+  { .name = "blocked", .blocked = true, .waits = true },
+  { .name = "no other endpoint", .no_other = true, .waits = true },
+  { .name = "no time", .no_time = true, .waits = true },
+  { .name = "the open attempt is the last", .n_started = 2, .waits = true },
+  { .name = "rejected too often", .n_refused = 3, .waits = true },
+};
+
+START_TEST (silence_changes_nothing_unless_another_attempt_follows)
+{
+  static const DyCourseState states[] = { DY_COURSE_RUNNING, DY_COURSE_STREAMING };
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      DyCourse course = course_in (states[i]);
+      course.repeatable = !silence_cases[_i].not_repeatable;
+      course.n_started = silence_cases[_i].n_started;
+      course.n_refused = silence_cases[_i].n_refused;
+      DyCourse before = course;
+      DyCourseSituation situation = { .sent = true,
+                                      .within_budget = !silence_cases[_i].beyond_budget,
+                                      .blocked = silence_cases[_i].blocked,
+                                      .has_other = !silence_cases[_i].no_other,
+                                      .time_left_ms = silence_cases[_i].no_time ? 10 : 1000 };
+      DyCourseStep step = dy_course_step (&course, DY_COURSE_SILENT, &situation);
+      bool waits = silence_cases[_i].waits;
+      ck_assert_msg (step.action == (waits ? DY_COURSE_WAIT : DY_COURSE_SEND), "%s: %d",
+                     silence_cases[_i].name, step.action);
+      ck_assert_msg (step.abandons == !waits, "%s", silence_cases[_i].name);
+      ck_assert_msg (course.n_started == before.n_started + (waits ? 0 : 1), "%s",
+                     silence_cases[_i].name);
+      ck_assert_msg (!waits || course.state == before.state, "%s", silence_cases[_i].name);
+    }
+}
+END_TEST
+
+static DyCourseSituation
+random_situation (GRand *rng)
+{
+  return (DyCourseSituation){ .error = DY_BUDGET_UNAVAILABLE,
+                              .sent = g_rand_boolean (rng),
+                              .within_budget = g_rand_int_range (rng, 0, 4) > 0,
+                              .blocked = g_rand_int_range (rng, 0, 8) == 0,
+                              .has_other = g_rand_int_range (rng, 0, 4) > 0,
+                              .time_left_ms = g_rand_int_range (rng, 0, 200) };
+}
+
+/* Events come at random, most of them without sense in their state; the deadline comes at last. */
+START_TEST (any_sequence_of_events_has_exactly_one_end)
+{
+  enum
+  {
+    N_SEQUENCES = 100000,
+    MAX_EVENTS = 40,
+  };
+  GRand *rng = g_rand_new_with_seed (41);
+  for (int n = 0; n < N_SEQUENCES; n++)
+    {
+      DyCourse course;
+      int n_ends = 0;
+      int n_events = g_rand_int_range (rng, 1, MAX_EVENTS);
+      uint32_t max_attempts = (uint32_t) g_rand_int_range (rng, 1, 4);
+      dy_course_init (&course, g_rand_boolean (rng), g_rand_boolean (rng), max_attempts);
+      for (int i = 0; i <= n_events; i++)
+        {
+          DyCourseEvent event = i == n_events
+                                    ? DY_COURSE_DEADLINE
+                                    : (DyCourseEvent) g_rand_int_range (rng, 0, DY_COURSE_N_EVENTS);
+          DyCourseSituation situation = random_situation (rng);
+          bool had_run = course.may_have_run;
+          DyCourseStep step = dy_course_step (&course, event, &situation);
+          bool ends = dy_course_ends (step.action);
+          n_ends += ends;
+          if ((ends && event == DY_COURSE_SILENT) || n_ends != (course.state == DY_COURSE_OVER)
+              || (n_ends > ends && step.action != DY_COURSE_WAIT)
+              || (step.action == DY_COURSE_SEND && had_run && !course.repeatable)
+              || course.n_started > max_attempts)
+            ck_abort_msg ("sequence %d, event %d: %d, action %d, state %d", n, i, event,
+                          step.action, course.state);
+        }
+      if (n_ends != 1)
+        ck_abort_msg ("sequence %d: %d ends", n, n_ends);
+    }
+  g_rand_free (rng);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tcase = tcase_create ("request_course");
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, each_event_in_each_state_has_its_action, 0,
+                       (int) G_N_ELEMENTS (tables));
+  tcase_add_loop_test (tcase, error_tells_what_may_have_run, 0, (int) G_N_ELEMENTS (error_cases));
+  tcase_add_loop_test (tcase, silence_changes_nothing_unless_another_attempt_follows, 0,
+                       (int) G_N_ELEMENTS (silence_cases));
+  tcase_add_test (tcase, any_sequence_of_events_has_exactly_one_end);
+  return suite_run ("request_course", tcase);
+}
