Gateway requests take their course from the table

Each event of a request goes through one function, which asks core/request_course and does what it says. Callers whose endpoint fell silent lost answers that were on their way: the open attempt was not counted, so the last one was abandoned with nothing left to send to. Now an attempt is abandoned only if attempts, time and retry budget allow another one, with the open one counted, and an endpoint that was not tried, whose breaker is closed, can take it now; otherwise it is left open and looked at again. A stream for which no endpoint is left ends as stream_broken in the log, as after a broken attempt.

--- /dev/null
+++ b/src/services/gateway_send.c
@@ -0,0 +1,240 @@
+#include "kernel/log.h"
+#include "services/gateway_crashes.h"
+#include "services/gateway_request_private.h"
+
+enum
+{
+  /* For streams without a time limit of the caller, the time for which they may be resumed; for
+   * others the time after the limit, as clocks are read at different places. */
+  UNLIMITED_RESUME_US = 60 * 1000 * 1000,
+  RESUME_MARGIN_US = 2 * 1000 * 1000,
+};
+
+static int64_t
+now_us (const DyGatewayRequest *request)
+{
+  return dy_kernel_now_us (request->gateway->kernel);
+}
+
+static uint32_t
+attempt_number (const DyGatewayRequest *request)
+{
+  return request->course.n_started + request->course.n_refused + 1;
+}
+
+static void
+add_tried (DyGatewayRequest *request, const char *endpoint_id)
+{
+  g_ptr_array_remove_index (request->tried, request->tried->len - 1);
+  g_ptr_array_add (request->tried, g_strdup (endpoint_id));
+  g_ptr_array_add (request->tried, NULL);
+}
+
+/* Returns the id of the event after which the next endpoint resumes; NULL: start from the first. */
+static const char *
+resume_point (const DyGatewayRequest *request)
+{
+  return request->events.last_id[0] ? request->events.last_id : request->plan.resume_from;
+}
+
+/* Returns the milliseconds that the caller still waits, at least 1; -1: not limited. */
+static int64_t
+time_left_ms (const DyGatewayRequest *request)
+{
+  if (request->plan.caller_deadline_us == INT64_MAX)
+    return -1;
+  return MAX ((request->plan.caller_deadline_us - now_us (request)) / 1000, 1);
+}
+
+/* Records that the endpoint of the latest attempt may begin the stream. */
+static void
+record_origin (const DyGatewayRequest *request)
+{
+  int64_t deadline_us = request->plan.caller_deadline_us;
+  DyStreamOrigin origin
+      = { .request_id = request->plan.id,
+          .service = request->plan.service,
+          .version = request->attempt_version,
+          .expires_us = deadline_us == INT64_MAX ? now_us (request) + UNLIMITED_RESUME_US
+                                                 : deadline_us + RESUME_MARGIN_US };
+  dy_origins_record (request->gateway->origins, &origin);
+}
+
+void
+dy_gateway_take_placement (DyGatewayRequest *request, const char *endpoint_id, const char *version)
+{
+  add_tried (request, endpoint_id);
+  g_free (request->attempt_version);
+  request->attempt_version = g_strdup (version);
+  if (request->plan.kind == DY_ROUTE_STREAM && request->plan.repeatable && !request->version)
+    record_origin (request);
+}
+
+/* Has another router make the attempt, as this one does not reach the endpoints. */
+static bool
+relay_attempt (DyGatewayRequest *request,
+               const DyGatewayAttemptSpec *spec,
+               const DyGatewayAttemptWatcher *watcher)
+{
+  DyGateway *gateway = request->gateway;
+  DyGatewayRelay relay = { .peer = dy_reachability_choose_peer (gateway->reachability),
+                           .plan = &request->plan,
+                           .version = request->version,
+                           .avoid = (const char *const *) request->tried->pdata };
+  request->relayed = true;
+  if (!relay.peer
+      || !dy_gateway_attempt_init_relayed (&request->attempt, gateway, &relay, spec, watcher,
+                                           request))
+    return false;
+  dy_log (DY_EVENT_REQUEST_RELAYED, "request=%s node=%s attempt=%u", request->plan.id, relay.peer,
+          attempt_number (request));
+  return true;
+}
+
+/* Sends the request to an endpoint that this router chooses. */
+static bool
+place_attempt (DyGatewayRequest *request,
+               DyGatewayAttemptSpec *spec,
+               const DyGatewayAttemptWatcher *watcher)
+{
+  DyGateway *gateway = request->gateway;
+  DyPlacementQuery query = { .service = request->plan.service,
+                             .work = request->plan.work,
+                             .avoid = (const char *const *) request->tried->pdata,
+                             .version = request->version };
+  int64_t predicted_us = 0;
+  DyPlacementEndpoint *endpoint = dy_placement_choose (&gateway->directory->placement, &query,
+                                                       now_us (request), &predicted_us);
+  if (!endpoint)
+    {
+      query.avoid = NULL;
+      endpoint = dy_placement_choose (&gateway->directory->placement, &query, now_us (request),
+                                      &predicted_us);
+    }
+  const char *gated = dy_placement_gated (&gateway->directory->placement, &query, now_us (request));
+  if (gated)
+    dy_endpoint_limits_log_skip (gateway->limits, request->plan.id, gated);
+  if (!endpoint)
+    return false;
+  request->relayed = false;
+  spec->head.endpoint_id = dy_placement_endpoint_id (endpoint);
+  dy_gateway_take_placement (request, spec->head.endpoint_id,
+                             dy_placement_endpoint_version (endpoint));
+  dy_log (DY_EVENT_REQUEST_PLACED,
+          "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
+          " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT,
+          request->plan.id, spec->head.endpoint_id, predicted_us, attempt_number (request),
+          spec->head.resume_from ? spec->head.resume_from : "-", request->attempt_version,
+          dy_directory_endpoints_age_ms (gateway->directory));
+  dy_gateway_attempt_init (&request->attempt, gateway, endpoint, spec, watcher, request);
+  return true;
+}
+
+bool
+dy_gateway_send_attempt (DyGatewayRequest *request, const DyGatewayAttemptWatcher *watcher)
+{
+  DyGateway *gateway = request->gateway;
+  dy_event_stream_drop_partial (&request->events);
+  g_string_truncate (request->body, 0);
+  const GString *body = dy_http_call_body (request->call);
+  GPtrArray *lines = dy_gateway_forwarded_lines (gateway->dialect, request->call);
+  DyForwardedRequest forwarded = { .method = dy_http_call_method (request->call),
+                                   .target = dy_http_call_target (request->call),
+                                   .body = body->str,
+                                   .n_body = body->len,
+                                   .lines = (const char *const *) lines->pdata };
+  DyGatewayAttemptSpec spec = { .forwarded = &forwarded,
+                                .request_id = request->plan.id,
+                                .service = request->plan.service,
+                                .work = request->plan.work,
+                                .head = { .account = request->plan.account,
+                                          .resume_from = resume_point (request),
+                                          .time_left_ms = time_left_ms (request),
+                                          .priority = request->plan.priority,
+                                          .has_priority = request->plan.kind == DY_ROUTE_STREAM } };
+  bool started = dy_reachability_is_out (gateway->reachability)
+                     ? relay_attempt (request, &spec, watcher)
+                     : place_attempt (request, &spec, watcher);
+  g_ptr_array_unref (lines);
+  if (started)
+    dy_counters_add (&gateway->kernel->counters, DY_COUNTER_ATTEMPTS, 1);
+  return started;
+}
+
+/* Returns whether an endpoint that was not tried yet can take the request now. */
+static bool
+has_other_endpoint (const DyGatewayRequest *request)
+{
+  const DyGateway *gateway = request->gateway;
+  DyPlacementQuery query = { .service = request->plan.service,
+                             .work = request->plan.work,
+                             .avoid = (const char *const *) request->tried->pdata,
+                             .version = request->version };
+  if (dy_reachability_is_out (gateway->reachability)
+      && !dy_reachability_choose_peer (gateway->reachability))
+    return false;
+  return dy_placement_has_choice (&gateway->directory->placement, &query, now_us (request));
+}
+
+int64_t
+dy_gateway_read_timeout_ms (const DyGatewayRequest *request)
+{
+  enum
+  {
+    MIN_ANSWER_WAIT_MS = 200,       /* longer than the slowest tenth of answers takes */
+    MIN_FIRST_EVENT_WAIT_MS = 1200, /* time to read a prompt of tens of thousands of tokens */
+    MIN_EVENT_GAP_WAIT_MS = 800, /* an engine that reads a long prompt stalls its other streams */
+    /* Number of target times after which a second attempt is worth more than waiting. */
+    TARGETS_BEFORE_RESEND = 3,
+  };
+  if (!request->plan.repeatable)
+    return 0;
+  if (request->plan.kind != DY_ROUTE_STREAM)
+    return MAX (TARGETS_BEFORE_RESEND * request->plan.target_ms, MIN_ANSWER_WAIT_MS);
+  if (request->stream_started)
+    return MAX (2 * request->plan.max_event_gap_ms, MIN_EVENT_GAP_WAIT_MS);
+  return MAX (TARGETS_BEFORE_RESEND * request->plan.target_ms, MIN_FIRST_EVENT_WAIT_MS);
+}
+
+static bool
+resend_allowed (DyGatewayRequest *request)
+{
+  DyGateway *gateway = request->gateway;
+  int64_t members = gateway->kernel->counters.values[DY_COUNTER_MEMBERS];
+  return dy_resend_budget_allows (&gateway->resend_budget, request->plan.service,
+                                  (uint32_t) MAX (members, 1), now_us (request));
+}
+
+bool
+dy_gateway_may_resend_after (const DyGatewayRequest *request, DyCourseEvent event)
+{
+  switch (event)
+    {
+    case DY_COURSE_BROKEN:
+    case DY_COURSE_NOT_RUN:
+    case DY_COURSE_NOT_SENT:
+    case DY_COURSE_SILENT:
+      return true;
+    case DY_COURSE_FAILED:
+      return request->plan.repeatable;
+    case DY_COURSE_DECLINED:
+      return request->stream_started;
+    default:
+      return false;
+    }
+}
+
+DyCourseSituation
+dy_gateway_situation (DyGatewayRequest *request, DyCourseEvent event, int error)
+{
+  DyCourseSituation situation = { .error = error };
+  situation.sent
+      = dy_course_has_attempt (&request->course) && dy_gateway_attempt_was_sent (&request->attempt);
+  if (!dy_gateway_may_resend_after (request, event))
+    return situation;
+  situation.within_budget = resend_allowed (request);
+  situation.blocked = dy_gateway_is_blocked (request->gateway, &request->plan, false);
+  situation.has_other = event == DY_COURSE_SILENT && has_other_endpoint (request);
+  situation.time_left_ms = (request->plan.end_us - now_us (request)) / 1000;
+  return situation;
+}
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -443,6 +443,30 @@
 }
 END_TEST
 
+START_TEST (an_avoided_or_failed_endpoint_is_no_other_choice)
+{
+  DyPlacement placement;
+  DyPromptWork work = { 0 };
+  const char *all[G_N_ELEMENTS (endpoint_ids) + 1] = { NULL };
+  DyPlacementQuery query = { .service = "llm", .avoid = all };
+  memcpy (all, endpoint_ids, sizeof endpoint_ids);
+  placement_init (&placement);
+  ck_assert (!dy_placement_has_choice (&placement, &query, SECOND));
+  query.avoid = NULL;
+  ck_assert (dy_placement_has_choice (&placement, &query, SECOND));
+  for (size_t i = 0; i < G_N_ELEMENTS (endpoint_ids); i++)
+    {
+      DyPlacementEndpoint *placed = g_hash_table_lookup (placement.by_id, endpoint_ids[i]);
+      dy_placement_begin (&placement, placed, &work, SECOND);
+      dy_placement_end (&placement, placed, &work, false, DY_PLACEMENT_UNREACHABLE, SECOND);
+    }
+  ck_assert (!dy_placement_has_choice (&placement, &query, SECOND + 1));
+  query.service = "none";
+  ck_assert (!dy_placement_has_choice (&placement, &query, SECOND));
+  dy_placement_finish (&placement);
+}
+END_TEST
+
 static const struct
 {
   const char *name;
@@ -644,6 +668,7 @@
                        (int) G_N_ELEMENTS (health_cases));
   tcase_add_test (tcase, a_restarted_endpoint_has_a_closed_breaker);
   tcase_add_test (tcase, a_leaving_endpoint_gets_no_requests);
+  tcase_add_test (tcase, an_avoided_or_failed_endpoint_is_no_other_choice);
   tcase_add_loop_test (tcase, resends_depend_on_the_outcome, 0, (int) G_N_ELEMENTS (resend_cases));
   tcase_add_test (tcase, resends_of_the_fleet_stay_within_the_bound);
   tcase_add_loop_test (tcase, placement_keeps_to_the_gate, 0, (int) G_N_ELEMENTS (gate_cases));
