--- a/src/services/gateway_plan.h
+++ b/src/services/gateway_plan.h
@@ -39,7 +39,7 @@
   int64_t caller_deadline_us;
   /* Earlier of caller_deadline_us and the end of the route's timeout; INT64_MAX: not limited. */
   int64_t end_us;
-  uint64_t routes_version; /* of the route table that the plan was made with */
+  uint64_t routes_version;   /* of the route table that the plan was made with */
   int64_t prompt_tokens;     /* 0: not a model request */
   int64_t max_output_tokens; /* 0: not stated */
   uint32_t event_tokens;     /* tokens in one event of a stream; at least 1 */
