Give up a silent attempt only for another one that may be made

Callers saw streams cut, or got 502, seconds before their time limit when a sound endpoint fell silent for a second or so. The read timer also ran during the last attempt that a route allows, since it compared the attempts that had ended with those allowed, and it cancelled the attempt before it asked whether the request may be sent again (attempts, time, retry budget, blocked prompt) and whether another endpoint could take it. Nothing was then left to send the request to.

The question comes first now and counts the open attempt; while the answer is no, the attempt stays open. A request whose attempt was given up is no longer ended because other endpoints turn it away or the retry budget is spent: it is sent again after a pause, until its time limit.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -295,6 +295,28 @@
   return best;
 }
 
+static bool
+is_choice (const DyPlacement *placement,
+           const DyPlacementQuery *query,
+           const DyPlacementEndpoint *endpoint,
+           int64_t now_us)
+{
+  return !endpoint->leaving && now_us >= endpoint->open_until_us && is_allowed_by (query, endpoint)
+         && is_allowed (placement, endpoint, now_us);
+}
+
+bool
+dy_placement_has_choice (const DyPlacement *placement,
+                         const DyPlacementQuery *query,
+                         int64_t now_us)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, query->service);
+  for (guint i = 0; list && i < list->len; i++)
+    if (is_choice (placement, query, g_ptr_array_index (list, i), now_us))
+      return true;
+  return false;
+}
+
 DyPlacementEndpoint *
 dy_placement_choose (DyPlacement *placement,
                      const DyPlacementQuery *query,
@@ -312,8 +334,7 @@
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, (first + i) % list->len);
-      if (endpoint->leaving || now_us < endpoint->open_until_us || !is_allowed_by (query, endpoint)
-          || !is_allowed (placement, endpoint, now_us))
+      if (!is_choice (placement, query, endpoint, now_us))
         continue;
       if (is_due (placement, endpoint, now_us))
         {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -128,6 +128,11 @@
                                           int64_t now_us,
                                           int64_t *predicted_us);
 
+/* Returns whether an endpoint with a closed breaker could be chosen for QUERY. */
+bool dy_placement_has_choice (const DyPlacement *placement,
+                              const DyPlacementQuery *query,
+                              int64_t now_us);
+
 /* Records that a request with WORK is sent to ENDPOINT, and keeps ENDPOINT valid until
  * dy_placement_end(). */
 void dy_placement_begin (DyPlacement *placement,
--- a/src/core/resend.c
+++ b/src/core/resend.c
@@ -23,11 +23,25 @@
     return DY_ENDPOINT_REFUSED;
   if (may_have_run && !query->repeatable)
     return final_error;
-  if (query->n_started >= query->max_attempts || query->n_refused >= MAX_REFUSED)
+  if (query->n_started >= query->max_attempts)
+    return final_error;
+  if (query->n_refused >= MAX_REFUSED && !query->gave_up)
     return final_error;
   if (query->time_left_ms <= query->time_needed_ms)
     return may_have_run ? DY_TIMEOUT : DY_NO_ENDPOINT;
-  return query->within_budget ? DY_OK : final_error;
+  if (query->within_budget && query->n_refused < MAX_REFUSED)
+    return DY_OK;
+  return query->gave_up ? DY_RESEND_LATER : final_error;
+}
+
+bool
+dy_resend_replaces_silent (const DyResendQuery *query, bool has_other)
+{
+  DyResendQuery after = *query;
+  after.outcome = DY_ATTEMPT_UNANSWERED;
+  after.may_have_run = true;
+  after.n_started++;
+  return has_other && dy_resend_decide (&after) == DY_OK;
 }
 
 void
--- a/src/core/resend.h
+++ b/src/core/resend.h
@@ -12,6 +12,10 @@
  *   idempotent or is a stream that can be resumed, and only while fewer attempts than the route
  *   allows may have run. Every resend must also fit the request's deadline and the retry budget.
  *
+ *   An attempt whose endpoint is silent may still be answered, so it is given up only for another
+ *   one that may be made now: dy_resend_replaces_silent(). The request then is not ended before
+ *   its deadline for want of an endpoint that takes it.
+ *
  *   DyResendBudget bounds the resends to each service: in every sliding window, those of the entire
  *   fleet stay within ratio * requests + slack. Each router enforces its share of this bound, which
  *   is ratio * its own requests + slack / number of routers.
@@ -35,6 +39,7 @@
   bool repeatable;        /* idempotent, or a stream that can be resumed */
   bool may_have_run;      /* this attempt or an earlier one may have run */
   bool answer_seen;       /* the caller has received part of the answer */
+  bool gave_up;           /* an attempt that could still have been answered was given up */
   uint32_t n_started;     /* attempts that may have run */
   uint32_t n_refused;     /* attempts that certainly did not run */
   uint32_t max_attempts;  /* most attempts that may have run */
@@ -43,14 +48,20 @@
   int64_t time_needed_ms; /* least time worth another attempt */
 } DyResendQuery;
 
-/* Returns DY_OK to send the request again, or the error for the caller. */
-int dy_resend_decide (const DyResendQuery *query);
-
 enum
 {
+  DY_RESEND_LATER = 1, /* send the request again after a pause */
   DY_RESEND_BUCKETS = 10,
 };
 
+/* Returns DY_OK to send the request again at once, DY_RESEND_LATER, or the error for the caller. */
+int dy_resend_decide (const DyResendQuery *query);
+
+/* Returns whether an attempt that is still open, and silent, is given up for another one. QUERY
+ * describes the request as before that attempt; HAS_OTHER is whether another endpoint could take
+ * the request. */
+bool dy_resend_replaces_silent (const DyResendQuery *query, bool has_other);
+
 typedef struct
 {
   int64_t requests[DY_RESEND_BUCKETS];
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -12,6 +12,7 @@
 enum
 {
   TIME_NEEDED_MS = 20, /* remaining time below which another attempt is not worthwhile */
+  RESEND_PAUSE_MS = 150,
   /* For streams without a time limit of the caller, the time for which they may be resumed; for
    * others the time after the limit, as clocks are read at different places. */
   UNLIMITED_RESUME_US = 60 * 1000 * 1000,
@@ -45,6 +46,7 @@
   uint32_t n_started; /* attempts that may have run */
   uint32_t n_refused; /* attempts that certainly did not run */
   bool may_have_run;
+  bool gave_up; /* an attempt was abandoned for its silence */
   bool stream_started;
   char *version;          /* of the endpoint that began the stream; NULL: not begun */
   DyOriginLookup *lookup; /* of version, in progress; NULL: none */
@@ -53,6 +55,7 @@
   GString *body;           /* of the answer; of a stream, the complete events not passed on yet */
   ev_timer deadline_timer; /* ends the request at its deadline */
   ev_timer read_timer;     /* abandons an attempt after the read timeout */
+  ev_timer resend_timer;   /* sends the request again after a pause */
 } Request;
 
 static void send_attempt (Request *request);
@@ -83,6 +86,7 @@
 {
   ev_timer_stop (request->gateway->kernel->loop, &request->deadline_timer);
   ev_timer_stop (request->gateway->kernel->loop, &request->read_timer);
+  ev_timer_stop (request->gateway->kernel->loop, &request->resend_timer);
 }
 
 static void
@@ -220,8 +224,8 @@
   end_request (request, true);
 }
 
-/* Returns the read timeout: the milliseconds without data after which a repeatable request is sent
- * to another endpoint; 0: no limit. */
+/* Returns the read timeout: the milliseconds without data after which a repeatable request may be
+ * sent to another endpoint; 0: no limit. */
 static int64_t
 read_timeout_ms (const Request *request)
 {
@@ -233,7 +237,7 @@
     /* Number of target times after which a second attempt is worth more than waiting. */
     TARGETS_BEFORE_RESEND = 3,
   };
-  if (!request->plan.repeatable || request->n_started >= request->plan.max_attempts)
+  if (!request->plan.repeatable || request->n_started + 1 >= request->plan.max_attempts)
     return 0;
   if (request->plan.kind != DY_ROUTE_STREAM)
     return MAX (TARGETS_BEFORE_RESEND * request->plan.target_ms, MIN_ANSWER_WAIT_MS);
@@ -301,13 +305,14 @@
                                   (uint32_t) MAX (members, 1), now_us (request));
 }
 
-static int
-decide_resend (Request *request, DyAttemptOutcome outcome)
+static DyResendQuery
+resend_query (Request *request, DyAttemptOutcome outcome)
 {
   DyResendQuery query = { .outcome = outcome,
                           .repeatable = request->plan.repeatable,
                           .may_have_run = request->may_have_run,
                           .answer_seen = request->stream_started,
+                          .gave_up = request->gave_up,
                           .n_started = request->n_started,
                           .n_refused = request->n_refused,
                           .max_attempts = request->plan.max_attempts,
@@ -316,7 +321,36 @@
                           .time_needed_ms = TIME_NEEDED_MS };
   if (dy_gateway_is_blocked (request->gateway, &request->plan, false))
     query.max_attempts = 0;
-  return dy_resend_decide (&query);
+  return query;
+}
+
+/* Sends the request again after a pause, for which the endpoints may have recovered. */
+static void
+send_later (Request *request)
+{
+  ev_timer_set (&request->resend_timer, (double) RESEND_PAUSE_MS / 1000.0, 0.0);
+  ev_timer_start (request->gateway->kernel->loop, &request->resend_timer);
+}
+
+static void
+resend (Request *request)
+{
+  count (request, DY_COUNTER_RETRIES);
+  dy_resend_budget_record_resend (&request->gateway->resend_budget, request->plan.service,
+                                  now_us (request));
+  send_attempt (request);
+}
+
+static void
+on_resend_pause_over (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Request *request = w->data;
+  (void) loop;
+  (void) events;
+  if (resend_allowed (request))
+    resend (request);
+  else
+    send_later (request);
 }
 
 /* Follows an attempt that ended without a complete answer. With ENDPOINT_ERROR, its error answer is
@@ -332,21 +366,24 @@
     }
   else
     request->n_refused++;
-  int error = decide_resend (request, outcome);
+  DyResendQuery query = resend_query (request, outcome);
+  int error = dy_resend_decide (&query);
   if (error && endpoint_error)
     {
       finish_answer (request);
       return;
     }
+  if (error == DY_RESEND_LATER)
+    {
+      send_later (request);
+      return;
+    }
   if (error)
     {
       fail_request (request, error);
       return;
     }
-  count (request, DY_COUNTER_RETRIES);
-  dy_resend_budget_record_resend (&request->gateway->resend_budget, request->plan.service,
-                                  now_us (request));
-  send_attempt (request);
+  resend (request);
 }
 
 /* For a relayed attempt, the other router does this. */
@@ -472,11 +509,15 @@
 static const DyGatewayAttemptWatcher attempt_watcher
     = { .placed = on_relay_placed, .data = on_attempt_data, .done = on_attempt_done };
 
-/* Fails a request for which no endpoint can be reached. */
+/* Fails a request for which no endpoint can be reached, unless it might have been answered by now
+ * had its attempt not been abandoned. */
 static void
 fail_without_endpoint (Request *request)
 {
-  fail_request (request, request->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT);
+  if (request->gave_up)
+    send_later (request);
+  else
+    fail_request (request, request->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT);
 }
 
 /* Has another router make the attempt, as this one does not reach the endpoints. */
@@ -632,14 +673,35 @@
   fail_request (request, request->may_have_run ? DY_TIMEOUT : not_run);
 }
 
+/* Returns whether another endpoint, or another router in place of this one, could take the request
+ * now. */
+static bool
+has_other_endpoint (const Request *request)
+{
+  const DyGateway *gateway = request->gateway;
+  DyPlacementQuery query = { .service = request->plan.service,
+                             .work = request->plan.work,
+                             .avoid = (const char *const *) request->tried->pdata,
+                             .version = request->version };
+  if (dy_reachability_is_out (gateway->reachability))
+    return dy_reachability_choose_peer (gateway->reachability) != NULL;
+  return dy_placement_has_choice (&gateway->directory->placement, &query, now_us (request));
+}
+
 static void
 on_read_timeout (struct ev_loop *loop, ev_timer *w, int events)
 {
   Request *request = w->data;
   (void) loop;
   (void) events;
-  if (!request->attempt_open || !resend_allowed (request))
+  if (!request->attempt_open)
     return;
+  DyResendQuery query = resend_query (request, DY_ATTEMPT_UNANSWERED);
+  if (!dy_resend_replaces_silent (&query, has_other_endpoint (request)))
+    {
+      arm_read_timer (request);
+      return;
+    }
   dy_log (DY_EVENT_ATTEMPT_ABANDONED,
           "request=%s endpoint=%s silence_ms=%" G_GINT64_FORMAT
           " attempt=%u allowed=%u left_ms=%" G_GINT64_FORMAT,
@@ -648,6 +710,7 @@
           left_ms (request));
   bool sent = dy_gateway_attempt_was_sent (&request->attempt);
   count (request, DY_COUNTER_ABANDONED);
+  request->gave_up = true;
   cancel_attempt (request, DY_PLACEMENT_FAILED);
   retry_or_fail (request, sent ? DY_ATTEMPT_UNANSWERED : DY_ATTEMPT_NOT_SENT, false);
   if (request->state == REQUEST_OVER)
@@ -776,10 +839,12 @@
 {
   ev_timer_init (&request->deadline_timer, on_deadline, 0.0, 0.0);
   ev_timer_init (&request->read_timer, on_read_timeout, 0.0, 0.0);
+  ev_timer_init (&request->resend_timer, on_resend_pause_over, 0.0, 0.0);
   ev_set_priority (&request->deadline_timer, DY_PRIORITY_TIMEOUT);
   ev_set_priority (&request->read_timer, DY_PRIORITY_TIMEOUT);
   request->deadline_timer.data = request;
   request->read_timer.data = request;
+  request->resend_timer.data = request;
   if (request->plan.end_us == INT64_MAX)
     return;
   double left_s = (double) (request->plan.end_us - now_us (request)) / 1e6;
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -480,6 +480,15 @@
   { "not run, after an attempt that may have run",
     { .outcome = DY_ATTEMPT_NOT_RUN, .may_have_run = true, .n_started = 1, .max_attempts = 2 },
     DY_OUTCOME_UNKNOWN },
+  { "not run, too many times, after an attempt that was given up",
+    { .outcome = DY_ATTEMPT_NOT_RUN,
+      .may_have_run = true,
+      .repeatable = true,
+      .gave_up = true,
+      .n_started = 1,
+      .n_refused = 3,
+      .max_attempts = 2 },
+    DY_RESEND_LATER },
 };
 
 START_TEST (resends_depend_on_the_outcome)
@@ -500,6 +509,48 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  DyResendQuery query; /* as before the silent attempt */
+  bool has_other;
+  bool no_budget;
+  int64_t time_left_ms;
+  bool expected;
+} silent_cases[] = {
+  { "an attempt left", { .repeatable = true, .max_attempts = 2 }, true, false, 1000, true },
+  { "the last attempt", { .repeatable = true, .max_attempts = 1 }, true, false, 1000, false },
+  { "the last attempt after a resend",
+    { .repeatable = true, .may_have_run = true, .n_started = 1, .max_attempts = 2 },
+    true,
+    false,
+    1000,
+    false },
+  { "refused too often before",
+    { .repeatable = true, .n_refused = 3, .max_attempts = 3 },
+    true,
+    false,
+    1000,
+    false },
+  { "not repeatable", { .max_attempts = 2 }, true, false, 1000, false },
+  { "no other endpoint", { .repeatable = true, .max_attempts = 2 }, false, false, 1000, false },
+  { "no budget", { .repeatable = true, .max_attempts = 2 }, true, true, 1000, false },
+  { "no time", { .repeatable = true, .max_attempts = 2 }, true, false, 20, false },
+  { "blocked", { .repeatable = true, .max_attempts = 0 }, true, false, 1000, false },
+};
+
+START_TEST (silent_attempt_is_given_up_only_for_another_one)
+{
+  DyResendQuery query = silent_cases[_i].query;
+  query.within_budget = !silent_cases[_i].no_budget;
+  query.time_left_ms = silent_cases[_i].time_left_ms;
+  query.time_needed_ms = 20;
+  ck_assert_msg (dy_resend_replaces_silent (&query, silent_cases[_i].has_other)
+                     == silent_cases[_i].expected,
+                 "%s", silent_cases[_i].name);
+}
+END_TEST
+
 /* However the requests are spread over the routers, the resends of all routers together stay within
  * ratio * requests + slack in every window. */
 START_TEST (resends_of_the_fleet_stay_within_the_bound)
@@ -646,6 +697,8 @@
   tcase_add_test (tcase, a_leaving_endpoint_gets_no_requests);
   tcase_add_loop_test (tcase, resends_depend_on_the_outcome, 0, (int) G_N_ELEMENTS (resend_cases));
   tcase_add_test (tcase, resends_of_the_fleet_stay_within_the_bound);
+  tcase_add_loop_test (tcase, silent_attempt_is_given_up_only_for_another_one, 0,
+                       (int) G_N_ELEMENTS (silent_cases));
   tcase_add_loop_test (tcase, placement_keeps_to_the_gate, 0, (int) G_N_ELEMENTS (gate_cases));
   return suite_run ("routing", tcase);
 }
--- a/test/test_silent_attempts.c
+++ b/test/test_silent_attempts.c
@@ -30,35 +30,52 @@
   const char *target;
   Script scripts[FIXTURE_N_ENDPOINTS];
   const char *body;
+  double resend_slack; /* of the retry budget of a second; 0: enough for all */
 } cases[] = {
-  { "one attempt, before the answer", "/ok1/x", { { "", PLAIN "text", 700 } }, "text" },
-  { "one attempt, inside the answer", "/ok1/x", { { PLAIN "te", "xt", 700 } }, "text" },
+  { "one attempt, before the answer", "/ok1/x", { { "", PLAIN "text", 700 } }, "text", 0.0 },
+  { "one attempt, inside the answer", "/ok1/x", { { PLAIN "te", "xt", 700 } }, "text", 0.0 },
   { "one attempt, another endpoint is free",
     "/ok1/x",
     { { "", PLAIN "text", 700 }, { "", PLAIN "text", 700 } },
-    "text" },
-  { "one attempt, before the stream", "/r1/x", { { "", STREAM EVENT_1, 1700 } }, EVENT_1 },
+    "text",
+    0.0 },
+  { "one attempt, before the stream", "/r1/x", { { "", STREAM EVENT_1, 1700 } }, EVENT_1, 0.0 },
   { "one attempt, inside the stream",
     "/r1/x",
     { { STREAM EVENT_1, EVENT_2, 1300 } },
-    EVENT_1 EVENT_2 },
+    EVENT_1 EVENT_2,
+    0.0 },
   { "one attempt, inside an event",
     "/r1/x",
     { { STREAM EVENT_1 "id: 2\nda", "ta: b\n\n", 1300 } },
-    EVENT_1 EVENT_2 },
-  { "not resumable", "/s/x", { { STREAM EVENT_1, EVENT_2, 1300 } }, EVENT_1 EVENT_2 },
+    EVENT_1 EVENT_2,
+    0.0 },
+  { "not resumable", "/s/x", { { STREAM EVENT_1, EVENT_2, 1300 } }, EVENT_1 EVENT_2, 0.0 },
   { "two attempts, both silent",
     "/ok/x",
     { { "", PLAIN "text", 900 }, { "", PLAIN "text", 900 } },
-    "text" },
+    "text",
+    0.0 },
   { "two attempts, both silent before the stream",
     "/r2/x",
     { { "", STREAM EVENT_1, 1900 }, { "", STREAM EVENT_1, 1900 } },
-    EVENT_1 },
+    EVENT_1,
+    0.0 },
+  { "two attempts, the other endpoint is full",
+    "/r2/x",
+    { { FULL, NULL, 0 }, { "", STREAM EVENT_1, 1500 } },
+    EVENT_1,
+    0.0 },
+  { "two attempts, the other endpoint is full and the retry budget is spent",
+    "/r2/x",
+    { { FULL, NULL, 0 }, { "", STREAM EVENT_1, 1500 } },
+    EVENT_1,
+    1.5 },
   { "two attempts, no other endpoint",
     "/r2/x",
     { { STREAM EVENT_1, EVENT_2, 1300 } },
-    EVENT_1 EVENT_2 },
+    EVENT_1 EVENT_2,
+    0.0 },
 };
 
 /* An answer was ended for its endpoint's silence though nothing was left to send it to. */
@@ -68,6 +85,11 @@
   FixtureAnswer answer;
   CannedServer servers[FIXTURE_N_ENDPOINTS];
   fixture_init (&fixture);
+  if (cases[_i].resend_slack > 0.0)
+    {
+      fixture.gateway.resend_budget.slack = cases[_i].resend_slack;
+      fixture.gateway.resend_budget.window_us = 1000 * 1000;
+    }
   for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
     {
       const Script *script = &cases[_i].scripts[i];
