--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -296,10 +296,10 @@
 }
 
 static bool
-is_available (const DyPlacement *placement,
-              const DyPlacementEndpoint *endpoint,
-              const DyPlacementQuery *query,
-              int64_t now_us)
+is_choice (const DyPlacement *placement,
+           const DyPlacementQuery *query,
+           const DyPlacementEndpoint *endpoint,
+           int64_t now_us)
 {
   return !endpoint->leaving && now_us >= endpoint->open_until_us && is_allowed_by (query, endpoint)
          && is_allowed (placement, endpoint, now_us);
@@ -312,7 +312,7 @@
 {
   const GPtrArray *list = g_hash_table_lookup (placement->by_service, query->service);
   for (guint i = 0; list && i < list->len; i++)
-    if (is_available (placement, g_ptr_array_index (list, i), query, now_us))
+    if (is_choice (placement, query, g_ptr_array_index (list, i), now_us))
       return true;
   return false;
 }
@@ -334,7 +334,7 @@
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, (first + i) % list->len);
-      if (!is_available (placement, endpoint, query, now_us))
+      if (!is_choice (placement, query, endpoint, now_us))
         continue;
       if (is_due (placement, endpoint, now_us))
         {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -128,8 +128,7 @@
                                           int64_t now_us,
                                           int64_t *predicted_us);
 
-/* Returns whether there is an endpoint for QUERY whose breaker is closed and to which a request may
- * be sent now. */
+/* Returns whether an endpoint with a closed breaker could be chosen for QUERY. */
 bool dy_placement_has_choice (const DyPlacement *placement,
                               const DyPlacementQuery *query,
                               int64_t now_us);
--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -20,6 +20,7 @@
   RETRY_RAN,   /* after an attempt that may have run */
   RETRY_UNRUN, /* after one that did not */
   REPLACE,     /* the open attempt, if another one may be sent */
+  SEND_OR_PAUSE,
   DENY,
   NO_ENDPOINT,
   EXPIRE,
@@ -30,6 +31,8 @@
 #define ANY_TIME                                                                                   \
   [DY_COURSE_DEADLINE] = EXPIRE, [DY_COURSE_CALLER_LEFT] = DROP, [DY_COURSE_STOP] = DROP
 
+#define TO_WAIT [DY_COURSE_PAUSE_OVER] = SEND_OR_PAUSE, ANY_TIME
+
 #define TO_BE_STARTED [DY_COURSE_STARTED] = OPEN, [DY_COURSE_NO_ENDPOINT] = NO_ENDPOINT, ANY_TIME
 
 #define ATTEMPT_OPEN                                                                               \
@@ -48,6 +51,8 @@
                           ATTEMPT_OPEN },
   [DY_COURSE_STREAMING]
   = { [DY_COURSE_DECLINED] = RETRY_RAN, [DY_COURSE_FAILED] = RETRY_RAN, ATTEMPT_OPEN },
+  [DY_COURSE_PAUSING] = { TO_WAIT },
+  [DY_COURSE_HALTING] = { TO_WAIT },
 };
 
 void
@@ -73,7 +78,8 @@
 static bool
 is_begun (const DyCourse *course)
 {
-  return course->state == DY_COURSE_RESUMING || course->state == DY_COURSE_STREAMING;
+  return course->state == DY_COURSE_RESUMING || course->state == DY_COURSE_STREAMING
+         || course->state == DY_COURSE_HALTING;
 }
 
 static DyCourseStep
@@ -104,6 +110,13 @@
   return (DyCourseStep){ .action = DY_COURSE_SEND };
 }
 
+static DyCourseStep
+pause_before_attempt (DyCourse *course)
+{
+  course->state = is_begun (course) ? DY_COURSE_HALTING : DY_COURSE_PAUSING;
+  return (DyCourseStep){ .action = DY_COURSE_PAUSE };
+}
+
 /* Counts an attempt that ended; RAN is whether it may have run. */
 static void
 count_attempt (DyCourse *course, bool ran)
@@ -115,20 +128,27 @@
   course->may_have_run = course->may_have_run || ran;
 }
 
-/* Returns DY_OK if another attempt may follow those counted, or the error for the caller. */
-static int
-decide (const DyCourse *course, bool ran, const DyCourseSituation *situation)
+static DyResendQuery
+resend_query (const DyCourse *course, bool ran, const DyCourseSituation *situation)
 {
-  DyResendQuery query = { .outcome = ran ? DY_ATTEMPT_BROKEN : DY_ATTEMPT_NOT_RUN,
+  return (DyResendQuery){ .outcome = ran ? DY_ATTEMPT_BROKEN : DY_ATTEMPT_NOT_RUN,
                           .repeatable = course->repeatable,
                           .may_have_run = course->may_have_run,
                           .answer_seen = is_begun (course),
+                          .gave_up = course->gave_up,
                           .n_started = course->n_started,
                           .n_refused = course->n_refused,
                           .max_attempts = situation->blocked ? 0 : course->max_attempts,
                           .within_budget = situation->within_budget,
                           .time_left_ms = situation->time_left_ms,
                           .time_needed_ms = MIN_ATTEMPT_MS };
+}
+
+/* Returns what core/resend decides for the attempts counted. */
+static int
+decide (const DyCourse *course, bool ran, const DyCourseSituation *situation)
+{
+  DyResendQuery query = resend_query (course, ran, situation);
   return dy_resend_decide (&query);
 }
 
@@ -137,6 +157,8 @@
 {
   count_attempt (course, ran);
   int error = decide (course, ran, situation);
+  if (error == DY_RESEND_LATER)
+    return pause_before_attempt (course);
   return error ? end_with_error (course, error) : send_again (course);
 }
 
@@ -161,11 +183,11 @@
 static DyCourseStep
 replace (DyCourse *course, const DyCourseSituation *situation)
 {
-  DyCourse next = *course;
-  count_attempt (&next, situation->sent);
-  if (!course->repeatable || !situation->has_other || decide (&next, situation->sent, situation))
+  DyResendQuery query = resend_query (course, true, situation);
+  if (!dy_resend_replaces_silent (&query, situation->has_other))
     return wait_on ();
-  *course = next;
+  count_attempt (course, situation->sent);
+  course->gave_up = true;
   DyCourseStep step = send_again (course);
   step.abandons = true;
   return step;
@@ -207,8 +229,10 @@
 }
 
 static DyCourseStep
-end_without_endpoint (DyCourse *course)
+go_without_endpoint (DyCourse *course)
 {
+  if (course->gave_up)
+    return pause_before_attempt (course);
   int error = course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT;
   return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
 }
@@ -239,10 +263,12 @@
       return retry (course, false, situation);
     case REPLACE:
       return replace (course, situation);
+    case SEND_OR_PAUSE:
+      return situation->within_budget ? send_again (course) : pause_before_attempt (course);
     case DENY:
       return end_with_error (course, situation->error);
     case NO_ENDPOINT:
-      return end_without_endpoint (course);
+      return go_without_endpoint (course);
     case EXPIRE:
       return expire (course, situation);
     case DROP:
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -20,7 +20,9 @@
  *   part of a stream, as that stream cannot end with another answer.
  *
  *   Silence of the endpoint never ends a request. The open attempt is abandoned only for another
- * one that may be sent now, with the open one counted; otherwise it is left open.
+ *   one that may be sent now, with the open one counted; otherwise it is left open. A request whose
+ *   attempt was abandoned is not ended for want of an endpoint that takes it, but sent again after
+ *   a pause, until its deadline.
  *
  * ERRORS
  *   Those of core/resend, and those with which an event states that the request was denied.
@@ -39,6 +41,8 @@
   DY_COURSE_RUNNING,   /* an attempt is open */
   DY_COURSE_RESUMING,  /* as PLACING, but the caller has received part of a stream */
   DY_COURSE_STREAMING, /* as RUNNING, but the caller has received part of a stream */
+  DY_COURSE_PAUSING,   /* an attempt is to be started after a pause */
+  DY_COURSE_HALTING,   /* as PAUSING, but the caller has received part of a stream */
   DY_COURSE_OVER,
   DY_COURSE_N_STATES
 } DyCourseState;
@@ -58,6 +62,7 @@
   DY_COURSE_NOT_SENT,      /* no byte reached the endpoint */
   DY_COURSE_ENDPOINT_LEFT, /* not sent, as the endpoint left after it was chosen */
   DY_COURSE_SILENT,        /* the open attempt brought nothing for the read timeout */
+  DY_COURSE_PAUSE_OVER,
   DY_COURSE_DEADLINE,
   DY_COURSE_CALLER_LEFT,
   DY_COURSE_STOP, /* the router stops */
@@ -68,7 +73,8 @@
 {
   DY_COURSE_WAIT,
   DY_COURSE_RESERVE,
-  DY_COURSE_SEND, /* start an attempt; its result is STARTED or NO_ENDPOINT */
+  DY_COURSE_SEND,  /* start an attempt; its result is STARTED or NO_ENDPOINT */
+  DY_COURSE_PAUSE, /* report PAUSE_OVER after a while */
   /* These end the request: */
   DY_COURSE_PASS_ON, /* the complete answer */
   DY_COURSE_REFUSE,  /* answer with the error */
@@ -81,6 +87,7 @@
   DyCourseState state;
   bool repeatable; /* idempotent, or a stream that can be resumed */
   bool may_have_run;
+  bool gave_up;          /* an attempt was abandoned for its silence */
   uint32_t max_attempts; /* most attempts that may run */
   uint32_t n_started;    /* ended or abandoned attempts that may have run */
   uint32_t n_refused;    /* attempts that certainly did not run */
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -12,6 +12,7 @@
   /* Limits on what is kept in memory until an answer, or an event of a stream, is complete. */
   MAX_ANSWER_BYTES = 4 * 1024 * 1024,
   MAX_EVENT_BYTES = 256 * 1024,
+  RESEND_PAUSE_MS = 150,
 };
 
 static void take_event (DyGatewayRequest *request, DyCourseEvent event, int error);
@@ -42,6 +43,7 @@
 {
   ev_timer_stop (request->gateway->kernel->loop, &request->deadline_timer);
   ev_timer_stop (request->gateway->kernel->loop, &request->read_timer);
+  ev_timer_stop (request->gateway->kernel->loop, &request->resend_timer);
 }
 
 static void
@@ -115,21 +117,18 @@
           request->plan.routes_version);
 }
 
+/* Answers with the error, or ends a stream that was begun so that it does not look complete. */
 static void
-refuse_request (DyGatewayRequest *request, int error)
+fail_request (DyGatewayRequest *request, const DyCourseStep *step)
 {
-  log_end (request, dy_error_info (error)->kind);
-  dy_gateway_refuse (request->gateway, request->call, error);
-  end_request (request, false);
-}
-
-/* Ends a stream that was begun so that it does not look complete. */
-static void
-abort_stream (DyGatewayRequest *request, int error)
-{
-  log_end (request, dy_error_info (error)->kind);
-  count (request, DY_COUNTER_BROKEN);
-  dy_http_call_abort (request->call);
+  log_end (request, dy_error_info (step->error)->kind);
+  if (step->action == DY_COURSE_ABORT)
+    {
+      count (request, DY_COUNTER_BROKEN);
+      dy_http_call_abort (request->call);
+    }
+  else
+    dy_gateway_refuse (request->gateway, request->call, step->error);
   end_request (request, false);
 }
 
@@ -295,17 +294,11 @@
   take_event (request, event, DY_OK);
 }
 
-static void
-on_relay_placed (void *ctx, const char *endpoint_id, const char *version)
-{
-  dy_gateway_take_placement (ctx, endpoint_id, version);
-}
-
 static void
 send_attempt (DyGatewayRequest *request)
 {
   static const DyGatewayAttemptWatcher watcher
-      = { .placed = on_relay_placed, .data = on_attempt_data, .done = on_attempt_done };
+      = { .placed = dy_gateway_take_placement, .data = on_attempt_data, .done = on_attempt_done };
   if (dy_http_call_is_disconnected (request->call))
     {
       take_event (request, DY_COURSE_CALLER_LEFT, DY_OK);
@@ -378,6 +371,14 @@
           left_ms (request));
 }
 
+/* The endpoints may have recovered after the pause. */
+static void
+pause_before_attempt (DyGatewayRequest *request)
+{
+  ev_timer_set (&request->resend_timer, (double) RESEND_PAUSE_MS / 1000.0, 0.0);
+  ev_timer_start (request->gateway->kernel->loop, &request->resend_timer);
+}
+
 /* Takes EVENT, with the ERROR of one that denies the request, and does what follows it. */
 static void
 take_event (DyGatewayRequest *request, DyCourseEvent event, int error)
@@ -407,14 +408,15 @@
     case DY_COURSE_SEND:
       send_attempt (request);
       break;
+    case DY_COURSE_PAUSE:
+      pause_before_attempt (request);
+      break;
     case DY_COURSE_PASS_ON:
       finish_answer (request);
       break;
     case DY_COURSE_REFUSE:
-      refuse_request (request, step.error);
-      break;
     case DY_COURSE_ABORT:
-      abort_stream (request, step.error);
+      fail_request (request, &step);
       break;
     case DY_COURSE_DROP:
       drop_request (request);
@@ -422,6 +424,14 @@
     }
 }
 
+static void
+on_resend_pause_over (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  take_event (w->data, DY_COURSE_PAUSE_OVER, DY_OK);
+}
+
 static void
 on_deadline (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -528,10 +538,12 @@
 {
   ev_timer_init (&request->deadline_timer, on_deadline, 0.0, 0.0);
   ev_timer_init (&request->read_timer, on_read_timeout, 0.0, 0.0);
+  ev_timer_init (&request->resend_timer, on_resend_pause_over, 0.0, 0.0);
   ev_set_priority (&request->deadline_timer, DY_PRIORITY_TIMEOUT);
   ev_set_priority (&request->read_timer, DY_PRIORITY_TIMEOUT);
   request->deadline_timer.data = request;
   request->read_timer.data = request;
+  request->resend_timer.data = request;
   if (request->plan.end_us == INT64_MAX)
     return;
   double left_s = (double) (request->plan.end_us - now_us (request)) / 1e6;
--- a/src/services/gateway_request_private.h
+++ b/src/services/gateway_request_private.h
@@ -35,15 +35,15 @@
   GString *body;           /* of the answer; of a stream, the complete events not passed on yet */
   ev_timer deadline_timer; /* ends the request at its deadline */
   ev_timer read_timer;     /* abandons an attempt after the read timeout */
+  ev_timer resend_timer;   /* sends the request again after a pause */
 } DyGatewayRequest;
 
 /* Starts an attempt, at an endpoint that this router chooses or through another router. Returns
  * false, with nothing started, if there is none. */
 bool dy_gateway_send_attempt (DyGatewayRequest *request, const DyGatewayAttemptWatcher *watcher);
 
-/* Records the endpoint that the attempt is about to be sent to. */
-void
-dy_gateway_take_placement (DyGatewayRequest *request, const char *endpoint_id, const char *version);
+/* Records the endpoint that the attempt of the request CTX is about to be sent to. */
+void dy_gateway_take_placement (void *ctx, const char *endpoint_id, const char *version);
 
 /* Returns the read timeout: the milliseconds without data after which a repeatable request may be
  * sent to another endpoint; 0: no limit. */
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -61,8 +61,9 @@
 }
 
 void
-dy_gateway_take_placement (DyGatewayRequest *request, const char *endpoint_id, const char *version)
+dy_gateway_take_placement (void *ctx, const char *endpoint_id, const char *version)
 {
+  DyGatewayRequest *request = ctx;
   add_tried (request, endpoint_id);
   g_free (request->attempt_version);
   request->attempt_version = g_strdup (version);
@@ -161,7 +162,8 @@
   return started;
 }
 
-/* Returns whether an endpoint that was not tried yet can take the request now. */
+/* Returns whether an endpoint that was not tried yet, or another router in place of this one, can
+ * take the request now. */
 static bool
 has_other_endpoint (const DyGatewayRequest *request)
 {
@@ -170,9 +172,8 @@
                              .work = request->plan.work,
                              .avoid = (const char *const *) request->tried->pdata,
                              .version = request->version };
-  if (dy_reachability_is_out (gateway->reachability)
-      && !dy_reachability_choose_peer (gateway->reachability))
-    return false;
+  if (dy_reachability_is_out (gateway->reachability))
+    return dy_reachability_choose_peer (gateway->reachability) != NULL;
   return dy_placement_has_choice (&gateway->directory->placement, &query, now_us (request));
 }
 
@@ -214,6 +215,7 @@
     case DY_COURSE_NOT_RUN:
     case DY_COURSE_NOT_SENT:
     case DY_COURSE_SILENT:
+    case DY_COURSE_PAUSE_OVER:
       return true;
     case DY_COURSE_FAILED:
       return request->plan.repeatable;
@@ -233,6 +235,8 @@
   if (!dy_gateway_may_resend_after (request, event))
     return situation;
   situation.within_budget = resend_allowed (request);
+  if (event == DY_COURSE_PAUSE_OVER)
+    return situation;
   situation.blocked = dy_gateway_is_blocked (request->gateway, &request->plan, false);
   situation.has_other = event == DY_COURSE_SILENT && has_other_endpoint (request);
   situation.time_left_ms = (request->plan.end_us - now_us (request)) / 1000;
--- a/test/test_request_course.c
+++ b/test/test_request_course.c
@@ -8,13 +8,14 @@
 #include <string.h>
 
 /* A cell has the action and the next state:
- * w wait, r reserve, s send, p pass on, e refuse with an error, a abort, d drop;
- * L looking up, V reserving, P placing, R running, Q resuming, S streaming, O over.
+ * w wait, r reserve, s send, z pause, p pass on, e refuse with an error, a abort, d drop;
+ * L looking up, V reserving, P placing, R running, Q resuming, S streaming, Z pausing, H halting,
+ * O over.
  * The columns are the events in their order: granted, denied, started, no endpoint; data, answered,
- * declined, failed; broken, not run, not sent, endpoint left; silent, deadline, caller left, stop.
- */
-static const char action_letters[] = "wrspead";
-static const char state_letters[] = "LVPRQSO";
+ * declined, failed; broken, not run, not sent, endpoint left; silent, pause over, deadline;
+ * caller left, stop. */
+static const char action_letters[] = "wrszpead";
+static const char state_letters[] = "LVPRQSZHO";
 
 static const struct
 {
@@ -24,22 +25,26 @@
 } tables[] = {
   { "another attempt is allowed",
     true,
-    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL eO dO dO",
-      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV eO dO dO",
-      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP eO dO dO",
-      "wR wR wR wR  wS pO pO sP  sP sP sP sP  sP eO dO dO",
-      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ aO dO dO",
-      "wS wS wS wS  wS pO sQ sQ  sQ sQ sQ sQ  sQ aO dO dO",
-      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO" } },
+    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL wL eO  dO dO",
+      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV wV eO  dO dO",
+      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP wP eO  dO dO",
+      "wR wR wR wR  wS pO pO sP  sP sP sP sP  sP wR eO  dO dO",
+      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ wQ aO  dO dO",
+      "wS wS wS wS  wS pO sQ sQ  sQ sQ sQ sQ  sQ wS aO  dO dO",
+      "wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  wZ sP eO  dO dO",
+      "wH wH wH wH  wH wH wH wH  wH wH wH wH  wH sQ aO  dO dO",
+      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO  wO wO" } },
   { "no other attempt is allowed",
     false,
-    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL eO dO dO",
-      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV eO dO dO",
-      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP eO dO dO",
-      "wR wR wR wR  wS pO pO pO  eO eO eO sP  wR eO dO dO",
-      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ aO dO dO",
-      "wS wS wS wS  wS pO aO aO  aO aO aO sQ  wS aO dO dO",
-      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO" } },
+    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL wL eO  dO dO",
+      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV wV eO  dO dO",
+      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP wP eO  dO dO",
+      "wR wR wR wR  wS pO pO pO  eO eO eO sP  wR wR eO  dO dO",
+      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ wQ aO  dO dO",
+      "wS wS wS wS  wS pO aO aO  aO aO aO sQ  wS wS aO  dO dO",
+      "wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  wZ zZ eO  dO dO",
+      "wH wH wH wH  wH wH wH wH  wH wH wH wH  wH zH aO  dO dO",
+      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO  wO wO" } },
 };
 
 static const DyCourseSituation all_allowed = { .error = DY_SUSPENDED,
@@ -51,7 +56,8 @@
 static DyCourse
 course_in (DyCourseState state)
 {
-  bool begun = state == DY_COURSE_RESUMING || state == DY_COURSE_STREAMING;
+  bool begun
+      = state == DY_COURSE_RESUMING || state == DY_COURSE_STREAMING || state == DY_COURSE_HALTING;
   return (DyCourse){ .state = state,
                      .repeatable = true,
                      .may_have_run = begun,
@@ -183,6 +189,37 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  DyCourseState state;
+  DyCourseEvent event;
+  uint32_t n_refused;
+  DyCourseAction action;
+} gave_up_cases[] = {
+  { "no endpoint", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE },
+  { "no endpoint to resume", DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE },
+  { "not run", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 0, DY_COURSE_SEND },
+  { "not run, too often", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE },
+  { "not run, too often, a stream", DY_COURSE_STREAMING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE },
+  { "the caller leaves", DY_COURSE_PAUSING, DY_COURSE_CALLER_LEFT, 0, DY_COURSE_DROP },
+  { "late", DY_COURSE_PAUSING, DY_COURSE_DEADLINE, 0, DY_COURSE_REFUSE },
+  { "late, a stream", DY_COURSE_HALTING, DY_COURSE_DEADLINE, 0, DY_COURSE_ABORT },
+};
+
+START_TEST (request_goes_on_after_its_silent_attempt_was_abandoned)
+{
+  DyCourse course = course_in (gave_up_cases[_i].state);
+  course.gave_up = true;
+  course.may_have_run = true;
+  course.n_started = 1;
+  course.n_refused = gave_up_cases[_i].n_refused;
+  DyCourseStep step = dy_course_step (&course, gave_up_cases[_i].event, &all_allowed);
+  ck_assert_msg (step.action == gave_up_cases[_i].action, "%s: %d", gave_up_cases[_i].name,
+                 step.action);
+}
+END_TEST
+
 static DyCourseSituation
 random_situation (GRand *rng)
 {
@@ -244,6 +281,8 @@
   tcase_add_loop_test (tcase, error_tells_what_may_have_run, 0, (int) G_N_ELEMENTS (error_cases));
   tcase_add_loop_test (tcase, silence_changes_nothing_unless_another_attempt_follows, 0,
                        (int) G_N_ELEMENTS (silence_cases));
+  tcase_add_loop_test (tcase, request_goes_on_after_its_silent_attempt_was_abandoned, 0,
+                       (int) G_N_ELEMENTS (gave_up_cases));
   tcase_add_test (tcase, any_sequence_of_events_has_exactly_one_end);
   return suite_run ("request_course", tcase);
 }
