--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -169,8 +169,7 @@
   return end (course, DY_COURSE_PASS_ON);
 }
 
-/* A failure may be none at another endpoint, and is passed on where the request cannot be sent to
- * another one. */
+/* Another endpoint may not fail. The failure is passed on if the request cannot be sent there. */
 static DyCourseStep
 retry_or_pass_on (DyCourse *course, const DyCourseSituation *situation)
 {
@@ -193,7 +192,7 @@
   return step;
 }
 
-/* For the request itself, ends in which an open attempt is cut short. */
+/* An open attempt that is cut short may have run, too. */
 static void
 cut_short (DyCourse *course, const DyCourseSituation *situation)
 {
