Abandon a silent attempt only once another one has a connection

Callers saw streams end, or had none of their answer until they left, though the silent endpoint went on after a second: the attempt was cancelled before it was known whether the next endpoint could be connected.

The next attempt is now started beside the silent one, which stays in use and is cancelled right before the other one is sent; when it brings data or ends first, or the other one gets no connection, the other one is dropped. So a request is never at work at two endpoints. Resends that are not sent are given back to the retry budget, which bounds those that reach endpoints. dy_http_transfer_cancel() may be called in callbacks of other transfers. The counter of requests that end with their abandoned attempt goes, as the table of courses cannot do that.

--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -19,7 +19,8 @@
   RETRY_OR_PASS_ON,
   RETRY_RAN,   /* after an attempt that may have run */
   RETRY_UNRUN, /* after one that did not */
-  REPLACE,     /* the open attempt, if another one may be sent */
+  REPLACE,     /* start another attempt, if it may be sent, that replaces the open one */
+  ABANDON,     /* the open attempt, which the other one replaces */
   SEND_OR_PAUSE,
   DENY,
   NO_ENDPOINT,
@@ -38,7 +39,8 @@
 #define ATTEMPT_OPEN                                                                               \
   [DY_COURSE_ANSWERED] = PASS_ON, [DY_COURSE_BROKEN] = RETRY_RAN,                                  \
   [DY_COURSE_NOT_RUN] = RETRY_UNRUN, [DY_COURSE_NOT_SENT] = RETRY_UNRUN,                           \
-  [DY_COURSE_ENDPOINT_LEFT] = SEND, [DY_COURSE_SILENT] = REPLACE, ANY_TIME
+  [DY_COURSE_ENDPOINT_LEFT] = SEND, [DY_COURSE_SILENT] = REPLACE, [DY_COURSE_REPLACED] = ABANDON,  \
+  ANY_TIME
 
 static const Rule rules[DY_COURSE_N_STATES][DY_COURSE_N_EVENTS] = {
   [DY_COURSE_LOOKING_UP] = { [DY_COURSE_GRANTED] = RESERVE, [DY_COURSE_DENIED] = DENY, ANY_TIME },
@@ -180,16 +182,19 @@
 }
 
 static DyCourseStep
-replace (DyCourse *course, const DyCourseSituation *situation)
+replace (const DyCourse *course, const DyCourseSituation *situation)
 {
   DyResendQuery query = resend_query (course, true, situation);
-  if (!dy_resend_replaces_silent (&query, situation->has_other))
-    return wait_on ();
+  bool replaces = dy_resend_replaces_silent (&query, situation->has_other);
+  return (DyCourseStep){ .action = replaces ? DY_COURSE_REPLACE : DY_COURSE_WAIT };
+}
+
+static DyCourseStep
+abandon (DyCourse *course, const DyCourseSituation *situation)
+{
   count_attempt (course, situation->sent);
   course->gave_up = true;
-  DyCourseStep step = send_again (course);
-  step.abandons = true;
-  return step;
+  return (DyCourseStep){ .action = DY_COURSE_WAIT, .abandons = true };
 }
 
 /* An open attempt that is cut short may have run, too. */
@@ -262,6 +267,8 @@
       return retry (course, false, situation);
     case REPLACE:
       return replace (course, situation);
+    case ABANDON:
+      return abandon (course, situation);
     case SEND_OR_PAUSE:
       return situation->within_budget ? send_again (course) : pause_before_attempt (course);
     case DENY:
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -19,10 +19,10 @@
  *   allows it. The same holds for a complete answer that is no success if the caller has received
  *   part of a stream, as that stream cannot end with another answer.
  *
- *   Silence of the endpoint never ends a request. The open attempt is abandoned only for another
- *   one that may be sent now, with the open one counted; otherwise it is left open. A request whose
- *   attempt was abandoned is not ended for want of an endpoint that takes it, but sent again after
- *   a pause, until its deadline.
+ *   Silence of the endpoint never ends a request. Another attempt is started beside the open one
+ *   if it may be sent, with the open one counted, and the open one is abandoned once the other one
+ *   has a connection. If it gets none, the open one stays in use. A request whose attempt was
+ *   abandoned is not ended because none may be sent now: it is sent again after a pause.
  *
  * ERRORS
  *   Those of core/resend, and those with which an event states that the request was denied.
@@ -62,6 +62,7 @@
   DY_COURSE_NOT_SENT,      /* no byte reached the endpoint */
   DY_COURSE_ENDPOINT_LEFT, /* not sent, as the endpoint left after it was chosen */
   DY_COURSE_SILENT,        /* the open attempt brought nothing for the read timeout */
+  DY_COURSE_REPLACED,      /* another attempt is about to be sent in place of the open one */
   DY_COURSE_PAUSE_OVER,
   DY_COURSE_DEADLINE,
   DY_COURSE_CALLER_LEFT,
@@ -73,8 +74,9 @@
 {
   DY_COURSE_WAIT,
   DY_COURSE_RESERVE,
-  DY_COURSE_SEND,  /* start an attempt; its result is STARTED or NO_ENDPOINT */
-  DY_COURSE_PAUSE, /* report PAUSE_OVER after a while */
+  DY_COURSE_SEND,    /* start an attempt; its result is STARTED or NO_ENDPOINT */
+  DY_COURSE_REPLACE, /* start one beside the open one, which stays in use until REPLACED */
+  DY_COURSE_PAUSE,   /* report PAUSE_OVER after a while */
   /* These end the request: */
   DY_COURSE_PASS_ON, /* the complete answer */
   DY_COURSE_REFUSE,  /* answer with the error */
--- a/src/core/resend.c
+++ b/src/core/resend.c
@@ -96,6 +96,19 @@
   window->resends[window->bucket % DY_RESEND_BUCKETS]++;
 }
 
+void
+dy_resend_budget_return_resend (DyResendBudget *budget,
+                                const char *service,
+                                int64_t recorded_us,
+                                int64_t now_us)
+{
+  DyResendWindow *window = advance_window (budget, service, now_us);
+  int64_t bucket = recorded_us / (budget->window_us / DY_RESEND_BUCKETS);
+  if (window->bucket - bucket < DY_RESEND_BUCKETS
+      && window->resends[bucket % DY_RESEND_BUCKETS] > 0)
+    window->resends[bucket % DY_RESEND_BUCKETS]--;
+}
+
 bool
 dy_resend_budget_allows (DyResendBudget *budget,
                          const char *service,
--- a/src/core/resend.h
+++ b/src/core/resend.h
@@ -83,6 +83,12 @@
 /* Counts the first attempt of a request to SERVICE. */
 void dy_resend_budget_record_request (DyResendBudget *budget, const char *service, int64_t now_us);
 
+/* Takes back a resend, recorded at RECORDED_US, that did not reach an endpoint. */
+void dy_resend_budget_return_resend (DyResendBudget *budget,
+                                     const char *service,
+                                     int64_t recorded_us,
+                                     int64_t now_us);
+
 /* Returns whether the budget of this router, one of N_ROUTERS, allows another resend to SERVICE. */
 bool dy_resend_budget_allows (DyResendBudget *budget,
                               const char *service,
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -31,8 +31,6 @@
   X (ATTEMPTS, counter, "dogwoodyoke_attempts_total", "attempts sent to endpoints")                \
   X (RETRIES, counter, "dogwoodyoke_retries_total", "attempts repeated on another endpoint")       \
   X (ABANDONED, counter, "dogwoodyoke_abandoned_total", "attempts abandoned for their silence")    \
-  X (ABANDONED_LAST, counter, "dogwoodyoke_abandoned_last_total",                                  \
-     "requests that ended as their silent attempt was abandoned")                                  \
   X (PLATFORM_CALLS, counter, "dogwoodyoke_platform_calls_total",                                  \
      "calls to the platform, watches included")                                                    \
   X (PLATFORM_ERRORS, counter, "dogwoodyoke_platform_errors_total", "platform calls that failed")  \
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -53,6 +53,7 @@
   bool resend_prevented;  /* libcurl was about to send the request a second time */
   bool rejected;          /* the data callback rejected the answer */
   bool withheld;          /* the before_send callback returned false */
+  GList cancelled_link;   /* in the client's queue; its data is NULL while it is not there */
   GPtrArray *head;        /* header fields of the answer: name, value, name, value ... */
   ev_timer limit_timer; /* limits the time until the request is sent, then the time of the answer */
   ev_timer read_timer;  /* runs while bytes of the answer are awaited */
@@ -96,6 +97,8 @@
 {
   ev_timer_stop (transfer->client->loop, &transfer->limit_timer);
   ev_timer_stop (transfer->client->loop, &transfer->read_timer);
+  if (transfer->cancelled_link.data)
+    g_queue_unlink (&transfer->client->cancelled, &transfer->cancelled_link);
   curl_multi_remove_handle (transfer->client->multi, transfer->easy);
   curl_easy_cleanup (transfer->easy);
   if (transfer->sock)
@@ -288,8 +291,11 @@
   };
   if (n > 2 || status < FIRST_FINAL_STATUS || !transfer->watcher->head)
     return true;
-  return transfer->watcher->head (
+  transfer->client->n_callbacks++;
+  bool taken = transfer->watcher->head (
       transfer->ctx, status, (const DyHttpHeader *) transfer->head->pdata, transfer->head->len / 2);
+  transfer->client->n_callbacks--;
+  return taken;
 }
 
 /* Called by libcurl for each header line, the status line and the final empty line included. */
@@ -325,8 +331,10 @@
     ev_timer_again (transfer->client->loop, &transfer->read_timer);
   if (transfer->max_body_bytes && transfer->n_body_bytes + size * n > transfer->max_body_bytes)
     return 0;
+  transfer->client->n_callbacks++;
   bool taken = !transfer->watcher->data
                || transfer->watcher->data (transfer->ctx, transfer, data, size * n);
+  transfer->client->n_callbacks--;
   if (transfer->rejected)
     return 0;
   if (!taken)
@@ -474,11 +482,12 @@
       transfer->stale = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  if (transfer->watcher->before_send && !transfer->watcher->before_send (transfer->ctx))
-    {
-      transfer->withheld = true;
-      return CURL_PREREQFUNC_ABORT;
-    }
+  transfer->client->n_callbacks++;
+  transfer->withheld
+      = transfer->watcher->before_send && !transfer->watcher->before_send (transfer->ctx);
+  transfer->client->n_callbacks--;
+  if (transfer->withheld)
+    return CURL_PREREQFUNC_ABORT;
   attach_socket (transfer, sock);
   transfer->connected = true;
   transfer->sent_us = g_get_monotonic_time ();
@@ -528,6 +537,21 @@
   curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, spec->body);
 }
 
+static void
+free_cancelled (DyHttpClient *client)
+{
+  while (client->cancelled.length > 0)
+    free_transfer (g_queue_peek_head (&client->cancelled));
+}
+
+static void
+on_cancel_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  free_cancelled (w->data);
+}
+
 void
 dy_http_client_init (DyHttpClient *client, struct ev_loop *loop)
 {
@@ -541,6 +565,9 @@
   client->sockets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   ev_timer_init (&client->timer, on_timer, 0.0, 0.0);
   client->timer.data = client;
+  g_queue_init (&client->cancelled);
+  ev_timer_init (&client->cancel_timer, on_cancel_timer, 0.0, 0.0);
+  client->cancel_timer.data = client;
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
   curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
@@ -553,6 +580,8 @@
 {
   if (!client->multi)
     return;
+  free_cancelled (client);
+  ev_timer_stop (client->loop, &client->cancel_timer);
   curl_multi_cleanup (client->multi);
   g_hash_table_unref (client->sockets);
   ev_timer_stop (client->loop, &client->timer);
@@ -590,10 +619,38 @@
   return transfer;
 }
 
+static bool
+withhold (void *ctx)
+{
+  (void) ctx;
+  return false;
+}
+
+static void
+ignore_end (void *ctx, const DyHttpResult *result)
+{
+  (void) ctx;
+  (void) result;
+}
+
 void
 dy_http_transfer_cancel (DyHttpTransfer *transfer)
 {
-  free_transfer (transfer);
+  static const DyHttpTransferWatcher cancelled_watcher
+      = { .before_send = withhold, .done = ignore_end };
+  DyHttpClient *client = transfer->client;
+  if (client->n_callbacks == 0)
+    {
+      free_transfer (transfer);
+      return;
+    }
+  /* libcurl does not allow the removal of transfers in its callbacks. */
+  transfer->watcher = &cancelled_watcher;
+  transfer->ctx = NULL;
+  transfer->rejected = true;
+  transfer->cancelled_link.data = transfer;
+  g_queue_push_tail_link (&client->cancelled, &transfer->cancelled_link);
+  ev_timer_start (client->loop, &client->cancel_timer);
 }
 
 void
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -53,6 +53,9 @@
   uint32_t n_transfers;
   GHashTable *sockets;    /* set of the open connections, by socket descriptor */
   uint64_t n_connections; /* number of sockets opened since init */
+  uint32_t n_callbacks;   /* callbacks of libcurl in progress */
+  GQueue cancelled;       /* transfers that were cancelled in a callback */
+  ev_timer cancel_timer;
 } DyHttpClient;
 
 typedef struct
@@ -113,7 +116,8 @@
                                       const DyHttpTransferWatcher *watcher,
                                       void *ctx);
 
-/* Ends the transfer and closes its connection. Must not be called from the data callback. */
+/* Ends the transfer and closes its connection, in the next turn of the loop if a callback of any
+ * transfer is in progress. A transfer must not cancel itself in its callbacks. */
 void dy_http_transfer_cancel (DyHttpTransfer *transfer);
 
 /* To be called from the data callback: ends the transfer with DY_PROTOCOL after it returns. */
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -39,6 +39,8 @@
 {
   DyGatewayAttempt *attempt = ctx;
   attempt->endpoint_left = dy_placement_endpoint_has_left (attempt->endpoint);
+  if (!attempt->endpoint_left)
+    attempt->watcher->ready (attempt->ctx);
   return !attempt->endpoint_left;
 }
 
@@ -285,6 +287,7 @@
 {
   GPtrArray *headers = attempt->headers;
   g_free (attempt->endpoint_id);
+  g_free (attempt->version);
   memset (attempt, 0, sizeof *attempt);
   attempt->gateway = gateway;
   attempt->watcher = watcher;
@@ -310,6 +313,7 @@
   reset (attempt, gateway, spec, watcher, ctx);
   attempt->endpoint = endpoint;
   attempt->endpoint_id = g_strdup (dy_placement_endpoint_id (endpoint));
+  attempt->version = g_strdup (dy_placement_endpoint_version (endpoint));
   build_lines (attempt, spec);
   dy_placement_begin (&gateway->directory->placement, endpoint, &attempt->work, attempt->placed_us);
   start (attempt, spec->forwarded);
@@ -320,8 +324,11 @@
 {
   DyGatewayAttempt *attempt = ctx;
   g_free (attempt->endpoint_id);
+  g_free (attempt->version);
   attempt->endpoint_id = g_strdup (endpoint_id);
-  attempt->watcher->placed (attempt->ctx, endpoint_id, version);
+  attempt->version = g_strdup (version);
+  attempt->watcher->placed (attempt->ctx, endpoint_id);
+  attempt->watcher->ready (attempt->ctx);
 }
 
 static void
@@ -382,7 +389,9 @@
     g_ptr_array_unref (attempt->headers);
   attempt->headers = NULL;
   g_free (attempt->endpoint_id);
+  g_free (attempt->version);
   attempt->endpoint_id = NULL;
+  attempt->version = NULL;
 }
 
 bool
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -34,10 +34,12 @@
 {
   /* A relayed attempt is about to be sent to an endpoint. NULL for attempts that are not relayed.
    */
-  void (*placed) (void *ctx, const char *endpoint_id, const char *version);
+  void (*placed) (void *ctx, const char *endpoint_id);
   /* Takes part of the answer's body. Returns false to pause; after dy_gateway_attempt_resume() the
    * same part is delivered again. */
   bool (*data) (void *ctx, const char *data, size_t n);
+  /* The attempt is about to be sent; it may have waited for a connection until now. */
+  void (*ready) (void *ctx);
   /* The attempt has ended and can be initialised again. Not called after a cancel. */
   void (*done) (void *ctx, const DyGatewayAttemptResult *result);
 } DyGatewayAttemptWatcher;
@@ -70,6 +72,7 @@
   DyHttpTransfer *transfer;
   struct DyRelayCall *relay; /* in place of TRANSFER if another router makes the attempt */
   char *endpoint_id;         /* valid until the next attempt; of a relay, NULL until it is known */
+  char *version;             /* of the endpoint's software; valid and known as ENDPOINT_ID */
   char *request_id;          /* empty: none */
   char *service;
   DyPromptWork work;
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -82,12 +82,30 @@
   request->lookup = NULL;
 }
 
+static DyGatewayAttempt *
+other_attempt (DyGatewayRequest *request)
+{
+  return &request->attempts[request->attempt == &request->attempts[0] ? 1 : 0];
+}
+
+/* Cancels the attempt that was to replace the one in use. */
+static void
+keep_attempt (DyGatewayRequest *request)
+{
+  if (!request->replacing)
+    return;
+  request->replacing = false;
+  dy_gateway_return_resend (request, other_attempt (request));
+  dy_gateway_attempt_cancel (other_attempt (request), DY_PLACEMENT_CANCELLED);
+}
+
 /* Settles and ends the request, which is freed once its call is closed, too. */
 static void
 end_request (DyGatewayRequest *request, bool complete)
 {
   stop_timers (request);
   cancel_lookup (request);
+  keep_attempt (request);
   settle (request, complete);
   if (!request->call)
     remove_request (request);
@@ -112,8 +130,8 @@
           request->plan.id, request->plan.account ? request->plan.account : "-",
           request->plan.service, outcome, (now_us (request) - request->plan.arrived_us) / 1000,
           request->course.n_started, request->course.n_refused, request->events.n_events,
-          request->attempt.send_us < 0 ? -1 : request->attempt.send_us / 1000,
-          request->attempt.status, request->stream_started, left_ms (request),
+          request->attempt->send_us < 0 ? -1 : request->attempt->send_us / 1000,
+          request->attempt->status, request->stream_started, left_ms (request),
           request->plan.routes_version);
 }
 
@@ -146,7 +164,7 @@
 static void
 copy_answer_headers (DyGatewayRequest *request)
 {
-  const DyGatewayAttempt *attempt = &request->attempt;
+  const DyGatewayAttempt *attempt = request->attempt;
   for (guint i = 0; i + 1 < attempt->headers->len; i += 2)
     dy_http_call_add_header (request->call, g_ptr_array_index (attempt->headers, i),
                              g_ptr_array_index (attempt->headers, i + 1));
@@ -159,9 +177,9 @@
     return;
   request->stream_started = true;
   if (!request->version)
-    request->version = g_strdup (request->attempt_version);
+    request->version = g_strdup (request->attempt->version);
   copy_answer_headers (request);
-  dy_http_call_start_stream (request->call, request->attempt.status, NULL);
+  dy_http_call_start_stream (request->call, request->attempt->status, NULL);
 }
 
 static void
@@ -173,7 +191,7 @@
 static bool
 expects_events (const DyGatewayRequest *request)
 {
-  return request->plan.kind == DY_ROUTE_STREAM && request->attempt.is_success;
+  return request->plan.kind == DY_ROUTE_STREAM && request->attempt->is_success;
 }
 
 static void
@@ -193,7 +211,7 @@
   else
     {
       copy_answer_headers (request);
-      dy_http_call_reply (request->call, request->attempt.status, NULL, request->body->str,
+      dy_http_call_reply (request->call, request->attempt->status, NULL, request->body->str,
                           request->body->len);
     }
   end_request (request, true);
@@ -215,10 +233,11 @@
 on_attempt_data (void *ctx, const char *data, size_t n)
 {
   DyGatewayRequest *request = ctx;
+  keep_attempt (request);
   if (!expects_events (request))
     {
       if (request->body->len + n > MAX_ANSWER_BYTES)
-        dy_gateway_attempt_reject (&request->attempt);
+        dy_gateway_attempt_reject (request->attempt);
       else
         g_string_append_len (request->body, data, (gssize) n);
       return true;
@@ -229,7 +248,7 @@
   dy_event_stream_feed (&request->events, data, n, request->body);
   if (dy_event_stream_partial_bytes (&request->events) > MAX_EVENT_BYTES)
     {
-      dy_gateway_attempt_reject (&request->attempt);
+      dy_gateway_attempt_reject (request->attempt);
       return true;
     }
   if (request->body->len == 0 || !request->call)
@@ -241,9 +260,9 @@
   request->event_us = now_us (request);
   take_event (request, DY_COURSE_DATA, DY_OK);
   start_stream (request);
-  if (!request->attempt.prompt_read)
+  if (!request->attempt->prompt_read)
     dy_gateway_record_output (request->gateway, &request->plan);
-  dy_gateway_attempt_on_first_event (&request->attempt);
+  dy_gateway_attempt_on_first_event (request->attempt);
   dy_http_call_write (request->call, request->body->str, request->body->len);
   g_string_truncate (request->body, 0);
   arm_read_timer (request);
@@ -254,10 +273,10 @@
 static void
 record_crash (const DyGatewayRequest *request, bool is_new_connection)
 {
-  DyGatewayBreak broken = { .endpoint_id = request->attempt.endpoint_id,
-                            .had_output = request->attempt.prompt_read,
+  DyGatewayBreak broken = { .endpoint_id = request->attempt->endpoint_id,
+                            .had_output = request->attempt->prompt_read,
                             .is_new_connection = is_new_connection };
-  if (!request->relayed)
+  if (request->attempt->endpoint)
     dy_gateway_record_crash (request->gateway, &request->plan, &broken);
 }
 
@@ -273,7 +292,7 @@
   bool torn = expects_events (request) && !dy_event_stream_at_boundary (&request->events);
   if (!result->complete || torn)
     return DY_COURSE_BROKEN;
-  if (request->attempt.is_success)
+  if (request->attempt->is_success)
     return DY_COURSE_ANSWERED;
   return result->endpoint_error ? DY_COURSE_FAILED : DY_COURSE_DECLINED;
 }
@@ -285,6 +304,9 @@
   DyGateway *gateway = request->gateway;
   DyCourseEvent event = classify_end (request, result);
   ev_timer_stop (gateway->kernel->loop, &request->read_timer);
+  keep_attempt (request);
+  if (event == DY_COURSE_NOT_SENT || event == DY_COURSE_ENDPOINT_LEFT)
+    dy_gateway_return_resend (request, request->attempt);
   if (event == DY_COURSE_BROKEN && (result->crashed || result->complete))
     record_crash (request, result->is_new_connection);
   if (event == DY_COURSE_ANSWERED)
@@ -294,18 +316,79 @@
   take_event (request, event, DY_OK);
 }
 
+static void
+on_attempt_ready (void *ctx)
+{
+  DyGatewayRequest *request = ctx;
+  request->resend_us[request->attempt - request->attempts] = 0;
+  dy_gateway_record_origin (request);
+}
+
+static const DyGatewayAttemptWatcher attempt_watcher = { .placed = dy_gateway_take_placement,
+                                                         .ready = on_attempt_ready,
+                                                         .data = on_attempt_data,
+                                                         .done = on_attempt_done };
+
+/* Drops what the latest attempt has brought of an answer, or of an event, that is not complete. */
+static void
+drop_partial_answer (DyGatewayRequest *request)
+{
+  dy_event_stream_drop_partial (&request->events);
+  g_string_truncate (request->body, 0);
+}
+
+/* The attempt that was to replace the one in use has a connection. */
+static void
+on_replacement_ready (void *ctx)
+{
+  DyGatewayRequest *request = ctx;
+  request->replacing = false;
+  take_event (request, DY_COURSE_REPLACED, DY_OK);
+  dy_gateway_return_resend (request, request->attempt);
+  request->attempt = other_attempt (request);
+  request->attempt->watcher = &attempt_watcher;
+  drop_partial_answer (request);
+  on_attempt_ready (request);
+  arm_read_timer (request);
+}
+
+static void
+on_replacement_done (void *ctx, const DyGatewayAttemptResult *result)
+{
+  DyGatewayRequest *request = ctx;
+  (void) result;
+  request->replacing = false;
+  dy_gateway_return_resend (request, other_attempt (request));
+}
+
+static void
+start_replacement (DyGatewayRequest *request)
+{
+  static const DyGatewayAttemptWatcher watcher = { .placed = dy_gateway_take_placement,
+                                                   .ready = on_replacement_ready,
+                                                   .data = on_attempt_data,
+                                                   .done = on_replacement_done };
+  if (request->replacing)
+    return;
+  DyGatewayAttempt *attempt = other_attempt (request);
+  dy_gateway_record_resend (request, attempt);
+  request->replacing = dy_gateway_send_attempt (request, attempt, &watcher);
+  if (!request->replacing)
+    dy_gateway_return_resend (request, attempt);
+}
+
 static void
 send_attempt (DyGatewayRequest *request)
 {
-  static const DyGatewayAttemptWatcher watcher
-      = { .placed = dy_gateway_take_placement, .data = on_attempt_data, .done = on_attempt_done };
   if (dy_http_call_is_disconnected (request->call))
     {
       take_event (request, DY_COURSE_CALLER_LEFT, DY_OK);
       return;
     }
-  if (!dy_gateway_send_attempt (request, &watcher))
+  drop_partial_answer (request);
+  if (!dy_gateway_send_attempt (request, request->attempt, &attempt_watcher))
     {
+      dy_gateway_return_resend (request, request->attempt);
       take_event (request, DY_COURSE_NO_ENDPOINT, DY_OK);
       return;
     }
@@ -359,15 +442,15 @@
 }
 
 static void
-log_abandoned (const DyGatewayRequest *request, uint32_t n_started)
+log_abandoned (const DyGatewayRequest *request)
 {
   count (request, DY_COUNTER_ABANDONED);
   dy_log (DY_EVENT_ATTEMPT_ABANDONED,
           "request=%s endpoint=%s silence_ms=%" G_GINT64_FORMAT
           " attempt=%u allowed=%u left_ms=%" G_GINT64_FORMAT,
-          request->plan.id, request->attempt.endpoint_id ? request->attempt.endpoint_id : "-",
-          dy_gateway_read_timeout_ms (request), n_started + 1, request->plan.max_attempts,
-          left_ms (request));
+          request->plan.id, request->attempt->endpoint_id ? request->attempt->endpoint_id : "-",
+          dy_gateway_read_timeout_ms (request), request->course.n_started,
+          request->plan.max_attempts, left_ms (request));
 }
 
 /* The endpoints may have recovered after the pause. */
@@ -383,20 +466,15 @@
 take_event (DyGatewayRequest *request, DyCourseEvent event, int error)
 {
   DyCourseSituation situation = dy_gateway_situation (request, event, error);
-  uint32_t n_started = request->course.n_started;
   DyCourseStep step = dy_course_step (&request->course, event, &situation);
-  if (step.abandons && event == DY_COURSE_SILENT)
-    log_abandoned (request, n_started);
+  if (step.abandons && event == DY_COURSE_REPLACED)
+    log_abandoned (request);
   if (step.abandons)
-    dy_gateway_attempt_cancel (&request->attempt, event == DY_COURSE_CALLER_LEFT
-                                                      ? DY_PLACEMENT_CANCELLED
-                                                      : DY_PLACEMENT_FAILED);
+    dy_gateway_attempt_cancel (request->attempt, event == DY_COURSE_CALLER_LEFT
+                                                     ? DY_PLACEMENT_CANCELLED
+                                                     : DY_PLACEMENT_FAILED);
   if (step.action == DY_COURSE_SEND && dy_gateway_may_resend_after (request, event))
-    {
-      count (request, DY_COUNTER_RETRIES);
-      dy_resend_budget_record_resend (&request->gateway->resend_budget, request->plan.service,
-                                      now_us (request));
-    }
+    dy_gateway_record_resend (request, request->attempt);
   switch (step.action)
     {
     case DY_COURSE_WAIT:
@@ -407,6 +485,9 @@
     case DY_COURSE_SEND:
       send_attempt (request);
       break;
+    case DY_COURSE_REPLACE:
+      start_replacement (request);
+      break;
     case DY_COURSE_PAUSE:
       pause_before_attempt (request);
       break;
@@ -443,15 +524,11 @@
 on_read_timeout (struct ev_loop *loop, ev_timer *w, int events)
 {
   DyGatewayRequest *request = w->data;
-  uint32_t n_sent = request->course.n_started + request->course.n_refused;
   (void) loop;
   (void) events;
-  if (!request->attempt.paused)
+  if (!request->attempt->paused)
     take_event (request, DY_COURSE_SILENT, DY_OK);
-  if (request->course.state == DY_COURSE_OVER)
-    count (request, DY_COUNTER_ABANDONED_LAST);
-  else if (request->course.n_started + request->course.n_refused == n_sent)
-    arm_read_timer (request);
+  arm_read_timer (request);
 }
 
 static void
@@ -460,7 +537,7 @@
   DyGatewayRequest *request = ctx;
   (void) call;
   if (dy_course_has_attempt (&request->course))
-    dy_gateway_attempt_resume (&request->attempt);
+    dy_gateway_attempt_resume (request->attempt);
 }
 
 static void
@@ -485,15 +562,16 @@
   DyGatewayRequest *request = key;
   stop_timers (request);
   cancel_lookup (request);
+  keep_attempt (request);
   if (dy_course_has_attempt (&request->course))
-    dy_gateway_attempt_cancel (&request->attempt, DY_PLACEMENT_CANCELLED);
+    dy_gateway_attempt_cancel (request->attempt, DY_PLACEMENT_CANCELLED);
   dy_course_step (&request->course, DY_COURSE_STOP, &(DyCourseSituation){ 0 });
   dy_event_stream_finish (&request->events);
   g_string_free (request->body, TRUE);
   g_free (request->version);
-  g_free (request->attempt_version);
   g_ptr_array_unref (request->tried);
-  dy_gateway_attempt_finish (&request->attempt);
+  dy_gateway_attempt_finish (&request->attempts[0]);
+  dy_gateway_attempt_finish (&request->attempts[1]);
   dy_gateway_plan_finish (&request->plan);
   g_free (request);
 }
@@ -559,6 +637,7 @@
   request->gateway = gateway;
   request->call = call;
   request->plan = *plan;
+  request->attempt = &request->attempts[0];
   request->tried = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (request->tried, NULL);
   dy_event_stream_init (&request->events);
--- a/src/services/gateway_request_private.h
+++ b/src/services/gateway_request_private.h
@@ -24,13 +24,14 @@
   int64_t reserving_us; /* monotonic time at which the reservation was requested; 0: none was */
   int64_t event_us;     /* monotonic time at which the latest event was passed on */
   DyTicket *ticket;
-  DyGatewayAttempt attempt;
-  bool relayed;     /* another router makes the latest attempt */
-  GPtrArray *tried; /* ids of the endpoints tried, NULL at the end */
+  DyGatewayAttempt attempts[2];
+  DyGatewayAttempt *attempt; /* the latest one that was started or has replaced another one */
+  bool replacing;            /* the other one is open, too, and replaces it when it is sent */
+  int64_t resend_us[2];      /* when each was recorded as a resend; 0: it was not, or was sent */
+  GPtrArray *tried;          /* ids of the endpoints tried, NULL at the end */
   bool stream_started;
   char *version;          /* of the endpoint that began the stream; NULL: not begun */
   DyOriginLookup *lookup; /* of version, in progress; NULL: none */
-  char *attempt_version;  /* of the endpoint of the latest attempt, when that was placed */
   DyEventStream events;
   GString *body;           /* of the answer; of a stream, the complete events not passed on yet */
   ev_timer deadline_timer; /* ends the request at its deadline */
@@ -38,12 +39,21 @@
   ev_timer resend_timer;   /* sends the request again after a pause */
 } DyGatewayRequest;
 
-/* Starts an attempt, at an endpoint that this router chooses or through another router. Returns
- * false, with nothing started, if there is none. */
-bool dy_gateway_send_attempt (DyGatewayRequest *request, const DyGatewayAttemptWatcher *watcher);
+/* Starts ATTEMPT, at an endpoint that this router chooses or through another router. Returns false,
+ * with nothing started, if there is none. */
+bool dy_gateway_send_attempt (DyGatewayRequest *request,
+                              DyGatewayAttempt *attempt,
+                              const DyGatewayAttemptWatcher *watcher);
 
-/* Records the endpoint that the attempt of the request CTX is about to be sent to. */
-void dy_gateway_take_placement (void *ctx, const char *endpoint_id, const char *version);
+/* Records an endpoint that an attempt of the request CTX was placed at. */
+void dy_gateway_take_placement (void *ctx, const char *endpoint_id);
+
+/* Records that the endpoint of the latest attempt may begin the stream. */
+void dy_gateway_record_origin (const DyGatewayRequest *request);
+
+/* Counts ATTEMPT, which follows another one, until dy_gateway_return_resend() if it is not sent. */
+void dy_gateway_record_resend (DyGatewayRequest *request, const DyGatewayAttempt *attempt);
+void dy_gateway_return_resend (DyGatewayRequest *request, const DyGatewayAttempt *attempt);
 
 /* Returns the read timeout: the milliseconds without data after which a repeatable request may be
  * sent to another endpoint; 0: no limit. */
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -16,18 +16,12 @@
   return dy_kernel_now_us (request->gateway->kernel);
 }
 
+/* Returns the number of ATTEMPT among those of the request. */
 static uint32_t
-attempt_number (const DyGatewayRequest *request)
+attempt_number (const DyGatewayRequest *request, const DyGatewayAttempt *attempt)
 {
-  return request->course.n_started + request->course.n_refused + 1;
-}
-
-static void
-add_tried (DyGatewayRequest *request, const char *endpoint_id)
-{
-  g_ptr_array_remove_index (request->tried, request->tried->len - 1);
-  g_ptr_array_add (request->tried, g_strdup (endpoint_id));
-  g_ptr_array_add (request->tried, NULL);
+  return request->course.n_started + request->course.n_refused
+         + (attempt == request->attempt ? 1 : 2);
 }
 
 /* Returns the id of the event after which the next endpoint resumes; NULL: start from the first. */
@@ -46,34 +40,34 @@
   return MAX ((request->plan.caller_deadline_us - now_us (request)) / 1000, 1);
 }
 
-/* Records that the endpoint of the latest attempt may begin the stream. */
-static void
-record_origin (const DyGatewayRequest *request)
+void
+dy_gateway_record_origin (const DyGatewayRequest *request)
 {
+  if (request->plan.kind != DY_ROUTE_STREAM || !request->plan.repeatable || request->version)
+    return;
   int64_t deadline_us = request->plan.caller_deadline_us;
   DyStreamOrigin origin
       = { .request_id = request->plan.id,
           .service = request->plan.service,
-          .version = request->attempt_version,
+          .version = request->attempt->version,
           .expires_us = deadline_us == INT64_MAX ? now_us (request) + UNLIMITED_RESUME_US
                                                  : deadline_us + RESUME_MARGIN_US };
   dy_origins_record (request->gateway->origins, &origin);
 }
 
 void
-dy_gateway_take_placement (void *ctx, const char *endpoint_id, const char *version)
+dy_gateway_take_placement (void *ctx, const char *endpoint_id)
 {
   DyGatewayRequest *request = ctx;
-  add_tried (request, endpoint_id);
-  g_free (request->attempt_version);
-  request->attempt_version = g_strdup (version);
-  if (request->plan.kind == DY_ROUTE_STREAM && request->plan.repeatable && !request->version)
-    record_origin (request);
+  g_ptr_array_remove_index (request->tried, request->tried->len - 1);
+  g_ptr_array_add (request->tried, g_strdup (endpoint_id));
+  g_ptr_array_add (request->tried, NULL);
 }
 
 /* Has another router make the attempt, as this one does not reach the endpoints. */
 static bool
 relay_attempt (DyGatewayRequest *request,
+               DyGatewayAttempt *attempt,
                const DyGatewayAttemptSpec *spec,
                const DyGatewayAttemptWatcher *watcher)
 {
@@ -82,19 +76,18 @@
                            .plan = &request->plan,
                            .version = request->version,
                            .avoid = (const char *const *) request->tried->pdata };
-  request->relayed = true;
   if (!relay.peer
-      || !dy_gateway_attempt_init_relayed (&request->attempt, gateway, &relay, spec, watcher,
-                                           request))
+      || !dy_gateway_attempt_init_relayed (attempt, gateway, &relay, spec, watcher, request))
     return false;
   dy_log (DY_EVENT_REQUEST_RELAYED, "request=%s node=%s attempt=%u", request->plan.id, relay.peer,
-          attempt_number (request));
+          attempt_number (request, attempt));
   return true;
 }
 
 /* Sends the request to an endpoint that this router chooses. */
 static bool
 place_attempt (DyGatewayRequest *request,
+               DyGatewayAttempt *attempt,
                DyGatewayAttemptSpec *spec,
                const DyGatewayAttemptWatcher *watcher)
 {
@@ -117,26 +110,25 @@
     dy_endpoint_limits_log_skip (gateway->limits, request->plan.id, gated);
   if (!endpoint)
     return false;
-  request->relayed = false;
   spec->head.endpoint_id = dy_placement_endpoint_id (endpoint);
-  dy_gateway_take_placement (request, spec->head.endpoint_id,
-                             dy_placement_endpoint_version (endpoint));
+  dy_gateway_take_placement (request, spec->head.endpoint_id);
   dy_log (DY_EVENT_REQUEST_PLACED,
           "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
           " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT,
-          request->plan.id, spec->head.endpoint_id, predicted_us, attempt_number (request),
-          spec->head.resume_from ? spec->head.resume_from : "-", request->attempt_version,
+          request->plan.id, spec->head.endpoint_id, predicted_us, attempt_number (request, attempt),
+          spec->head.resume_from ? spec->head.resume_from : "-",
+          dy_placement_endpoint_version (endpoint),
           dy_directory_endpoints_age_ms (gateway->directory));
-  dy_gateway_attempt_init (&request->attempt, gateway, endpoint, spec, watcher, request);
+  dy_gateway_attempt_init (attempt, gateway, endpoint, spec, watcher, request);
   return true;
 }
 
 bool
-dy_gateway_send_attempt (DyGatewayRequest *request, const DyGatewayAttemptWatcher *watcher)
+dy_gateway_send_attempt (DyGatewayRequest *request,
+                         DyGatewayAttempt *attempt,
+                         const DyGatewayAttemptWatcher *watcher)
 {
   DyGateway *gateway = request->gateway;
-  dy_event_stream_drop_partial (&request->events);
-  g_string_truncate (request->body, 0);
   const GString *body = dy_http_call_body (request->call);
   GPtrArray *lines = dy_gateway_forwarded_lines (gateway->dialect, request->call);
   DyForwardedRequest forwarded = { .method = dy_http_call_method (request->call),
@@ -154,8 +146,8 @@
                                           .priority = request->plan.priority,
                                           .has_priority = request->plan.kind == DY_ROUTE_STREAM } };
   bool started = dy_reachability_is_out (gateway->reachability)
-                     ? relay_attempt (request, &spec, watcher)
-                     : place_attempt (request, &spec, watcher);
+                     ? relay_attempt (request, attempt, &spec, watcher)
+                     : place_attempt (request, attempt, &spec, watcher);
   g_ptr_array_unref (lines);
   if (started)
     dy_counters_add (&gateway->kernel->counters, DY_COUNTER_ATTEMPTS, 1);
@@ -206,6 +198,26 @@
                                   (uint32_t) MAX (members, 1), now_us (request));
 }
 
+void
+dy_gateway_record_resend (DyGatewayRequest *request, const DyGatewayAttempt *attempt)
+{
+  DyGateway *gateway = request->gateway;
+  int64_t *recorded_us = &request->resend_us[attempt - request->attempts];
+  *recorded_us = now_us (request);
+  dy_counters_add (&gateway->kernel->counters, DY_COUNTER_RETRIES, 1);
+  dy_resend_budget_record_resend (&gateway->resend_budget, request->plan.service, *recorded_us);
+}
+
+void
+dy_gateway_return_resend (DyGatewayRequest *request, const DyGatewayAttempt *attempt)
+{
+  int64_t *recorded_us = &request->resend_us[attempt - request->attempts];
+  if (*recorded_us)
+    dy_resend_budget_return_resend (&request->gateway->resend_budget, request->plan.service,
+                                    *recorded_us, now_us (request));
+  *recorded_us = 0;
+}
+
 bool
 dy_gateway_may_resend_after (const DyGatewayRequest *request, DyCourseEvent event)
 {
@@ -231,7 +243,7 @@
 {
   DyCourseSituation situation = { .error = error };
   situation.sent
-      = dy_course_has_attempt (&request->course) && dy_gateway_attempt_was_sent (&request->attempt);
+      = dy_course_has_attempt (&request->course) && dy_gateway_attempt_was_sent (request->attempt);
   if (!dy_gateway_may_resend_after (request, event))
     return situation;
   situation.within_budget = resend_allowed (request);
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -575,6 +575,23 @@
 }
 END_TEST
 
+/* Resends that never reached an endpoint used up the retry budget. */
+START_TEST (resend_that_was_not_sent_is_taken_back)
+{
+  DyResendBudget budget;
+  dy_resend_budget_init (&budget, 0.0, 1.3, 10 * SECOND);
+  ck_assert (dy_resend_budget_allows (&budget, "llm", 1, 0));
+  dy_resend_budget_record_resend (&budget, "llm", 0);
+  ck_assert (!dy_resend_budget_allows (&budget, "llm", 1, SECOND));
+  dy_resend_budget_return_resend (&budget, "llm", 0, 2 * SECOND);
+  ck_assert (dy_resend_budget_allows (&budget, "llm", 1, 2 * SECOND));
+  dy_resend_budget_record_resend (&budget, "llm", 2 * SECOND);
+  dy_resend_budget_return_resend (&budget, "llm", 0, 3 * SECOND);
+  ck_assert (!dy_resend_budget_allows (&budget, "llm", 1, 3 * SECOND));
+  dy_resend_budget_finish (&budget);
+}
+END_TEST
+
 /* However the requests are spread over the routers, the resends of all routers together stay within
  * ratio * requests + slack in every window. */
 START_TEST (resends_of_the_fleet_stay_within_the_bound)
@@ -721,6 +738,7 @@
   tcase_add_test (tcase, a_leaving_endpoint_gets_no_requests);
   tcase_add_test (tcase, an_avoided_or_failed_endpoint_is_no_other_choice);
   tcase_add_loop_test (tcase, resends_depend_on_the_outcome, 0, (int) G_N_ELEMENTS (resend_cases));
+  tcase_add_test (tcase, resend_that_was_not_sent_is_taken_back);
   tcase_add_test (tcase, resends_of_the_fleet_stay_within_the_bound);
   tcase_add_loop_test (tcase, silent_attempt_is_given_up_only_for_another_one, 0,
                        (int) G_N_ELEMENTS (silent_cases));
