--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -14,6 +14,8 @@
  *   tear-once as stream; without Last-Event-Id the connection is closed in the middle of the third
  *             event
  *   later     as stream, but the answer begins after ANSWER_DELAY_S
+ *   paced     a stream of N_PACED_EVENTS events, one each PACED_EVENT_S; with Last-Event-Id, of
+ *             those after it
  * Any other path is answered as ok.
  *
  * A request whose X-Prompt-Prefix has the part "bad0" crashes the endpoint ANSWER_DELAY_S after it
@@ -28,7 +30,12 @@
  * POST /admin/label takes {"label": text}, which each event then ends with.
  * POST /admin/set takes {"instance": id}; requests whose X-Expect-Instance differs are answered
  * 421. POST /admin/limit takes {"limit": text}, which signed answers then have as Server-Limit;
- * null ends that. */
+ * null ends that.
+ *
+ * POST /admin/silence takes {"ms": n}: for n milliseconds requests are read, but no byte of an
+ * answer is sent, except to /admin. Then all answers go on where they were.
+ * POST /admin/resumes takes {"status": n}: requests with Last-Event-Id are answered with that
+ * status, 421 and 503 as refusals and others signed; 0 ends that. */
 
 #include "net/http_server.h"
 
@@ -43,6 +50,7 @@
   MAX_HEADER_BYTES = 32768,
   N_EVENTS = 5,
   N_EVENTS_BEFORE_CLOSE = 2,
+  N_PACED_EVENTS = 12,
 };
 
 typedef struct
@@ -57,12 +65,15 @@
   ev_tstamp limit_set_at;
 } Worker;
 
+typedef void (*Answer) (DyHttpCall *call, const char *id);
+
 /* A request that is answered later. */
 typedef struct
 {
   DyHttpCall *call;
-  char *id;
-  bool crashes; /* the endpoint crashes in place of the answer */
+  char *id;       /* NULL: the request has none */
+  Answer answer;  /* NULL: the endpoint crashes in place of the answer */
+  int next_event; /* of a paced stream that has begun; 0: none */
   ev_timer timer;
 } PendingCall;
 
@@ -70,6 +81,7 @@
 static const char CRASHING_PART[] = "bad0:";
 static const double ANSWER_DELAY_S = 0.04;
 static const double RESTART_S = 0.3;
+static const double PACED_EVENT_S = 0.03;
 
 static int64_t n_cancelled; /* silent requests whose connection was closed */
 static int64_t n_crashing;  /* requests that came with the crashing part */
@@ -77,6 +89,8 @@
 static char *limit;         /* value of Server-Limit; NULL: none */
 static char *label;         /* end of each event's data; NULL: none */
 static ev_tstamp down_until;
+static ev_tstamp silent_until;
+static unsigned resumed_status; /* of answers to requests with Last-Event-Id; 0: none is set */
 static struct ev_loop *main_loop;
 
 static void
@@ -262,48 +276,96 @@
   down_until = ev_now (main_loop) + RESTART_S;
 }
 
+static void
+wait_for (PendingCall *entry, double delay_s)
+{
+  ev_timer_set (&entry->timer, delay_s, 0.0);
+  ev_timer_start (main_loop, &entry->timer);
+}
+
+static void
+write_paced_event (PendingCall *entry)
+{
+  write_events (entry->call, entry->next_event, entry->next_event + 1);
+  if (++entry->next_event <= N_PACED_EVENTS)
+    {
+      wait_for (entry, PACED_EVENT_S);
+      return;
+    }
+  dy_http_call_end (entry->call);
+}
+
 static void
 on_answer_due (struct ev_loop *loop, ev_timer *w, int events)
 {
   PendingCall *entry = w->data;
   (void) loop;
   (void) events;
-  if (entry->crashes)
-    crash ();
-  else
-    answer_stream (entry->call, entry->id);
+  if (!entry->answer)
+    {
+      crash ();
+      return;
+    }
+  if (ev_now (main_loop) < silent_until)
+    {
+      wait_for (entry, silent_until - ev_now (main_loop));
+      return;
+    }
+  if (entry->next_event)
+    {
+      write_paced_event (entry);
+      return;
+    }
+  dy_http_call_watch (entry->call, NULL, NULL);
+  entry->answer (entry->call, entry->id);
+  g_hash_table_remove (pending, entry);
 }
 
-static void
-add_pending (DyHttpCall *call, const char *id, bool crashes)
+/* Calls ANSWER after DELAY_S and after the silence, or crashes if it is NULL. */
+static PendingCall *
+add_pending (DyHttpCall *call, const char *id, Answer answer, double delay_s)
 {
   static const DyHttpCallWatcher watcher = { .closed = on_pending_closed };
   PendingCall *entry = g_new0 (PendingCall, 1);
   entry->call = call;
   entry->id = g_strdup (id);
-  entry->crashes = crashes;
-  ev_timer_init (&entry->timer, on_answer_due, ANSWER_DELAY_S, 0.0);
+  entry->answer = answer;
+  ev_timer_init (&entry->timer, on_answer_due, 0.0, 0.0);
   entry->timer.data = entry;
-  ev_timer_start (main_loop, &entry->timer);
+  wait_for (entry, delay_s);
   g_hash_table_add (pending, entry);
   dy_http_call_watch (call, &watcher, entry);
+  return entry;
 }
 
 static void
 answer_later (DyHttpCall *call, const char *id)
 {
-  add_pending (call, id, false);
+  add_pending (call, id, answer_stream, ANSWER_DELAY_S);
+}
+
+static void
+answer_paced (DyHttpCall *call, const char *id)
+{
+  const char *after = dy_http_call_header (call, "Last-Event-Id");
+  int first = after ? atoi (after) + 1 : 1;
+  sign (call, id);
+  dy_http_call_start_stream (call, 200, "text/event-stream");
+  if (first > N_PACED_EVENTS)
+    dy_http_call_end (call);
+  else
+    add_pending (call, id, answer_paced, PACED_EVENT_S)->next_event = first;
 }
 
 static const struct
 {
   const char *name;
-  void (*answer) (DyHttpCall *call, const char *id);
+  Answer answer;
 } behaviours[] = {
   { "ok", answer_ok },         { "error", answer_error },     { "reset", answer_reset },
   { "torn", answer_torn },     { "foreign", answer_foreign }, { "unsigned", answer_unsigned },
   { "silent", answer_silent }, { "stream", answer_stream },   { "tear-once", answer_tear_once },
-  { "later", answer_later },
+  { "later", answer_later },   { "paced", answer_paced },
 };
 
 static bool
@@ -320,20 +382,71 @@
   dy_http_call_reply (call, status, "text/plain", "", 0);
 }
 
+static void
+refuse_misdirected (DyHttpCall *call, const char *id)
+{
+  (void) id;
+  refuse (call, 421);
+}
+
+static void
+refuse_full (DyHttpCall *call, const char *id)
+{
+  (void) id;
+  refuse (call, 503);
+}
+
+static void
+answer_resumed (DyHttpCall *call, const char *id)
+{
+  sign (call, id);
+  answer_text (call, resumed_status);
+}
+
+/* Answers at once, or after the silence. */
+static void
+answer_when_heard (DyHttpCall *call, const char *id, Answer answer)
+{
+  if (ev_now (main_loop) < silent_until)
+    add_pending (call, id, answer, silent_until - ev_now (main_loop));
+  else
+    answer (call, id);
+}
+
+static Answer
+choose_answer (DyHttpCall *call)
+{
+  if (resumed_status && dy_http_call_header (call, "Last-Event-Id"))
+    return answer_resumed;
+  for (size_t i = 0; i < G_N_ELEMENTS (behaviours); i++)
+    if (is_behaviour (dy_http_call_path (call), behaviours[i].name))
+      return behaviours[i].answer;
+  return answer_ok;
+}
+
+/* Returns the refusal of the request, or NULL if it is run. */
+static Answer
+choose_refusal (const Worker *worker, DyHttpCall *call)
+{
+  const char *expected = dy_http_call_header (call, "X-Expect-Instance");
+  bool resumed = dy_http_call_header (call, "Last-Event-Id") != NULL;
+  if ((worker->instance && expected && strcmp (worker->instance, expected) != 0)
+      || (resumed && resumed_status == 421))
+    return refuse_misdirected;
+  if (!dy_http_call_header (call, "X-Request-Id") || is_behaviour (dy_http_call_path (call), "full")
+      || (resumed && resumed_status == 503))
+    return refuse_full;
+  return NULL;
+}
+
 static void
 serve (Worker *worker, DyHttpCall *call)
 {
   const char *id = dy_http_call_header (call, "X-Request-Id");
-  const char *expected = dy_http_call_header (call, "X-Expect-Instance");
-  const char *path = dy_http_call_path (call);
-  if (worker->instance && expected && strcmp (worker->instance, expected) != 0)
-    {
-      refuse (call, 421);
-      return;
-    }
-  if (!id || is_behaviour (path, "full"))
+  Answer refusal = choose_refusal (worker, call);
+  if (refusal)
     {
-      refuse (call, 503);
+      answer_when_heard (call, id, refusal);
       return;
     }
   const char *parts = dy_http_call_header (call, "X-Prompt-Prefix");
@@ -351,16 +464,21 @@
       json_integer ((json_int_t) ((ev_now (main_loop) - worker->limit_set_at) * 1e3)));
   if (crashes)
     {
-      add_pending (call, id, true);
+      add_pending (call, id, NULL, ANSWER_DELAY_S);
       return;
     }
-  for (size_t i = 0; i < G_N_ELEMENTS (behaviours); i++)
-    if (is_behaviour (path, behaviours[i].name))
-      {
-        behaviours[i].answer (call, id);
-        return;
-      }
-  answer_ok (call, id);
+  answer_when_heard (call, id, choose_answer (call));
+}
+
+/* Returns the integer NAME of the request's JSON body and answers the request. */
+static int64_t
+take_integer (DyHttpCall *call, const char *name)
+{
+  json_t *body = json_loadb (dy_http_call_body (call)->str, dy_http_call_body (call)->len, 0, NULL);
+  int64_t value = json_integer_value (json_object_get (body, name));
+  json_decref (body);
+  reply_json (call, json_object ());
+  return value;
 }
 
 static void
@@ -412,6 +530,10 @@
     set_instance (worker, call);
   else if (strcmp (path, "/admin/limit") == 0)
     set_limit (worker, call);
+  else if (strcmp (path, "/admin/silence") == 0)
+    silent_until = ev_now (main_loop) + (double) take_integer (call, "ms") / 1e3;
+  else if (strcmp (path, "/admin/resumes") == 0)
+    resumed_status = (unsigned) take_integer (call, "status");
   else
     serve (worker, call);
 }
