Soak: endpoints also fall silent and go on

Silences of one or of all endpoints join the other faults. After the recovery a second part of each seed has only silences of 0.7 to 1.7 s in series, reloads and changes of the routes; there each request that an endpoint ran has its whole answer, and each other one ends 0.5 s after its deadline.

--- a/test/soak.c
+++ b/test/soak.c
@@ -1,6 +1,7 @@
 /* Randomized soak test. Routers, store and endpoints run as processes on loopback; signals, relays
- * and settings of the store inject faults while callers send requests. Afterwards the invariants
- * that callers rely on are checked for each request.
+ * and settings of the store inject faults while callers send requests. Then endpoints only fall
+ * silent and go on, beside changes of the routes and reloads. Afterwards the invariants that
+ * callers rely on are checked for each request.
  *
  * Usage: soak [FIRST_SEED [N_SEEDS [SECONDS]]]. The seed initializes the random choice of
  * faults and requests; since the processes run in real time, a failure may not repeat with it. */
@@ -22,6 +23,16 @@
   PAID_TOKENS = 4000,
   MAX_ATTEMPTS = 2, /* set in the routes of support/site.c */
   CALL_TIMEOUT_MS = 8000,
+  DEADLINE_MS = 2000,
+  /* While endpoints only fall silent: */
+  SOUND_DEADLINE_MS = 5000, /* also the timeout of the routes */
+  SOUND_EVENTS = 12,        /* of the path "paced" of fakes/fake_worker.c */
+  SOUND_TOKENS = 1000000,   /* paid in addition */
+  LATE_MS = 500,            /* requests end this time after their deadline */
+  MIN_SILENCE_MS = 700,
+  MAX_SILENCE_MS = 1700,
+  RECOVERED_MS = 2500, /* endpoints are in use again after their last fault */
+  MIN_HEARD_MS = 1000, /* between two silences of an endpoint */
 };
 
 static const double FAULT_INTERVAL_S = 0.25;
@@ -42,27 +53,33 @@
   const char *prefix;
   const char *body;
   const char *behaviours[6]; /* of the endpoint (see fakes/fake_worker.c), equally likely */
+  const char *sound;         /* the one of an endpoint that only falls silent */
   int64_t max_runs;          /* how often a request may run, at all endpoints */
 } kinds[N_KINDS] = {
-  { "GET", "/ok/", NULL, { "ok", "ok", "ok", "error", "reset", "torn" }, MAX_ATTEMPTS },
-  { "POST", "/once/", "b", { "ok", "ok", "ok", "full", "reset", "foreign" }, 1 },
+  { "GET", "/ok/", NULL, { "ok", "ok", "ok", "error", "reset", "torn" }, "ok", MAX_ATTEMPTS },
+  { "POST", "/once/", "b", { "ok", "ok", "ok", "full", "reset", "foreign" }, "ok", 1 },
   { "POST",
     "/s/",
     "",
     { "stream", "stream", "stream", "stream", "tear-once", "tear-once" },
+    "paced",
     MAX_ATTEMPTS },
-  { "POST", "/s1/", "", { "stream", "stream", "stream", "stream", "stream", "tear-once" }, 1 },
+  { "POST",
+    "/s1/",
+    "",
+    { "stream", "stream", "stream", "stream", "stream", "tear-once" },
+    "paced",
+    1 },
 };
 
-static const char complete_stream[] = "id: 1\ndata: piece-1\n\nid: 2\ndata: piece-2\n\n"
-                                      "id: 3\ndata: piece-3\n\nid: 4\ndata: piece-4\n\n"
-                                      "id: 5\ndata: piece-5\n\n";
-
 typedef struct
 {
   char id[32];
   Kind kind;
   char *target;
+  bool sound; /* no endpoint does more than to fall silent */
+  int64_t sent_ms;
+  int64_t ended_ms;
   unsigned status; /* HTTP status; 0: no answer began */
   bool complete;   /* the answer is complete */
   GString *body;
@@ -77,6 +94,9 @@
   GHashTable *runs; /* request id to the number of runs at endpoints */
   uint32_t n_open;  /* requests that have not ended */
   bool sending;
+  bool sound; /* endpoints only fall silent */
+  int64_t paid_tokens;
+  int64_t silent_until_ms[SITE_N_WORKERS];
   int version; /* version of the route table */
   ev_timer faults;
   ev_timer end;
@@ -95,6 +115,12 @@
 
 static void start_call (Soak *soak);
 
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
 static void
 report_violation (Soak *soak, const RequestRecord *record, const char *text)
 {
@@ -120,6 +146,7 @@
   Soak *soak = call->soak;
   call->record->status = result->status;
   call->record->complete = result->error == 0;
+  call->record->ended_ms = now_ms ();
   g_free (call);
   soak->n_open--;
   if (soak->sending)
@@ -132,9 +159,11 @@
   RequestRecord *record = g_new0 (RequestRecord, 1);
   record->kind = (Kind) g_rand_int_range (soak->rng, 0, N_KINDS);
   g_snprintf (record->id, sizeof record->id, "soak-%u", soak->records->len);
-  record->target
-      = g_strdup_printf ("%sn%u/%s", kinds[record->kind].prefix, soak->records->len,
-                         kinds[record->kind].behaviours[g_rand_int_range (soak->rng, 0, 6)]);
+  const char *behaviour = kinds[record->kind].behaviours[g_rand_int_range (soak->rng, 0, 6)];
+  record->sound = soak->sound;
+  record->sent_ms = now_ms ();
+  record->target = g_strdup_printf ("%sn%u/%s", kinds[record->kind].prefix, soak->records->len,
+                                    record->sound ? kinds[record->kind].sound : behaviour);
   record->body = g_string_new (NULL);
   g_ptr_array_add (soak->records, record);
   return record;
@@ -150,11 +179,14 @@
   const char *router = soak->site.callers[g_rand_int_range (soak->rng, 0, N_ROUTERS)];
   char *url = g_strdup_printf ("http://%s%s", router, call->record->target);
   char *id = g_strdup_printf ("X-Request-Id: %s", call->record->id);
-  char *counts = g_strdup_printf ("X-Token-Counts: %d,%d", PROMPT_TOKENS, OUTPUT_TOKENS);
+  char *counts = g_strdup_printf ("X-Token-Counts: %d,%d", PROMPT_TOKENS,
+                                  soak->sound ? SOUND_EVENTS : OUTPUT_TOKENS);
+  char *deadline
+      = g_strdup_printf ("X-Deadline-Ms: %d", soak->sound ? SOUND_DEADLINE_MS : DEADLINE_MS);
   bool is_stream = call->record->kind >= KIND_STREAM;
-  const char *headers[] = { "Host: h.example",         "Authorization: Bearer k1",
-                            "X-Deadline-Ms: 2000",     id,
-                            is_stream ? counts : NULL, NULL };
+  const char *headers[] = {
+    "Host: h.example", "Authorization: Bearer k1", deadline, id, is_stream ? counts : NULL, NULL
+  };
   DyHttpSpec spec
       = { .method = kinds[call->record->kind].method,
           .url = url,
@@ -168,6 +200,7 @@
   g_free (url);
   g_free (id);
   g_free (counts);
+  g_free (deadline);
 }
 
 /* --- faults and their repairs --- */
@@ -351,14 +384,47 @@
 change_routes (Soak *soak, uint32_t i)
 {
   (void) i;
-  site_put_routes (&soak->site, ++soak->version, NULL, PAID_TOKENS);
+  site_put_routes (&soak->site, ++soak->version, NULL, soak->paid_tokens);
 }
 
-static const struct
+/* Silences endpoint I, unless it has been heard for too short a time. */
+static void
+silence_worker (Soak *soak, uint32_t i)
+{
+  int ms = g_rand_int_range (soak->rng, MIN_SILENCE_MS, MAX_SILENCE_MS);
+  if (now_ms () < soak->silent_until_ms[i] + MIN_HEARD_MS)
+    return;
+  soak->silent_until_ms[i] = now_ms () + ms;
+  char *body = g_strdup_printf ("{\"ms\":%d}", ms);
+  json_decref (
+      fleet_call (&soak->site.fleet, "POST", soak->site.workers[i], "/admin/silence", body));
+  g_free (body);
+}
+
+static void
+silence_all_workers (Soak *soak, uint32_t i)
+{
+  (void) i;
+  for (uint32_t k = 0; k < SITE_N_WORKERS; k++)
+    silence_worker (soak, k);
+}
+
+/* As silence_all_workers(), beside a change of the routes and a reload of router I. */
+static void
+silence_beside_change (Soak *soak, uint32_t i)
+{
+  silence_all_workers (soak, i);
+  change_routes (soak, i);
+  reload_router (soak, i);
+}
+
+typedef struct
 {
   void (*run) (Soak *soak, uint32_t i);
   uint32_t n; /* number of targets; run() gets one of them */
-} faults[] = {
+} Fault;
+
+static const Fault faults[] = {
   { kill_router, N_ROUTERS },
   { stop_router, N_ROUTERS },
   { pause_router, N_ROUTERS },
@@ -372,6 +438,13 @@
   { reset_worker, SITE_N_WORKERS },
   { kill_worker, SITE_N_WORKERS },
   { change_routes, 1 },
+  { silence_worker, SITE_N_WORKERS },
+  { silence_all_workers, 1 },
+};
+
+static const Fault silences[] = {
+  { silence_worker, SITE_N_WORKERS },   { silence_all_workers, 1 }, { reload_router, N_ROUTERS },
+  { silence_beside_change, N_ROUTERS }, { change_routes, 1 },
 };
 
 static void
@@ -380,8 +453,9 @@
   Soak *soak = w->data;
   (void) loop;
   (void) events;
-  int k = g_rand_int_range (soak->rng, 0, G_N_ELEMENTS (faults));
-  faults[k].run (soak, (uint32_t) g_rand_int_range (soak->rng, 0, (gint32) faults[k].n));
+  gint32 n = soak->sound ? G_N_ELEMENTS (silences) : G_N_ELEMENTS (faults);
+  const Fault *fault = &(soak->sound ? silences : faults)[g_rand_int_range (soak->rng, 0, n)];
+  fault->run (soak, (uint32_t) g_rand_int_range (soak->rng, 0, (gint32) fault->n));
 }
 
 static void
@@ -425,11 +499,21 @@
   return PROMPT_TOKENS + events;
 }
 
+/* Returns the events of the complete stream, to be freed with g_free(). */
+static char *
+complete_stream (const RequestRecord *record)
+{
+  GString *text = g_string_new (NULL);
+  for (int i = 1; i <= (record->sound ? SOUND_EVENTS : OUTPUT_TOKENS); i++)
+    g_string_append_printf (text, "id: %d\ndata: piece-%d\n\n", i, i);
+  return g_string_free (text, FALSE);
+}
+
 static bool
-is_expected_answer (const RequestRecord *record)
+is_expected_answer (const RequestRecord *record, const char *stream)
 {
   if (record->kind >= KIND_STREAM)
-    return strcmp (record->body->str, complete_stream) == 0;
+    return strcmp (record->body->str, stream) == 0;
   return strstr (record->body->str, record->target) != NULL;
 }
 
@@ -437,11 +521,14 @@
 check_record (Soak *soak, const RequestRecord *record, int64_t runs)
 {
   bool success = record->status == 200;
+  char *stream = complete_stream (record);
   bool must_not_have_run = record->status == 429 || record->status == 503 || record->status == 402;
-  if (success && record->complete && !is_expected_answer (record))
+  bool whole = success && record->complete && is_expected_answer (record, stream);
+  int64_t deadline_ms = record->sent_ms + SOUND_DEADLINE_MS;
+  if (success && record->complete && !whole)
     report_violation (soak, record, "not the own whole answer:");
   if (success && record->kind >= KIND_STREAM
-      && strncmp (complete_stream, record->body->str, record->body->len) != 0)
+      && strncmp (stream, record->body->str, record->body->len) != 0)
     report_violation (soak, record, "a piece is missing or comes twice:");
   if (must_not_have_run && runs > 0)
     report_violation (soak, record, "said not to have run, though it had:");
@@ -449,6 +536,11 @@
     report_violation (soak, record, "ran too often:");
   if (record->status == 401 || record->status == 404)
     report_violation (soak, record, "denied, though it is allowed:");
+  if (record->sound && runs > 0 && !whole)
+    report_violation (soak, record, "run by an endpoint that goes on, and not answered:");
+  if (record->sound && !whole && record->ended_ms > deadline_ms + LATE_MS)
+    report_violation (soak, record, "not ended in time:");
+  g_free (stream);
 }
 
 static void
@@ -465,10 +557,10 @@
       tokens += used_tokens (record, runs);
       n_answered += record->status == 200 && record->complete;
     }
-  if (tokens > PAID_TOKENS)
+  if (tokens > soak->paid_tokens)
     {
       soak->n_violations++;
-      fprintf (stderr, "overspent: %d of %d tokens\n", (int) tokens, PAID_TOKENS);
+      fprintf (stderr, "overspent: %d of %d tokens\n", (int) tokens, (int) soak->paid_tokens);
     }
   if (n_answered == 0)
     {
@@ -476,7 +568,7 @@
       fprintf (stderr, "nothing was answered\n");
     }
   printf ("requests %u answered %d tokens %d of %d broken %d\n", soak->records->len, n_answered,
-          (int) tokens, PAID_TOKENS, soak->n_violations);
+          (int) tokens, (int) soak->paid_tokens, soak->n_violations);
 }
 
 static bool
@@ -531,7 +623,6 @@
 run_load (Soak *soak, double seconds)
 {
   struct ev_loop *loop = soak->site.fleet.loop;
-  dy_http_client_init (&soak->client, loop);
   soak->sending = true;
   for (int i = 0; i < N_CALLERS; i++)
     start_call (soak);
@@ -556,7 +647,7 @@
 static int
 run_seed (uint32_t seed, double seconds)
 {
-  Soak soak = { .version = 1 };
+  Soak soak = { .version = 1, .paid_tokens = PAID_TOKENS };
   soak.rng = g_rand_new_with_seed (seed);
   soak.records = g_ptr_array_new_with_free_func (free_record);
   soak.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -565,8 +656,14 @@
   fflush (stdout);
   if (!site_init_relayed (&soak.site, N_ROUTERS, PAID_TOKENS))
     soak.n_violations++;
+  dy_http_client_init (&soak.client, soak.site.fleet.loop);
   run_load (&soak, seconds);
   check_recovery (&soak);
+  soak.sound = true;
+  soak.paid_tokens += SOUND_TOKENS;
+  change_routes (&soak, 0);
+  site_run_for (&soak.site, RECOVERED_MS);
+  run_load (&soak, seconds);
   check_invariants (&soak);
   dy_http_client_finish (&soak.client);
   site_finish (&soak.site);
--- a/test/test_silent_endpoints.c
+++ b/test/test_silent_endpoints.c
@@ -56,9 +56,10 @@
   int phases; /* sum of Phase */
   int silence_ms;
   int max_attempts;
-  bool change;        /* the configuration changes as the silence begins */
-  int resumed_status; /* with which resumed runs are answered; NONE: they go on */
-  int timeout_ms;     /* NONE: ROUTE_TIMEOUT_MS */
+  bool change;             /* the configuration changes as the silence begins */
+  int resumed_status;      /* with which resumed runs are answered; NONE: they go on */
+  int timeout_ms;          /* NONE: ROUTE_TIMEOUT_MS */
+  bool only_others_refuse; /* endpoints that fall silent let resumed runs go on */
 } Case;
 
 typedef struct
@@ -111,6 +112,12 @@
   return strcmp (c->kind->type, "streaming") == 0;
 }
 
+static bool
+falls_silent (const Case *c, uint32_t worker)
+{
+  return c->share == ALL || worker % 2 == 0;
+}
+
 static bool
 on_data (void *ctx, DyHttpTransfer *transfer, const char *data, size_t n)
 {
@@ -212,8 +219,9 @@
 begin_silence (Play *play)
 {
   const Case *c = play->c;
-  for (uint32_t i = 0; i < SITE_N_WORKERS; i += c->share == HALF ? 2 : 1)
-    set_worker (play, i, "/admin/silence", "ms", c->silence_ms);
+  for (uint32_t i = 0; i < SITE_N_WORKERS; i++)
+    if (falls_silent (c, i))
+      set_worker (play, i, "/admin/silence", "ms", c->silence_ms);
   play->silence_end_ms = now_ms () + c->silence_ms;
   if (c->change)
     put_routes (play, 3);
@@ -240,7 +248,8 @@
   ck_assert (site_init (&play->site, N_ROUTERS));
   put_routes (play, 2);
   for (uint32_t i = 0; i < SITE_N_WORKERS; i++)
-    set_worker (play, i, "/admin/resumes", "status", c->resumed_status);
+    if (!c->only_others_refuse || !falls_silent (c, i))
+      set_worker (play, i, "/admin/resumes", "status", c->resumed_status);
   site_run_for (&play->site, NOTICE_MS);
   dy_http_client_init (&play->client, play->site.fleet.loop);
 }
@@ -371,9 +380,9 @@
 }
 
 static const Case one_attempt[] = {
-  { &resumable_stream, ALL, BEFORE, 1200, 1, false, NONE, NONE },
-  { &resumable_stream, ALL, BEFORE, 1600, 1, true, NONE, NONE },
-  { &resumable_stream, HALF, BEFORE, 2400, 1, false, NONE, NONE },
+  { &resumable_stream, ALL, BEFORE, 1200, 1, false, NONE, NONE, false },
+  { &resumable_stream, ALL, BEFORE, 1600, 1, true, NONE, NONE, false },
+  { &resumable_stream, HALF, BEFORE, 2400, 1, false, NONE, NONE, false },
 };
 
 START_TEST (a_stream_with_a_single_attempt_goes_on_after_a_silence)
@@ -383,11 +392,11 @@
 END_TEST
 
 static const Case last_attempt[] = {
-  { &resumable_stream, ALL, BEFORE, 1200, 2, false, NONE, NONE },
-  { &resumable_stream, ALL, BEFORE, 2400, 2, false, NONE, NONE },
-  { &resumable_stream, ALL, BEFORE, 2400, 3, true, NONE, NONE },
-  { &resumable_stream, HALF, BEFORE, 1600, 2, false, NONE, NONE },
-  { &resumable_stream, HALF, BEFORE, 2400, 3, true, NONE, NONE },
+  { &resumable_stream, ALL, BEFORE, 1200, 2, false, NONE, NONE, false },
+  { &resumable_stream, ALL, BEFORE, 2400, 2, false, NONE, NONE, false },
+  { &resumable_stream, ALL, BEFORE, 2400, 3, true, NONE, NONE, false },
+  { &resumable_stream, HALF, BEFORE, 1600, 2, false, NONE, NONE, false },
+  { &resumable_stream, HALF, BEFORE, 2400, 3, true, NONE, NONE, false },
 };
 
 START_TEST (a_stream_goes_on_after_a_silence_in_its_last_attempt)
@@ -397,9 +406,9 @@
 END_TEST
 
 static const Case first_event[] = {
-  { &resumable_stream, ALL, DURING, 1600, 1, false, NONE, NONE },
-  { &resumable_stream, ALL, DURING, 2400, 2, true, NONE, NONE },
-  { &resumable_stream, HALF, DURING, 2400, 3, false, NONE, NONE },
+  { &resumable_stream, ALL, DURING, 1600, 1, false, NONE, NONE, false },
+  { &resumable_stream, ALL, DURING, 2400, 2, true, NONE, NONE, false },
+  { &resumable_stream, HALF, DURING, 2400, 3, false, NONE, NONE, false },
 };
 
 START_TEST (a_stream_begins_after_a_silence_before_its_first_event)
@@ -409,10 +418,10 @@
 END_TEST
 
 static const Case answers[] = {
-  { &idempotent, ALL, BEFORE | DURING, 1200, 1, false, NONE, NONE },
-  { &idempotent, ALL, BEFORE | DURING, 1600, 2, true, NONE, NONE },
-  { &idempotent, ALL, BEFORE | DURING, 2400, 3, false, NONE, NONE },
-  { &idempotent, HALF, BEFORE | DURING, 1600, 2, false, NONE, NONE },
+  { &idempotent, ALL, BEFORE | DURING, 1200, 1, false, NONE, NONE, false },
+  { &idempotent, ALL, BEFORE | DURING, 1600, 2, true, NONE, NONE, false },
+  { &idempotent, ALL, BEFORE | DURING, 2400, 3, false, NONE, NONE, false },
+  { &idempotent, HALF, BEFORE | DURING, 1600, 2, false, NONE, NONE, false },
 };
 
 START_TEST (an_idempotent_request_is_answered_after_a_silence)
@@ -422,10 +431,10 @@
 END_TEST
 
 static const Case not_repeated[] = {
-  { &plain_stream, ALL, BEFORE | DURING, 2400, 2, true, NONE, NONE },
-  { &plain_stream, HALF, BEFORE | DURING, 1200, 1, false, NONE, NONE },
-  { &once, ALL, BEFORE | DURING, 2400, 2, true, NONE, NONE },
-  { &once, HALF, BEFORE | DURING, 1600, 3, false, NONE, NONE },
+  { &plain_stream, ALL, BEFORE | DURING, 2400, 2, true, NONE, NONE, false },
+  { &plain_stream, HALF, BEFORE | DURING, 1200, 1, false, NONE, NONE, false },
+  { &once, ALL, BEFORE | DURING, 2400, 2, true, NONE, NONE, false },
+  { &once, HALF, BEFORE | DURING, 1600, 3, false, NONE, NONE, false },
 };
 
 START_TEST (a_request_that_may_not_be_repeated_runs_once_and_is_answered_after_a_silence)
@@ -436,10 +445,10 @@
 
 /* The silent endpoint goes on with what the caller lacks, whatever others answer meanwhile. */
 static const Case refused_resumes[] = {
-  { &resumable_stream, HALF, BEFORE, 1600, 2, false, 500, NONE },
-  { &resumable_stream, HALF, BEFORE, 1600, 2, false, 404, NONE },
-  { &resumable_stream, HALF, BEFORE, 1600, 2, true, 421, NONE },
-  { &resumable_stream, HALF, BEFORE, 1600, 3, false, 503, NONE },
+  { &resumable_stream, HALF, BEFORE, 1600, 2, false, 500, NONE, false },
+  { &resumable_stream, HALF, BEFORE, 1600, 2, false, 404, NONE, false },
+  { &resumable_stream, HALF, BEFORE, 1600, 2, true, 421, NONE, false },
+  { &resumable_stream, HALF, BEFORE, 1600, 3, false, 503, NONE, false },
 };
 
 START_TEST (a_stream_whose_resumed_run_is_refused_goes_on_after_a_silence)
@@ -448,13 +457,21 @@
 }
 END_TEST
 
+START_TEST (a_stream_is_resumed_where_the_silence_ends_after_others_refused_it)
+{
+  Case c = refused_resumes[_i];
+  c.only_others_refuse = true;
+  check_case (&c, ANSWERED);
+}
+END_TEST
+
 static const Case broken_streams[] = {
-  { &torn_stream, HALF, BEFORE, NONE, 2, false, 500, 1500 },
-  { &torn_stream, HALF, BEFORE, NONE, 3, false, 500, 1500 },
-  { &torn_stream, HALF, BEFORE, NONE, 2, false, 404, 1500 },
-  { &torn_stream, HALF, BEFORE, NONE, 3, false, 421, 1500 },
-  { &torn_stream, HALF, BEFORE, NONE, 2, false, 503, 1500 },
-  { &torn_stream, HALF, DURING, 1600, 3, true, 500, 2500 },
+  { &torn_stream, HALF, BEFORE, NONE, 2, false, 500, 1500, false },
+  { &torn_stream, HALF, BEFORE, NONE, 3, false, 500, 1500, false },
+  { &torn_stream, HALF, BEFORE, NONE, 2, false, 404, 1500, false },
+  { &torn_stream, HALF, BEFORE, NONE, 3, false, 421, 1500, false },
+  { &torn_stream, HALF, BEFORE, NONE, 2, false, 503, 1500, false },
+  { &torn_stream, HALF, DURING, 1600, 3, true, 500, 2500, false },
 };
 
 START_TEST (a_stream_whose_resumed_run_is_refused_has_an_end)
@@ -464,8 +481,8 @@
 END_TEST
 
 static const Case short_timeouts[] = {
-  { &resumable_stream, ALL, BEFORE | DURING, 2400, 2, false, NONE, 1200 },
-  { &idempotent, ALL, BEFORE | DURING, 2400, 2, true, NONE, 800 },
+  { &resumable_stream, ALL, BEFORE | DURING, 2400, 2, false, NONE, 1200, false },
+  { &idempotent, ALL, BEFORE | DURING, 2400, 2, true, NONE, 800, false },
 };
 
 START_TEST (a_request_ends_at_its_timeout_in_a_silence)
@@ -475,10 +492,10 @@
 END_TEST
 
 static const Case all_silent[] = {
-  { &idempotent, ALL, BEFORE | DURING, 1600, 2, false, NONE, NONE },
-  { &idempotent, ALL, BEFORE | DURING, 2400, 3, false, NONE, NONE },
-  { &idempotent, ALL, BEFORE | DURING, 2400, 2, true, NONE, 1200 },
-  { &resumable_stream, ALL, BEFORE | DURING, 2400, 2, false, NONE, NONE },
+  { &idempotent, ALL, BEFORE | DURING, 1600, 2, false, NONE, NONE, false },
+  { &idempotent, ALL, BEFORE | DURING, 2400, 3, false, NONE, NONE, false },
+  { &idempotent, ALL, BEFORE | DURING, 2400, 2, true, NONE, 1200, false },
+  { &resumable_stream, ALL, BEFORE | DURING, 2400, 2, false, NONE, NONE, false },
 };
 
 START_TEST (a_silence_of_all_endpoints_is_not_taken_for_a_cut_from_them)
@@ -509,6 +526,8 @@
                        0, G_N_ELEMENTS (not_repeated));
   tcase_add_loop_test (tcase, a_stream_whose_resumed_run_is_refused_goes_on_after_a_silence, 0,
                        G_N_ELEMENTS (refused_resumes));
+  tcase_add_loop_test (tcase, a_stream_is_resumed_where_the_silence_ends_after_others_refused_it, 0,
+                       G_N_ELEMENTS (refused_resumes));
   tcase_add_loop_test (tcase, a_stream_whose_resumed_run_is_refused_has_an_end, 0,
                        G_N_ELEMENTS (broken_streams));
   tcase_add_loop_test (tcase, a_request_ends_at_its_timeout_in_a_silence, 0,
