Log and count each call that ends without a complete answer

Callers saw a connection closed after a whole request without an answer, and no line of the router said so: 7004 only has what the gateway knows, nothing is logged for calls that libmicrohttpd ends, and no reason distinguishes a caller that left, an idle timeout, a send that failed and a stop.

Event 8001 states the reason, libmicrohttpd's code, the state of the caller's side as the kernel has it, how much of the request was read, whether the handler had seen it and whether an answer was begun. Two counters: calls cut, and of these whole requests without any answer. Event 8002 replaces the silent discarding of a second answer.

--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -22,6 +22,10 @@
   X (REFUSED_BUDGET_UNAVAILABLE, counter, "dogwoodyoke_refused_budget_unavailable_total",          \
      "requests refused because the budget could not be checked")                                   \
   X (ANSWERED, counter, "dogwoodyoke_answered_total", "requests answered in full")                 \
+  X (CALLS_CUT, counter, "dogwoodyoke_calls_cut_total",                                            \
+     "calls that ended without a complete answer")                                                 \
+  X (CALLS_UNANSWERED, counter, "dogwoodyoke_calls_unanswered_total",                              \
+     "requests that were read whole and ended without any answer")                                 \
   X (BROKEN, counter, "dogwoodyoke_broken_total", "answers that ended early")                      \
   X (CANCELLED, counter, "dogwoodyoke_cancelled_total", "requests cancelled by their callers")     \
   X (IN_FLIGHT, gauge, "dogwoodyoke_in_flight", "requests now in flight")                          \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -82,7 +82,9 @@
   X (LIMIT_APPLIED, 7009, INFO, "endpoint passed over for its limit")                              \
   X (ORIGIN_FOUND, 7010, INFO, "origin of a resumed stream looked up")                             \
   X (REQUEST_RELAYED, 7011, INFO, "request relayed")                                               \
-  X (RELAY_PLACED, 7012, INFO, "relayed request sent to endpoint")
+  X (RELAY_PLACED, 7012, INFO, "relayed request sent to endpoint")                                 \
+  X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
+  X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")
 
 typedef enum
 {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,7 +1,9 @@
 #include "net/http_server.h"
 
 #include "kernel/error.h"
+#include "kernel/log.h"
 #include "net/address.h"
+#include "net/http_call_end.h"
 
 #include <errno.h>
 #include <string.h>
@@ -30,6 +32,7 @@
   struct MHD_Response *response;
   GPtrArray *headers; /* name, value, name, value ... */
   unsigned status;
+  DyCut cut; /* why the call is ended, if not by libmicrohttpd */
   const DyHttpCallWatcher *watcher;
   void *ctx;
   ev_io disconnect_io; /* active while the connection is suspended */
@@ -88,6 +91,7 @@
   if (n > 0)
     return;
   call->aborted = true;
+  call->cut = n == 0 ? DY_CUT_CALLER : DY_CUT_RESET;
   remove_pending (call);
   resume (call);
 }
@@ -309,6 +313,34 @@
   return MHD_YES;
 }
 
+static DyReceived
+received (const DyHttpCall *call)
+{
+  if (call->complete)
+    return DY_RECEIVED_WHOLE;
+  return call->header_read ? DY_RECEIVED_HEAD : DY_RECEIVED_LINE;
+}
+
+static void
+report_cut (DyHttpCall *call, enum MHD_RequestTerminationCode code)
+{
+  DyHttpServer *server = call->server;
+  DyHttpCallEnd end = { .cut = call->cut,
+                        .code = code,
+                        .peer = dy_peer_state (call->disconnect_io.fd),
+                        .received = received (call),
+                        .waiting = call->pending_link.data != NULL,
+                        .answer_begun = call->queued,
+                        .status = call->status,
+                        .body_bytes = call->body->len,
+                        .unsent_bytes = dy_http_call_unsent_bytes (call),
+                        .age_us = g_get_monotonic_time () - call->arrived_us };
+  const char *id = call->header_read && server->handler->request_id
+                       ? server->handler->request_id (server->ctx, call)
+                       : NULL;
+  dy_http_call_end_report (&end, id, server->counters);
+}
+
 static void
 complete_call (void *cls,
                struct MHD_Connection *conn,
@@ -320,6 +352,8 @@
   (void) conn;
   if (!call)
     return;
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK || call->aborted)
+    report_cut (call, code);
   ev_io_stop (server->loop, &call->disconnect_io);
   remove_pending (call);
   g_hash_table_remove (server->calls, call);
@@ -451,8 +485,10 @@
   GList *calls = g_hash_table_get_keys (server->calls);
   for (GList *l = calls; l; l = l->next)
     {
-      ((DyHttpCall *) l->data)->aborted = true;
-      dy_http_call_abort (l->data);
+      DyHttpCall *call = l->data;
+      call->aborted = true;
+      call->cut = call->cut ? call->cut : DY_CUT_STOP;
+      dy_http_call_abort (call);
     }
   g_list_free (calls);
   MHD_run (server->daemon);
@@ -570,7 +606,11 @@
     DyHttpCall *call, unsigned status, const char *content_type, const char *body, size_t n)
 {
   if (call->queued || call->response)
-    return;
+    {
+      dy_log (DY_EVENT_ANSWER_DISCARDED, "status=%u answered=%u path=%s", status, call->status,
+              call->path);
+      return;
+    }
   call->status = status;
   call->response = MHD_create_response_from_buffer (n, (void *) body, MHD_RESPMEM_MUST_COPY);
   if (content_type)
@@ -611,6 +651,7 @@
 dy_http_call_abort (DyHttpCall *call)
 {
   call->aborted_after_flush = true;
+  call->cut = call->cut ? call->cut : DY_CUT_WRITER;
   call->aborted = call->aborted || (!call->queued && !call->response);
   resume (call);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,8 +21,12 @@
  *   with Transfer-Encoding, a transfer coding other than chunked, a length that is not a number, a
  *   field name that contains a blank) is answered with 400 and its connection closed before the
  *   handler sees it. This prevents request smuggling: no byte of it is parsed as another request.
+ *
+ *   A call that ends without a complete answer is reported as http_call_end.h says.
  */
 
+#include "kernel/counters.h"
+
 #include <ev.h>
 #include <glib.h>
 #include <microhttpd.h>
@@ -38,6 +42,8 @@
   /* Called instead when the body exceeds max_body_bytes; must answer with
    * dy_http_call_reply(). */
   void (*too_large) (void *ctx, DyHttpCall *call);
+  /* Returns the caller's own id of the request for the log, or NULL. May be NULL. */
+  const char *(*request_id) (void *ctx, DyHttpCall *call);
 } DyHttpServerHandler;
 
 typedef struct
@@ -61,6 +67,7 @@
   GQueue pending;          /* complete requests that wait for the handler */
   int64_t turn_started_us; /* monotonic time at which this turn of the loop began */
   int64_t turn_spent_us;   /* time spent in the handler in this turn */
+  DyCounters *counters;    /* NULL: calls are not counted */
   uint32_t idle_timeout_s; /* applies to connections opened later; 0: no timeout */
   bool closing;            /* answers carry "Connection: close" */
   bool run_needed;         /* MHD_run() is due before the loop waits */
@@ -118,8 +125,8 @@
 /* Adds a header to the answer. Must be called before the answer is started. */
 void dy_http_call_add_header (DyHttpCall *call, const char *name, const char *value);
 
-/* Answers with the complete body BODY of N bytes, which is copied; CONTENT_TYPE may be NULL. Does
- * nothing when the call was answered already. */
+/* Answers with the complete body BODY of N bytes, which is copied; CONTENT_TYPE may be NULL. An
+ * answer to a call that was answered already is logged and discarded. */
 void dy_http_call_reply (
     DyHttpCall *call, unsigned status, const char *content_type, const char *body, size_t n);
 
--- a/src/services/callers.c
+++ b/src/services/callers.c
@@ -251,10 +251,12 @@
   ev_timer_init (&callers->tick, on_tick, TICK_S, TICK_S);
   callers->tick.data = callers;
   ev_timer_start (kernel->loop, &callers->tick);
-  return dy_http_server_init (&callers->server, kernel->loop, settings->caller_listen,
-                              (uint64_t) settings->max_body_bytes,
-                              (uint64_t) settings->max_header_bytes,
-                              (uint64_t) settings->stream_buffer_bytes, &handler, callers);
+  int error = dy_http_server_init (&callers->server, kernel->loop, settings->caller_listen,
+                                   (uint64_t) settings->max_body_bytes,
+                                   (uint64_t) settings->max_header_bytes,
+                                   (uint64_t) settings->stream_buffer_bytes, &handler, callers);
+  callers->server.counters = &kernel->counters;
+  return error;
 }
 
 static bool
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -51,7 +51,18 @@
   dy_gateway_refuse (ctx, call, DY_BODY_TOO_LARGE);
 }
 
-static const DyHttpServerHandler handler = { .handle = handle, .too_large = refuse_too_large };
+static const char *
+request_id (void *ctx, DyHttpCall *call)
+{
+  const DyGateway *gateway = ctx;
+  DyRequestHead head;
+  gateway->dialect->decode_request (call, &head);
+  g_free (head.key);
+  return head.request_id;
+}
+
+static const DyHttpServerHandler handler
+    = { .handle = handle, .too_large = refuse_too_large, .request_id = request_id };
 
 static void
 handle_ready (void *ctx, DyHttpCall *call)
@@ -148,6 +159,7 @@
                                    MAX_BODY_BYTES, HEADER_POOL_BYTES, STREAM_BUFFER_BYTES, &handler,
                                    gateway);
   gateway->server.idle_timeout_s = IDLE_TIMEOUT_S;
+  gateway->server.counters = &gateway->kernel->counters;
   if (error || settings->ready_listen[0] == '\0')
     return error;
   return dy_http_server_init (&gateway->ready_server, gateway->kernel->loop, settings->ready_listen,
--- /dev/null
+++ b/test/test_callers.c
@@ -0,0 +1,320 @@
+/* The HTTP server as callers meet it: each request that was read is answered, whatever else happens
+ * on its connection. */
+
+#include "kernel/error.h"
+#include "net/http_server.h"
+#include "support/fleet.h"
+#include "support/suite.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  MAX_BODY_BYTES = 64 * 1024,
+  HEADER_BYTES = 48 * 1024,
+  BUFFER_BYTES = 64 * 1024,
+  MAX_HELD = 64,
+};
+
+static const double WAIT_S = 10.0;
+
+#define HEAD "Host: a\r\n\r\n"
+#define GET(path) "GET " path " HTTP/1.1\r\n" HEAD
+
+/* A server that answers /now at once and keeps the calls of all other paths. */
+typedef struct
+{
+  struct ev_loop *loop;
+  DyHttpServer server;
+  DyCounters counters;
+  char *address;
+  DyHttpCall *held[MAX_HELD]; /* NULL once it is closed */
+  uint32_t n_held;
+  uint32_t n_closed;
+} Host;
+
+static void
+on_closed (void *ctx, DyHttpCall *call, bool complete)
+{
+  Host *host = ctx;
+  (void) complete;
+  host->n_closed++;
+  for (uint32_t i = 0; i < host->n_held; i++)
+    if (host->held[i] == call)
+      host->held[i] = NULL;
+}
+
+static const DyHttpCallWatcher call_watcher = { .closed = on_closed };
+
+static void
+reply (DyHttpCall *call)
+{
+  dy_http_call_reply (call, 200, "text/plain", "ok", 2);
+}
+
+static void
+handle (void *ctx, DyHttpCall *call)
+{
+  Host *host = ctx;
+  if (strcmp (dy_http_call_path (call), "/now") == 0)
+    {
+      reply (call);
+      return;
+    }
+  ck_assert_uint_lt (host->n_held, MAX_HELD);
+  host->held[host->n_held++] = call;
+  dy_http_call_watch (call, &call_watcher, host);
+}
+
+static void
+refuse (void *ctx, DyHttpCall *call)
+{
+  (void) ctx;
+  dy_http_call_reply (call, 413, "text/plain", "", 0);
+}
+
+static const DyHttpServerHandler handler = { .handle = handle, .too_large = refuse };
+
+static void
+host_init (Host *host)
+{
+  memset (host, 0, sizeof *host);
+  host->loop = ev_default_loop (EVFLAG_AUTO);
+  host->address = fleet_free_address ();
+  ck_assert_int_eq (dy_http_server_init (&host->server, host->loop, host->address, MAX_BODY_BYTES,
+                                         HEADER_BYTES, BUFFER_BYTES, &handler, host),
+                    DY_OK);
+  host->server.counters = &host->counters;
+}
+
+static void
+host_finish (Host *host)
+{
+  dy_http_server_finish (&host->server);
+  g_free (host->address);
+}
+
+static int
+open_socket (const Host *host)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_ge (fd, 0);
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  addr.sin_port = htons ((uint16_t) atoi (strchr (host->address, ':') + 1));
+  ck_assert_int_eq (connect (fd, (struct sockaddr *) &addr, sizeof addr), 0);
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+}
+
+/* Runs the loop for S seconds. */
+static void
+run_for (const Host *host, double s)
+{
+  int64_t end_us = g_get_monotonic_time () + (int64_t) (s * 1e6);
+  while (g_get_monotonic_time () < end_us)
+    {
+      ev_run (host->loop, EVRUN_NOWAIT);
+      g_usleep (500);
+    }
+}
+
+/* Runs the loop until CONDITION holds, at most WAIT_S. */
+#define run_until(host, condition)                                                                 \
+  do                                                                                               \
+    {                                                                                              \
+      int64_t end_us = g_get_monotonic_time () + (int64_t) (WAIT_S * 1e6);                         \
+      while (!(condition) && g_get_monotonic_time () < end_us)                                     \
+        run_for (host, 0.001);                                                                     \
+      ck_assert_msg ((condition), "timed out: " #condition);                                       \
+    }                                                                                              \
+  while (0)
+
+typedef struct
+{
+  int fd;
+  GString *text;
+  bool closed;
+} Reader;
+
+static void
+read_available (Reader *reader)
+{
+  char block[4096];
+  ssize_t n;
+  while ((n = recv (reader->fd, block, sizeof block, 0)) > 0)
+    g_string_append_len (reader->text, block, n);
+  reader->closed = reader->closed || n == 0 || errno != EAGAIN;
+}
+
+static uint32_t
+n_answers (const Reader *reader)
+{
+  uint32_t n = 0;
+  const char *p = reader->text->str;
+  while ((p = strstr (p, "HTTP/1.1 ")) != NULL)
+    {
+      n += g_str_has_prefix (p, "HTTP/1.1 100") ? 0 : 1;
+      p++;
+    }
+  return n;
+}
+
+/* Runs the loop until N answers to FD have begun or the connection is closed. */
+static Reader
+read_answers (const Host *host, int fd, uint32_t n)
+{
+  Reader reader = { .fd = fd, .text = g_string_new (NULL) };
+  int64_t end_us = g_get_monotonic_time () + (int64_t) (WAIT_S * 1e6);
+  while (n_answers (&reader) < n && !reader.closed && g_get_monotonic_time () < end_us)
+    {
+      run_for (host, 0.001);
+      read_available (&reader);
+    }
+  run_for (host, 0.02);
+  read_available (&reader);
+  return reader;
+}
+
+static void
+reader_finish (Reader *reader)
+{
+  close (reader->fd);
+  g_string_free (reader->text, TRUE);
+}
+
+typedef enum
+{
+  END_ANSWERED,
+  END_CALLER_CLOSES,
+  END_ABORTED,
+  END_STREAM_ABORTED,
+  END_STREAM_COMPLETE,
+} CallEnding;
+
+static const struct
+{
+  const char *name;
+  CallEnding ending;
+  int64_t n_cut;
+  int64_t n_unanswered;
+} ending_cases[] = {
+  { "answered", END_ANSWERED, 0, 0 },
+  { "the caller closes", END_CALLER_CLOSES, 1, 1 },
+  { "aborted", END_ABORTED, 1, 1 },
+  { "aborted in a stream", END_STREAM_ABORTED, 1, 0 },
+  { "a complete stream", END_STREAM_COMPLETE, 0, 0 },
+};
+
+static void
+end_call (DyHttpCall *call, CallEnding ending)
+{
+  bool stream = ending == END_STREAM_ABORTED || ending == END_STREAM_COMPLETE;
+  if (stream)
+    {
+      dy_http_call_start_stream (call, 200, "text/plain");
+      dy_http_call_write (call, "ok", 2);
+    }
+  if (ending == END_ANSWERED)
+    reply (call);
+  else if (ending == END_STREAM_COMPLETE)
+    dy_http_call_end (call);
+  else if (ending != END_CALLER_CLOSES)
+    dy_http_call_abort (call);
+}
+
+START_TEST (each_cut_call_is_counted_and_no_other)
+{
+  Host host;
+  host_init (&host);
+  int fd = open_socket (&host);
+  send_text (fd, GET ("/held"));
+  run_until (&host, host.n_held == 1);
+  if (ending_cases[_i].ending == END_CALLER_CLOSES)
+    close (fd);
+  else
+    end_call (host.held[0], ending_cases[_i].ending);
+  run_until (&host, host.n_closed == 1);
+  if (ending_cases[_i].ending != END_CALLER_CLOSES)
+    close (fd);
+  run_for (&host, 0.02);
+  ck_assert_msg (host.counters.values[DY_COUNTER_CALLS_CUT] == ending_cases[_i].n_cut, "%s",
+                 ending_cases[_i].name);
+  ck_assert_msg (host.counters.values[DY_COUNTER_CALLS_UNANSWERED] == ending_cases[_i].n_unanswered,
+                 "%s", ending_cases[_i].name);
+  host_finish (&host);
+}
+END_TEST
+
+#define POST(fields, body) "POST /now HTTP/1.1\r\n" fields HEAD body
+
+static const struct
+{
+  const char *name;
+  const char *first;  /* bytes sent at once */
+  const char *second; /* bytes sent after 50 ms; NULL: none */
+  uint32_t n_answers;
+} form_cases[] = {
+  { "GET", GET ("/now"), NULL, 1 },
+  { "HEAD", "HEAD /now HTTP/1.1\r\n" HEAD, NULL, 1 },
+  { "HEAD, then GET", "HEAD /now HTTP/1.1\r\n" HEAD GET ("/now"), NULL, 2 },
+  { "length 0", POST ("Content-Length: 0\r\n", ""), NULL, 1 },
+  { "body in two parts", POST ("Content-Length: 4\r\n", "ab"), "cd", 1 },
+  { "chunks", POST ("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n"), "0\r\n\r\n", 1 },
+  { "chunks with a trailer", POST ("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n0\r\n"),
+    "X-T: 1\r\n\r\n", 1 },
+  { "expects 100", POST ("Expect: 100-continue\r\nContent-Length: 2\r\n", ""), "ab", 1 },
+  { "expects 100 and does not wait", POST ("Expect: 100-continue\r\nContent-Length: 2\r\n", "ab"),
+    NULL, 1 },
+  { "expects 100, with chunks", POST ("Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n", ""),
+    "2\r\nab\r\n0\r\n\r\n", 1 },
+  { "pipelined", GET ("/now") GET ("/now") GET ("/now"), NULL, 3 },
+  { "pipelined after a body", POST ("Content-Length: 2\r\n", "ab") GET ("/now"), NULL, 2 },
+  { "pipelined after chunks",
+    POST ("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n0\r\n\r\n") GET ("/now"), NULL, 2 },
+  { "head in two parts", "GET /now HTTP/1.1\r\nHo", "st: a\r\n\r\n", 1 },
+  { "HTTP/1.0", "GET /now HTTP/1.0\r\n" HEAD, NULL, 1 },
+};
+
+/* The next request on the connection shows that no further answer came before. */
+START_TEST (each_request_gets_one_answer_whatever_its_form)
+{
+  Host host;
+  host_init (&host);
+  int fd = open_socket (&host);
+  send_text (fd, form_cases[_i].first);
+  run_for (&host, 0.05);
+  if (form_cases[_i].second)
+    send_text (fd, form_cases[_i].second);
+  Reader reader = read_answers (&host, fd, form_cases[_i].n_answers);
+  ck_assert_msg (n_answers (&reader) == form_cases[_i].n_answers, "%s: %s", form_cases[_i].name,
+                 reader.text->str);
+  reader_finish (&reader);
+  host_finish (&host);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tcase = tcase_create ("callers");
+  signal (SIGPIPE, SIG_IGN);
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, each_cut_call_is_counted_and_no_other, 0,
+                       (int) G_N_ELEMENTS (ending_cases));
+  tcase_add_loop_test (tcase, each_request_gets_one_answer_whatever_its_form, 0,
+                       (int) G_N_ELEMENTS (form_cases));
+  return suite_run ("callers", tcase);
+}
