End only connections without a whole request at the idle timeout

Callers saw connections closed without a complete answer: when a caller did not read its answer for the idle timeout; when the process had stood still and the next request lay unread in the socket; and, after the operator had raised limits.idleTimeoutMs, on connections that they were still allowed to use, as only new ones took the value. All three are worst beside a configuration that changes the limit.

Cause: libmicrohttpd's connection timeout. It counts while an answer waits for its reader, is looked at before the bytes that epoll has just reported (strace: EPOLLIN for the connection, then shutdown and close with no read), and is set once for each connection.

http_connections keeps the open connections and ends one only if it has no whole request, nothing was received for the highest limit that was in force since its last answer, and no byte is unread; it is shut down for reading, so what libmicrohttpd has is still answered. libmicrohttpd's own timeout, two minutes, is left for callers that never read their answer.

test_callers/the_idle_timeout_ends_no_connection_with_a_request failed before for a slow reader (cut), a frozen process and a raised limit (no answer), and passes; that connections without a whole request still end in time is a table of its own.

--- a/src/net/http_call_end.c
+++ b/src/net/http_call_end.c
@@ -51,10 +51,11 @@
   static const char *const cuts[] = { [DY_CUT_CALLER] = "caller_closed",
                                       [DY_CUT_RESET] = "reset",
                                       [DY_CUT_WRITER] = "aborted",
-                                      [DY_CUT_STOP] = "server_stops" };
+                                      [DY_CUT_STOP] = "server_stops",
+                                      [DY_CUT_IDLE] = "idle_timeout" };
   static const char *const codes[] = { [MHD_REQUEST_TERMINATED_COMPLETED_OK] = "-",
                                        [MHD_REQUEST_TERMINATED_WITH_ERROR] = "library_error",
-                                       [MHD_REQUEST_TERMINATED_TIMEOUT_REACHED] = "idle_timeout",
+                                       [MHD_REQUEST_TERMINATED_TIMEOUT_REACHED] = "send_timeout",
                                        [MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN] = "server_stops",
                                        [MHD_REQUEST_TERMINATED_READ_ERROR] = "reset",
                                        [MHD_REQUEST_TERMINATED_CLIENT_ABORT] = "caller_closed" };
--- a/src/net/http_call_end.h
+++ b/src/net/http_call_end.h
@@ -23,6 +23,7 @@
   DY_CUT_RESET,   /* reading from the connection failed */
   DY_CUT_WRITER,  /* dy_http_call_abort() */
   DY_CUT_STOP,    /* dy_http_server_finish() */
+  DY_CUT_IDLE,    /* the request was not complete and nothing came for the idle timeout */
 } DyCut;
 
 typedef enum
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -14,13 +14,19 @@
   /* Time that a turn of the loop spends in the handler. Sockets and timers of all other work wait
    * for the end of the turn. */
   TURN_BUDGET_US = 20 * 1000,
+  /* Time for which a caller may leave an answer unread. Connections are also closed if they are
+   * idle for that long. */
+  SEND_TIMEOUT_S = 120,
 };
 
+static const double SWEEP_INTERVAL_S = 0.2;
+
 struct DyHttpCall
 {
   DyHttpServer *server;
   GList pending_link; /* in the server's queue; its data is NULL while it is not there */
   struct MHD_Connection *connection;
+  DyHttpConnection *record;
   char *method;
   char *path;
   char *target;
@@ -78,6 +84,16 @@
   call->pending_link.data = NULL;
 }
 
+/* Ends a call whose caller has left. */
+static void
+end_left (DyHttpCall *call, DyCut cut)
+{
+  call->aborted = true;
+  call->cut = cut;
+  remove_pending (call);
+  resume (call);
+}
+
 /* libmicrohttpd does not poll suspended connections, so a caller that disconnects is detected
  * here. Bytes that arrive are left to libmicrohttpd. */
 static void
@@ -90,10 +106,7 @@
   ev_io_stop (loop, w);
   if (n > 0)
     return;
-  call->aborted = true;
-  call->cut = n == 0 ? DY_CUT_CALLER : DY_CUT_RESET;
-  remove_pending (call);
-  resume (call);
+  end_left (call, n == 0 ? DY_CUT_CALLER : DY_CUT_RESET);
 }
 
 /* Content reader of libmicrohttpd: copies buffered stream bytes; suspends the connection when there
@@ -153,6 +166,9 @@
   DyHttpCall *call = g_new0 (DyHttpCall, 1);
   call->server = server;
   call->connection = conn;
+  call->record = MHD_get_connection_info (conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+  call->record->call = call;
+  call->record->active_us = g_get_monotonic_time ();
   call->target = g_strdup (target);
   call->arrived_us = g_get_monotonic_time ();
   call->body = g_string_new (NULL);
@@ -233,6 +249,7 @@
 static void
 append_body (DyHttpCall *call, const char *data, size_t n)
 {
+  call->record->active_us = g_get_monotonic_time ();
   if (call->body->len + n > call->server->max_body_bytes)
     call->too_large = true;
   else
@@ -257,6 +274,7 @@
 {
   DyHttpServer *server = call->server;
   call->complete = true;
+  call->record->busy = true;
   call->ready_us = server->turn_started_us;
   if (server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US)
     {
@@ -356,6 +374,7 @@
     report_cut (call, code);
   ev_io_stop (server->loop, &call->disconnect_io);
   remove_pending (call);
+  dy_http_connection_end_call (call->record, server->idle_timeout_s, g_get_monotonic_time ());
   g_hash_table_remove (server->calls, call);
   if (call->watcher && call->watcher->closed)
     call->watcher->closed (call->ctx, call,
@@ -375,13 +394,45 @@
 static void
 notify_connection (void *cls,
                    struct MHD_Connection *conn,
-                   void **state,
+                   void **context,
                    enum MHD_ConnectionNotificationCode code)
 {
-  const DyHttpServer *server = cls;
-  (void) state;
-  if (code == MHD_CONNECTION_NOTIFY_STARTED && server->idle_timeout_s)
-    MHD_set_connection_option (conn, MHD_CONNECTION_OPTION_TIMEOUT, server->idle_timeout_s);
+  DyHttpServer *server = cls;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      int fd = MHD_get_connection_info (conn, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+      *context = dy_http_connections_add (&server->connections, fd, server->idle_timeout_s,
+                                          g_get_monotonic_time ());
+      return;
+    }
+  dy_http_connections_remove (&server->connections, *context);
+  *context = NULL;
+}
+
+static void
+on_expired (void *ctx, DyHttpCall *call)
+{
+  (void) ctx;
+  call->cut = DY_CUT_IDLE;
+}
+
+static void
+on_left (void *ctx, DyHttpCall *call)
+{
+  (void) ctx;
+  end_left (call, DY_CUT_CALLER);
+}
+
+static const DyHttpConnectionsWatcher connections_watcher
+    = { .expired = on_expired, .left = on_left };
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyHttpServer *server = w->data;
+  (void) loop;
+  (void) events;
+  dy_http_connections_sweep (&server->connections, server->idle_timeout_s, g_get_monotonic_time ());
 }
 
 static void
@@ -450,13 +501,16 @@
   server->buffer_bytes = buffer_bytes;
   if (dy_address_parse (listen, &addr))
     return DY_SETTINGS;
+  server->connections.watcher = &connections_watcher;
+  server->connections.ctx = server;
   server->calls = g_hash_table_new (NULL, NULL);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_connection, server,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_URI_LOG_CALLBACK, begin_call, server,
       MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
       complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) max_header_bytes,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) SEND_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+      1U, MHD_OPTION_END);
   if (!server->daemon)
     {
       g_hash_table_unref (server->calls);
@@ -467,12 +521,15 @@
   ev_timer_init (&server->timer, on_timer, 0.0, 0.0);
   ev_check_init (&server->turn_start, on_turn_start);
   ev_prepare_init (&server->prepare, on_prepare);
+  ev_timer_init (&server->sweep, on_sweep, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
   server->io.data = server;
+  server->sweep.data = server;
   server->timer.data = server;
   server->turn_start.data = server;
   server->prepare.data = server;
   ev_set_priority (&server->turn_start, EV_MAXPRI);
   ev_io_start (loop, &server->io);
+  ev_timer_start (loop, &server->sweep);
   ev_check_start (loop, &server->turn_start);
   ev_prepare_start (loop, &server->prepare);
   return DY_OK;
@@ -501,6 +558,7 @@
     return;
   ev_io_stop (server->loop, &server->io);
   ev_timer_stop (server->loop, &server->timer);
+  ev_timer_stop (server->loop, &server->sweep);
   ev_check_stop (server->loop, &server->turn_start);
   ev_prepare_stop (server->loop, &server->prepare);
   abort_calls (server);
@@ -509,6 +567,12 @@
   server->daemon = NULL;
 }
 
+void
+dy_http_server_set_idle_timeout (DyHttpServer *server, uint32_t timeout_s)
+{
+  server->idle_timeout_s = timeout_s;
+}
+
 uint32_t
 dy_http_server_n_calls (const DyHttpServer *server)
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -26,6 +26,7 @@
  */
 
 #include "kernel/counters.h"
+#include "net/http_connections.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -68,11 +69,13 @@
   int64_t turn_started_us; /* monotonic time at which this turn of the loop began */
   int64_t turn_spent_us;   /* time spent in the handler in this turn */
   DyCounters *counters;    /* NULL: calls are not counted */
-  uint32_t idle_timeout_s; /* applies to connections opened later; 0: no timeout */
+  DyHttpConnections connections;
+  uint32_t idle_timeout_s; /* 0: no timeout */
   bool closing;            /* answers carry "Connection: close" */
   bool run_needed;         /* MHD_run() is due before the loop waits */
   ev_io io;
   ev_timer timer;
+  ev_timer sweep; /* of the connections */
   ev_check turn_start;
   ev_prepare prepare;
 } DyHttpServer;
@@ -91,6 +94,11 @@
 /* Aborts all calls and stops listening. */
 void dy_http_server_finish (DyHttpServer *server);
 
+/* Sets the time after which an idle connection is closed; 0: only after the time for which a caller
+ * may also leave an answer unread, two minutes. A connection that is open keeps a higher limit
+ * until its next answer is complete. */
+void dy_http_server_set_idle_timeout (DyHttpServer *server, uint32_t timeout_s);
+
 /* Returns the number of calls that have not ended. */
 uint32_t dy_http_server_n_calls (const DyHttpServer *server);
 
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -91,7 +91,8 @@
   if (routes->max_body_bytes)
     gateway->server.max_body_bytes = routes->max_body_bytes;
   if (routes->idle_timeout_ms)
-    gateway->server.idle_timeout_s = (uint32_t) ((routes->idle_timeout_ms + 999) / 1000);
+    dy_http_server_set_idle_timeout (&gateway->server,
+                                     (uint32_t) ((routes->idle_timeout_ms + 999) / 1000));
   g_hash_table_iter_init (&iter, routes->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -306,6 +306,120 @@
 }
 END_TEST
 
+typedef enum
+{
+  WAIT_HELD,        /* the handler answers late */
+  WAIT_STREAM,      /* a stream pauses */
+  WAIT_SLOW_READER, /* the caller does not read for a while */
+  WAIT_FROZEN,      /* the loop stands still, and the request arrives meanwhile */
+  WAIT_RAISED,      /* the connection is idle, and the limit is raised meanwhile */
+} Wait;
+
+static const struct
+{
+  const char *name;
+  Wait wait;
+} idle_cases[] = {
+  { "a late answer", WAIT_HELD },        { "a pause in a stream", WAIT_STREAM },
+  { "a slow reader", WAIT_SLOW_READER }, { "a frozen process", WAIT_FROZEN },
+  { "a raised limit", WAIT_RAISED },
+};
+
+static void
+wait_in_call (Host *host, int fd, Wait wait, double pause_s)
+{
+  enum
+  {
+    LARGE_BYTES = 8 * 1024 * 1024 /* more than the kernel buffers */
+  };
+  char *large;
+  if (wait == WAIT_FROZEN || wait == WAIT_RAISED)
+    {
+      if (wait == WAIT_FROZEN)
+        g_usleep ((gulong) (pause_s * 1e6));
+      else
+        run_for (host, pause_s);
+      send_text (fd, GET ("/now"));
+      return;
+    }
+  send_text (fd, GET ("/held"));
+  run_until (host, host->n_held == 1);
+  if (wait == WAIT_STREAM)
+    {
+      dy_http_call_start_stream (host->held[0], 200, "text/plain");
+      dy_http_call_write (host->held[0], "a", 1);
+    }
+  large = g_strnfill (LARGE_BYTES, 'a');
+  if (wait == WAIT_SLOW_READER)
+    dy_http_call_reply (host->held[0], 200, "text/plain", large, LARGE_BYTES);
+  g_free (large);
+  run_for (host, pause_s);
+  if (wait == WAIT_HELD)
+    reply (host->held[0]);
+  if (wait == WAIT_STREAM && host->held[0])
+    dy_http_call_end (host->held[0]);
+}
+
+START_TEST (the_idle_timeout_ends_no_connection_with_a_request)
+{
+  static const double PAUSE_S = 2.6;
+  Host host;
+  host_init (&host);
+  host.server.idle_timeout_s = 1;
+  int fd = open_socket (&host);
+  send_text (fd, GET ("/now"));
+  Reader reader = read_answers (&host, fd, 1);
+  if (idle_cases[_i].wait == WAIT_RAISED)
+    dy_http_server_set_idle_timeout (&host.server, 20);
+  wait_in_call (&host, fd, idle_cases[_i].wait, PAUSE_S);
+  g_string_truncate (reader.text, 0);
+  int64_t end_us = g_get_monotonic_time () + (int64_t) (WAIT_S * 1e6);
+  while ((n_answers (&reader) == 0 || dy_http_server_n_calls (&host.server) > 0) && !reader.closed
+         && g_get_monotonic_time () < end_us)
+    {
+      run_for (&host, 0.001);
+      read_available (&reader);
+    }
+  ck_assert_msg (n_answers (&reader) == 1, "%s: no answer", idle_cases[_i].name);
+  ck_assert_msg (host.counters.values[DY_COUNTER_CALLS_CUT] == 0, "%s: cut", idle_cases[_i].name);
+  reader_finish (&reader);
+  host_finish (&host);
+}
+END_TEST
+
+static const struct
+{
+  const char *name;
+  const char *sent;
+  int64_t n_cut; /* calls */
+} expiry_cases[] = {
+  { "nothing was sent", "", 0 },
+  { "after an answer", GET ("/now"), 0 },
+  { "a part of the request line", "GET /no", 0 },
+  { "a part of the head", "GET /now HTTP/1.1\r\nHo", 1 },
+  { "a part of the body", "POST /now HTTP/1.1\r\nContent-Length: 9\r\n" HEAD "ab", 1 },
+};
+
+START_TEST (a_connection_without_a_whole_request_ends_at_the_idle_timeout)
+{
+  static const double MARGIN_S = 0.6;
+  Host host;
+  host_init (&host);
+  host.server.idle_timeout_s = 1;
+  Reader reader = { .fd = open_socket (&host), .text = g_string_new (NULL) };
+  send_text (reader.fd, expiry_cases[_i].sent);
+  run_for (&host, 0.8);
+  read_available (&reader);
+  ck_assert_msg (!reader.closed, "%s: closed too early", expiry_cases[_i].name);
+  run_for (&host, 0.2 + MARGIN_S);
+  read_available (&reader);
+  ck_assert_msg (reader.closed, "%s: not closed", expiry_cases[_i].name);
+  ck_assert_int_eq (host.counters.values[DY_COUNTER_CALLS_CUT], expiry_cases[_i].n_cut);
+  reader_finish (&reader);
+  host_finish (&host);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -316,5 +430,9 @@
                        (int) G_N_ELEMENTS (ending_cases));
   tcase_add_loop_test (tcase, each_request_gets_one_answer_whatever_its_form, 0,
                        (int) G_N_ELEMENTS (form_cases));
+  tcase_add_loop_test (tcase, the_idle_timeout_ends_no_connection_with_a_request, 0,
+                       (int) G_N_ELEMENTS (idle_cases));
+  tcase_add_loop_test (tcase, a_connection_without_a_whole_request_ends_at_the_idle_timeout, 0,
+                       (int) G_N_ELEMENTS (expiry_cases));
   return suite_run ("callers", tcase);
 }
