Accept as many connections as the descriptors allow, and refuse the rest

Callers beyond 1,020 connections saw silence: libmicrohttpd accepts FD_SETSIZE - 4 connections unless told otherwise and leaves the rest in the queue of the kernel, where a request is neither answered nor refused until its caller gives up.

The limit is now three quarters of the descriptors that the process may have, and the daemon raises its soft limit to the hard one, as is usual for programs without select(). A few more connections are accepted to be refused: 503 with Retry-After and "Connection: close", or closed after a second without a request, so that those behind them get their turn.

test_callers: each_of_2500_connections_is_answered failed before (1,020 answered), so did connections_beyond_the_limit_are_refused_and_closed (all served up to libmicrohttpd's own limit); both pass.

--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -20,9 +20,11 @@
 
 #include <argp.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -331,6 +333,20 @@
   return error;
 }
 
+/* Lets the process have as many descriptors as it may: one for each connection. The soft limit is
+ * for programs that use select(). */
+static void
+raise_descriptor_limit (void)
+{
+  struct rlimit limit;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    dy_log (DY_EVENT_SETTINGS_INVALID, "the limit on open files stays as it is: %s",
+            g_strerror (errno));
+}
+
 static GLogLevelFlags
 log_level_from_name (const char *name)
 {
@@ -356,6 +372,7 @@
     }
   dy_log_init (strcmp (settings.log_format, "json") == 0, log_level_from_name (settings.log_level),
                settings.log_lines_per_s);
+  raise_descriptor_limit ();
   curl_global_init (CURL_GLOBAL_ALL);
   if (!args.check_only)
     {
--- a/src/net/http_connections.c
+++ b/src/net/http_connections.c
@@ -17,6 +17,7 @@
   connection->active_us = now_us;
   connection->idle_limit_s = idle_limit_s;
   g_queue_push_tail_link (&connections->queue, &connection->link);
+  connection->crowded = connections->queue.length > connections->max_connections;
   return connection;
 }
 
@@ -44,12 +45,23 @@
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* Returns 0 if there is no limit. */
+static int64_t
+idle_limit_us (const DyHttpConnection *connection, uint32_t idle_limit_s)
+{
+  if (connection->crowded)
+    return (int64_t) DY_HTTP_CROWDED_IDLE_S * G_USEC_PER_SEC;
+  if (connection->idle_limit_s == 0 || idle_limit_s == 0)
+    return 0;
+  return (int64_t) MAX (connection->idle_limit_s, idle_limit_s) * G_USEC_PER_SEC;
+}
+
 static bool
 is_expired (const DyHttpConnection *connection, uint32_t idle_limit_s, int64_t now_us)
 {
-  if (connection->busy || connection->shut || connection->idle_limit_s == 0 || idle_limit_s == 0)
+  int64_t limit_us = idle_limit_us (connection, idle_limit_s);
+  if (connection->busy || connection->shut || limit_us == 0)
     return false;
-  int64_t limit_us = (int64_t) MAX (connection->idle_limit_s, idle_limit_s) * G_USEC_PER_SEC;
   return now_us - connection->active_us > limit_us && !has_unread_bytes (connection->fd);
 }
 
--- a/src/net/http_connections.h
+++ b/src/net/http_connections.h
@@ -19,6 +19,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  DY_HTTP_CROWDED_IDLE_S = 1, /* idle limit of a connection beyond the limit of connections */
+};
+
 struct DyHttpCall;
 
 typedef struct
@@ -28,6 +33,7 @@
   int64_t active_us;       /* monotonic time of the last activity */
   uint32_t idle_limit_s;   /* in force at the end of the last answer; 0: none */
   bool busy;               /* a whole request is read and its answer is not complete */
+  bool crowded;            /* opened beyond the limit of connections */
   bool shut;               /* shut down for reading */
   struct DyHttpCall *call; /* the request that is being read or answered; NULL: none */
   bool polled;             /* sweeps check whether the caller has left, as readable bytes hide it */
@@ -43,7 +49,8 @@
 
 typedef struct
 {
-  GQueue queue; /* of DyHttpConnection */
+  GQueue queue;             /* of DyHttpConnection */
+  uint32_t max_connections; /* those opened beyond it are marked as crowded */
   const DyHttpConnectionsWatcher *watcher;
   void *ctx;
 } DyHttpConnections;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -7,6 +7,7 @@
 
 #include <errno.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 enum
@@ -17,6 +18,8 @@
   /* Time for which a caller may leave an answer unread. Connections are also closed if they are
    * idle for that long. */
   SEND_TIMEOUT_S = 120,
+  /* Connections beyond the limit that may wait for their refusal at a time. */
+  CROWDED_CONNECTIONS = 64,
 };
 
 static const double SWEEP_INTERVAL_S = 0.2;
@@ -149,7 +152,7 @@
   for (guint i = 0; i + 1 < call->headers->len; i += 2)
     MHD_add_response_header (call->response, g_ptr_array_index (call->headers, i),
                              g_ptr_array_index (call->headers, i + 1));
-  if (call->server->closing)
+  if (call->server->closing || call->record->crowded)
     MHD_add_response_header (call->response, MHD_HTTP_HEADER_CONNECTION, "close");
   call->queued = true;
   enum MHD_Result result = MHD_queue_response (call->connection, call->status, call->response);
@@ -232,7 +235,7 @@
   static char text[] = "the request's framing is ambiguous\n";
   call->status = MHD_HTTP_BAD_REQUEST;
   call->response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_PERSISTENT);
-  if (!call->server->closing)
+  if (!call->server->closing && !call->record->crowded)
     dy_http_call_add_header (call, MHD_HTTP_HEADER_CONNECTION, "close");
   return queue_response (call);
 }
@@ -256,6 +259,19 @@
     g_string_append_len (call->body, data, (gssize) n);
 }
 
+static void
+refuse_crowded (DyHttpCall *call)
+{
+  DyHttpServer *server = call->server;
+  if (server->handler->overloaded)
+    {
+      server->handler->overloaded (server->ctx, call);
+      return;
+    }
+  dy_http_call_add_header (call, MHD_HTTP_HEADER_RETRY_AFTER, "1");
+  dy_http_call_reply (call, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, "", 0);
+}
+
 static void
 run_handler (DyHttpCall *call)
 {
@@ -263,6 +279,8 @@
   int64_t started_us = g_get_monotonic_time ();
   if (call->too_large)
     server->handler->too_large (server->ctx, call);
+  else if (call->record->crowded)
+    refuse_crowded (call);
   else
     server->handler->handle (server->ctx, call);
   server->turn_spent_us += g_get_monotonic_time () - started_us;
@@ -482,6 +500,19 @@
   ev_timer_start (loop, &server->timer);
 }
 
+static uint32_t
+max_connections (void)
+{
+  enum
+  {
+    DEFAULT = 1000
+  };
+  struct rlimit limit;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return DEFAULT;
+  return (uint32_t) (MIN (limit.rlim_cur, (rlim_t) G_MAXINT32) / 4 * 3);
+}
+
 int
 dy_http_server_init (DyHttpServer *server,
                      struct ev_loop *loop,
@@ -503,12 +534,14 @@
     return DY_SETTINGS;
   server->connections.watcher = &connections_watcher;
   server->connections.ctx = server;
+  server->connections.max_connections = max_connections ();
   server->calls = g_hash_table_new (NULL, NULL);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_connection, server,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_URI_LOG_CALLBACK, begin_call, server,
       MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
       complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) max_header_bytes,
+      MHD_OPTION_CONNECTION_LIMIT, server->connections.max_connections + CROWDED_CONNECTIONS,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) SEND_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE,
       1U, MHD_OPTION_END);
   if (!server->daemon)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -22,6 +22,11 @@
  *   field name that contains a blank) is answered with 400 and its connection closed before the
  *   handler sees it. This prevents request smuggling: no byte of it is parsed as another request.
  *
+ *   A server accepts as many connections as three quarters of the descriptors that the process may
+ *   have at its start; the rest is for other work. A request on a connection beyond that is refused
+ *   and the connection closed. Such connections are accepted a few at a time and end after a second
+ *   without a request.
+ *
  *   A call that ends without a complete answer is reported as http_call_end.h says.
  */
 
@@ -43,6 +48,9 @@
   /* Called instead when the body exceeds max_body_bytes; must answer with
    * dy_http_call_reply(). */
   void (*too_large) (void *ctx, DyHttpCall *call);
+  /* Called instead when the server has too many connections; must answer with
+   * dy_http_call_reply(). The connection is closed then. NULL: an empty 503. */
+  void (*overloaded) (void *ctx, DyHttpCall *call);
   /* Returns the caller's own id of the request for the log, or NULL. May be NULL. */
   const char *(*request_id) (void *ctx, DyHttpCall *call);
 } DyHttpServerHandler;
--- a/src/services/callers.c
+++ b/src/services/callers.c
@@ -220,7 +220,14 @@
   dy_callers_refuse (ctx, call, DY_BODY_TOO_LARGE, "");
 }
 
-static const DyHttpServerHandler handler = { .handle = handle, .too_large = refuse_too_large };
+static void
+refuse_overloaded (void *ctx, DyHttpCall *call)
+{
+  dy_callers_refuse (ctx, call, DY_OVERLOADED, "");
+}
+
+static const DyHttpServerHandler handler
+    = { .handle = handle, .too_large = refuse_too_large, .overloaded = refuse_overloaded };
 
 static void
 on_tick (struct ev_loop *loop, ev_timer *w, int events)
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -51,6 +51,12 @@
   dy_gateway_refuse (ctx, call, DY_BODY_TOO_LARGE);
 }
 
+static void
+refuse_overloaded (void *ctx, DyHttpCall *call)
+{
+  dy_gateway_refuse (ctx, call, DY_OVERLOADED);
+}
+
 static const char *
 request_id (void *ctx, DyHttpCall *call)
 {
@@ -61,8 +67,10 @@
   return head.request_id;
 }
 
-static const DyHttpServerHandler handler
-    = { .handle = handle, .too_large = refuse_too_large, .request_id = request_id };
+static const DyHttpServerHandler handler = { .handle = handle,
+                                             .too_large = refuse_too_large,
+                                             .overloaded = refuse_overloaded,
+                                             .request_id = request_id };
 
 static void
 handle_ready (void *ctx, DyHttpCall *call)
@@ -80,7 +88,7 @@
 }
 
 static const DyHttpServerHandler ready_handler
-    = { .handle = handle_ready, .too_large = handle_ready };
+    = { .handle = handle_ready, .too_large = handle_ready, .overloaded = handle_ready };
 
 static void
 apply_routes (void *ctx, const DyRouteTable *routes)
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,7 +80,16 @@
   dy_http_call_reply (call, 413, "text/plain", "", 0);
 }
 
-static const DyHttpServerHandler handler = { .handle = handle, .too_large = refuse };
+static void
+refuse_overloaded (void *ctx, DyHttpCall *call)
+{
+  (void) ctx;
+  dy_http_call_add_header (call, "Retry-After", "0.1");
+  dy_http_call_reply (call, 503, "text/plain", "", 0);
+}
+
+static const DyHttpServerHandler handler
+    = { .handle = handle, .too_large = refuse, .overloaded = refuse_overloaded };
 
 static void
 host_init (Host *host)
@@ -113,6 +123,15 @@
   return fd;
 }
 
+static void
+raise_descriptor_limit (void)
+{
+  struct rlimit limit;
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  limit.rlim_cur = limit.rlim_max;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
+}
+
 static void
 send_text (int fd, const char *text)
 {
@@ -400,6 +419,81 @@
   { "a part of the body", "POST /now HTTP/1.1\r\nContent-Length: 9\r\n" HEAD "ab", 1 },
 };
 
+/* Opens N connections and sends a request on each. */
+static void
+open_many (const Host *host, int *fds, uint32_t n)
+{
+  for (uint32_t i = 0; i < n; i++)
+    {
+      fds[i] = open_socket (host);
+      if (i % 64 == 0)
+        run_for (host, 0.001);
+    }
+  for (uint32_t i = 0; i < n; i++)
+    send_text (fds[i], GET ("/now"));
+}
+
+START_TEST (each_of_2500_connections_is_answered)
+{
+  enum
+  {
+    N_CONNECTIONS = 2500
+  };
+  Host host;
+  int fds[N_CONNECTIONS];
+  uint32_t n_answered = 0;
+  raise_descriptor_limit ();
+  host_init (&host);
+  open_many (&host, fds, N_CONNECTIONS);
+  for (uint32_t i = 0; i < N_CONNECTIONS; i++)
+    {
+      char block[256];
+      run_for (&host, 0.001);
+      ssize_t n = recv (fds[i], block, sizeof block - 1, 0);
+      block[MAX (n, 0)] = '\0';
+      n_answered += g_str_has_prefix (block, "HTTP/1.1 200") ? 1 : 0;
+    }
+  ck_assert_uint_eq (n_answered, N_CONNECTIONS);
+  for (uint32_t i = 0; i < N_CONNECTIONS; i++)
+    close (fds[i]);
+  host_finish (&host);
+}
+END_TEST
+
+/* As libmicrohttpd did not accept them, they waited in silence. */
+START_TEST (connections_beyond_the_limit_are_refused_and_closed)
+{
+  enum
+  {
+    N_DESCRIPTORS = 200,
+    N_SERVED = N_DESCRIPTORS * 3 / 4,
+    N_CONNECTIONS = N_SERVED + 150, /* more than may wait for their refusal at a time */
+  };
+  Host host;
+  int fds[N_CONNECTIONS];
+  struct rlimit limit;
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  struct rlimit low = { .rlim_cur = N_DESCRIPTORS, .rlim_max = limit.rlim_max };
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &low), 0);
+  host_init (&host);
+  raise_descriptor_limit ();
+  open_many (&host, fds, N_CONNECTIONS);
+  for (uint32_t i = 0; i < N_CONNECTIONS; i++)
+    {
+      Reader reader = read_answers (&host, fds[i], 1);
+      bool served = g_str_has_prefix (reader.text->str, "HTTP/1.1 200");
+      bool refused = g_str_has_prefix (reader.text->str, "HTTP/1.1 503")
+                     && strstr (reader.text->str, "Connection: close")
+                     && strstr (reader.text->str, "Retry-After: ") && reader.closed;
+      ck_assert_msg (i < N_SERVED ? served : refused, "connection %u: %s", i, reader.text->str);
+      g_string_free (reader.text, TRUE);
+    }
+  for (uint32_t i = 0; i < N_CONNECTIONS; i++)
+    close (fds[i]);
+  host_finish (&host);
+}
+END_TEST
+
 START_TEST (a_connection_without_a_whole_request_ends_at_the_idle_timeout)
 {
   static const double MARGIN_S = 0.6;
@@ -434,5 +528,7 @@
                        (int) G_N_ELEMENTS (idle_cases));
   tcase_add_loop_test (tcase, a_connection_without_a_whole_request_ends_at_the_idle_timeout, 0,
                        (int) G_N_ELEMENTS (expiry_cases));
+  tcase_add_test (tcase, each_of_2500_connections_is_answered);
+  tcase_add_test (tcase, connections_beyond_the_limit_are_refused_and_closed);
   return suite_run ("callers", tcase);
 }
