Answer the requests that were read before a server stops

Callers whose request was read, but waited for its turn or for a reservation at the end of the grace time, saw their connection closed without an answer: dy_http_server_finish() aborted all calls.

It now refuses the requests that the handler has not got, also those that lie unread in the sockets, calls the new stopped callback of each watcher whose call was not answered, and sends what was answered for a tenth of a second at most before it aborts the rest. The gateway's requests do not use the callback yet.

test_callers: requests_that_wait_when_the_server_stops_are_refused (no answer to the second of 12) and a_call_in_progress_can_be_answered_when_the_server_stops (no answer) failed before and pass.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -20,6 +20,8 @@
   SEND_TIMEOUT_S = 120,
   /* Connections beyond the limit that may wait for their refusal at a time. */
   CROWDED_CONNECTIONS = 64,
+  STOP_FLUSH_US = 100 * 1000, /* for answers that are not sent when the server stops */
+  STOP_PAUSE_US = 1000,       /* between tries to send them */
 };
 
 static const double SWEEP_INTERVAL_S = 0.2;
@@ -49,6 +51,7 @@
   bool complete;  /* the request was passed to the handler or is in the server's queue */
   bool too_large; /* the body exceeds max_body_bytes */
   bool suspended;
+  bool streamed;
   bool queued;              /* the answer was passed to libmicrohttpd */
   bool ended;               /* the stream is complete once its buffer is sent */
   bool aborted_after_flush; /* the connection is closed once the stream buffer is sent */
@@ -279,7 +282,7 @@
   int64_t started_us = g_get_monotonic_time ();
   if (call->too_large)
     server->handler->too_large (server->ctx, call);
-  else if (call->record->crowded)
+  else if (call->record->crowded || server->stopping)
     refuse_crowded (call);
   else
     server->handler->handle (server->ctx, call);
@@ -294,7 +297,8 @@
   call->complete = true;
   call->record->busy = true;
   call->ready_us = server->turn_started_us;
-  if (server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US)
+  bool has_time = server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US;
+  if (has_time || server->stopping)
     {
       run_handler (call);
       return;
@@ -568,6 +572,56 @@
   return DY_OK;
 }
 
+static void
+stop_call (DyHttpCall *call)
+{
+  bool answered = call->queued || call->response;
+  if (call->complete && !answered && call->watcher && call->watcher->stopped)
+    call->watcher->stopped (call->ctx, call);
+}
+
+/* Returns whether an answer that is complete is not sent. */
+static bool
+has_unsent_answers (const DyHttpServer *server)
+{
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, server->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const DyHttpCall *call = key;
+      if ((call->queued || call->response) && !call->aborted && (!call->streamed || call->ended))
+        return true;
+    }
+  return false;
+}
+
+/* Answers the requests that were read and sends what was answered, for a limited time. */
+static void
+flush_calls (DyHttpServer *server)
+{
+  int64_t end_us = g_get_monotonic_time () + STOP_FLUSH_US;
+  server->stopping = true;
+  server->closing = true;
+  while (server->pending.length > 0)
+    {
+      DyHttpCall *call = g_queue_peek_head (&server->pending);
+      remove_pending (call);
+      run_handler (call);
+    }
+  GList *calls = g_hash_table_get_keys (server->calls);
+  for (GList *l = calls; l; l = l->next)
+    stop_call (l->data);
+  g_list_free (calls);
+  MHD_run (server->daemon); /* accepts and reads what waits */
+  MHD_run (server->daemon);
+  while (has_unsent_answers (server) && g_get_monotonic_time () < end_us)
+    {
+      MHD_run (server->daemon);
+      g_usleep (STOP_PAUSE_US);
+    }
+}
+
 /* Aborts all calls, because libmicrohttpd cannot be stopped while connections are suspended. */
 static void
 abort_calls (DyHttpServer *server)
@@ -594,6 +648,7 @@
   ev_timer_stop (server->loop, &server->sweep);
   ev_check_stop (server->loop, &server->turn_start);
   ev_prepare_stop (server->loop, &server->prepare);
+  flush_calls (server);
   abort_calls (server);
   MHD_stop_daemon (server->daemon);
   g_hash_table_unref (server->calls);
@@ -723,6 +778,7 @@
     READ_BLOCK_BYTES = 4096
   };
   call->status = status;
+  call->streamed = true;
   call->response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, READ_BLOCK_BYTES,
                                                       read_stream, call, NULL);
   if (content_type)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -48,7 +48,7 @@
   /* Called instead when the body exceeds max_body_bytes; must answer with
    * dy_http_call_reply(). */
   void (*too_large) (void *ctx, DyHttpCall *call);
-  /* Called instead when the server has too many connections; must answer with
+  /* Called instead when the server has too many connections or stops; must answer with
    * dy_http_call_reply(). The connection is closed then. NULL: an empty 503. */
   void (*overloaded) (void *ctx, DyHttpCall *call);
   /* Returns the caller's own id of the request for the log, or NULL. May be NULL. */
@@ -59,6 +59,9 @@
 {
   /* Called after a send that left fewer than buffer_bytes / 2 unsent. May be NULL. */
   void (*drained) (void *ctx, DyHttpCall *call);
+  /* Called by dy_http_server_finish() for a call that was not answered, which may be answered with
+   * dy_http_call_reply(). May be NULL. */
+  void (*stopped) (void *ctx, DyHttpCall *call);
   /* Called when the call has ended; COMPLETE is true when the entire answer was sent. The call is
    * invalid from then on. May be NULL. */
   void (*closed) (void *ctx, DyHttpCall *call, bool complete);
@@ -79,6 +82,7 @@
   DyCounters *counters;    /* NULL: calls are not counted */
   DyHttpConnections connections;
   uint32_t idle_timeout_s; /* 0: no timeout */
+  bool stopping;           /* requests are refused */
   bool closing;            /* answers carry "Connection: close" */
   bool run_needed;         /* MHD_run() is due before the loop waits */
   ev_io io;
@@ -99,7 +103,9 @@
                          uint64_t buffer_bytes,
                          const DyHttpServerHandler *handler,
                          void *ctx);
-/* Aborts all calls and stops listening. */
+/* Refuses the requests that the handler has not got, has the others answered by the stopped
+ * callback of their watchers, sends for a tenth of a second what was answered, aborts all calls
+ * that are left and stops listening. */
 void dy_http_server_finish (DyHttpServer *server);
 
 /* Sets the time after which an idle connection is closed; 0: only after the time for which a caller
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -54,7 +54,8 @@
 static void
 refuse_overloaded (void *ctx, DyHttpCall *call)
 {
-  dy_gateway_refuse (ctx, call, DY_OVERLOADED);
+  DyGateway *gateway = ctx;
+  dy_gateway_refuse (gateway, call, gateway->server.closing ? DY_DRAINING : DY_OVERLOADED);
 }
 
 static const char *
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -21,6 +21,7 @@
   HEADER_BYTES = 48 * 1024,
   BUFFER_BYTES = 64 * 1024,
   MAX_HELD = 64,
+  SPIN_US = 30 * 1000, /* more than a turn of the loop spends on requests */
 };
 
 static const double WAIT_S = 10.0;
@@ -28,7 +29,8 @@
 #define HEAD "Host: a\r\n\r\n"
 #define GET(path) "GET " path " HTTP/1.1\r\n" HEAD
 
-/* A server that answers /now at once and keeps the calls of all other paths. */
+/* A server that answers /now at once, /spin after SPIN_US, and keeps the calls of all other paths.
+ */
 typedef struct
 {
   struct ev_loop *loop;
@@ -63,7 +65,10 @@
 handle (void *ctx, DyHttpCall *call)
 {
   Host *host = ctx;
-  if (strcmp (dy_http_call_path (call), "/now") == 0)
+  bool spins = strcmp (dy_http_call_path (call), "/spin") == 0;
+  if (spins)
+    g_usleep (SPIN_US);
+  if (spins || strcmp (dy_http_call_path (call), "/now") == 0)
     {
       reply (call);
       return;
@@ -494,6 +499,58 @@
 }
 END_TEST
 
+/* The process ends at the end of its grace time, whatever is left. */
+START_TEST (requests_that_wait_when_the_server_stops_are_refused)
+{
+  enum
+  {
+    N_CONNECTIONS = 12
+  };
+  Host host;
+  int fds[N_CONNECTIONS];
+  host_init (&host);
+  for (int i = 0; i < N_CONNECTIONS; i++)
+    fds[i] = open_socket (&host);
+  run_for (&host, 0.02);
+  for (int i = 0; i < N_CONNECTIONS; i++)
+    send_text (fds[i], i == N_CONNECTIONS - 1 ? GET ("/held") : GET ("/spin"));
+  ev_run (host.loop, EVRUN_ONCE);
+  host_finish (&host);
+  for (int i = 0; i < N_CONNECTIONS; i++)
+    {
+      Reader reader = { .fd = fds[i], .text = g_string_new (NULL) };
+      read_available (&reader);
+      ck_assert_msg (n_answers (&reader) == 1, "request %d: %s", i, reader.text->str);
+      reader_finish (&reader);
+    }
+}
+END_TEST
+
+static void
+refuse_stopped (void *ctx, DyHttpCall *call)
+{
+  (void) ctx;
+  refuse_overloaded (NULL, call);
+}
+
+static const DyHttpCallWatcher stopped_watcher = { .closed = on_closed, .stopped = refuse_stopped };
+
+START_TEST (a_call_in_progress_can_be_answered_when_the_server_stops)
+{
+  Host host;
+  host_init (&host);
+  Reader reader = { .fd = open_socket (&host), .text = g_string_new (NULL) };
+  send_text (reader.fd, GET ("/held"));
+  run_until (&host, host.n_held == 1);
+  dy_http_call_watch (host.held[0], &stopped_watcher, &host);
+  host_finish (&host);
+  read_available (&reader);
+  ck_assert_msg (g_str_has_prefix (reader.text->str, "HTTP/1.1 503"), "%s", reader.text->str);
+  ck_assert_int_eq (host.counters.values[DY_COUNTER_CALLS_CUT], 0);
+  reader_finish (&reader);
+}
+END_TEST
+
 START_TEST (a_connection_without_a_whole_request_ends_at_the_idle_timeout)
 {
   static const double MARGIN_S = 0.6;
@@ -530,5 +587,7 @@
                        (int) G_N_ELEMENTS (expiry_cases));
   tcase_add_test (tcase, each_of_2500_connections_is_answered);
   tcase_add_test (tcase, connections_beyond_the_limit_are_refused_and_closed);
+  tcase_add_test (tcase, requests_that_wait_when_the_server_stops_are_refused);
+  tcase_add_test (tcase, a_call_in_progress_can_be_answered_when_the_server_stops);
   return suite_run ("callers", tcase);
 }
