Notice callers that leave behind another request, and answer those that still read

Callers that closed only the sending side of their connection after a request saw it closed without any answer. A FIN alone can't tell them from callers that are gone, and work for those has to end within half a second, so the call still ends; but it is answered with 502 where nothing was answered, which a caller that is gone never sees.

Work for callers that left was not ended when they had sent further bytes behind the request: on_disconnect() stopped watching once a byte was readable, and the byte hid the end of the connection from dy_http_call_is_disconnected(). A read that finds nothing (EAGAIN) no longer counts as the end of the connection; that was found by reading only.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -5,7 +5,6 @@
 #include "net/address.h"
 #include "net/http_call_end.h"
 
-#include <errno.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -52,6 +51,7 @@
   bool too_large; /* the body exceeds max_body_bytes */
   bool suspended;
   bool streamed;
+  bool left;                /* the caller has closed its sending side at least */
   bool queued;              /* the answer was passed to libmicrohttpd */
   bool ended;               /* the stream is complete once its buffer is sent */
   bool aborted_after_flush; /* the connection is closed once the stream buffer is sent */
@@ -77,6 +77,7 @@
     return;
   call->suspended = false;
   ev_io_stop (call->server->loop, &call->disconnect_io);
+  call->record->polled = false;
   MHD_resume_connection (call->connection);
   call->server->run_needed = true;
 }
@@ -90,29 +91,53 @@
   call->pending_link.data = NULL;
 }
 
+/* Answers a call that had no answer and whose caller has closed its sending side at least. */
+static void
+answer_left (DyHttpCall *call)
+{
+  call->left = true;
+  dy_http_call_reply (call, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
+}
+
 /* Ends a call whose caller has left. */
 static void
 end_left (DyHttpCall *call, DyCut cut)
 {
-  call->aborted = true;
+  const DyHttpCallWatcher *watcher = call->watcher;
   call->cut = cut;
   remove_pending (call);
+  if (cut == DY_CUT_CALLER && !call->queued && !call->response)
+    {
+      call->watcher = NULL;
+      if (watcher && watcher->closed)
+        watcher->closed (call->ctx, call, false);
+      answer_left (call);
+      return;
+    }
+  call->aborted = true;
   resume (call);
 }
 
 /* libmicrohttpd does not poll suspended connections, so a caller that disconnects is detected
- * here. Bytes that arrive are left to libmicrohttpd. */
+ * here. Bytes that arrive are left to libmicrohttpd; as they stay readable, the sweep looks for the
+ * end of the connection from then on. */
 static void
 on_disconnect (struct ev_loop *loop, ev_io *w, int events)
 {
   DyHttpCall *call = w->data;
   char byte;
   (void) events;
-  ssize_t n = recv (w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  ev_io_stop (loop, w);
-  if (n > 0)
+  DyPeerState peer = dy_peer_state (w->fd);
+  if (peer != DY_PEER_OPEN)
+    {
+      end_left (call, peer == DY_PEER_FINISHED ? DY_CUT_CALLER : DY_CUT_RESET);
+      return;
+    }
+  /* Less than 0 without a reset: there was nothing to read after all. */
+  if (recv (w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
     return;
-  end_left (call, n == 0 ? DY_CUT_CALLER : DY_CUT_RESET);
+  ev_io_stop (loop, w);
+  call->record->polled = true;
 }
 
 /* Content reader of libmicrohttpd: copies buffered stream bytes; suspends the connection when there
@@ -155,7 +180,7 @@
   for (guint i = 0; i + 1 < call->headers->len; i += 2)
     MHD_add_response_header (call->response, g_ptr_array_index (call->headers, i),
                              g_ptr_array_index (call->headers, i + 1));
-  if (call->server->closing || call->record->crowded)
+  if (call->server->closing || call->record->crowded || call->left)
     MHD_add_response_header (call->response, MHD_HTTP_HEADER_CONNECTION, "close");
   call->queued = true;
   enum MHD_Result result = MHD_queue_response (call->connection, call->status, call->response);
@@ -392,15 +417,15 @@
   (void) conn;
   if (!call)
     return;
-  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK || call->aborted)
+  bool complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !call->aborted && !call->left;
+  if (!complete)
     report_cut (call, code);
   ev_io_stop (server->loop, &call->disconnect_io);
   remove_pending (call);
   dy_http_connection_end_call (call->record, server->idle_timeout_s, g_get_monotonic_time ());
   g_hash_table_remove (server->calls, call);
   if (call->watcher && call->watcher->closed)
-    call->watcher->closed (call->ctx, call,
-                           code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !call->aborted);
+    call->watcher->closed (call->ctx, call, complete);
   if (call->response)
     MHD_destroy_response (call->response);
   g_string_free (call->body, TRUE);
@@ -630,9 +655,10 @@
   for (GList *l = calls; l; l = l->next)
     {
       DyHttpCall *call = l->data;
-      call->aborted = true;
       call->cut = call->cut ? call->cut : DY_CUT_STOP;
-      dy_http_call_abort (call);
+      call->aborted = true;
+      call->aborted_after_flush = true;
+      resume (call);
     }
   g_list_free (calls);
   MHD_run (server->daemon);
@@ -803,18 +829,23 @@
 void
 dy_http_call_abort (DyHttpCall *call)
 {
+  bool answered = call->queued || call->response;
+  if (!answered && dy_peer_state (call->disconnect_io.fd) == DY_PEER_FINISHED)
+    {
+      call->cut = call->cut ? call->cut : DY_CUT_CALLER;
+      answer_left (call);
+      return;
+    }
   call->aborted_after_flush = true;
   call->cut = call->cut ? call->cut : DY_CUT_WRITER;
-  call->aborted = call->aborted || (!call->queued && !call->response);
+  call->aborted = call->aborted || !answered;
   resume (call);
 }
 
 bool
 dy_http_call_is_disconnected (const DyHttpCall *call)
 {
-  char byte;
-  ssize_t n = recv (call->disconnect_io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno == ECONNRESET);
+  return dy_peer_state (call->disconnect_io.fd) != DY_PEER_OPEN;
 }
 
 size_t
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -27,6 +27,11 @@
  *   and the connection closed. Such connections are accepted a few at a time and end after a second
  *   without a request.
  *
+ *   A caller that closes its sending side counts as one that has left, as until something is sent
+ * to it this looks the same as the closing of the whole connection, and work for callers that have
+ * left must end soon. If the call has no answer it is answered with 502, which says nothing about
+ * whether the request has run, for a caller that still reads; a stream is aborted.
+ *
  *   A call that ends without a complete answer is reported as http_call_end.h says.
  */
 
@@ -159,11 +164,12 @@
 void dy_http_call_end (DyHttpCall *call);
 
 /* Closes the connection without completing the answer. The bytes written to a stream are sent
- * first. */
+ * first. A call without an answer whose caller has closed its sending side is answered as said
+ * above. */
 void dy_http_call_abort (DyHttpCall *call);
 
-/* Returns whether the caller has closed or reset the connection, also before the closed callback
- * reports it. */
+/* Returns whether the caller has closed the connection, or its sending side, or reset it, also
+ * before the closed callback reports it. */
 bool dy_http_call_is_disconnected (const DyHttpCall *call);
 
 /* Returns the number of bytes written and not yet sent. */
