Do not wait for the body of an answer to a HEAD request

Callers of HEAD got no answer until their time limit, as the router waited for the body whose length the endpoint's answer states: libcurl takes HEAD as the name of a method with a body unless told otherwise. It is told now.

test_net/a_head_request_does_not_wait_for_a_body failed before (DY_TIMEOUT after 5 s) and passes; the connection is used again.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -523,7 +523,10 @@
     transfer->headers = curl_slist_append (transfer->headers, *h);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, transfer->headers);
   if (!spec->body)
-    return;
+    {
+      curl_easy_setopt (easy, CURLOPT_NOBODY, strcmp (spec->method, "HEAD") == 0 ? 1L : 0L);
+      return;
+    }
   curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long) spec->n_body);
   curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, spec->body);
 }
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -247,15 +247,15 @@
 }
 
 static DyHttpResult
-post (DyHttpClient *client, const char *address)
+call_method (DyHttpClient *client, const char *address, const char *method, const char *body)
 {
   static const DyHttpTransferWatcher watcher = { .done = on_done };
   Outcome outcome = { .loop = client->loop };
   char *url = g_strdup_printf ("http://%s/p", address);
-  DyHttpSpec spec = { .method = "POST",
+  DyHttpSpec spec = { .method = method,
                       .url = url,
-                      .body = "b",
-                      .n_body = 1,
+                      .body = body,
+                      .n_body = body ? strlen (body) : 0,
                       .connect_timeout_ms = 2000,
                       .timeout_ms = 5000 };
   dy_http_client_start (client, &spec, &watcher, &outcome);
@@ -265,6 +265,12 @@
   return outcome.result;
 }
 
+static DyHttpResult
+post (DyHttpClient *client, const char *address)
+{
+  return call_method (client, address, "POST", "b");
+}
+
 /* Each case makes two calls; n_requests is the number of requests that the server received. */
 static const struct
 {
@@ -310,6 +316,31 @@
 }
 END_TEST
 
+/* The length in its answer is that of a body which does not follow. */
+START_TEST (a_head_request_does_not_wait_for_a_body)
+{
+  static const char *const script[] = { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", OK_ANSWER };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  ScriptedServer server = { .loop = loop, .fd = -1, .script = script };
+  DyHttpClient client;
+  server.listen_fd = open_socket (address, true);
+  ev_io_init (&server.accept_io, on_accept, server.listen_fd, EV_READ);
+  server.accept_io.data = &server;
+  ev_io_start (loop, &server.accept_io);
+  dy_http_client_init (&client, loop);
+  ck_assert_int_eq (call_method (&client, address, "HEAD", NULL).error, DY_OK);
+  DyHttpResult second = post (&client, address);
+  ck_assert_int_eq (second.error, DY_OK);
+  ck_assert (second.reused);
+  dy_http_client_finish (&client);
+  end_connection (&server, false);
+  ev_io_stop (loop, &server.accept_io);
+  close (server.listen_fd);
+  g_free (address);
+}
+END_TEST
+
 /* Where no connection was made, none was used before. */
 START_TEST (a_refused_connection_is_not_reported_as_reused)
 {
@@ -660,6 +691,7 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, ambiguous_framing_is_rejected, 0, (int) G_N_ELEMENTS (framing_cases));
   tcase_add_loop_test (tcase, a_call_is_sent_once, 0, (int) G_N_ELEMENTS (call_cases));
+  tcase_add_test (tcase, a_head_request_does_not_wait_for_a_body);
   tcase_add_test (tcase, a_refused_connection_is_not_reported_as_reused);
   tcase_add_test (tcase, a_connection_with_unread_bytes_is_not_reused);
   tcase_add_test (tcase, socket_whose_connecting_timed_out_is_forgotten);
