Leave room for an answer beside a large head

A caller whose head nearly filled the memory of its connection saw it closed after the handler had answered: libmicrohttpd builds the head of the answer in what is left, and closes the connection if it does not fit. With 48 KiB a head of 40 KiB and an answer's head of 8 KiB, or 44 and 2.

The setting max_header_bytes keeps the heads that it let pass. An answer whose own fields take more than half of the limit is replaced by 502 and logged as 8003.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -51,7 +51,7 @@
   bool too_large; /* the body exceeds max_body_bytes */
   bool suspended;
   bool streamed;
-  bool left;                /* the caller has closed its sending side at least */
+  bool failed;              /* answered with 502 by the server */
   bool queued;              /* the answer was passed to libmicrohttpd */
   bool ended;               /* the stream is complete once its buffer is sent */
   bool aborted_after_flush; /* the connection is closed once the stream buffer is sent */
@@ -95,7 +95,7 @@
 static void
 answer_left (DyHttpCall *call)
 {
-  call->left = true;
+  call->failed = true;
   dy_http_call_reply (call, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
 }
 
@@ -174,13 +174,41 @@
   return (ssize_t) n;
 }
 
+/* Returns the size of the answer's header fields. */
+static size_t
+answer_head_bytes (const DyHttpCall *call)
+{
+  static const size_t n_separators = 2; /* ": " or the end of the line */
+  size_t n = 0;
+  for (guint i = 0; i < call->headers->len; i++)
+    n += strlen (g_ptr_array_index (call->headers, i)) + n_separators;
+  return n;
+}
+
+/* Replaces an answer whose header fields libmicrohttpd may have no memory for. */
+static void
+drop_large_answer (DyHttpCall *call)
+{
+  size_t n = answer_head_bytes (call);
+  if (n <= call->server->max_header_bytes / 2)
+    return;
+  dy_log (DY_EVENT_ANSWER_HEAD_TOO_LARGE, "bytes=%zu status=%u path=%s", n, call->status,
+          call->path);
+  call->failed = true;
+  call->status = MHD_HTTP_BAD_GATEWAY;
+  g_ptr_array_set_size (call->headers, 0);
+  MHD_destroy_response (call->response);
+  call->response = MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+}
+
 static enum MHD_Result
 queue_response (DyHttpCall *call)
 {
+  drop_large_answer (call);
   for (guint i = 0; i + 1 < call->headers->len; i += 2)
     MHD_add_response_header (call->response, g_ptr_array_index (call->headers, i),
                              g_ptr_array_index (call->headers, i + 1));
-  if (call->server->closing || call->record->crowded || call->left)
+  if (call->server->closing || call->record->crowded || call->failed)
     MHD_add_response_header (call->response, MHD_HTTP_HEADER_CONNECTION, "close");
   call->queued = true;
   enum MHD_Result result = MHD_queue_response (call->connection, call->status, call->response);
@@ -257,12 +285,13 @@
   return !framing.malformed && framing.n_lengths + framing.n_codings <= 1;
 }
 
+/* Answers a request of which no more is read. */
 static enum MHD_Result
-reject_framing (DyHttpCall *call)
+reject (DyHttpCall *call, unsigned status, const char *text)
 {
-  static char text[] = "the request's framing is ambiguous\n";
-  call->status = MHD_HTTP_BAD_REQUEST;
-  call->response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_PERSISTENT);
+  call->status = status;
+  call->response
+      = MHD_create_response_from_buffer (strlen (text), (void *) text, MHD_RESPMEM_PERSISTENT);
   if (!call->server->closing && !call->record->crowded)
     dy_http_call_add_header (call, MHD_HTTP_HEADER_CONNECTION, "close");
   return queue_response (call);
@@ -274,7 +303,13 @@
   call->header_read = true;
   call->method = g_strdup (method);
   call->path = g_strdup (path);
-  return is_framing_valid (call->connection) ? MHD_YES : reject_framing (call);
+  size_t n = MHD_get_connection_info (call->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+                 ->header_size;
+  if (n > call->server->max_header_bytes)
+    return reject (call, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large\n");
+  if (!is_framing_valid (call->connection))
+    return reject (call, MHD_HTTP_BAD_REQUEST, "the request's framing is ambiguous\n");
+  return MHD_YES;
 }
 
 static void
@@ -417,7 +452,7 @@
   (void) conn;
   if (!call)
     return;
-  bool complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !call->aborted && !call->left;
+  bool complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !call->aborted && !call->failed;
   if (!complete)
     report_cut (call, code);
   ev_io_stop (server->loop, &call->disconnect_io);
@@ -558,6 +593,7 @@
   server->handler = handler;
   server->ctx = ctx;
   server->max_body_bytes = max_body_bytes;
+  server->max_header_bytes = max_header_bytes;
   server->buffer_bytes = buffer_bytes;
   if (dy_address_parse (listen, &addr))
     return DY_SETTINGS;
@@ -569,7 +605,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_connection, server,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_URI_LOG_CALLBACK, begin_call, server,
       MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
-      complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) max_header_bytes,
+      complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) (2 * max_header_bytes),
       MHD_OPTION_CONNECTION_LIMIT, server->connections.max_connections + CROWDED_CONNECTIONS,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) SEND_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE,
       1U, MHD_OPTION_END);
