--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,10 +1,12 @@
 #include "net/http_server.h"
 
 #include "kernel/error.h"
+#include "kernel/log.h"
 #include "net/address.h"
+#include "net/http_call_end.h"
 
-#include <errno.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 enum
@@ -12,13 +14,23 @@
   /* Time that a turn of the loop spends in the handler. Sockets and timers of all other work wait
    * for the end of the turn. */
   TURN_BUDGET_US = 20 * 1000,
+  /* Time for which a caller may leave an answer unread. Connections are also closed if they are
+   * idle for that long. */
+  SEND_TIMEOUT_S = 120,
+  /* Connections beyond the limit that may wait for their refusal at a time. */
+  CROWDED_CONNECTIONS = 64,
+  STOP_FLUSH_US = 100 * 1000, /* for answers that are not sent when the server stops */
+  STOP_PAUSE_US = 1000,       /* between tries to send them */
 };
 
+static const double SWEEP_INTERVAL_S = 0.2;
+
 struct DyHttpCall
 {
   DyHttpServer *server;
   GList pending_link; /* in the server's queue; its data is NULL while it is not there */
   struct MHD_Connection *connection;
+  DyHttpConnection *record;
   char *method;
   char *path;
   char *target;
@@ -30,6 +42,7 @@
   struct MHD_Response *response;
   GPtrArray *headers; /* name, value, name, value ... */
   unsigned status;
+  DyCut cut; /* why the call is ended, if not by libmicrohttpd */
   const DyHttpCallWatcher *watcher;
   void *ctx;
   ev_io disconnect_io; /* active while the connection is suspended */
@@ -37,6 +50,8 @@
   bool complete;  /* the request was passed to the handler or is in the server's queue */
   bool too_large; /* the body exceeds max_body_bytes */
   bool suspended;
+  bool streamed;
+  bool failed;              /* answered with 502 by the server */
   bool queued;              /* the answer was passed to libmicrohttpd */
   bool ended;               /* the stream is complete once its buffer is sent */
   bool aborted_after_flush; /* the connection is closed once the stream buffer is sent */
@@ -62,6 +77,7 @@
     return;
   call->suspended = false;
   ev_io_stop (call->server->loop, &call->disconnect_io);
+  call->record->polled = false;
   MHD_resume_connection (call->connection);
   call->server->run_needed = true;
 }
@@ -75,21 +91,53 @@
   call->pending_link.data = NULL;
 }
 
+/* Answers a call that had no answer and whose caller has closed its sending side at least. */
+static void
+answer_left (DyHttpCall *call)
+{
+  call->failed = true;
+  dy_http_call_reply (call, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
+}
+
+/* Ends a call whose caller has left. */
+static void
+end_left (DyHttpCall *call, DyCut cut)
+{
+  const DyHttpCallWatcher *watcher = call->watcher;
+  call->cut = cut;
+  remove_pending (call);
+  if (cut == DY_CUT_CALLER && !call->queued && !call->response)
+    {
+      call->watcher = NULL;
+      if (watcher && watcher->closed)
+        watcher->closed (call->ctx, call, false);
+      answer_left (call);
+      return;
+    }
+  call->aborted = true;
+  resume (call);
+}
+
 /* libmicrohttpd does not poll suspended connections, so a caller that disconnects is detected
- * here. Bytes that arrive are left to libmicrohttpd. */
+ * here. Bytes that arrive are left to libmicrohttpd; as they stay readable, the sweep looks for the
+ * end of the connection from then on. */
 static void
 on_disconnect (struct ev_loop *loop, ev_io *w, int events)
 {
   DyHttpCall *call = w->data;
   char byte;
   (void) events;
-  ssize_t n = recv (w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  ev_io_stop (loop, w);
-  if (n > 0)
+  DyPeerState peer = dy_peer_state (w->fd);
+  if (peer != DY_PEER_OPEN)
+    {
+      end_left (call, peer == DY_PEER_FINISHED ? DY_CUT_CALLER : DY_CUT_RESET);
+      return;
+    }
+  /* Less than 0 without a reset: there was nothing to read after all. */
+  if (recv (w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
     return;
-  call->aborted = true;
-  remove_pending (call);
-  resume (call);
+  ev_io_stop (loop, w);
+  call->record->polled = true;
 }
 
 /* Content reader of libmicrohttpd: copies buffered stream bytes; suspends the connection when there
@@ -126,13 +174,41 @@
   return (ssize_t) n;
 }
 
+/* Returns the size of the answer's header fields. */
+static size_t
+answer_head_bytes (const DyHttpCall *call)
+{
+  static const size_t n_separators = 2; /* ": " or the end of the line */
+  size_t n = 0;
+  for (guint i = 0; i < call->headers->len; i++)
+    n += strlen (g_ptr_array_index (call->headers, i)) + n_separators;
+  return n;
+}
+
+/* Replaces an answer whose header fields libmicrohttpd may have no memory for. */
+static void
+drop_large_answer (DyHttpCall *call)
+{
+  size_t n = answer_head_bytes (call);
+  if (n <= call->server->max_header_bytes / 2)
+    return;
+  dy_log (DY_EVENT_ANSWER_HEAD_TOO_LARGE, "bytes=%zu status=%u path=%s", n, call->status,
+          call->path);
+  call->failed = true;
+  call->status = MHD_HTTP_BAD_GATEWAY;
+  g_ptr_array_set_size (call->headers, 0);
+  MHD_destroy_response (call->response);
+  call->response = MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+}
+
 static enum MHD_Result
 queue_response (DyHttpCall *call)
 {
+  drop_large_answer (call);
   for (guint i = 0; i + 1 < call->headers->len; i += 2)
     MHD_add_response_header (call->response, g_ptr_array_index (call->headers, i),
                              g_ptr_array_index (call->headers, i + 1));
-  if (call->server->closing)
+  if (call->server->closing || call->record->crowded || call->failed)
     MHD_add_response_header (call->response, MHD_HTTP_HEADER_CONNECTION, "close");
   call->queued = true;
   enum MHD_Result result = MHD_queue_response (call->connection, call->status, call->response);
@@ -149,6 +225,9 @@
   DyHttpCall *call = g_new0 (DyHttpCall, 1);
   call->server = server;
   call->connection = conn;
+  call->record = MHD_get_connection_info (conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+  call->record->call = call;
+  call->record->active_us = g_get_monotonic_time ();
   call->target = g_strdup (target);
   call->arrived_us = g_get_monotonic_time ();
   call->body = g_string_new (NULL);
@@ -206,13 +285,14 @@
   return !framing.malformed && framing.n_lengths + framing.n_codings <= 1;
 }
 
+/* Answers a request of which no more is read. */
 static enum MHD_Result
-reject_framing (DyHttpCall *call)
+reject (DyHttpCall *call, unsigned status, const char *text)
 {
-  static char text[] = "the request's framing is ambiguous\n";
-  call->status = MHD_HTTP_BAD_REQUEST;
-  call->response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_PERSISTENT);
-  if (!call->server->closing)
+  call->status = status;
+  call->response
+      = MHD_create_response_from_buffer (strlen (text), (void *) text, MHD_RESPMEM_PERSISTENT);
+  if (!call->server->closing && !call->record->crowded)
     dy_http_call_add_header (call, MHD_HTTP_HEADER_CONNECTION, "close");
   return queue_response (call);
 }
@@ -223,18 +303,38 @@
   call->header_read = true;
   call->method = g_strdup (method);
   call->path = g_strdup (path);
-  return is_framing_valid (call->connection) ? MHD_YES : reject_framing (call);
+  size_t n = MHD_get_connection_info (call->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+                 ->header_size;
+  if (n > call->server->max_header_bytes)
+    return reject (call, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large\n");
+  if (!is_framing_valid (call->connection))
+    return reject (call, MHD_HTTP_BAD_REQUEST, "the request's framing is ambiguous\n");
+  return MHD_YES;
 }
 
 static void
 append_body (DyHttpCall *call, const char *data, size_t n)
 {
+  call->record->active_us = g_get_monotonic_time ();
   if (call->body->len + n > call->server->max_body_bytes)
     call->too_large = true;
   else
     g_string_append_len (call->body, data, (gssize) n);
 }
 
+static void
+refuse_crowded (DyHttpCall *call)
+{
+  DyHttpServer *server = call->server;
+  if (server->handler->overloaded)
+    {
+      server->handler->overloaded (server->ctx, call);
+      return;
+    }
+  dy_http_call_add_header (call, MHD_HTTP_HEADER_RETRY_AFTER, "1");
+  dy_http_call_reply (call, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, "", 0);
+}
+
 static void
 run_handler (DyHttpCall *call)
 {
@@ -242,6 +342,8 @@
   int64_t started_us = g_get_monotonic_time ();
   if (call->too_large)
     server->handler->too_large (server->ctx, call);
+  else if (call->record->crowded || server->stopping)
+    refuse_crowded (call);
   else
     server->handler->handle (server->ctx, call);
   server->turn_spent_us += g_get_monotonic_time () - started_us;
@@ -253,8 +355,10 @@
 {
   DyHttpServer *server = call->server;
   call->complete = true;
+  call->record->busy = true;
   call->ready_us = server->turn_started_us;
-  if (server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US)
+  bool has_time = server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US;
+  if (has_time || server->stopping)
     {
       run_handler (call);
       return;
@@ -309,6 +413,34 @@
   return MHD_YES;
 }
 
+static DyReceived
+received (const DyHttpCall *call)
+{
+  if (call->complete)
+    return DY_RECEIVED_WHOLE;
+  return call->header_read ? DY_RECEIVED_HEAD : DY_RECEIVED_LINE;
+}
+
+static void
+report_cut (DyHttpCall *call, enum MHD_RequestTerminationCode code)
+{
+  DyHttpServer *server = call->server;
+  DyHttpCallEnd end = { .cut = call->cut,
+                        .code = code,
+                        .peer = dy_peer_state (call->disconnect_io.fd),
+                        .received = received (call),
+                        .waiting = call->pending_link.data != NULL,
+                        .answer_begun = call->queued,
+                        .status = call->status,
+                        .body_bytes = call->body->len,
+                        .unsent_bytes = dy_http_call_unsent_bytes (call),
+                        .age_us = g_get_monotonic_time () - call->arrived_us };
+  const char *id = call->header_read && server->handler->request_id
+                       ? server->handler->request_id (server->ctx, call)
+                       : NULL;
+  dy_http_call_end_report (&end, id, server->counters);
+}
+
 static void
 complete_call (void *cls,
                struct MHD_Connection *conn,
@@ -320,12 +452,15 @@
   (void) conn;
   if (!call)
     return;
+  bool complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !call->aborted && !call->failed;
+  if (!complete)
+    report_cut (call, code);
   ev_io_stop (server->loop, &call->disconnect_io);
   remove_pending (call);
+  dy_http_connection_end_call (call->record, server->idle_timeout_s, g_get_monotonic_time ());
   g_hash_table_remove (server->calls, call);
   if (call->watcher && call->watcher->closed)
-    call->watcher->closed (call->ctx, call,
-                           code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !call->aborted);
+    call->watcher->closed (call->ctx, call, complete);
   if (call->response)
     MHD_destroy_response (call->response);
   g_string_free (call->body, TRUE);
@@ -341,13 +476,45 @@
 static void
 notify_connection (void *cls,
                    struct MHD_Connection *conn,
-                   void **state,
+                   void **context,
                    enum MHD_ConnectionNotificationCode code)
 {
-  const DyHttpServer *server = cls;
-  (void) state;
-  if (code == MHD_CONNECTION_NOTIFY_STARTED && server->idle_timeout_s)
-    MHD_set_connection_option (conn, MHD_CONNECTION_OPTION_TIMEOUT, server->idle_timeout_s);
+  DyHttpServer *server = cls;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      int fd = MHD_get_connection_info (conn, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+      *context = dy_http_connections_add (&server->connections, fd, server->idle_timeout_s,
+                                          g_get_monotonic_time ());
+      return;
+    }
+  dy_http_connections_remove (&server->connections, *context);
+  *context = NULL;
+}
+
+static void
+on_expired (void *ctx, DyHttpCall *call)
+{
+  (void) ctx;
+  call->cut = DY_CUT_IDLE;
+}
+
+static void
+on_left (void *ctx, DyHttpCall *call)
+{
+  (void) ctx;
+  end_left (call, DY_CUT_CALLER);
+}
+
+static const DyHttpConnectionsWatcher connections_watcher
+    = { .expired = on_expired, .left = on_left };
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyHttpServer *server = w->data;
+  (void) loop;
+  (void) events;
+  dy_http_connections_sweep (&server->connections, server->idle_timeout_s, g_get_monotonic_time ());
 }
 
 static void
@@ -397,6 +564,19 @@
   ev_timer_start (loop, &server->timer);
 }
 
+static uint32_t
+max_connections (void)
+{
+  enum
+  {
+    DEFAULT = 1000
+  };
+  struct rlimit limit;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return DEFAULT;
+  return (uint32_t) (MIN (limit.rlim_cur, (rlim_t) G_MAXINT32) / 4 * 3);
+}
+
 int
 dy_http_server_init (DyHttpServer *server,
                      struct ev_loop *loop,
@@ -413,16 +593,22 @@
   server->handler = handler;
   server->ctx = ctx;
   server->max_body_bytes = max_body_bytes;
+  server->max_header_bytes = max_header_bytes;
   server->buffer_bytes = buffer_bytes;
   if (dy_address_parse (listen, &addr))
     return DY_SETTINGS;
+  server->connections.watcher = &connections_watcher;
+  server->connections.ctx = server;
+  server->connections.max_connections = max_connections ();
   server->calls = g_hash_table_new (NULL, NULL);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_connection, server,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_URI_LOG_CALLBACK, begin_call, server,
       MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
-      complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) max_header_bytes,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) (2 * max_header_bytes),
+      MHD_OPTION_CONNECTION_LIMIT, server->connections.max_connections + CROWDED_CONNECTIONS,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) SEND_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+      1U, MHD_OPTION_END);
   if (!server->daemon)
     {
       g_hash_table_unref (server->calls);
@@ -433,17 +619,70 @@
   ev_timer_init (&server->timer, on_timer, 0.0, 0.0);
   ev_check_init (&server->turn_start, on_turn_start);
   ev_prepare_init (&server->prepare, on_prepare);
+  ev_timer_init (&server->sweep, on_sweep, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
   server->io.data = server;
+  server->sweep.data = server;
   server->timer.data = server;
   server->turn_start.data = server;
   server->prepare.data = server;
   ev_set_priority (&server->turn_start, EV_MAXPRI);
   ev_io_start (loop, &server->io);
+  ev_timer_start (loop, &server->sweep);
   ev_check_start (loop, &server->turn_start);
   ev_prepare_start (loop, &server->prepare);
   return DY_OK;
 }
 
+static void
+stop_call (DyHttpCall *call)
+{
+  bool answered = call->queued || call->response;
+  if (call->complete && !answered && call->watcher && call->watcher->stopped)
+    call->watcher->stopped (call->ctx, call);
+}
+
+/* Returns whether an answer that is complete is not sent. */
+static bool
+has_unsent_answers (const DyHttpServer *server)
+{
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, server->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const DyHttpCall *call = key;
+      if ((call->queued || call->response) && !call->aborted && (!call->streamed || call->ended))
+        return true;
+    }
+  return false;
+}
+
+/* Answers the requests that were read and sends what was answered, for a limited time. */
+static void
+flush_calls (DyHttpServer *server)
+{
+  int64_t end_us = g_get_monotonic_time () + STOP_FLUSH_US;
+  server->stopping = true;
+  server->closing = true;
+  while (server->pending.length > 0)
+    {
+      DyHttpCall *call = g_queue_peek_head (&server->pending);
+      remove_pending (call);
+      run_handler (call);
+    }
+  GList *calls = g_hash_table_get_keys (server->calls);
+  for (GList *l = calls; l; l = l->next)
+    stop_call (l->data);
+  g_list_free (calls);
+  MHD_run (server->daemon); /* accepts and reads what waits */
+  MHD_run (server->daemon);
+  while (has_unsent_answers (server) && g_get_monotonic_time () < end_us)
+    {
+      MHD_run (server->daemon);
+      g_usleep (STOP_PAUSE_US);
+    }
+}
+
 /* Aborts all calls, because libmicrohttpd cannot be stopped while connections are suspended. */
 static void
 abort_calls (DyHttpServer *server)
@@ -451,8 +690,11 @@
   GList *calls = g_hash_table_get_keys (server->calls);
   for (GList *l = calls; l; l = l->next)
     {
-      ((DyHttpCall *) l->data)->aborted = true;
-      dy_http_call_abort (l->data);
+      DyHttpCall *call = l->data;
+      call->cut = call->cut ? call->cut : DY_CUT_STOP;
+      call->aborted = true;
+      call->aborted_after_flush = true;
+      resume (call);
     }
   g_list_free (calls);
   MHD_run (server->daemon);
@@ -465,14 +707,22 @@
     return;
   ev_io_stop (server->loop, &server->io);
   ev_timer_stop (server->loop, &server->timer);
+  ev_timer_stop (server->loop, &server->sweep);
   ev_check_stop (server->loop, &server->turn_start);
   ev_prepare_stop (server->loop, &server->prepare);
+  flush_calls (server);
   abort_calls (server);
   MHD_stop_daemon (server->daemon);
   g_hash_table_unref (server->calls);
   server->daemon = NULL;
 }
 
+void
+dy_http_server_set_idle_timeout (DyHttpServer *server, uint32_t timeout_s)
+{
+  server->idle_timeout_s = timeout_s;
+}
+
 uint32_t
 dy_http_server_n_calls (const DyHttpServer *server)
 {
@@ -570,7 +820,11 @@
     DyHttpCall *call, unsigned status, const char *content_type, const char *body, size_t n)
 {
   if (call->queued || call->response)
-    return;
+    {
+      dy_log (DY_EVENT_ANSWER_DISCARDED, "status=%u answered=%u path=%s", status, call->status,
+              call->path);
+      return;
+    }
   call->status = status;
   call->response = MHD_create_response_from_buffer (n, (void *) body, MHD_RESPMEM_MUST_COPY);
   if (content_type)
@@ -586,6 +840,7 @@
     READ_BLOCK_BYTES = 4096
   };
   call->status = status;
+  call->streamed = true;
   call->response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, READ_BLOCK_BYTES,
                                                       read_stream, call, NULL);
   if (content_type)
@@ -610,17 +865,23 @@
 void
 dy_http_call_abort (DyHttpCall *call)
 {
+  bool answered = call->queued || call->response;
+  if (!answered && dy_peer_state (call->disconnect_io.fd) == DY_PEER_FINISHED)
+    {
+      call->cut = call->cut ? call->cut : DY_CUT_CALLER;
+      answer_left (call);
+      return;
+    }
   call->aborted_after_flush = true;
-  call->aborted = call->aborted || (!call->queued && !call->response);
+  call->cut = call->cut ? call->cut : DY_CUT_WRITER;
+  call->aborted = call->aborted || !answered;
   resume (call);
 }
 
 bool
 dy_http_call_is_disconnected (const DyHttpCall *call)
 {
-  char byte;
-  ssize_t n = recv (call->disconnect_io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno == ECONNRESET);
+  return dy_peer_state (call->disconnect_io.fd) != DY_PEER_OPEN;
 }
 
 size_t
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -12,8 +12,8 @@
 enum
 {
   MAX_BODY_BYTES = 4 * 1024 * 1024, /* default until a route table sets the limit */
-  HEADER_POOL_BYTES = 48 * 1024,    /* per connection: the largest header and a read buffer */
-  READY_POOL_BYTES = 8 * 1024,
+  MAX_HEADER_BYTES = 24 * 1024,
+  MAX_READY_HEADER_BYTES = 4 * 1024,
   STREAM_BUFFER_BYTES = 64 * 1024,
   MAX_CRASHES = 3,                  /* fleet-wide endpoint failures that quarantine a request */
   QUARANTINE_US = 30 * 1000 * 1000, /* longer than callers' time limits, within which they retry */
@@ -51,7 +51,27 @@
   dy_gateway_refuse (ctx, call, DY_BODY_TOO_LARGE);
 }
 
-static const DyHttpServerHandler handler = { .handle = handle, .too_large = refuse_too_large };
+static void
+refuse_overloaded (void *ctx, DyHttpCall *call)
+{
+  DyGateway *gateway = ctx;
+  dy_gateway_refuse (gateway, call, gateway->server.closing ? DY_DRAINING : DY_OVERLOADED);
+}
+
+static const char *
+request_id (void *ctx, DyHttpCall *call)
+{
+  const DyGateway *gateway = ctx;
+  DyRequestHead head;
+  gateway->dialect->decode_request (call, &head);
+  g_free (head.key);
+  return head.request_id;
+}
+
+static const DyHttpServerHandler handler = { .handle = handle,
+                                             .too_large = refuse_too_large,
+                                             .overloaded = refuse_overloaded,
+                                             .request_id = request_id };
 
 static void
 handle_ready (void *ctx, DyHttpCall *call)
@@ -69,7 +89,7 @@
 }
 
 static const DyHttpServerHandler ready_handler
-    = { .handle = handle_ready, .too_large = handle_ready };
+    = { .handle = handle_ready, .too_large = handle_ready, .overloaded = handle_ready };
 
 static void
 apply_routes (void *ctx, const DyRouteTable *routes)
@@ -80,7 +100,8 @@
   if (routes->max_body_bytes)
     gateway->server.max_body_bytes = routes->max_body_bytes;
   if (routes->idle_timeout_ms)
-    gateway->server.idle_timeout_s = (uint32_t) ((routes->idle_timeout_ms + 999) / 1000);
+    dy_http_server_set_idle_timeout (&gateway->server,
+                                     (uint32_t) ((routes->idle_timeout_ms + 999) / 1000));
   g_hash_table_iter_init (&iter, routes->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -145,13 +166,14 @@
 listen_on (DyGateway *gateway, const DySettings *settings)
 {
   int error = dy_http_server_init (&gateway->server, gateway->kernel->loop, settings->caller_listen,
-                                   MAX_BODY_BYTES, HEADER_POOL_BYTES, STREAM_BUFFER_BYTES, &handler,
+                                   MAX_BODY_BYTES, MAX_HEADER_BYTES, STREAM_BUFFER_BYTES, &handler,
                                    gateway);
   gateway->server.idle_timeout_s = IDLE_TIMEOUT_S;
+  gateway->server.counters = &gateway->kernel->counters;
   if (error || settings->ready_listen[0] == '\0')
     return error;
   return dy_http_server_init (&gateway->ready_server, gateway->kernel->loop, settings->ready_listen,
-                              0, READY_POOL_BYTES, 0, &ready_handler, gateway);
+                              0, MAX_READY_HEADER_BYTES, 0, &ready_handler, gateway);
 }
 
 static int
