Try the other endpoints again before the one that refused last

A stream whose silent attempt was abandoned, and whose other endpoint refused it, was sent to that same endpoint until the retry budget was spent, as all endpoints counted as tried; the one that had fallen silent, and went on, was not chosen. Once all were tried, only the latest is avoided.

--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -99,6 +99,13 @@
   int64_t predicted_us = 0;
   DyPlacementEndpoint *endpoint = dy_placement_choose (&gateway->directory->placement, &query,
                                                        now_us (request), &predicted_us);
+  if (!endpoint && request->tried->len > 2)
+    {
+      /* Only the one that was tried last, which is the least likely to take the request now. */
+      query.avoid = (const char *const *) &request->tried->pdata[request->tried->len - 2];
+      endpoint = dy_placement_choose (&gateway->directory->placement, &query, now_us (request),
+                                      &predicted_us);
+    }
   if (!endpoint)
     {
       query.avoid = NULL;
