--- a/test/soak.c
+++ b/test/soak.c
@@ -596,6 +596,18 @@
     }
 }
 
+/* Checks that no router has ended while endpoints were silent. */
+static void
+check_alive (Soak *soak)
+{
+  for (uint32_t i = 0; i < N_ROUTERS; i++)
+    if (!soak->site.router_process[i].pid)
+      {
+        soak->n_violations++;
+        fprintf (stderr, "r%u has ended\n", i);
+      }
+}
+
 static void
 free_record (gpointer data)
 {
@@ -664,6 +676,7 @@
   change_routes (&soak, 0);
   site_run_for (&soak.site, RECOVERED_MS);
   run_load (&soak, seconds);
+  check_alive (&soak);
   check_invariants (&soak);
   dy_http_client_finish (&soak.client);
   site_finish (&soak.site);
--- a/test/test_silent_endpoints.c
+++ b/test/test_silent_endpoints.c
@@ -92,6 +92,7 @@
   uint32_t n_late;     /* without a whole answer, and not ended in time */
   uint32_t n_torn;     /* streams with missing or doubled events */
   uint32_t n_repeated; /* run more often than the route allows */
+  const Request *late; /* one of n_late, or NULL */
 } Counts;
 
 static int64_t
@@ -313,6 +314,8 @@
   counts->n_refused += !whole && n_runs == 0;
   counts->n_cut += !whole && n_runs > 0 && has_time;
   counts->n_late += !whole && request->ended_ms > end_ms + LATE_MS;
+  if (!whole && request->ended_ms > end_ms + LATE_MS)
+    counts->late = request;
   counts->n_torn
       += success && is_stream (c) && strncmp (play->whole_stream, body, request->body->len) != 0;
   counts->n_repeated
@@ -346,13 +349,15 @@
 static char *
 describe (const Play *play, const Counts *counts)
 {
+  const Request *late = counts->late;
+  int64_t late_ms = late ? late->ended_ms - late->sent_ms : 0;
   return g_strdup_printf (
       "of %u requests: whole %u refused %u cut %u late %u torn %u repeated %u; logged: attempts "
-      "abandoned %u, streams broken %u, outcomes unknown %u, out of reach %u",
+      "abandoned %u, streams broken %u, outcomes unknown %u, out of reach %u; late: %s after %d ms",
       play->requests->len, counts->n_whole, counts->n_refused, counts->n_cut, counts->n_late,
       counts->n_torn, counts->n_repeated, count_output (play, "silent attempt abandoned"),
       count_output (play, "outcome=stream_broken"), count_output (play, "outcome=outcome_unknown"),
-      count_output (play, "endpoints out of reach"));
+      count_output (play, "endpoints out of reach"), late ? late->id : "none", (int) late_ms);
 }
 
 /* What is checked beside that no request runs or ends out of bounds. */
@@ -372,7 +377,11 @@
   play_case (&play);
   count_all (&play, &counts);
   char *text = describe (&play, &counts);
+  uint32_t n_dead = 0;
+  for (uint32_t i = 0; i < N_ROUTERS; i++)
+    n_dead += play.site.router_process[i].pid == 0;
   finish (&play);
+  ck_assert_msg (n_dead == 0, "%u routers ended; %s", n_dead, text);
   ck_assert_msg (counts.n_late == 0 && counts.n_torn == 0 && counts.n_repeated == 0, "%s", text);
   ck_assert_msg (check != ANSWERED || counts.n_cut == 0, "%s", text);
   ck_assert_msg (check != ACCEPTED || counts.n_refused == 0, "%s", text);
