Keep the memory of a connection as it was

The same memory is now divided: two thirds for a request's head, a sixth for an answer's fields. Heads of up to 32 KiB pass for routed requests. a_large_head_leaves_room_for_the_answer passes.

--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -183,7 +183,7 @@
            100,
            "largest percentage of the free budget that is committed within store_copy_age_ms"),
   INTEGER ("callers", max_body_bytes, "1048576", 1024, 67108864, "largest request body"),
-  INTEGER ("callers", max_header_bytes, "16384", 1024, 65536, "largest head of a request"),
+  INTEGER ("callers", max_header_bytes, "16384", 1024, 65536, "memory for a connection's headers"),
   INTEGER ("callers",
            max_answer_bytes,
            "4194304",
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -190,7 +190,7 @@
 drop_large_answer (DyHttpCall *call)
 {
   size_t n = answer_head_bytes (call);
-  if (n <= call->server->max_header_bytes / 2)
+  if (n <= call->server->max_answer_header_bytes)
     return;
   dy_log (DY_EVENT_ANSWER_HEAD_TOO_LARGE, "bytes=%zu status=%u path=%s", n, call->status,
           call->path);
@@ -582,7 +582,7 @@
                      struct ev_loop *loop,
                      const char *listen,
                      uint64_t max_body_bytes,
-                     uint64_t max_header_bytes,
+                     uint64_t header_pool_bytes,
                      uint64_t buffer_bytes,
                      const DyHttpServerHandler *handler,
                      void *ctx)
@@ -593,7 +593,8 @@
   server->handler = handler;
   server->ctx = ctx;
   server->max_body_bytes = max_body_bytes;
-  server->max_header_bytes = max_header_bytes;
+  server->max_header_bytes = header_pool_bytes / 3 * 2;
+  server->max_answer_header_bytes = header_pool_bytes / 6;
   server->buffer_bytes = buffer_bytes;
   if (dy_address_parse (listen, &addr))
     return DY_SETTINGS;
@@ -605,7 +606,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_connection, server,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_URI_LOG_CALLBACK, begin_call, server,
       MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
-      complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) (2 * max_header_bytes),
+      complete_call, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) header_pool_bytes,
       MHD_OPTION_CONNECTION_LIMIT, server->connections.max_connections + CROWDED_CONNECTIONS,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) SEND_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE,
       1U, MHD_OPTION_END);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -79,7 +79,8 @@
   const DyHttpServerHandler *handler;
   void *ctx;
   uint64_t max_body_bytes;
-  uint64_t max_header_bytes;
+  uint64_t max_header_bytes; /* of a request */
+  uint64_t max_answer_header_bytes;
   uint64_t buffer_bytes;
   GHashTable *calls;       /* set of the calls that have not ended */
   GQueue pending;          /* complete requests that wait for the handler */
@@ -98,17 +99,16 @@
   ev_prepare prepare;
 } DyHttpServer;
 
-/* Listens on LISTEN ("ADDRESS:PORT"). MAX_HEADER_BYTES is the largest head of a request;
- * larger ones are answered with 431. Twice as much memory is used for a connection, so that an
- * answer has room beside the request and a part of the next one; an answer whose header fields take
- * more than half of MAX_HEADER_BYTES is replaced by an empty 502. BUFFER_BYTES the size of a
+/* Listens on LISTEN ("ADDRESS:PORT"). HEADER_POOL_BYTES is the memory for a connection's headers:
+ * a request whose head takes more than two thirds is answered with 431, and an answer whose header
+ * fields take more than a sixth is replaced by an empty 502. BUFFER_BYTES the size of a
  * stream's buffer that drives the drained callback; writes beyond it are not refused. Returns
  * DY_OK, DY_SETTINGS (LISTEN is malformed) or DY_IO (listening failed). */
 int dy_http_server_init (DyHttpServer *server,
                          struct ev_loop *loop,
                          const char *listen,
                          uint64_t max_body_bytes,
-                         uint64_t max_header_bytes,
+                         uint64_t header_pool_bytes,
                          uint64_t buffer_bytes,
                          const DyHttpServerHandler *handler,
                          void *ctx);
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -12,8 +12,8 @@
 enum
 {
   MAX_BODY_BYTES = 4 * 1024 * 1024, /* default until a route table sets the limit */
-  MAX_HEADER_BYTES = 24 * 1024,
-  MAX_READY_HEADER_BYTES = 4 * 1024,
+  HEADER_POOL_BYTES = 48 * 1024,    /* heads of requests up to 32 KiB */
+  READY_POOL_BYTES = 8 * 1024,
   STREAM_BUFFER_BYTES = 64 * 1024,
   MAX_CRASHES = 3,                  /* fleet-wide endpoint failures that quarantine a request */
   QUARANTINE_US = 30 * 1000 * 1000, /* longer than callers' time limits, within which they retry */
@@ -166,14 +166,14 @@
 listen_on (DyGateway *gateway, const DySettings *settings)
 {
   int error = dy_http_server_init (&gateway->server, gateway->kernel->loop, settings->caller_listen,
-                                   MAX_BODY_BYTES, MAX_HEADER_BYTES, STREAM_BUFFER_BYTES, &handler,
+                                   MAX_BODY_BYTES, HEADER_POOL_BYTES, STREAM_BUFFER_BYTES, &handler,
                                    gateway);
   gateway->server.idle_timeout_s = IDLE_TIMEOUT_S;
   gateway->server.counters = &gateway->kernel->counters;
   if (error || settings->ready_listen[0] == '\0')
     return error;
   return dy_http_server_init (&gateway->ready_server, gateway->kernel->loop, settings->ready_listen,
-                              0, MAX_READY_HEADER_BYTES, 0, &ready_handler, gateway);
+                              0, READY_POOL_BYTES, 0, &ready_handler, gateway);
 }
 
 static int
