--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,8 +21,23 @@
  *   with Transfer-Encoding, a transfer coding other than chunked, a length that is not a number, a
  *   field name that contains a blank) is answered with 400 and its connection closed before the
  *   handler sees it. This prevents request smuggling: no byte of it is parsed as another request.
+ *
+ *   A server accepts as many connections as three quarters of the descriptors that the process may
+ *   have at its start; the rest is for other work. A request on a connection beyond that is refused
+ *   and the connection closed. Such connections are accepted a few at a time and end after a second
+ *   without a request.
+ *
+ *   A caller that closes its sending side counts as one that has left, as until something is sent
+ * to it this looks the same as the closing of the whole connection, and work for callers that have
+ * left must end soon. If the call has no answer it is answered with 502, which says nothing about
+ * whether the request has run, for a caller that still reads; a stream is aborted.
+ *
+ *   A call that ends without a complete answer is reported as http_call_end.h says.
  */
 
+#include "kernel/counters.h"
+#include "net/http_connections.h"
+
 #include <ev.h>
 #include <glib.h>
 #include <microhttpd.h>
@@ -38,12 +53,20 @@
   /* Called instead when the body exceeds max_body_bytes; must answer with
    * dy_http_call_reply(). */
   void (*too_large) (void *ctx, DyHttpCall *call);
+  /* Called instead when the server has too many connections or stops; must answer with
+   * dy_http_call_reply(). The connection is closed then. NULL: an empty 503. */
+  void (*overloaded) (void *ctx, DyHttpCall *call);
+  /* Returns the caller's own id of the request for the log, or NULL. May be NULL. */
+  const char *(*request_id) (void *ctx, DyHttpCall *call);
 } DyHttpServerHandler;
 
 typedef struct
 {
   /* Called after a send that left fewer than buffer_bytes / 2 unsent. May be NULL. */
   void (*drained) (void *ctx, DyHttpCall *call);
+  /* Called by dy_http_server_finish() for a call that was not answered, which may be answered with
+   * dy_http_call_reply(). May be NULL. */
+  void (*stopped) (void *ctx, DyHttpCall *call);
   /* Called when the call has ended; COMPLETE is true when the entire answer was sent. The call is
    * invalid from then on. May be NULL. */
   void (*closed) (void *ctx, DyHttpCall *call, bool complete);
@@ -56,23 +79,31 @@
   const DyHttpServerHandler *handler;
   void *ctx;
   uint64_t max_body_bytes;
+  uint64_t max_header_bytes;
   uint64_t buffer_bytes;
   GHashTable *calls;       /* set of the calls that have not ended */
   GQueue pending;          /* complete requests that wait for the handler */
   int64_t turn_started_us; /* monotonic time at which this turn of the loop began */
   int64_t turn_spent_us;   /* time spent in the handler in this turn */
-  uint32_t idle_timeout_s; /* applies to connections opened later; 0: no timeout */
+  DyCounters *counters;    /* NULL: calls are not counted */
+  DyHttpConnections connections;
+  uint32_t idle_timeout_s; /* 0: no timeout */
+  bool stopping;           /* requests are refused */
   bool closing;            /* answers carry "Connection: close" */
   bool run_needed;         /* MHD_run() is due before the loop waits */
   ev_io io;
   ev_timer timer;
+  ev_timer sweep; /* of the connections */
   ev_check turn_start;
   ev_prepare prepare;
 } DyHttpServer;
 
-/* Listens on LISTEN ("ADDRESS:PORT"). MAX_HEADER_BYTES is the memory for a connection's headers,
- * BUFFER_BYTES the size of a stream's buffer that drives the drained callback; writes beyond it are
- * not refused. Returns DY_OK, DY_SETTINGS (LISTEN is malformed) or DY_IO (listening failed). */
+/* Listens on LISTEN ("ADDRESS:PORT"). MAX_HEADER_BYTES is the largest head of a request;
+ * larger ones are answered with 431. Twice as much memory is used for a connection, so that an
+ * answer has room beside the request and a part of the next one; an answer whose header fields take
+ * more than half of MAX_HEADER_BYTES is replaced by an empty 502. BUFFER_BYTES the size of a
+ * stream's buffer that drives the drained callback; writes beyond it are not refused. Returns
+ * DY_OK, DY_SETTINGS (LISTEN is malformed) or DY_IO (listening failed). */
 int dy_http_server_init (DyHttpServer *server,
                          struct ev_loop *loop,
                          const char *listen,
@@ -81,9 +112,16 @@
                          uint64_t buffer_bytes,
                          const DyHttpServerHandler *handler,
                          void *ctx);
-/* Aborts all calls and stops listening. */
+/* Refuses the requests that the handler has not got, has the others answered by the stopped
+ * callback of their watchers, sends for a tenth of a second what was answered, aborts all calls
+ * that are left and stops listening. */
 void dy_http_server_finish (DyHttpServer *server);
 
+/* Sets the time after which an idle connection is closed; 0: only after the time for which a caller
+ * may also leave an answer unread, two minutes. A connection that is open keeps a higher limit
+ * until its next answer is complete. */
+void dy_http_server_set_idle_timeout (DyHttpServer *server, uint32_t timeout_s);
+
 /* Returns the number of calls that have not ended. */
 uint32_t dy_http_server_n_calls (const DyHttpServer *server);
 
@@ -118,8 +156,8 @@
 /* Adds a header to the answer. Must be called before the answer is started. */
 void dy_http_call_add_header (DyHttpCall *call, const char *name, const char *value);
 
-/* Answers with the complete body BODY of N bytes, which is copied; CONTENT_TYPE may be NULL. Does
- * nothing when the call was answered already. */
+/* Answers with the complete body BODY of N bytes, which is copied; CONTENT_TYPE may be NULL. An
+ * answer to a call that was answered already is logged and discarded. */
 void dy_http_call_reply (
     DyHttpCall *call, unsigned status, const char *content_type, const char *body, size_t n);
 
@@ -130,11 +168,12 @@
 void dy_http_call_end (DyHttpCall *call);
 
 /* Closes the connection without completing the answer. The bytes written to a stream are sent
- * first. */
+ * first. A call without an answer whose caller has closed its sending side is answered as said
+ * above. */
 void dy_http_call_abort (DyHttpCall *call);
 
-/* Returns whether the caller has closed or reset the connection, also before the closed callback
- * reports it. */
+/* Returns whether the caller has closed the connection, or its sending side, or reset it, also
+ * before the closed callback reports it. */
 bool dy_http_call_is_disconnected (const DyHttpCall *call);
 
 /* Returns the number of bytes written and not yet sent. */
