--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -15,8 +15,6 @@
   RESEND_PAUSE_MS = 150,
 };
 
-static void take_event (DyGatewayRequest *request, DyCourseEvent event, int error);
-
 static int64_t
 now_us (const DyGatewayRequest *request)
 {
@@ -46,42 +44,6 @@
   ev_timer_stop (request->gateway->kernel->loop, &request->resend_timer);
 }
 
-static void
-on_settled (void *ctx, int error, int64_t charged_tokens)
-{
-  DyGateway *gateway = ctx;
-  if (error)
-    dy_log (DY_EVENT_SETTLE_FAILED, "kind=%s", dy_error_info (error)->kind);
-  else
-    dy_counters_add (&gateway->kernel->counters, DY_COUNTER_BILLED_TOKENS, charged_tokens);
-}
-
-/* Settles the tokens that may have been used, or releases the reservation if no attempt can have
- * run. */
-static void
-settle (DyGatewayRequest *request, bool complete)
-{
-  DyReservations *res = &request->gateway->budgets->reservations;
-  if (!request->ticket)
-    return;
-  int64_t output = (int64_t) request->events.n_events * request->plan.event_tokens;
-  int64_t used = request->plan.prompt_tokens + MIN (output, request->plan.max_output_tokens);
-  if (request->course.may_have_run)
-    dy_reservations_settle (res, request->ticket, used, complete ? DY_END_COMPLETE : DY_END_PARTIAL,
-                            on_settled, request->gateway, now_us (request));
-  else
-    dy_reservations_release (res, request->ticket, DY_END_NOT_RUN, 0, now_us (request));
-  request->ticket = NULL;
-}
-
-static void
-cancel_lookup (DyGatewayRequest *request)
-{
-  if (request->lookup)
-    dy_origins_cancel (request->gateway->origins, request->lookup);
-  request->lookup = NULL;
-}
-
 static DyGatewayAttempt *
 other_attempt (DyGatewayRequest *request)
 {
@@ -104,9 +66,9 @@
 end_request (DyGatewayRequest *request, bool complete)
 {
   stop_timers (request);
-  cancel_lookup (request);
+  dy_gateway_cancel_lookup (request);
   keep_attempt (request);
-  settle (request, complete);
+  dy_gateway_settle (request, complete);
   if (!request->call)
     remove_request (request);
 }
@@ -258,7 +220,7 @@
   else
     observe (request, DY_HISTOGRAM_FIRST_EVENT, request->plan.arrived_us);
   request->event_us = now_us (request);
-  take_event (request, DY_COURSE_DATA, DY_OK);
+  dy_gateway_take_event (request, DY_COURSE_DATA, DY_OK);
   start_stream (request);
   if (!request->attempt->prompt_read)
     dy_gateway_record_output (request->gateway, &request->plan);
@@ -313,7 +275,7 @@
     dy_gateway_record_success (gateway, &request->plan);
   if (event == DY_COURSE_ANSWERED && !expects_events (request))
     dy_gateway_record_output (gateway, &request->plan);
-  take_event (request, event, DY_OK);
+  dy_gateway_take_event (request, event, DY_OK);
 }
 
 static void
@@ -343,7 +305,7 @@
 {
   DyGatewayRequest *request = ctx;
   request->replacing = false;
-  take_event (request, DY_COURSE_REPLACED, DY_OK);
+  dy_gateway_take_event (request, DY_COURSE_REPLACED, DY_OK);
   dy_gateway_return_resend (request, request->attempt);
   request->attempt = other_attempt (request);
   request->attempt->watcher = &attempt_watcher;
@@ -382,65 +344,20 @@
 {
   if (dy_http_call_is_disconnected (request->call))
     {
-      take_event (request, DY_COURSE_CALLER_LEFT, DY_OK);
+      dy_gateway_take_event (request, DY_COURSE_CALLER_LEFT, DY_OK);
       return;
     }
   drop_partial_answer (request);
   if (!dy_gateway_send_attempt (request, request->attempt, &attempt_watcher))
     {
       dy_gateway_return_resend (request, request->attempt);
-      take_event (request, DY_COURSE_NO_ENDPOINT, DY_OK);
+      dy_gateway_take_event (request, DY_COURSE_NO_ENDPOINT, DY_OK);
       return;
     }
-  take_event (request, DY_COURSE_STARTED, DY_OK);
+  dy_gateway_take_event (request, DY_COURSE_STARTED, DY_OK);
   arm_read_timer (request);
 }
 
-static void
-on_reserved (void *ctx, int error, int64_t charged_tokens)
-{
-  DyGatewayRequest *request = ctx;
-  (void) charged_tokens;
-  if (request->reserving_us)
-    observe (request, DY_HISTOGRAM_RESERVE, request->reserving_us);
-  if (error)
-    {
-      request->ticket = NULL;
-      take_event (request, DY_COURSE_DENIED, error);
-      return;
-    }
-  dy_resend_budget_record_request (&request->gateway->resend_budget, request->plan.service,
-                                   now_us (request));
-  take_event (request, DY_COURSE_GRANTED, DY_OK);
-}
-
-static void
-reserve (DyGatewayRequest *request)
-{
-  if (!request->plan.is_prepaid)
-    {
-      on_reserved (request, DY_OK, 0);
-      return;
-    }
-  DyReservationSpec spec
-      = { .account = request->plan.account,
-          .tokens = request->plan.prompt_tokens + request->plan.max_output_tokens,
-          .rank = request->plan.rank,
-          .idempotent = true };
-  request->reserving_us = now_us (request);
-  dy_reservations_reserve (&request->gateway->budgets->reservations, &spec, on_reserved, request,
-                           &request->ticket, now_us (request));
-  if (!request->ticket)
-    return;
-  DyRequestId id = dy_ticket_id (request->ticket);
-  const char *home = dy_ticket_home (request->ticket);
-  dy_log (DY_EVENT_REQUEST_RESERVING,
-          "request=%s ticket=%016" G_GINT64_MODIFIER "x:%" G_GUINT64_FORMAT
-          " account=%s tokens=%" G_GINT64_FORMAT " rank=%u home=%s",
-          request->plan.id, id.origin_id, id.number, request->plan.account, spec.tokens, spec.rank,
-          home[0] ? home : "self");
-}
-
 static void
 log_abandoned (const DyGatewayRequest *request)
 {
@@ -461,9 +378,8 @@
   ev_timer_start (request->gateway->kernel->loop, &request->resend_timer);
 }
 
-/* Takes EVENT, with the ERROR of one that denies the request, and does what follows it. */
-static void
-take_event (DyGatewayRequest *request, DyCourseEvent event, int error)
+void
+dy_gateway_take_event (DyGatewayRequest *request, DyCourseEvent event, int error)
 {
   DyCourseSituation situation = dy_gateway_situation (request, event, error);
   DyCourseStep step = dy_course_step (&request->course, event, &situation);
@@ -480,7 +396,7 @@
     case DY_COURSE_WAIT:
       break;
     case DY_COURSE_RESERVE:
-      reserve (request);
+      dy_gateway_reserve (request);
       break;
     case DY_COURSE_SEND:
       send_attempt (request);
@@ -509,7 +425,7 @@
 {
   (void) loop;
   (void) events;
-  take_event (w->data, DY_COURSE_PAUSE_OVER, DY_OK);
+  dy_gateway_take_event (w->data, DY_COURSE_PAUSE_OVER, DY_OK);
 }
 
 static void
@@ -517,7 +433,7 @@
 {
   (void) loop;
   (void) events;
-  take_event (w->data, DY_COURSE_DEADLINE, DY_OK);
+  dy_gateway_take_event (w->data, DY_COURSE_DEADLINE, DY_OK);
 }
 
 static void
@@ -527,7 +443,7 @@
   (void) loop;
   (void) events;
   if (!request->attempt->paused)
-    take_event (request, DY_COURSE_SILENT, DY_OK);
+    dy_gateway_take_event (request, DY_COURSE_SILENT, DY_OK);
   arm_read_timer (request);
 }
 
@@ -550,7 +466,7 @@
   if (request->course.state == DY_COURSE_OVER)
     remove_request (request);
   else
-    take_event (request, DY_COURSE_CALLER_LEFT, DY_OK);
+    dy_gateway_take_event (request, DY_COURSE_CALLER_LEFT, DY_OK);
 }
 
 static const DyHttpCallWatcher call_watcher
@@ -561,7 +477,7 @@
 {
   DyGatewayRequest *request = key;
   stop_timers (request);
-  cancel_lookup (request);
+  dy_gateway_cancel_lookup (request);
   keep_attempt (request);
   if (dy_course_has_attempt (&request->course))
     dy_gateway_attempt_cancel (request->attempt, DY_PLACEMENT_CANCELLED);
@@ -576,41 +492,6 @@
   g_free (request);
 }
 
-/* Goes on with a resumed stream, whose VERSION is known, or NULL. */
-static void
-take_origin (DyGatewayRequest *request, const char *version, const char *source)
-{
-  const char *resumes = request->plan.resumes_id;
-  dy_log (DY_EVENT_ORIGIN_FOUND,
-          "request=%s resumes=%s service=%s version=%s source=%s ms=%" G_GINT64_FORMAT,
-          request->plan.id, resumes ? resumes : "-", request->plan.service, version ? version : "-",
-          source, (now_us (request) - request->plan.arrived_us) / 1000);
-  request->version = g_strdup (version);
-  if (!version)
-    count (request, DY_COUNTER_RESUMES_REFUSED);
-  take_event (request, version ? DY_COURSE_GRANTED : DY_COURSE_DENIED, DY_ORIGIN_UNKNOWN);
-}
-
-static void
-on_origin (void *ctx, int error, const char *version)
-{
-  DyGatewayRequest *request = ctx;
-  (void) error;
-  request->lookup = NULL;
-  take_origin (request, version, "store");
-}
-
-static void
-look_up_origin (DyGatewayRequest *request)
-{
-  const char *version;
-  count (request, DY_COUNTER_RESUMES);
-  request->lookup = dy_origins_look_up (request->gateway->origins, request->plan.service,
-                                        request->plan.resumes_id, on_origin, request, &version);
-  if (!request->lookup)
-    take_origin (request, version, "memory");
-}
-
 static void
 start_timers (DyGatewayRequest *request)
 {
@@ -671,9 +552,9 @@
   count (request, DY_COUNTER_REQUESTS);
   dy_http_call_watch (call, &call_watcher, request);
   if (dy_gateway_is_blocked (gateway, &request->plan, true))
-    take_event (request, DY_COURSE_DENIED, DY_SUSPENDED);
+    dy_gateway_take_event (request, DY_COURSE_DENIED, DY_SUSPENDED);
   else if (request->course.state == DY_COURSE_LOOKING_UP)
-    look_up_origin (request);
+    dy_gateway_look_up_origin (request);
   else
-    reserve (request);
+    dy_gateway_reserve (request);
 }
--- a/src/services/gateway_request_private.h
+++ b/src/services/gateway_request_private.h
@@ -7,6 +7,7 @@
  *
  * DESCRIPTION
  *   gateway_request.c  the request's events, answer and end
+ *   gateway_admit.c    the origin of a resumed stream, and the reservation until it is settled
  *   gateway_send.c     the start of its attempts, and whether another one may follow
  */
 
@@ -39,6 +40,24 @@
   ev_timer resend_timer;   /* sends the request again after a pause */
 } DyGatewayRequest;
 
+/* Takes EVENT, with the ERROR of one that denies the request, and does what follows it. */
+void dy_gateway_take_event (DyGatewayRequest *request, DyCourseEvent event, int error);
+
+/* Looks up the version that began the stream which the caller resumes. Reports GRANTED or DENIED,
+ * possibly before it returns. */
+void dy_gateway_look_up_origin (DyGatewayRequest *request);
+
+/* Ends a lookup in progress, if there is one, without an event. */
+void dy_gateway_cancel_lookup (DyGatewayRequest *request);
+
+/* Reserves the tokens of a prepaid request. Reports GRANTED or DENIED, possibly before it returns.
+ */
+void dy_gateway_reserve (DyGatewayRequest *request);
+
+/* Settles the tokens that may have been used, or releases the reservation if no attempt can have
+ * run. COMPLETE is whether the answer was passed on. */
+void dy_gateway_settle (DyGatewayRequest *request, bool complete);
+
 /* Starts ATTEMPT, at an endpoint that this router chooses or through another router. Returns false,
  * with nothing started, if there is none. */
 bool dy_gateway_send_attempt (DyGatewayRequest *request,
