Refuse no request for silent endpoints that no router reaches

Callers got 503 (no_endpoint) while all endpoints were silent for 2.4 s and went on. A router that abandons a silent attempt probes endpoints; a probe that is accepted and not answered within 0.5 s counted as a connection that failed, so three of them made the router take itself for cut off, and one that is cut off refuses what no other router can relay. The others did the same at the same time.

A link that is cut may also accept connections and be silent, so such probes still make the router look for others; but as long as connections were not refused, reset or left without being made, it counts as cut off only while another router says that it reaches the endpoints. Otherwise it sends requests itself. What is noticed, and when, is unchanged, and so is the crash evidence.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -43,7 +43,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, reach->failed);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_us - *(const int64_t *) value > reach->policy.window_us)
+    if (now_us - ((const DyReachFailure *) value)->time_us > reach->policy.window_us)
       g_hash_table_iter_remove (&iter);
 }
 
@@ -61,12 +61,30 @@
          || now_us - reach->silent_us <= reach->policy.window_us;
 }
 
+static uint32_t
+count_refused (const DyReach *reach)
+{
+  uint32_t n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, reach->failed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += ((const DyReachFailure *) value)->kind == DY_REACH_REFUSED;
+  return n;
+}
+
 bool
-dy_reach_record_failure (DyReach *reach, const char *endpoint, uint32_t n_endpoints, int64_t now_us)
+dy_reach_record_failure (DyReach *reach,
+                         const char *endpoint,
+                         DyReachFailureKind kind,
+                         uint32_t n_endpoints,
+                         int64_t now_us)
 {
+  DyReachFailure failure = { .kind = kind, .time_us = now_us };
   forget_old_failures (reach, now_us);
-  g_hash_table_insert (reach->failed, g_strdup (endpoint), g_memdup2 (&now_us, sizeof now_us));
+  g_hash_table_insert (reach->failed, g_strdup (endpoint), g_memdup2 (&failure, sizeof failure));
   uint32_t n_needed = MAX (MIN (reach->policy.min_failed, n_endpoints), 1);
+  reach->is_certain = reach->is_certain || count_refused (reach) >= n_needed;
   if (reach->is_out || g_hash_table_size (reach->failed) < n_needed)
     return false;
   reach->is_out = true;
@@ -81,6 +99,7 @@
   g_hash_table_remove_all (reach->failed);
   reach->silent_us = INT64_MIN / 2;
   reach->is_out = false;
+  reach->is_certain = false;
   if (was_out)
     reach->changed_us = now_us;
   return was_out;
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -11,6 +11,11 @@
  *   works shows that the failure was the endpoint's. Connections that were opened earlier count for
  *   nothing, as they may live on.
  *
+ *   A connection that is refused or reset, or never made, has failed for certain. One that is made
+ *   and then silent may be cut, or its endpoint may go on after a while: as long as enough others
+ *   have not failed for certain, the router is out only while another one says that it reaches the
+ *   endpoints.
+ *
  *   A router that is out, or may be, asks the others whether they reach the endpoints. What they
  *   say is valid for a short time. The router with the fewest open relays among those that do is
  *   chosen for a request that cannot leave here.
@@ -34,17 +39,29 @@
 
 extern const DyReachPolicy dy_reach_policy;
 
+typedef enum
+{
+  DY_REACH_REFUSED, /* refused, reset or not made */
+  DY_REACH_SILENT,  /* made, and silent */
+} DyReachFailureKind;
+
+typedef struct
+{
+  DyReachFailureKind kind;
+  int64_t time_us;
+} DyReachFailure;
+
 typedef struct
 {
   DyReachPolicy policy;
   bool is_out;
+  bool is_certain;    /* enough connections failed for certain */
   int64_t changed_us; /* time of the latest change of is_out */
-  GHashTable
-      *failed; /* endpoint id to the time of its latest failure, an int64_t, since one worked */
-  int64_t silent_us; /* time of the latest silence since one worked */
-  int64_t probed_us; /* time of the latest probe */
-  int64_t asked_us;  /* time of the latest question */
-  GHashTable *peers; /* router name to what it says */
+  GHashTable *failed; /* endpoint id to its latest failure, a DyReachFailure, since one worked */
+  int64_t silent_us;  /* time of the latest silence since one worked */
+  int64_t probed_us;  /* time of the latest probe */
+  int64_t asked_us;   /* time of the latest question */
+  GHashTable *peers;  /* router name to what it says */
 } DyReach;
 
 void dy_reach_init (DyReach *reach, const DyReachPolicy *policy);
@@ -57,6 +74,7 @@
  * Returns whether the router is out from now on and was not before. */
 bool dy_reach_record_failure (DyReach *reach,
                               const char *endpoint,
+                              DyReachFailureKind kind,
                               uint32_t n_endpoints,
                               int64_t now_us);
 
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -60,10 +60,10 @@
     = { .decided = on_decided, .free_payload = free_suspicion };
 
 static void
-on_probed (void *ctx, bool works, int64_t started_us)
+on_probed (void *ctx, DyLinkProbeResult result, int64_t started_us)
 {
   DyGateway *gateway = ctx;
-  if (works)
+  if (result == DY_LINK_PROBE_WORKS)
     dy_crash_evidence_link_works (&gateway->crash_evidence, started_us);
 }
 
@@ -94,7 +94,7 @@
   DyGateway *gateway = w->data;
   int64_t now_us = dy_kernel_now_us (gateway->kernel);
   (void) events;
-  if (dy_reachability_is_out (gateway->reachability))
+  if (dy_reachability_may_be_out (gateway->reachability))
     dy_crash_evidence_link_failed (&gateway->crash_evidence);
   dy_crash_evidence_tick (&gateway->crash_evidence, now_us);
   probe_link (gateway, now_us);
--- a/src/services/link_probe.c
+++ b/src/services/link_probe.c
@@ -26,10 +26,10 @@
 }
 
 static void
-end_probe (DyLinkProbe *probe, bool works)
+end_probe (DyLinkProbe *probe, DyLinkProbeResult result)
 {
   close_probe (probe);
-  probe->done (probe->ctx, works, probe->started_us);
+  probe->done (probe->ctx, result, probe->started_us);
 }
 
 static void
@@ -46,7 +46,10 @@
   DyLinkProbe *probe = w->data;
   (void) loop;
   (void) events;
-  end_probe (probe, probe->connected && !probe->request);
+  if (!probe->connected)
+    end_probe (probe, DY_LINK_PROBE_FAILED);
+  else
+    end_probe (probe, probe->request ? DY_LINK_PROBE_SILENT : DY_LINK_PROBE_WORKS);
 }
 
 static void
@@ -59,12 +62,13 @@
   if (probe->connected)
     {
       char byte;
-      end_probe (probe, probe->request && recv (probe->fd, &byte, 1, MSG_DONTWAIT) == 1);
+      bool works = probe->request && recv (probe->fd, &byte, 1, MSG_DONTWAIT) == 1;
+      end_probe (probe, works ? DY_LINK_PROBE_WORKS : DY_LINK_PROBE_FAILED);
       return;
     }
   if (getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &error, &n) || error)
     {
-      end_probe (probe, false);
+      end_probe (probe, DY_LINK_PROBE_FAILED);
       return;
     }
   probe->connected = true;
--- a/src/services/link_probe.h
+++ b/src/services/link_probe.h
@@ -16,8 +16,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* WORKS is whether the connection that was started at STARTED_US was made and stayed open. */
-typedef void (*DyLinkProbeDone) (void *ctx, bool works, int64_t started_us);
+typedef enum
+{
+  DY_LINK_PROBE_WORKS,  /* the connection was made, answered and stayed open */
+  DY_LINK_PROBE_FAILED, /* it was refused, reset or not made */
+  DY_LINK_PROBE_SILENT, /* it was made, but no byte came in time */
+} DyLinkProbeResult;
+
+/* RESULT is that of the connection that was started at STARTED_US. */
+typedef void (*DyLinkProbeDone) (void *ctx, DyLinkProbeResult result, int64_t started_us);
 
 typedef struct
 {
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -40,14 +40,20 @@
   send_state (reachability, 0, out);
 }
 
+static void
+record_failure (DyReachability *reachability, const char *endpoint, DyReachFailureKind kind)
+{
+  uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
+  if (dy_reach_record_failure (&reachability->reach, endpoint, kind, n, now_us (reachability)))
+    report_change (reachability);
+}
+
 void
 dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works)
 {
-  uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
-  bool changed
-      = works ? dy_reach_record_success (&reachability->reach, now_us (reachability))
-              : dy_reach_record_failure (&reachability->reach, endpoint, n, now_us (reachability));
-  if (changed)
+  if (!works)
+    record_failure (reachability, endpoint, DY_REACH_REFUSED);
+  else if (dy_reach_record_success (&reachability->reach, now_us (reachability)))
     report_change (reachability);
 }
 
@@ -58,12 +64,15 @@
 }
 
 static void
-on_probed (void *ctx, bool works, int64_t started_us)
+on_probed (void *ctx, DyLinkProbeResult result, int64_t started_us)
 {
   DyReachability *reachability = ctx;
   (void) started_us;
   char *id = g_steal_pointer (&reachability->probed_id);
-  dy_reachability_record (reachability, id, works);
+  if (result == DY_LINK_PROBE_SILENT)
+    record_failure (reachability, id, DY_REACH_SILENT);
+  else
+    dy_reachability_record (reachability, id, result == DY_LINK_PROBE_WORKS);
   g_free (id);
 }
 
@@ -168,7 +177,7 @@
 }
 
 bool
-dy_reachability_is_out (const DyReachability *reachability)
+dy_reachability_may_be_out (const DyReachability *reachability)
 {
   return reachability->reach.is_out;
 }
@@ -189,3 +198,10 @@
   return dy_reach_choose_peer (&reachability->reach, is_connected, (void *) reachability,
                                now_us (reachability));
 }
+
+bool
+dy_reachability_is_out (const DyReachability *reachability)
+{
+  return reachability->reach.is_out
+         && (reachability->reach.is_certain || dy_reachability_choose_peer (reachability));
+}
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -39,12 +39,15 @@
 /* Records that an endpoint was silent for longer than expected. */
 void dy_reachability_record_silence (DyReachability *reachability);
 
-/* Records that a new connection to ENDPOINT failed, or that one worked. */
+/* Records that a new connection to ENDPOINT was refused, reset or not made, or that one worked. */
 void dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works);
 
-/* Returns whether this router does not reach the endpoints. */
+/* Returns whether this router does not reach the endpoints, for certain or as another one does. */
 bool dy_reachability_is_out (const DyReachability *reachability);
 
+/* Returns whether it may not reach them: silent endpoints count, too. */
+bool dy_reachability_may_be_out (const DyReachability *reachability);
+
 /* Returns the name of the router to relay a request through, or NULL. */
 const char *dy_reachability_choose_peer (const DyReachability *reachability);
 
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -14,6 +14,7 @@
 {
   END,
   FAIL,   /* a new connection to ENDPOINT fails */
+  HANG,   /* one is made, and nothing comes */
   WORK,   /* one works */
   SILENT, /* an endpoint does not answer in time */
 } StepKind;
@@ -31,33 +32,72 @@
   uint32_t n_endpoints;
   Step steps[MAX_STEPS];
   bool is_out;
+  bool is_certain;
 } cases[] = {
-  { "one endpoint fails", 10, { { 0, FAIL, "e1" } }, false },
+  { "one endpoint fails", 10, { { 0, FAIL, "e1" } }, false, false },
   { "one endpoint fails often",
     10,
     { { 0, FAIL, "e1" }, { 10, FAIL, "e1" }, { 20, FAIL, "e1" }, { 30, FAIL, "e1" } },
+    false,
     false },
   { "three endpoints fail",
     10,
     { { 0, FAIL, "e1" }, { 10, FAIL, "e2" }, { 20, FAIL, "e3" } },
+    true,
     true },
+  { "three endpoints hang",
+    10,
+    { { 0, HANG, "e1" }, { 500, HANG, "e2" }, { 1000, HANG, "e3" } },
+    true,
+    false },
+  { "two of three hang",
+    10,
+    { { 0, HANG, "e1" }, { 10, FAIL, "e2" }, { 500, HANG, "e3" } },
+    true,
+    false },
+  { "three hang and three fail",
+    10,
+    { { 0, HANG, "e1" },
+      { 10, HANG, "e2" },
+      { 20, HANG, "e3" },
+      { 30, FAIL, "e1" },
+      { 40, FAIL, "e2" },
+      { 50, FAIL, "e4" } },
+    true,
+    true },
+  { "one works after three failed",
+    10,
+    { { 0, FAIL, "e1" },
+      { 10, FAIL, "e2" },
+      { 20, FAIL, "e3" },
+      { 500, WORK, NULL },
+      { 510, HANG, "e1" },
+      { 520, HANG, "e2" },
+      { 530, HANG, "e3" } },
+    true,
+    false },
   { "one works between",
     10,
     { { 0, FAIL, "e1" }, { 10, FAIL, "e2" }, { 15, WORK, NULL }, { 20, FAIL, "e3" } },
+    false,
     false },
   { "three endpoints fail over a long time",
     10,
     { { 0, FAIL, "e1" }, { 2000, FAIL, "e2" }, { 4000, FAIL, "e3" } },
+    false,
     false },
-  { "both endpoints of two fail", 2, { { 0, FAIL, "e1" }, { 10, FAIL, "e2" } }, true },
-  { "the only endpoint fails", 1, { { 0, FAIL, "e1" } }, true },
+  { "both endpoints of two fail", 2, { { 0, FAIL, "e1" }, { 10, FAIL, "e2" } }, true, true },
+  { "the only endpoint fails", 1, { { 0, FAIL, "e1" } }, true, true },
+  { "the only endpoint hangs", 1, { { 0, HANG, "e1" } }, true, false },
   { "silence alone",
     10,
     { { 0, SILENT, NULL }, { 10, SILENT, NULL }, { 20, SILENT, NULL }, { 30, SILENT, NULL } },
+    false,
     false },
   { "one works again",
     10,
     { { 0, FAIL, "e1" }, { 10, FAIL, "e2" }, { 20, FAIL, "e3" }, { 500, WORK, NULL } },
+    false,
     false },
 };
 
@@ -76,12 +116,15 @@
                          cases[_i].name);
           continue;
         }
-      bool changed = step->kind == FAIL ? dy_reach_record_failure (
-                         &reach, step->endpoint, cases[_i].n_endpoints, step->at_ms * MS)
-                                        : dy_reach_record_success (&reach, step->at_ms * MS);
+      DyReachFailureKind kind = step->kind == HANG ? DY_REACH_SILENT : DY_REACH_REFUSED;
+      bool changed = step->kind == WORK
+                         ? dy_reach_record_success (&reach, step->at_ms * MS)
+                         : dy_reach_record_failure (&reach, step->endpoint, kind,
+                                                    cases[_i].n_endpoints, step->at_ms * MS);
       ck_assert_msg (changed == (before != reach.is_out), "%s: step %d", cases[_i].name, i);
     }
   ck_assert_msg (reach.is_out == cases[_i].is_out, "%s", cases[_i].name);
+  ck_assert_msg (reach.is_certain == cases[_i].is_certain, "%s: certain", cases[_i].name);
   dy_reach_finish (&reach);
 }
 END_TEST
