Look at blocked prompt parts again after the pause before a resend

A request whose silent attempt was abandoned, and that waits for its next one, was sent again although its prompt had been blocked as crashing endpoints in the meantime: the end of the pause only asked the retry budget. Nor did it look at the time that was left. The pause now ends the request if it is blocked, and goes on if no attempt is worthwhile any more, until the deadline.

--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -236,6 +236,17 @@
   return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
 }
 
+/* What forbids another attempt for good may have come up in the pause. */
+static DyCourseStep
+send_or_pause (DyCourse *course, const DyCourseSituation *situation)
+{
+  if (situation->blocked)
+    return end_with_error (course, decide (course, course->may_have_run, situation));
+  if (!situation->within_budget || situation->time_left_ms <= MIN_ATTEMPT_MS)
+    return pause_before_attempt (course);
+  return send_again (course);
+}
+
 DyCourseStep
 dy_course_step (DyCourse *course, DyCourseEvent event, const DyCourseSituation *situation)
 {
@@ -263,7 +274,7 @@
     case REPLACE:
       return replace (course, situation);
     case SEND_OR_PAUSE:
-      return situation->within_budget ? send_again (course) : pause_before_attempt (course);
+      return send_or_pause (course, situation);
     case DENY:
       return end_with_error (course, situation->error);
     case NO_ENDPOINT:
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -235,8 +235,6 @@
   if (!dy_gateway_may_resend_after (request, event))
     return situation;
   situation.within_budget = resend_allowed (request);
-  if (event == DY_COURSE_PAUSE_OVER)
-    return situation;
   situation.blocked = dy_gateway_is_blocked (request->gateway, &request->plan, false);
   situation.has_other = event == DY_COURSE_SILENT && has_other_endpoint (request);
   situation.time_left_ms = (request->plan.end_us - now_us (request)) / 1000;
--- a/test/test_request_course.c
+++ b/test/test_request_course.c
@@ -196,15 +196,20 @@
   DyCourseEvent event;
   uint32_t n_refused;
   DyCourseAction action;
+  bool blocked;
 } gave_up_cases[] = {
-  { "no endpoint", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE },
-  { "no endpoint to resume", DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE },
-  { "not run", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 0, DY_COURSE_SEND },
-  { "not run, too often", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE },
-  { "not run, too often, a stream", DY_COURSE_STREAMING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE },
-  { "the caller leaves", DY_COURSE_PAUSING, DY_COURSE_CALLER_LEFT, 0, DY_COURSE_DROP },
-  { "late", DY_COURSE_PAUSING, DY_COURSE_DEADLINE, 0, DY_COURSE_REFUSE },
-  { "late, a stream", DY_COURSE_HALTING, DY_COURSE_DEADLINE, 0, DY_COURSE_ABORT },
+  { "no endpoint", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE, false },
+  { "no endpoint to resume", DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE, false },
+  { "not run", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 0, DY_COURSE_SEND, false },
+  { "not run, too often", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE, false },
+  { "not run, too often, a stream", DY_COURSE_STREAMING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE,
+    false },
+  { "the caller leaves", DY_COURSE_PAUSING, DY_COURSE_CALLER_LEFT, 0, DY_COURSE_DROP, false },
+  { "late", DY_COURSE_PAUSING, DY_COURSE_DEADLINE, 0, DY_COURSE_REFUSE, false },
+  { "late, a stream", DY_COURSE_HALTING, DY_COURSE_DEADLINE, 0, DY_COURSE_ABORT, false },
+  { "blocked in the pause", DY_COURSE_PAUSING, DY_COURSE_PAUSE_OVER, 0, DY_COURSE_REFUSE, true },
+  { "blocked in the pause, a stream", DY_COURSE_HALTING, DY_COURSE_PAUSE_OVER, 0, DY_COURSE_ABORT,
+    true },
 };
 
 START_TEST (request_goes_on_after_its_silent_attempt_was_abandoned)
@@ -214,7 +219,9 @@
   course.may_have_run = true;
   course.n_started = 1;
   course.n_refused = gave_up_cases[_i].n_refused;
-  DyCourseStep step = dy_course_step (&course, gave_up_cases[_i].event, &all_allowed);
+  DyCourseSituation situation = all_allowed;
+  situation.blocked = gave_up_cases[_i].blocked;
+  DyCourseStep step = dy_course_step (&course, gave_up_cases[_i].event, &situation);
   ck_assert_msg (step.action == gave_up_cases[_i].action, "%s: %d", gave_up_cases[_i].name,
                  step.action);
 }
