Count a resend only if it is sent

A request whose silent attempt was abandoned waits while no endpoint takes it, and looks for one each 150 ms. Each look counted as a resend, although nothing was sent: one request that waits takes the retry budget of its service from all others, seven times a second, while the endpoints are away.

A resend is now counted where its attempt has been started.

--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -295,7 +295,7 @@
 }
 
 static void
-send_attempt (DyGatewayRequest *request)
+send_attempt (DyGatewayRequest *request, bool resends)
 {
   static const DyGatewayAttemptWatcher watcher
       = { .placed = dy_gateway_take_placement, .data = on_attempt_data, .done = on_attempt_done };
@@ -309,6 +309,12 @@
       take_event (request, DY_COURSE_NO_ENDPOINT, DY_OK);
       return;
     }
+  if (resends)
+    {
+      count (request, DY_COUNTER_RETRIES);
+      dy_resend_budget_record_resend (&request->gateway->resend_budget, request->plan.service,
+                                      now_us (request));
+    }
   take_event (request, DY_COURSE_STARTED, DY_OK);
   arm_read_timer (request);
 }
@@ -391,12 +397,6 @@
     dy_gateway_attempt_cancel (&request->attempt, event == DY_COURSE_CALLER_LEFT
                                                       ? DY_PLACEMENT_CANCELLED
                                                       : DY_PLACEMENT_FAILED);
-  if (step.action == DY_COURSE_SEND && dy_gateway_may_resend_after (request, event))
-    {
-      count (request, DY_COUNTER_RETRIES);
-      dy_resend_budget_record_resend (&request->gateway->resend_budget, request->plan.service,
-                                      now_us (request));
-    }
   switch (step.action)
     {
     case DY_COURSE_WAIT:
@@ -405,7 +405,7 @@
       reserve (request);
       break;
     case DY_COURSE_SEND:
-      send_attempt (request);
+      send_attempt (request, dy_gateway_may_resend_after (request, event));
       break;
     case DY_COURSE_PAUSE:
       pause_before_attempt (request);
--- a/test/test_silent_attempts.c
+++ b/test/test_silent_attempts.c
@@ -21,6 +21,10 @@
   "HTTP/1.1 503 Full\r\nX-Request-Id: q0\r\nX-Server-Seal: 5ea1.0.0\r\nX-Not-Run: 1\r\n"           \
   "Content-Length: 0\r\n\r\n"
 
+#define FULL_AND_CLOSE                                                                             \
+  "HTTP/1.1 503 Full\r\nX-Request-Id: q0\r\nX-Server-Seal: 5ea1.0.0\r\nX-Not-Run: "                \
+  "1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 typedef struct
 {
   const char *text; /* sent at once; NULL: there is no such endpoint */
@@ -172,6 +176,82 @@
 }
 END_TEST
 
+typedef struct
+{
+  Fixture fixture;
+  CannedServer servers[FIXTURE_N_ENDPOINTS];
+} Departures;
+
+static void
+mark_first_leaving (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  fixture_put_endpoint (&((Departures *) w->data)->fixture, 0, true);
+}
+
+static void
+mark_second_leaving (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  fixture_put_endpoint (&((Departures *) w->data)->fixture, 1, true);
+}
+
+static void
+return_second (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Departures *departures = w->data;
+  (void) loop;
+  (void) events;
+  departures->servers[1].text = PLAIN "text";
+  fixture_put_endpoint (&departures->fixture, 1, false);
+}
+
+/* A request that found no endpoint used up retry budget at each pause. */
+START_TEST (resend_counts_only_if_it_is_sent)
+{
+  static const struct
+  {
+    double at_s;
+    void (*change) (struct ev_loop *loop, ev_timer *w, int events);
+  } changes[]
+      = { { 0.1, mark_first_leaving }, { 0.5, mark_second_leaving }, { 2.0, return_second } };
+  static const char *const texts[] = { "", FULL_AND_CLOSE };
+  Departures departures;
+  Fixture *fixture = &departures.fixture;
+  FixtureAnswer answer;
+  ev_timer timers[G_N_ELEMENTS (changes)];
+  fixture_init (fixture);
+  for (int i = 0; i < (int) G_N_ELEMENTS (texts); i++)
+    {
+      dy_http_server_finish (&fixture->endpoints[i].server);
+      ck_assert (canned_init (&departures.servers[i], fixture->kernel.loop,
+                              fixture->endpoints[i].address, texts[i], false));
+    }
+  fixture_put_endpoint (fixture, 0, false);
+  fixture->on_taken = add_second_endpoint;
+  departures.servers[0].rest = PLAIN "text";
+  departures.servers[0].silence_ms = 9000;
+  ev_now_update (fixture->kernel.loop);
+  for (size_t i = 0; i < G_N_ELEMENTS (changes); i++)
+    {
+      ev_timer_init (&timers[i], changes[i].change, changes[i].at_s, 0.0);
+      timers[i].data = &departures;
+      ev_timer_start (fixture->kernel.loop, &timers[i]);
+    }
+  fixture_send (fixture, "/ok/x", &answer, 1);
+  ck_assert_uint_eq (answer.result.status, 200);
+  const int64_t *counters = fixture->kernel.counters.values;
+  ck_assert_int_eq (counters[DY_COUNTER_ABANDONED], 1);
+  ck_assert_int_eq (counters[DY_COUNTER_RETRIES], counters[DY_COUNTER_ATTEMPTS] - 1);
+  for (int i = 0; i < (int) G_N_ELEMENTS (texts); i++)
+    canned_finish (&departures.servers[i]);
+  fixture_free_answers (&answer, 1);
+  fixture_finish (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -181,5 +261,6 @@
   tcase_add_loop_test (tcase, answer_is_not_ended_when_its_endpoint_is_silent, 0,
                        (int) G_N_ELEMENTS (cases));
   tcase_add_test (tcase, slow_caller_is_no_silence_of_the_endpoint);
+  tcase_add_test (tcase, resend_counts_only_if_it_is_sent);
   return suite_run ("silent_attempts", tcase);
 }
