--- a/test/test_silent_endpoints.c
+++ b/test/test_silent_endpoints.c
@@ -16,8 +16,10 @@
 static const struct
 {
   uint32_t n_routers;
+  uint32_t n_cut; /* from all endpoints, before the silence and in it */
   int64_t silence_ms;
-} cases[] = { { 1, 1200 }, { 1, 2400 }, { 4, 1200 }, { 4, 2400 } };
+} cases[] = { { 1, 0, 1200 }, { 1, 0, 2400 }, { 4, 0, 1200 },
+              { 4, 0, 2400 }, { 4, 1, 1200 }, { 4, 1, 2400 } };
 
 static void
 signal_workers (const Site *site, int number)
@@ -54,8 +56,12 @@
   int64_t silence_ms = cases[_i].silence_ms;
   uint32_t n_refused = 0;
   Site site;
-  ck_assert (site_init_relayed (&site, cases[_i].n_routers, PREPAID));
+  ck_assert (site_init_large (&site, cases[_i].n_routers, SITE_N_WORKERS, PREPAID));
+  for (uint32_t i = 0; i < cases[_i].n_cut; i++)
+    site_cut_router (&site, i, RELAY_CUT_RESET);
   traffic_run (&site, streams, results, G_N_ELEMENTS (streams), CALM_MS);
+  for (uint32_t i = 0; i < site.n_routers; i++)
+    n_refused -= site_count_output (&site, i, "outcome=no_endpoint");
   ev_timer_init (&silence, on_silence, BEFORE_MS / 1e3, 0.0);
   ev_timer_init (&speech, on_speech, (double) (BEFORE_MS + silence_ms) / 1e3, 0.0);
   silence.data = speech.data = &site;
