--- a/test/test_silent_endpoints.c
+++ b/test/test_silent_fleet.c
@@ -86,9 +86,9 @@
   {
     TIMEOUT_S = 60,
   };
-  TCase *tcase = tcase_create ("silent_endpoints");
+  TCase *tcase = tcase_create ("silent_fleet");
   tcase_set_timeout (tcase, TIMEOUT_S);
   tcase_add_loop_test (tcase, no_request_is_refused_for_a_silence_of_all_endpoints, 0,
                        G_N_ELEMENTS (cases));
-  return suite_run ("silent_endpoints", tcase);
+  return suite_run ("silent_fleet", tcase);
 }
