--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -39,7 +39,7 @@
 {
   DyGatewayAttempt *attempt = ctx;
   attempt->endpoint_left = dy_placement_endpoint_has_left (attempt->endpoint);
-  if (!attempt->endpoint_left)
+  if (!attempt->endpoint_left && attempt->watcher->ready)
     attempt->watcher->ready (attempt->ctx);
   return !attempt->endpoint_left;
 }
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -38,7 +38,7 @@
   /* Takes part of the answer's body. Returns false to pause; after dy_gateway_attempt_resume() the
    * same part is delivered again. */
   bool (*data) (void *ctx, const char *data, size_t n);
-  /* The attempt is about to be sent; it may have waited for a connection until now. */
+  /* The attempt is about to be sent; it may have waited for a connection until now. May be NULL. */
   void (*ready) (void *ctx);
   /* The attempt has ended and can be initialised again. Not called after a cancel. */
   void (*done) (void *ctx, const DyGatewayAttemptResult *result);
