Answer requests that are in progress when the router stops

Callers whose request was read, and still reserved tokens or ran when the time to drain was over, saw their connection closed without a word. The course of such a request ends with an error now: draining if it did not run, else outcome_unknown; a begun stream is ended as before. The relays of a router are freed after the gateway has cancelled them: they were freed before, which a review saw as a crash at the end of a drain (by reading; not run again here).

Measured: gateway_request/request_in_progress_is_answered_when_the_router_stops gets no byte without the new callback, 502 with it; test_request_course has the stop column changed and three more errors, 39 of 39; test_gateway_request 21 of 21.

--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -26,11 +26,12 @@
   NO_ENDPOINT,
   EXPIRE,
   DROP,
+  STOP,
 } Rule;
 
 /* What may come in any state before the end. */
 #define ANY_TIME                                                                                   \
-  [DY_COURSE_DEADLINE] = EXPIRE, [DY_COURSE_CALLER_LEFT] = DROP, [DY_COURSE_STOP] = DROP
+  [DY_COURSE_DEADLINE] = EXPIRE, [DY_COURSE_CALLER_LEFT] = DROP, [DY_COURSE_STOP] = STOP
 
 #define TO_WAIT [DY_COURSE_PAUSE_OVER] = SEND_OR_PAUSE, ANY_TIME
 
@@ -222,6 +223,17 @@
   return step;
 }
 
+static DyCourseStep
+stop (DyCourse *course, const DyCourseSituation *situation)
+{
+  bool abandons = dy_course_has_attempt (course);
+  cut_short (course, situation);
+  DyCourseStep step
+      = end_with_error (course, course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_DRAINING);
+  step.abandons = abandons;
+  return step;
+}
+
 static DyCourseStep
 drop (DyCourse *course, const DyCourseSituation *situation)
 {
@@ -290,6 +302,8 @@
       return expire (course, situation);
     case DROP:
       return drop (course, situation);
+    case STOP:
+      return stop (course, situation);
     case IGNORE:
       break;
     }
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -28,6 +28,7 @@
  *   Those of core/resend, and those with which an event states that the request was denied.
  *   DY_ORIGIN_UNKNOWN      the time limit was reached before the stream's origin was known
  *   DY_BUDGET_UNAVAILABLE  it was reached before the tokens were reserved
+ *   DY_DRAINING            the router stops, and the request did not run
  */
 
 #include <stdbool.h>
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -235,6 +235,7 @@
   dy_http_server_finish (&gateway->server);
   dy_http_server_finish (&gateway->ready_server);
   g_hash_table_unref (gateway->requests);
+  dy_relays_finish_calls (gateway->relays);
   g_hash_table_unref (gateway->max_idle_by_service);
   dy_gateway_crashes_finish (gateway);
   dy_http_client_finish (&gateway->client);
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -386,9 +386,11 @@
   if (step.abandons && event == DY_COURSE_REPLACED)
     log_abandoned (request);
   if (step.abandons)
-    dy_gateway_attempt_cancel (request->attempt, event == DY_COURSE_CALLER_LEFT
-                                                     ? DY_PLACEMENT_CANCELLED
-                                                     : DY_PLACEMENT_FAILED);
+    {
+      bool failed = event == DY_COURSE_REPLACED || event == DY_COURSE_DEADLINE;
+      dy_gateway_attempt_cancel (request->attempt,
+                                 failed ? DY_PLACEMENT_FAILED : DY_PLACEMENT_CANCELLED);
+    }
   if (step.action == DY_COURSE_SEND && dy_gateway_may_resend_after (request, event))
     dy_gateway_record_resend (request, request->attempt);
   switch (step.action)
@@ -469,8 +471,15 @@
     dy_gateway_take_event (request, DY_COURSE_CALLER_LEFT, DY_OK);
 }
 
+static void
+on_call_stopped (void *ctx, DyHttpCall *call)
+{
+  (void) call;
+  dy_gateway_take_event (ctx, DY_COURSE_STOP, DY_OK);
+}
+
 static const DyHttpCallWatcher call_watcher
-    = { .drained = on_call_drained, .closed = on_call_closed };
+    = { .drained = on_call_drained, .stopped = on_call_stopped, .closed = on_call_closed };
 
 void
 dy_gateway_request_free (gpointer key)
--- a/src/services/relays.c
+++ b/src/services/relays.c
@@ -346,7 +346,14 @@
 {
   DyRelays *relays = self;
   g_hash_table_unref (relays->served);
-  g_hash_table_unref (relays->calls);
+}
+
+void
+dy_relays_finish_calls (DyRelays *relays)
+{
+  if (relays->calls)
+    g_hash_table_unref (relays->calls);
+  relays->calls = NULL;
 }
 
 static json_t *
--- a/src/services/relays.h
+++ b/src/services/relays.h
@@ -79,6 +79,10 @@
                               const DyRelayWatcher *watcher,
                               void *ctx);
 
+/* Frees the relays that are still open; to be called once their attempts were cancelled, which the
+ * gateway does when it stops. */
+void dy_relays_finish_calls (DyRelays *relays);
+
 /* Ends the relay. Not to be called from the data callback. */
 void dy_relay_call_cancel (DyRelayCall *call);
 
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -123,6 +123,29 @@
   return g_string_free (text, FALSE);
 }
 
+/* A request that was in progress when the router stopped got no answer. */
+START_TEST (request_in_progress_is_answered_when_the_router_stops)
+{
+  Fixture fixture;
+  CannedServer server;
+  fixture_init (&fixture);
+  dy_http_server_finish (&fixture.endpoints[0].server);
+  ck_assert (canned_init (&server, fixture.kernel.loop, fixture.endpoints[0].address, "", false));
+  server.rest = "";
+  server.silence_ms = 20000;
+  fixture_put_endpoint (&fixture, 0, false);
+  int fd = send_raw (&fixture);
+  while (server.n_requests == 0)
+    ev_run (fixture.kernel.loop, EVRUN_ONCE);
+  dy_http_server_finish (&fixture.gateway.server);
+  char *text = receive_raw (&fixture, fd);
+  ck_assert_msg (g_str_has_prefix (text, "HTTP/1.1 502 "), "%s", text);
+  g_free (text);
+  canned_finish (&server);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* Holds the loop up for longer than a request may wait for its turn. */
 static void
 hold_up_once (void *ctx)
@@ -273,6 +296,7 @@
                        (int) G_N_ELEMENTS (endless_cases));
   tcase_add_loop_test (tcase, answer_without_length_ends_with_its_connection, 0,
                        (int) G_N_ELEMENTS (unframed_cases));
+  tcase_add_test (tcase, request_in_progress_is_answered_when_the_router_stops);
   tcase_add_test (tcase, requests_that_waited_too_long_are_refused_at_once);
   tcase_add_test (tcase, answer_is_read_before_its_attempt_is_abandoned);
   return suite_run ("gateway_request", tcase);
