Calls of the HTTP server move to a file of their own

What a handler sees of a call, and the way of its answer to libmicrohttpd, are in http_call.c now, unchanged but for names that are shared.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -3,7 +3,7 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "net/address.h"
-#include "net/http_call_end.h"
+#include "net/http_call_private.h"
 
 #include <string.h>
 #include <sys/resource.h>
@@ -25,63 +25,6 @@
 
 static const double SWEEP_INTERVAL_S = 0.2;
 
-struct DyHttpCall
-{
-  DyHttpServer *server;
-  GList pending_link; /* in the server's queue; its data is NULL while it is not there */
-  struct MHD_Connection *connection;
-  DyHttpConnection *record;
-  char *method;
-  char *path;
-  char *target;
-  int64_t arrived_us;
-  int64_t ready_us; /* monotonic start of the turn of the loop that read the request's end */
-  GString *body;
-  GString *out;    /* stream buffer */
-  size_t out_sent; /* number of bytes at the start of out that were sent */
-  struct MHD_Response *response;
-  GPtrArray *headers; /* name, value, name, value ... */
-  unsigned status;
-  DyCut cut; /* why the call is ended, if not by libmicrohttpd */
-  const DyHttpCallWatcher *watcher;
-  void *ctx;
-  ev_io disconnect_io; /* active while the connection is suspended */
-  bool header_read;
-  bool complete;  /* the request was passed to the handler or is in the server's queue */
-  bool too_large; /* the body exceeds max_body_bytes */
-  bool suspended;
-  bool streamed;
-  bool failed;              /* answered with 502 by the server */
-  bool queued;              /* the answer was passed to libmicrohttpd */
-  bool ended;               /* the stream is complete once its buffer is sent */
-  bool aborted_after_flush; /* the connection is closed once the stream buffer is sent */
-  bool aborted;             /* the connection is closed at the next opportunity */
-};
-
-static void
-suspend (DyHttpCall *call)
-{
-  if (call->suspended)
-    return;
-  call->suspended = true;
-  MHD_suspend_connection (call->connection);
-  ev_io_start (call->server->loop, &call->disconnect_io);
-}
-
-/* Resuming a connection does not make the epoll descriptor readable, so on_prepare() must run
- * libmicrohttpd. */
-static void
-resume (DyHttpCall *call)
-{
-  if (!call->suspended)
-    return;
-  call->suspended = false;
-  ev_io_stop (call->server->loop, &call->disconnect_io);
-  call->record->polled = false;
-  MHD_resume_connection (call->connection);
-  call->server->run_needed = true;
-}
-
 static void
 remove_pending (DyHttpCall *call)
 {
@@ -91,14 +34,6 @@
   call->pending_link.data = NULL;
 }
 
-/* Answers a call that had no answer and whose caller has closed its sending side at least. */
-static void
-answer_left (DyHttpCall *call)
-{
-  call->failed = true;
-  dy_http_call_reply (call, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
-}
-
 /* Ends a call whose caller has left. */
 static void
 end_left (DyHttpCall *call, DyCut cut)
@@ -111,11 +46,11 @@
       call->watcher = NULL;
       if (watcher && watcher->closed)
         watcher->closed (call->ctx, call, false);
-      answer_left (call);
+      dy_http_call_answer_left (call);
       return;
     }
   call->aborted = true;
-  resume (call);
+  dy_http_call_resume (call);
 }
 
 /* libmicrohttpd does not poll suspended connections, so a caller that disconnects is detected
@@ -140,83 +75,6 @@
   call->record->polled = true;
 }
 
-/* Content reader of libmicrohttpd: copies buffered stream bytes; suspends the connection when there
- * are none. */
-static ssize_t
-read_stream (void *cls, uint64_t pos, char *buf, size_t max)
-{
-  DyHttpCall *call = cls;
-  (void) pos;
-  size_t n = dy_http_call_unsent_bytes (call);
-  if (call->aborted)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (n == 0 && call->aborted_after_flush)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (n == 0 && call->ended)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  if (n == 0)
-    {
-      suspend (call);
-      return 0;
-    }
-  if (n > max)
-    n = max;
-  memcpy (buf, call->out->str + call->out_sent, n);
-  call->out_sent += n;
-  size_t pending = dy_http_call_unsent_bytes (call);
-  if (pending == 0)
-    {
-      g_string_truncate (call->out, 0);
-      call->out_sent = 0;
-    }
-  if (pending < call->server->buffer_bytes / 2 && call->watcher && call->watcher->drained)
-    call->watcher->drained (call->ctx, call);
-  return (ssize_t) n;
-}
-
-/* Returns the size of the answer's header fields. */
-static size_t
-answer_head_bytes (const DyHttpCall *call)
-{
-  static const size_t n_separators = 2; /* ": " or the end of the line */
-  size_t n = 0;
-  for (guint i = 0; i < call->headers->len; i++)
-    n += strlen (g_ptr_array_index (call->headers, i)) + n_separators;
-  return n;
-}
-
-/* Replaces an answer whose header fields libmicrohttpd may have no memory for. */
-static void
-drop_large_answer (DyHttpCall *call)
-{
-  size_t n = answer_head_bytes (call);
-  if (n <= call->server->max_answer_header_bytes)
-    return;
-  dy_log (DY_EVENT_ANSWER_HEAD_TOO_LARGE, "bytes=%zu status=%u path=%s", n, call->status,
-          call->path);
-  call->failed = true;
-  call->status = MHD_HTTP_BAD_GATEWAY;
-  g_ptr_array_set_size (call->headers, 0);
-  MHD_destroy_response (call->response);
-  call->response = MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
-}
-
-static enum MHD_Result
-queue_response (DyHttpCall *call)
-{
-  drop_large_answer (call);
-  for (guint i = 0; i + 1 < call->headers->len; i += 2)
-    MHD_add_response_header (call->response, g_ptr_array_index (call->headers, i),
-                             g_ptr_array_index (call->headers, i + 1));
-  if (call->server->closing || call->record->crowded || call->failed)
-    MHD_add_response_header (call->response, MHD_HTTP_HEADER_CONNECTION, "close");
-  call->queued = true;
-  enum MHD_Result result = MHD_queue_response (call->connection, call->status, call->response);
-  MHD_destroy_response (call->response);
-  call->response = NULL;
-  return result;
-}
-
 /* Called by libmicrohttpd when the request line is read; only here is the raw target available. */
 static void *
 begin_call (void *cls, const char *target, struct MHD_Connection *conn)
@@ -294,7 +152,7 @@
       = MHD_create_response_from_buffer (strlen (text), (void *) text, MHD_RESPMEM_PERSISTENT);
   if (!call->server->closing && !call->record->crowded)
     dy_http_call_add_header (call, MHD_HTTP_HEADER_CONNECTION, "close");
-  return queue_response (call);
+  return dy_http_call_queue (call);
 }
 
 static enum MHD_Result
@@ -408,8 +266,8 @@
   if (call->aborted)
     return MHD_NO;
   if (call->response)
-    return queue_response (call);
-  suspend (call);
+    return dy_http_call_queue (call);
+  dy_http_call_suspend (call);
   return MHD_YES;
 }
 
@@ -695,7 +553,7 @@
       call->cut = call->cut ? call->cut : DY_CUT_STOP;
       call->aborted = true;
       call->aborted_after_flush = true;
-      resume (call);
+      dy_http_call_resume (call);
     }
   g_list_free (calls);
   MHD_run (server->daemon);
@@ -729,164 +587,3 @@
 {
   return g_hash_table_size (server->calls);
 }
-
-const char *
-dy_http_call_method (const DyHttpCall *call)
-{
-  return call->method;
-}
-
-const char *
-dy_http_call_path (const DyHttpCall *call)
-{
-  return call->path;
-}
-
-const char *
-dy_http_call_target (const DyHttpCall *call)
-{
-  return call->target;
-}
-
-int64_t
-dy_http_call_arrived_us (const DyHttpCall *call)
-{
-  return call->arrived_us;
-}
-
-int64_t
-dy_http_call_waited_us (const DyHttpCall *call)
-{
-  return g_get_monotonic_time () - call->ready_us;
-}
-
-const GString *
-dy_http_call_body (const DyHttpCall *call)
-{
-  return call->body;
-}
-
-const char *
-dy_http_call_header (DyHttpCall *call, const char *name)
-{
-  return MHD_lookup_connection_value (call->connection, MHD_HEADER_KIND, name);
-}
-
-const char *
-dy_http_call_query (DyHttpCall *call, const char *name)
-{
-  return MHD_lookup_connection_value (call->connection, MHD_GET_ARGUMENT_KIND, name);
-}
-
-typedef struct
-{
-  void (*visit) (void *ctx, const char *name, const char *value);
-  void *ctx;
-} HeaderVisitor;
-
-static enum MHD_Result
-visit_header (void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-  const HeaderVisitor *visitor = cls;
-  (void) kind;
-  visitor->visit (visitor->ctx, name, value ? value : "");
-  return MHD_YES;
-}
-
-void
-dy_http_call_visit_headers (DyHttpCall *call,
-                            void (*visit) (void *ctx, const char *name, const char *value),
-                            void *ctx)
-{
-  HeaderVisitor visitor = { visit, ctx };
-  MHD_get_connection_values (call->connection, MHD_HEADER_KIND, visit_header, &visitor);
-}
-
-void
-dy_http_call_watch (DyHttpCall *call, const DyHttpCallWatcher *watcher, void *ctx)
-{
-  call->watcher = watcher;
-  call->ctx = ctx;
-}
-
-void
-dy_http_call_add_header (DyHttpCall *call, const char *name, const char *value)
-{
-  g_ptr_array_add (call->headers, g_strdup (name));
-  g_ptr_array_add (call->headers, g_strdup (value));
-}
-
-void
-dy_http_call_reply (
-    DyHttpCall *call, unsigned status, const char *content_type, const char *body, size_t n)
-{
-  if (call->queued || call->response)
-    {
-      dy_log (DY_EVENT_ANSWER_DISCARDED, "status=%u answered=%u path=%s", status, call->status,
-              call->path);
-      return;
-    }
-  call->status = status;
-  call->response = MHD_create_response_from_buffer (n, (void *) body, MHD_RESPMEM_MUST_COPY);
-  if (content_type)
-    dy_http_call_add_header (call, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
-  resume (call);
-}
-
-void
-dy_http_call_start_stream (DyHttpCall *call, unsigned status, const char *content_type)
-{
-  enum
-  {
-    READ_BLOCK_BYTES = 4096
-  };
-  call->status = status;
-  call->streamed = true;
-  call->response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, READ_BLOCK_BYTES,
-                                                      read_stream, call, NULL);
-  if (content_type)
-    dy_http_call_add_header (call, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
-  resume (call);
-}
-
-void
-dy_http_call_write (DyHttpCall *call, const char *data, size_t n)
-{
-  g_string_append_len (call->out, data, (gssize) n);
-  resume (call);
-}
-
-void
-dy_http_call_end (DyHttpCall *call)
-{
-  call->ended = true;
-  resume (call);
-}
-
-void
-dy_http_call_abort (DyHttpCall *call)
-{
-  bool answered = call->queued || call->response;
-  if (!answered && dy_peer_state (call->disconnect_io.fd) == DY_PEER_FINISHED)
-    {
-      call->cut = call->cut ? call->cut : DY_CUT_CALLER;
-      answer_left (call);
-      return;
-    }
-  call->aborted_after_flush = true;
-  call->cut = call->cut ? call->cut : DY_CUT_WRITER;
-  call->aborted = call->aborted || !answered;
-  resume (call);
-}
-
-bool
-dy_http_call_is_disconnected (const DyHttpCall *call)
-{
-  return dy_peer_state (call->disconnect_io.fd) != DY_PEER_OPEN;
-}
-
-size_t
-dy_http_call_unsent_bytes (const DyHttpCall *call)
-{
-  return call->out->len - call->out_sent;
-}
