Replace a silent attempt on a new connection only

Callers saw streams cut at their time limit, or 504, beside silences of 0.7 to 1.7 s: the attempt that took the place of the silent one went out on a kept connection to the next endpoint, which was dead since an earlier cut, and as the last attempt it was waited for. That it has a connection proves that the endpoint can be reached only if the connection is new.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -49,7 +49,7 @@
   int64_t sent_us;
   bool connected;
   bool stale;             /* the reused connection had unread bytes or was closed by the server */
-  bool on_new_connection; /* was restarted on a new connection */
+  bool on_new_connection; /* is to use one, or was restarted on one */
   bool resend_prevented;  /* libcurl was about to send the request a second time */
   bool rejected;          /* the data callback rejected the answer */
   bool withheld;          /* the before_send callback returned false */
@@ -522,6 +522,8 @@
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, transfer->client);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  transfer->on_new_connection = spec->new_connection;
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, spec->new_connection ? 1L : 0L);
   if (spec->max_idle_s)
     curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long) spec->max_idle_s);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -102,6 +102,7 @@
   int64_t timeout_ms;         /* limit on the time from then to the end of the answer; 0: none */
   int64_t read_timeout_ms;    /* limit on each wait for bytes of the answer; 0: no limit */
   uint64_t max_body_bytes;    /* a longer body ends the transfer with DY_PROTOCOL; 0: no limit */
+  bool new_connection;        /* do not use one that is kept, as it may be dead */
   int64_t max_idle_s;         /* connections idle for longer are not reused; 0: libcurl's default */
 } DyHttpSpec;
 
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -212,8 +212,9 @@
     = { .before_send = on_before_send, .head = on_head, .data = on_data, .done = on_done };
 
 static void
-start (DyGatewayAttempt *attempt, const DyForwardedRequest *forwarded)
+start (DyGatewayAttempt *attempt, const DyGatewayAttemptSpec *attempt_spec)
 {
+  const DyForwardedRequest *forwarded = attempt_spec->forwarded;
   DyGateway *gateway = attempt->gateway;
   const char *method = forwarded->method;
   char *url = g_strconcat ("http://", dy_placement_endpoint_address (attempt->endpoint),
@@ -229,6 +230,7 @@
                       .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                       .timeout_ms = DY_HTTP_MAX_STREAM_MS,
                       .max_body_bytes = DY_HTTP_MAX_STREAM_BYTES,
+                      .new_connection = attempt_spec->new_connection,
                       .max_idle_s = idle_s > 1 ? idle_s - 1 : 0 };
   attempt->transfer = dy_http_client_start (&gateway->client, &spec, &transfer_watcher, attempt);
   g_free (url);
@@ -316,7 +318,7 @@
   attempt->version = g_strdup (dy_placement_endpoint_version (endpoint));
   build_lines (attempt, spec);
   dy_placement_begin (&gateway->directory->placement, endpoint, &attempt->work, attempt->placed_us);
-  start (attempt, spec->forwarded);
+  start (attempt, spec);
 }
 
 static void
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -62,6 +62,7 @@
   const char *service;
   DyPromptWork work;
   DyAttemptHead head;
+  bool new_connection; /* to the endpoint, of an attempt that is not relayed */
 } DyGatewayAttemptSpec;
 
 typedef struct
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -147,6 +147,8 @@
                                 .request_id = request->plan.id,
                                 .service = request->plan.service,
                                 .work = request->plan.work,
+                                /* A kept connection to an endpoint may be as silent. */
+                                .new_connection = attempt != request->attempt,
                                 .head = { .account = request->plan.account,
                                           .resume_from = resume_point (request),
                                           .time_left_ms = time_left_ms (request),
--- a/test/test_silent_attempts.c
+++ b/test/test_silent_attempts.c
@@ -185,6 +185,39 @@
 }
 END_TEST
 
+/* A silent attempt was given up for one on a kept connection that was dead. */
+START_TEST (silent_attempt_is_replaced_on_a_new_connection)
+{
+  Fixture fixture;
+  FixtureAnswer answers[2];
+  CannedServer servers[2];
+  static const char *const texts[] = { "", PLAIN "text" };
+  fixture_init (&fixture);
+  for (int i = 0; i < 2; i++)
+    {
+      dy_http_server_finish (&fixture.endpoints[i].server);
+      ck_assert (canned_init (&servers[i], fixture.kernel.loop, fixture.endpoints[i].address,
+                              texts[i], false));
+      /* The connection stays open and nothing is read from it. */
+      servers[i].rest = "";
+      servers[i].silence_ms = 30000;
+    }
+  fixture_put_endpoint (&fixture, 1, false);
+  fixture_send (&fixture, "/ok/x", &answers[0], 1);
+  ck_assert_str_eq (answers[0].body->str, "text");
+  fixture_put_endpoint (&fixture, 1, true);
+  fixture_put_endpoint (&fixture, 0, false);
+  fixture.on_taken = add_second_endpoint;
+  fixture_send (&fixture, "/ok/x", &answers[1], 1);
+  ck_assert_uint_eq (answers[1].result.status, 200);
+  ck_assert_int_eq (servers[0].n_requests, 1);
+  for (int i = 0; i < 2; i++)
+    canned_finish (&servers[i]);
+  fixture_free_answers (answers, 2);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 typedef struct
 {
   Fixture fixture;
@@ -275,6 +308,7 @@
   tcase_add_loop_test (tcase, answer_is_not_ended_when_its_endpoint_is_silent, 0,
                        (int) G_N_ELEMENTS (cases));
   tcase_add_test (tcase, slow_caller_is_no_silence_of_the_endpoint);
+  tcase_add_test (tcase, silent_attempt_is_replaced_on_a_new_connection);
   tcase_add_test (tcase, resend_counts_only_if_it_is_sent);
   return suite_run ("silent_attempts", tcase);
 }
