--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -21,6 +21,9 @@
   RETRY_UNRUN, /* after one that did not */
   REPLACE,     /* start another attempt, if it may be sent, that replaces the open one */
   ABANDON,     /* the open attempt, which the other one replaces */
+  COUNT_RAN,   /* the other attempt */
+  COUNT_UNRUN,
+  SEND_ELSEWHERE, /* the open attempt was not sent */
   SEND_OR_PAUSE,
   DENY,
   NO_ENDPOINT,
@@ -40,8 +43,9 @@
 #define ATTEMPT_OPEN                                                                               \
   [DY_COURSE_ANSWERED] = PASS_ON, [DY_COURSE_BROKEN] = RETRY_RAN,                                  \
   [DY_COURSE_NOT_RUN] = RETRY_UNRUN, [DY_COURSE_NOT_SENT] = RETRY_UNRUN,                           \
-  [DY_COURSE_ENDPOINT_LEFT] = SEND, [DY_COURSE_SILENT] = REPLACE, [DY_COURSE_REPLACED] = ABANDON,  \
-  ANY_TIME
+  [DY_COURSE_ENDPOINT_LEFT] = SEND_ELSEWHERE, [DY_COURSE_SILENT] = REPLACE,                        \
+  [DY_COURSE_REPLACED] = ABANDON, [DY_COURSE_OTHER_RAN] = COUNT_RAN,                               \
+  [DY_COURSE_OTHER_UNRUN] = COUNT_UNRUN, ANY_TIME
 
 static const Rule rules[DY_COURSE_N_STATES][DY_COURSE_N_EVENTS] = {
   [DY_COURSE_LOOKING_UP] = { [DY_COURSE_GRANTED] = RESERVE, [DY_COURSE_DENIED] = DENY, ANY_TIME },
@@ -138,7 +142,7 @@
                           .repeatable = course->repeatable,
                           .may_have_run = course->may_have_run,
                           .answer_seen = is_begun (course),
-                          .gave_up = course->gave_up,
+                          .persists = course->persists,
                           .n_started = course->n_started,
                           .n_refused = course->n_refused,
                           .max_attempts = situation->blocked ? 0 : course->max_attempts,
@@ -155,10 +159,19 @@
   return dy_resend_decide (&query);
 }
 
+/* The open attempt is over and was counted; the other one, which was sent, takes its place. */
+static DyCourseStep
+switch_attempt (void)
+{
+  return (DyCourseStep){ .action = DY_COURSE_SWITCH };
+}
+
 static DyCourseStep
 retry (DyCourse *course, bool ran, const DyCourseSituation *situation)
 {
   count_attempt (course, ran);
+  if (situation->other_sent)
+    return switch_attempt ();
   int error = decide (course, ran, situation);
   if (error == DY_RESEND_LATER)
     return pause_before_attempt (course);
@@ -177,6 +190,8 @@
 retry_or_pass_on (DyCourse *course, const DyCourseSituation *situation)
 {
   count_attempt (course, true);
+  if (situation->other_sent)
+    return switch_attempt ();
   if (course->repeatable && decide (course, true, situation) == DY_OK)
     return send_again (course);
   return end (course, DY_COURSE_PASS_ON);
@@ -194,16 +209,24 @@
 abandon (DyCourse *course, const DyCourseSituation *situation)
 {
   count_attempt (course, situation->sent);
-  course->gave_up = true;
+  course->persists = true;
   return (DyCourseStep){ .action = DY_COURSE_WAIT, .abandons = true };
 }
 
-/* An open attempt that is cut short may have run, too. */
+static DyCourseStep
+count_other (DyCourse *course, bool ran)
+{
+  count_attempt (course, ran);
+  course->persists = true;
+  return wait_on ();
+}
+
+/* Open attempts that are cut short may have run, too. */
 static void
 cut_short (DyCourse *course, const DyCourseSituation *situation)
 {
-  course->may_have_run
-      = course->may_have_run || (dy_course_has_attempt (course) && situation->sent);
+  bool sent = situation->sent || situation->other_sent;
+  course->may_have_run = course->may_have_run || (dy_course_has_attempt (course) && sent);
 }
 
 static DyCourseStep
@@ -247,7 +270,7 @@
 static DyCourseStep
 go_without_endpoint (DyCourse *course)
 {
-  if (course->gave_up)
+  if (course->persists)
     return pause_before_attempt (course);
   int error = course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT;
   return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
@@ -294,6 +317,12 @@
       return abandon (course, situation);
     case SEND_OR_PAUSE:
       return send_or_pause (course, situation);
+    case COUNT_RAN:
+      return count_other (course, true);
+    case COUNT_UNRUN:
+      return count_other (course, false);
+    case SEND_ELSEWHERE:
+      return situation->other_sent ? switch_attempt () : send_again (course);
     case DENY:
       return end_with_error (course, situation->error);
     case NO_ENDPOINT:
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -20,9 +20,10 @@
  *   part of a stream, as that stream cannot end with another answer.
  *
  *   Silence of the endpoint never ends a request. Another attempt is started beside the open one
- *   if it may be sent, with the open one counted, and the open one is abandoned once the other one
- *   has a connection. If it gets none, the open one stays in use. A request whose attempt was
- *   abandoned is not ended because none may be sent now: it is sent again after a pause.
+ *   if it may be sent, with the open one counted. The open one is abandoned once the other endpoint
+ *   has accepted the request, and stays in use if that one turns it away. If the open one ends
+ *   first, without an answer for the caller, the other one takes its place. After such an attempt
+ *   the request is not ended because none may be sent now: it is sent again after a pause.
  *
  * ERRORS
  *   Those of core/resend, and those with which an event states that the request was denied.
@@ -63,7 +64,9 @@
   DY_COURSE_NOT_SENT,      /* no byte reached the endpoint */
   DY_COURSE_ENDPOINT_LEFT, /* not sent, as the endpoint left after it was chosen */
   DY_COURSE_SILENT,        /* the open attempt brought nothing for the read timeout */
-  DY_COURSE_REPLACED,      /* another attempt is about to be sent in place of the open one */
+  DY_COURSE_REPLACED,      /* the other attempt takes the place of the open one */
+  DY_COURSE_OTHER_RAN,     /* the other attempt is over, and it may have run */
+  DY_COURSE_OTHER_UNRUN,   /* it is over and did not run */
   DY_COURSE_PAUSE_OVER,
   DY_COURSE_DEADLINE,
   DY_COURSE_CALLER_LEFT,
@@ -77,6 +80,7 @@
   DY_COURSE_RESERVE,
   DY_COURSE_SEND,    /* start an attempt; its result is STARTED or NO_ENDPOINT */
   DY_COURSE_REPLACE, /* start one beside the open one, which stays in use until REPLACED */
+  DY_COURSE_SWITCH,  /* go on with the other attempt, as the open one is over */
   DY_COURSE_PAUSE,   /* report PAUSE_OVER after a while */
   /* These end the request: */
   DY_COURSE_PASS_ON, /* the complete answer */
@@ -90,7 +94,7 @@
   DyCourseState state;
   bool repeatable; /* idempotent, or a stream that can be resumed */
   bool may_have_run;
-  bool gave_up;          /* an attempt was abandoned for its silence */
+  bool persists; /* an attempt was abandoned for its silence, or one beside it turned away */
   uint32_t max_attempts; /* most attempts that may run */
   uint32_t n_started;    /* ended or abandoned attempts that may have run */
   uint32_t n_refused;    /* attempts that certainly did not run */
@@ -101,6 +105,7 @@
 {
   int error;            /* of DENIED */
   bool sent;            /* bytes of the open attempt may have reached the endpoint */
+  bool other_sent;      /* the same of the other attempt, which was not turned away so far */
   bool within_budget;   /* the retry budget allows another attempt */
   bool blocked;         /* the request must not be sent again */
   bool has_other;       /* an endpoint that was not tried yet can take it now */
--- a/src/core/resend.c
+++ b/src/core/resend.c
@@ -25,13 +25,13 @@
     return final_error;
   if (query->n_started >= query->max_attempts)
     return final_error;
-  if (query->n_refused >= MAX_REFUSED && !query->gave_up)
+  if (query->n_refused >= MAX_REFUSED && !query->persists)
     return final_error;
   if (query->time_left_ms <= query->time_needed_ms)
     return may_have_run ? DY_TIMEOUT : DY_NO_ENDPOINT;
   if (query->within_budget && query->n_refused < MAX_REFUSED)
     return DY_OK;
-  return query->gave_up ? DY_RESEND_LATER : final_error;
+  return query->persists ? DY_RESEND_LATER : final_error;
 }
 
 bool
@@ -41,6 +41,8 @@
   after.outcome = DY_ATTEMPT_UNANSWERED;
   after.may_have_run = true;
   after.n_started++;
+  if (after.persists)
+    after.n_refused = 0;
   return has_other && dy_resend_decide (&after) == DY_OK;
 }
 
--- a/src/core/resend.h
+++ b/src/core/resend.h
@@ -14,7 +14,7 @@
  *
  *   An attempt whose endpoint is silent may still be answered, so it is given up only for another
  *   one that may be made now: dy_resend_replaces_silent(). The request then is not ended before
- *   its deadline for want of an endpoint that takes it.
+ *   its deadline for want of an endpoint that takes it, however many have turned it away.
  *
  *   DyResendBudget bounds the resends to each service: in every sliding window, those of the entire
  *   fleet stay within ratio * requests + slack. Each router enforces its share of this bound, which
@@ -39,7 +39,7 @@
   bool repeatable;        /* idempotent, or a stream that can be resumed */
   bool may_have_run;      /* this attempt or an earlier one may have run */
   bool answer_seen;       /* the caller has received part of the answer */
-  bool gave_up;           /* an attempt that could still have been answered was given up */
+  bool persists;          /* an endpoint was silent, so it is sent until its deadline */
   uint32_t n_started;     /* attempts that may have run */
   uint32_t n_refused;     /* attempts that certainly did not run */
   uint32_t max_attempts;  /* most attempts that may have run */
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -85,6 +85,8 @@
     g_hash_table_insert (gateway->max_idle_by_service, g_strdup (attempt->service),
                          GINT_TO_POINTER ((int) answer->max_idle_s));
   attempt->answer.request_id = NULL;
+  if (attempt->watcher->head)
+    attempt->watcher->head (attempt->ctx);
   return !attempt->foreign;
 }
 
@@ -342,6 +344,8 @@
   attempt->is_success = is_success;
   for (; headers[0] && headers[1]; headers += 2)
     add_header (attempt->headers, headers[0], headers[1]);
+  if (attempt->watcher->head)
+    attempt->watcher->head (attempt->ctx);
 }
 
 static bool
@@ -374,8 +378,11 @@
                                  const DyGatewayAttemptWatcher *watcher,
                                  void *ctx)
 {
-  DyRelaySpec relay_spec
-      = { .attempt = spec, .plan = relay->plan, .version = relay->version, .avoid = relay->avoid };
+  DyRelaySpec relay_spec = { .attempt = spec,
+                             .plan = relay->plan,
+                             .version = relay->version,
+                             .avoid = relay->avoid,
+                             .except = relay->except };
   reset (attempt, gateway, spec, watcher, ctx);
   attempt->relay
       = dy_relays_start (gateway->relays, relay->peer, &relay_spec, &relay_watcher, attempt);
@@ -405,6 +412,22 @@
   return attempt->transfer ? dy_http_transfer_was_sent (attempt->transfer) : attempt->sent;
 }
 
+bool
+dy_gateway_attempt_is_answer (const DyGatewayAttempt *attempt)
+{
+  if (attempt->is_success)
+    return true;
+  return attempt->status > DY_HTTP_LAST_SUCCESS && attempt->status < DY_HTTP_SERVER_ERROR
+         && !attempt->foreign && !attempt->answer.not_run && !implies_not_run (attempt->status);
+}
+
+bool
+dy_gateway_attempt_states_not_run (const DyGatewayAttempt *attempt)
+{
+  return attempt->head_received && !attempt->foreign
+         && (attempt->status == DY_HTTP_MISDIRECTED || attempt->answer.not_run);
+}
+
 void
 dy_gateway_attempt_on_first_event (DyGatewayAttempt *attempt)
 {
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -35,11 +35,12 @@
   /* A relayed attempt is about to be sent to an endpoint. NULL for attempts that are not relayed.
    */
   void (*placed) (void *ctx, const char *endpoint_id);
+  /* The answer's header was received and is in the attempt. May be NULL. */
+  void (*head) (void *ctx);
   /* Takes part of the answer's body. Returns false to pause; after dy_gateway_attempt_resume() the
    * same part is delivered again. */
   bool (*data) (void *ctx, const char *data, size_t n);
-  /* The attempt is about to be sent; it may have waited for a connection until now. NULL for
-   * attempts made for another router. */
+  /* The attempt is about to be sent; it may have waited for a connection until now. */
   void (*ready) (void *ctx);
   /* The attempt has ended and can be initialised again. Not called after a cancel. */
   void (*done) (void *ctx, const DyGatewayAttemptResult *result);
@@ -109,6 +110,7 @@
   const struct DyGatewayPlan *plan;
   const char *version;      /* only endpoints of this software version; NULL: any */
   const char *const *avoid; /* ids of endpoints not to choose, NULL at the end */
+  const char *except;       /* id of one that is never chosen; NULL: there is none */
 } DyGatewayRelay;
 
 /* Has another router make the attempt. Returns false, with nothing started, if it cannot be asked.
@@ -129,6 +131,13 @@
 /* Returns whether bytes of the open attempt may have reached the endpoint. */
 bool dy_gateway_attempt_was_sent (const DyGatewayAttempt *attempt);
 
+/* To be called once the header was received: returns whether it is that of an answer to the
+ * request, and not of a failure or a refusal. */
+bool dy_gateway_attempt_is_answer (const DyGatewayAttempt *attempt);
+
+/* Returns whether the header was received and states that the request did not run. */
+bool dy_gateway_attempt_states_not_run (const DyGatewayAttempt *attempt);
+
 /* Reports that the endpoint has processed the prompt, as the first event shows. */
 void dy_gateway_attempt_on_first_event (DyGatewayAttempt *attempt);
 
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -44,30 +44,13 @@
   ev_timer_stop (request->gateway->kernel->loop, &request->resend_timer);
 }
 
-static DyGatewayAttempt *
-other_attempt (DyGatewayRequest *request)
-{
-  return &request->attempts[request->attempt == &request->attempts[0] ? 1 : 0];
-}
-
-/* Cancels the attempt that was to replace the one in use. */
-static void
-keep_attempt (DyGatewayRequest *request)
-{
-  if (!request->replacing)
-    return;
-  request->replacing = false;
-  dy_gateway_return_resend (request, other_attempt (request));
-  dy_gateway_attempt_cancel (other_attempt (request), DY_PLACEMENT_CANCELLED);
-}
-
 /* Settles and ends the request, which is freed once its call is closed, too. */
 static void
 end_request (DyGatewayRequest *request, bool complete)
 {
   stop_timers (request);
   dy_gateway_cancel_lookup (request);
-  keep_attempt (request);
+  dy_gateway_end_replacement (request);
   dy_gateway_settle (request, complete);
   if (!request->call)
     remove_request (request);
@@ -179,11 +162,11 @@
   end_request (request, true);
 }
 
+/* MS 0: the silence is not reported. */
 static void
-arm_read_timer (DyGatewayRequest *request)
+set_read_timer (DyGatewayRequest *request, int64_t ms)
 {
   struct ev_loop *loop = request->gateway->kernel->loop;
-  int64_t ms = dy_gateway_read_timeout_ms (request);
   ev_timer_stop (loop, &request->read_timer);
   if (ms == 0)
     return;
@@ -191,11 +174,24 @@
   ev_timer_start (loop, &request->read_timer);
 }
 
+static void
+arm_read_timer (DyGatewayRequest *request)
+{
+  set_read_timer (request, dy_gateway_read_timeout_ms (request));
+}
+
+void
+dy_gateway_report_silence_again (DyGatewayRequest *request)
+{
+  set_read_timer (request, RESEND_PAUSE_MS);
+}
+
 static bool
 on_attempt_data (void *ctx, const char *data, size_t n)
 {
   DyGatewayRequest *request = ctx;
-  keep_attempt (request);
+  if (dy_gateway_attempt_is_answer (request->attempt))
+    dy_gateway_end_replacement (request);
   if (!expects_events (request))
     {
       if (request->body->len + n > MAX_ANSWER_BYTES)
@@ -233,17 +229,21 @@
 
 /* For a relayed attempt, the other router does this. */
 static void
-record_crash (const DyGatewayRequest *request, bool is_new_connection)
+record_crash (const DyGatewayRequest *request,
+              const DyGatewayAttempt *attempt,
+              bool is_new_connection)
 {
-  DyGatewayBreak broken = { .endpoint_id = request->attempt->endpoint_id,
-                            .had_output = request->attempt->prompt_read,
+  DyGatewayBreak broken = { .endpoint_id = attempt->endpoint_id,
+                            .had_output = attempt->prompt_read,
                             .is_new_connection = is_new_connection };
-  if (request->attempt->endpoint)
+  if (attempt->endpoint)
     dy_gateway_record_crash (request->gateway, &request->plan, &broken);
 }
 
-static DyCourseEvent
-classify_end (const DyGatewayRequest *request, const DyGatewayAttemptResult *result)
+DyCourseEvent
+dy_gateway_classify_end (const DyGatewayRequest *request,
+                         const DyGatewayAttempt *attempt,
+                         const DyGatewayAttemptResult *result)
 {
   if (result->endpoint_left)
     return DY_COURSE_ENDPOINT_LEFT;
@@ -251,26 +251,35 @@
     return DY_COURSE_NOT_SENT;
   if (!result->complete && result->outcome == DY_ATTEMPT_NOT_RUN)
     return DY_COURSE_NOT_RUN;
-  bool torn = expects_events (request) && !dy_event_stream_at_boundary (&request->events);
-  if (!result->complete || torn)
+  bool is_stream = request->plan.kind == DY_ROUTE_STREAM && attempt->is_success;
+  if (!result->complete || (is_stream && !dy_event_stream_at_boundary (&request->events)))
     return DY_COURSE_BROKEN;
-  if (request->attempt->is_success)
+  if (attempt->is_success)
     return DY_COURSE_ANSWERED;
   return result->endpoint_error ? DY_COURSE_FAILED : DY_COURSE_DECLINED;
 }
 
+void
+dy_gateway_record_end (const DyGatewayRequest *request,
+                       const DyGatewayAttempt *attempt,
+                       DyCourseEvent event,
+                       const DyGatewayAttemptResult *result)
+{
+  if (event == DY_COURSE_BROKEN && (result->crashed || result->complete))
+    record_crash (request, attempt, result->is_new_connection);
+}
+
 static void
 on_attempt_done (void *ctx, const DyGatewayAttemptResult *result)
 {
   DyGatewayRequest *request = ctx;
   DyGateway *gateway = request->gateway;
-  DyCourseEvent event = classify_end (request, result);
+  DyCourseEvent event = dy_gateway_classify_end (request, request->attempt, result);
   ev_timer_stop (gateway->kernel->loop, &request->read_timer);
-  keep_attempt (request);
+  dy_gateway_end_refused_replacement (request);
   if (event == DY_COURSE_NOT_SENT || event == DY_COURSE_ENDPOINT_LEFT)
     dy_gateway_return_resend (request, request->attempt);
-  if (event == DY_COURSE_BROKEN && (result->crashed || result->complete))
-    record_crash (request, result->is_new_connection);
+  dy_gateway_record_end (request, request->attempt, event, result);
   if (event == DY_COURSE_ANSWERED)
     dy_gateway_record_success (gateway, &request->plan);
   if (event == DY_COURSE_ANSWERED && !expects_events (request))
@@ -282,8 +291,7 @@
 on_attempt_ready (void *ctx)
 {
   DyGatewayRequest *request = ctx;
-  request->resend_us[request->attempt - request->attempts] = 0;
-  dy_gateway_record_origin (request);
+  dy_gateway_record_sending (request, request->attempt);
 }
 
 static const DyGatewayAttemptWatcher attempt_watcher = { .placed = dy_gateway_take_placement,
@@ -299,46 +307,15 @@
   g_string_truncate (request->body, 0);
 }
 
-/* The attempt that was to replace the one in use has a connection. */
-static void
-on_replacement_ready (void *ctx)
+void
+dy_gateway_use_attempt (DyGatewayRequest *request, DyGatewayAttempt *attempt)
 {
-  DyGatewayRequest *request = ctx;
-  request->replacing = false;
-  dy_gateway_take_event (request, DY_COURSE_REPLACED, DY_OK);
-  dy_gateway_return_resend (request, request->attempt);
-  request->attempt = other_attempt (request);
-  request->attempt->watcher = &attempt_watcher;
+  request->attempt = attempt;
+  attempt->watcher = &attempt_watcher;
   drop_partial_answer (request);
-  on_attempt_ready (request);
   arm_read_timer (request);
 }
 
-static void
-on_replacement_done (void *ctx, const DyGatewayAttemptResult *result)
-{
-  DyGatewayRequest *request = ctx;
-  (void) result;
-  request->replacing = false;
-  dy_gateway_return_resend (request, other_attempt (request));
-}
-
-static void
-start_replacement (DyGatewayRequest *request)
-{
-  static const DyGatewayAttemptWatcher watcher = { .placed = dy_gateway_take_placement,
-                                                   .ready = on_replacement_ready,
-                                                   .data = on_attempt_data,
-                                                   .done = on_replacement_done };
-  if (request->replacing)
-    return;
-  DyGatewayAttempt *attempt = other_attempt (request);
-  dy_gateway_record_resend (request, attempt);
-  request->replacing = dy_gateway_send_attempt (request, attempt, &watcher);
-  if (!request->replacing)
-    dy_gateway_return_resend (request, attempt);
-}
-
 static void
 send_attempt (DyGatewayRequest *request)
 {
@@ -404,7 +381,10 @@
       send_attempt (request);
       break;
     case DY_COURSE_REPLACE:
-      start_replacement (request);
+      dy_gateway_start_replacement (request);
+      break;
+    case DY_COURSE_SWITCH:
+      dy_gateway_switch_attempt (request);
       break;
     case DY_COURSE_PAUSE:
       pause_before_attempt (request);
@@ -487,7 +467,7 @@
   DyGatewayRequest *request = key;
   stop_timers (request);
   dy_gateway_cancel_lookup (request);
-  keep_attempt (request);
+  dy_gateway_end_replacement (request);
   if (dy_course_has_attempt (&request->course))
     dy_gateway_attempt_cancel (request->attempt, DY_PLACEMENT_CANCELLED);
   dy_course_step (&request->course, DY_COURSE_STOP, &(DyCourseSituation){ 0 });
@@ -507,6 +487,7 @@
   ev_timer_init (&request->deadline_timer, on_deadline, 0.0, 0.0);
   ev_timer_init (&request->read_timer, on_read_timeout, 0.0, 0.0);
   ev_timer_init (&request->resend_timer, on_resend_pause_over, 0.0, 0.0);
+  dy_gateway_init_replacement (request);
   ev_set_priority (&request->deadline_timer, DY_PRIORITY_TIMEOUT);
   ev_set_priority (&request->read_timer, DY_PRIORITY_TIMEOUT);
   request->deadline_timer.data = request;
--- a/src/services/gateway_request_private.h
+++ b/src/services/gateway_request_private.h
@@ -9,6 +9,7 @@
  *   gateway_request.c  the request's events, answer and end
  *   gateway_admit.c    the origin of a resumed stream, and the reservation until it is settled
  *   gateway_send.c     the start of its attempts, and whether another one may follow
+ *   gateway_replacement.c  the attempt beside a silent one, until one of the two is over
  */
 
 #include "core/event_stream.h"
@@ -26,17 +27,19 @@
   int64_t event_us;     /* monotonic time at which the latest event was passed on */
   DyTicket *ticket;
   DyGatewayAttempt attempts[2];
-  DyGatewayAttempt *attempt; /* the latest one that was started or has replaced another one */
-  bool replacing;            /* the other one is open, too, and replaces it when it is sent */
-  int64_t resend_us[2];      /* when each was recorded as a resend; 0: it was not, or was sent */
-  GPtrArray *tried;          /* ids of the endpoints tried, NULL at the end */
+  DyGatewayAttempt *attempt;   /* the latest one that was started or has replaced another one */
+  bool replacing;              /* the other one is open, too, and may take its place */
+  int64_t replacement_sent_us; /* monotonic time; 0: the other one is not open, or not sent */
+  int64_t resend_us[2];        /* when each was recorded as a resend; 0: it was not, or was sent */
+  GPtrArray *tried;            /* ids of the endpoints tried, NULL at the end */
   bool stream_started;
   char *version;          /* of the endpoint that began the stream; NULL: not begun */
   DyOriginLookup *lookup; /* of version, in progress; NULL: none */
   DyEventStream events;
   GString *body;           /* of the answer; of a stream, the complete events not passed on yet */
   ev_timer deadline_timer; /* ends the request at its deadline */
-  ev_timer read_timer;     /* abandons an attempt after the read timeout */
+  ev_timer read_timer;     /* reports a silence of the endpoint after the read timeout */
+  ev_timer accept_timer;   /* ends the time for which two attempts that were sent are open */
   ev_timer resend_timer;   /* sends the request again after a pause */
 } DyGatewayRequest;
 
@@ -67,8 +70,47 @@
 /* Records an endpoint that an attempt of the request CTX was placed at. */
 void dy_gateway_take_placement (void *ctx, const char *endpoint_id);
 
-/* Records that the endpoint of the latest attempt may begin the stream. */
-void dy_gateway_record_origin (const DyGatewayRequest *request);
+/* Records that the endpoint of ATTEMPT may begin the stream. */
+void dy_gateway_record_origin (const DyGatewayRequest *request, const DyGatewayAttempt *attempt);
+
+/* Records that ATTEMPT is about to be sent. */
+void dy_gateway_record_sending (DyGatewayRequest *request, const DyGatewayAttempt *attempt);
+
+/* Returns the event that the end of ATTEMPT is. */
+DyCourseEvent dy_gateway_classify_end (const DyGatewayRequest *request,
+                                       const DyGatewayAttempt *attempt,
+                                       const DyGatewayAttemptResult *result);
+
+/* Records what the end of ATTEMPT, which is EVENT, tells of crashes. */
+void dy_gateway_record_end (const DyGatewayRequest *request,
+                            const DyGatewayAttempt *attempt,
+                            DyCourseEvent event,
+                            const DyGatewayAttemptResult *result);
+
+/* Makes ATTEMPT, which is open, the one in use. */
+void dy_gateway_use_attempt (DyGatewayRequest *request, DyGatewayAttempt *attempt);
+
+/* Reports the silence of the attempt in use once more, after a pause. */
+void dy_gateway_report_silence_again (DyGatewayRequest *request);
+
+void dy_gateway_init_replacement (DyGatewayRequest *request);
+
+/* Starts an attempt beside the silent one, unless there is one already. It takes the silent one's
+ * place, which is reported as REPLACED, once its endpoint has accepted the request. If that
+ * endpoint turns the request away, the silent attempt stays in use. */
+void dy_gateway_start_replacement (DyGatewayRequest *request);
+
+/* Cancels the attempt beside the one in use, if there is one. */
+void dy_gateway_end_replacement (DyGatewayRequest *request);
+
+/* The same, unless it was sent and its endpoint may accept the request. */
+void dy_gateway_end_refused_replacement (DyGatewayRequest *request);
+
+/* Returns whether there is one that was sent. */
+bool dy_gateway_replacement_was_sent (const DyGatewayRequest *request);
+
+/* Makes the attempt beside the one in use, which has ended, the one in use. */
+void dy_gateway_switch_attempt (DyGatewayRequest *request);
 
 /* Counts ATTEMPT, which follows another one, until dy_gateway_return_resend() if it is not sent. */
 void dy_gateway_record_resend (DyGatewayRequest *request, const DyGatewayAttempt *attempt);
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -41,7 +41,7 @@
 }
 
 void
-dy_gateway_record_origin (const DyGatewayRequest *request)
+dy_gateway_record_origin (const DyGatewayRequest *request, const DyGatewayAttempt *attempt)
 {
   if (request->plan.kind != DY_ROUTE_STREAM || !request->plan.repeatable || request->version)
     return;
@@ -49,7 +49,7 @@
   DyStreamOrigin origin
       = { .request_id = request->plan.id,
           .service = request->plan.service,
-          .version = request->attempt->version,
+          .version = attempt->version,
           .expires_us = deadline_us == INT64_MAX ? now_us (request) + UNLIMITED_RESUME_US
                                                  : deadline_us + RESUME_MARGIN_US };
   dy_origins_record (request->gateway->origins, &origin);
@@ -72,10 +72,12 @@
                const DyGatewayAttemptWatcher *watcher)
 {
   DyGateway *gateway = request->gateway;
+  bool beside = attempt != request->attempt;
   DyGatewayRelay relay = { .peer = dy_reachability_choose_peer (gateway->reachability),
                            .plan = &request->plan,
                            .version = request->version,
-                           .avoid = (const char *const *) request->tried->pdata };
+                           .avoid = (const char *const *) request->tried->pdata,
+                           .except = beside ? request->attempt->endpoint_id : NULL };
   if (!relay.peer
       || !dy_gateway_attempt_init_relayed (attempt, gateway, &relay, spec, watcher, request))
     return false;
@@ -84,6 +86,60 @@
   return true;
 }
 
+/* Returns the software version to choose for ATTEMPT first; NULL: any. A stream that has not begun
+ * may begin at either of two attempts, if their versions are the same. */
+static const char *
+preferred_version (const DyGatewayRequest *request, const DyGatewayAttempt *attempt)
+{
+  bool beside = attempt != request->attempt;
+  if (request->version || !beside || request->plan.kind != DY_ROUTE_STREAM)
+    return request->version;
+  return request->attempt->version;
+}
+
+/* Chooses for an attempt beside a silent one: not the same endpoint, as two attempts there would be
+ * of no more use than one. */
+static DyPlacementEndpoint *
+choose_beside (DyGatewayRequest *request, DyPlacementQuery *query, int64_t *predicted_us)
+{
+  DyPlacement *placement = &request->gateway->directory->placement;
+  const char *silent[] = { request->attempt->endpoint_id, NULL };
+  const char *const *const avoid[] = { (const char *const *) request->tried->pdata, silent };
+  const char *versions[] = { query->version, request->version };
+  DyPlacementEndpoint *endpoint = NULL;
+  for (size_t i = 0; i < G_N_ELEMENTS (versions) && !endpoint; i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (avoid) && !endpoint; j++)
+      {
+        query->version = versions[i];
+        query->avoid = avoid[j];
+        endpoint = dy_placement_choose (placement, query, now_us (request), predicted_us);
+      }
+  query->avoid = avoid[0];
+  return endpoint;
+}
+
+/* Chooses for the only attempt: an endpoint that was not tried, any but the one that was tried
+ * last, which is the least likely to take the request now, or that one. */
+static DyPlacementEndpoint *
+choose_alone (DyGatewayRequest *request, DyPlacementQuery *query, int64_t *predicted_us)
+{
+  DyPlacement *placement = &request->gateway->directory->placement;
+  const char *const *tried = (const char *const *) request->tried->pdata;
+  DyPlacementEndpoint *endpoint
+      = dy_placement_choose (placement, query, now_us (request), predicted_us);
+  if (!endpoint && request->tried->len > 2)
+    {
+      query->avoid = &tried[request->tried->len - 2];
+      endpoint = dy_placement_choose (placement, query, now_us (request), predicted_us);
+    }
+  if (!endpoint)
+    {
+      query->avoid = NULL;
+      endpoint = dy_placement_choose (placement, query, now_us (request), predicted_us);
+    }
+  return endpoint;
+}
+
 /* Sends the request to an endpoint that this router chooses. */
 static bool
 place_attempt (DyGatewayRequest *request,
@@ -95,23 +151,11 @@
   DyPlacementQuery query = { .service = request->plan.service,
                              .work = request->plan.work,
                              .avoid = (const char *const *) request->tried->pdata,
-                             .version = request->version };
+                             .version = preferred_version (request, attempt) };
   int64_t predicted_us = 0;
-  DyPlacementEndpoint *endpoint = dy_placement_choose (&gateway->directory->placement, &query,
-                                                       now_us (request), &predicted_us);
-  if (!endpoint && request->tried->len > 2)
-    {
-      /* Only the one that was tried last, which is the least likely to take the request now. */
-      query.avoid = (const char *const *) &request->tried->pdata[request->tried->len - 2];
-      endpoint = dy_placement_choose (&gateway->directory->placement, &query, now_us (request),
-                                      &predicted_us);
-    }
-  if (!endpoint)
-    {
-      query.avoid = NULL;
-      endpoint = dy_placement_choose (&gateway->directory->placement, &query, now_us (request),
-                                      &predicted_us);
-    }
+  DyPlacementEndpoint *endpoint = attempt == request->attempt
+                                      ? choose_alone (request, &query, &predicted_us)
+                                      : choose_beside (request, &query, &predicted_us);
   const char *gated = dy_placement_gated (&gateway->directory->placement, &query, now_us (request));
   if (gated)
     dy_endpoint_limits_log_skip (gateway->limits, request->plan.id, gated);
@@ -163,15 +207,16 @@
   return started;
 }
 
-/* Returns whether an endpoint that was not tried yet, or another router in place of this one, can
- * take the request now. */
+/* Returns whether an endpoint other than the one of the attempt in use, or another router in place
+ * of this one, can take the request now. */
 static bool
 has_other_endpoint (const DyGatewayRequest *request)
 {
   const DyGateway *gateway = request->gateway;
+  const char *silent[] = { request->attempt->endpoint_id, NULL };
   DyPlacementQuery query = { .service = request->plan.service,
                              .work = request->plan.work,
-                             .avoid = (const char *const *) request->tried->pdata,
+                             .avoid = silent,
                              .version = request->version };
   if (dy_reachability_is_out (gateway->reachability))
     return dy_reachability_choose_peer (gateway->reachability) != NULL;
@@ -207,6 +252,13 @@
                                   (uint32_t) MAX (members, 1), now_us (request));
 }
 
+void
+dy_gateway_record_sending (DyGatewayRequest *request, const DyGatewayAttempt *attempt)
+{
+  request->resend_us[attempt - request->attempts] = 0;
+  dy_gateway_record_origin (request, attempt);
+}
+
 void
 dy_gateway_record_resend (DyGatewayRequest *request, const DyGatewayAttempt *attempt)
 {
@@ -253,6 +305,7 @@
   DyCourseSituation situation = { .error = error };
   situation.sent
       = dy_course_has_attempt (&request->course) && dy_gateway_attempt_was_sent (request->attempt);
+  situation.other_sent = dy_gateway_replacement_was_sent (request);
   if (!dy_gateway_may_resend_after (request, event))
     return situation;
   situation.within_budget = resend_allowed (request);
--- a/src/services/relay_server.c
+++ b/src/services/relay_server.c
@@ -104,6 +104,21 @@
                         attempt->is_success, "headers", headers));
 }
 
+static void
+on_ready (void *ctx)
+{
+  const Served *served = ctx;
+  send_json (served, DY_RELAY_PLACED,
+             json_pack ("{s:s, s:s}", "endpoint", served->attempt.endpoint_id, "version",
+                        served->attempt.version));
+}
+
+static void
+on_head (void *ctx)
+{
+  send_head (ctx);
+}
+
 static bool
 on_data (void *ctx, const char *data, size_t n)
 {
@@ -153,7 +168,8 @@
   end (served, &out);
 }
 
-static const DyGatewayAttemptWatcher attempt_watcher = { .data = on_data, .done = on_done };
+static const DyGatewayAttemptWatcher attempt_watcher
+    = { .ready = on_ready, .head = on_head, .data = on_data, .done = on_done };
 
 static void
 on_deadline (struct ev_loop *loop, ev_timer *w, int events)
@@ -193,6 +209,7 @@
 {
   DyPlacement *placement = &served->relays->gateway->directory->placement;
   GPtrArray *avoid = text_array (json_object_get (served->open, "avoid"));
+  const char *except[] = { text_of (served, "except"), NULL };
   DyPlacementQuery query = { .service = text_of (served, "service"),
                              .work = *work,
                              .avoid = (const char *const *) avoid->pdata,
@@ -201,7 +218,7 @@
   DyPlacementEndpoint *endpoint = dy_placement_choose (placement, &query, now_us, NULL);
   if (!endpoint)
     {
-      query.avoid = NULL;
+      query.avoid = except;
       endpoint = dy_placement_choose (placement, &query, now_us, NULL);
     }
   g_ptr_array_unref (avoid);
@@ -244,9 +261,6 @@
   dy_log (DY_EVENT_RELAY_PLACED, "request=%s endpoint=%s version=%s", spec.request_id, id,
           dy_placement_endpoint_version (endpoint));
   dy_counters_add (&relays->kernel->counters, DY_COUNTER_RELAYS_SERVED, 1);
-  send_json (served, DY_RELAY_PLACED,
-             json_pack ("{s:s, s:s}", "endpoint", id, "version",
-                        dy_placement_endpoint_version (endpoint)));
   start_deadline (served, spec.head.time_left_ms);
   served->attempt_open = true;
   dy_gateway_attempt_init (&served->attempt, relays->gateway, endpoint, &spec, &attempt_watcher,
--- a/src/services/relays.h
+++ b/src/services/relays.h
@@ -17,8 +17,9 @@
  *   Messages of type DY_MESSAGE_RELAY with the number that the asking router gave the relay:
  *   open    to the other router, JSON: {"id", "service", "method", "target", "lines": [text],
  *           "body_bytes", "body_hash", "parts": [hex id], "prefix", "shared", "own",
- *           "version": text or null, "avoid": [endpoint id], "account", "resume_from",
- *           "time_left_ms", "priority", "has_priority"}; 64-bit hashes and ids are hexadecimal
+ *           "version": text or null, "avoid": [endpoint id], "except": text or null, "account",
+ *           "resume_from", "time_left_ms", "priority", "has_priority"}; 64-bit hashes and ids are
+ *           hexadecimal
  *   body    the next bytes of the request's body; the request is sent once all have come
  *   cancel  no data
  *   placed  from the other router, JSON: {"endpoint", "version"}; the request is about to be sent
@@ -56,6 +57,7 @@
   const DyGatewayPlan *plan;
   const char *version;      /* only endpoints of this software version; NULL: any */
   const char *const *avoid; /* ids of endpoints not to choose, NULL at the end */
+  const char *except;       /* id of one that is never chosen; NULL: there is none */
 } DyRelaySpec;
 
 typedef struct
--- a/test/support/canned.c
+++ b/test/support/canned.c
@@ -73,6 +73,11 @@
 {
   CannedServer *server = w->data;
   (void) events;
+  if (server->single && ev_is_active (&server->silence_timer))
+    {
+      close (accept (server->listen_fd, NULL, NULL));
+      return;
+    }
   end_connection (server);
   server->fd = accept (server->listen_fd, NULL, NULL);
   fcntl (server->fd, F_SETFL, O_NONBLOCK);
--- a/test/support/canned.h
+++ b/test/support/canned.h
@@ -15,6 +15,7 @@
   struct ev_loop *loop;
   const char *text;
   bool resets;      /* the connection is reset in place of a regular end */
+  bool single;      /* while an answer is in progress, further connections are closed at once */
   const char *rest; /* sent silence_ms after the text; NULL: nothing, and the connection ends */
   int64_t silence_ms;
   int n_requests;
--- a/test/test_request_course.c
+++ b/test/test_request_course.c
@@ -8,42 +8,57 @@
 #include <string.h>
 
 /* A cell has the action and the next state:
- * w wait, r reserve, s send, x replace, z pause, p pass on, e refuse with an error, a abort, d
- * drop; L looking up, V reserving, P placing, R running, Q resuming, S streaming, Z pausing, H
- * halting, O over. The columns are the events in their order: granted, denied, started, no
- * endpoint; data, answered, declined, failed; broken, not run, not sent, endpoint left; silent,
- * replaced, pause over, deadline; caller left, stop. */
-static const char action_letters[] = "wrsxzpead";
+ * w wait, r reserve, s send, x replace, y switch, z pause, p pass on, e refuse with an error, a
+ * abort, d drop; L looking up, V reserving, P placing, R running, Q resuming, S streaming, Z
+ * pausing, H halting, O over. The columns are the events in their order: granted, denied, started,
+ * no endpoint; data, answered, declined, failed; broken, not run, not sent, endpoint left; silent,
+ * replaced, other ran, other unrun; pause over, deadline, caller left, stop. */
+static const char action_letters[] = "wrsxyzpead";
 static const char state_letters[] = "LVPRQSZHO";
 
 static const struct
 {
   const char *name;
   bool may_resend;
+  bool other_sent;
   const char *rows[DY_COURSE_N_STATES];
 } tables[] = {
   { "another attempt is allowed",
     true,
-    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL wL wL eO  dO eO",
-      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV wV wV eO  dO eO",
-      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP wP wP eO  dO eO",
-      "wR wR wR wR  wS pO pO sP  sP sP sP sP  xR wR wR eO  dO eO",
-      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ wQ wQ aO  dO aO",
-      "wS wS wS wS  wS pO sQ sQ  sQ sQ sQ sQ  xS wS wS aO  dO aO",
-      "wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ sP eO  dO eO",
-      "wH wH wH wH  wH wH wH wH  wH wH wH wH  wH wH sQ aO  dO aO",
-      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO" } },
+    false,
+    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL wL wL wL  wL eO dO eO",
+      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV wV wV wV  wV eO dO eO",
+      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP wP wP wP  wP eO dO eO",
+      "wR wR wR wR  wS pO pO sP  sP sP sP sP  xR wR wR wR  wR eO dO eO",
+      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ aO dO aO",
+      "wS wS wS wS  wS pO sQ sQ  sQ sQ sQ sQ  xS wS wS wS  wS aO dO aO",
+      "wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  sP eO dO eO",
+      "wH wH wH wH  wH wH wH wH  wH wH wH wH  wH wH wH wH  sQ aO dO aO",
+      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO" } },
   { "no other attempt is allowed",
     false,
-    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL wL wL eO  dO eO",
-      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV wV wV eO  dO eO",
-      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP wP wP eO  dO eO",
-      "wR wR wR wR  wS pO pO pO  eO eO eO sP  wR wR wR eO  dO eO",
-      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ wQ wQ aO  dO aO",
-      "wS wS wS wS  wS pO aO aO  aO aO aO sQ  wS wS wS aO  dO aO",
-      "wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ zZ eO  dO eO",
-      "wH wH wH wH  wH wH wH wH  wH wH wH wH  wH wH zH aO  dO aO",
-      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO" } },
+    false,
+    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL wL wL wL  wL eO dO eO",
+      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV wV wV wV  wV eO dO eO",
+      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP wP wP wP  wP eO dO eO",
+      "wR wR wR wR  wS pO pO pO  eO eO eO sP  wR wR wR wR  wR eO dO eO",
+      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ aO dO aO",
+      "wS wS wS wS  wS pO aO aO  aO aO aO sQ  wS wS wS wS  wS aO dO aO",
+      "wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  zZ eO dO eO",
+      "wH wH wH wH  wH wH wH wH  wH wH wH wH  wH wH wH wH  zH aO dO aO",
+      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO" } },
+  { "another attempt is open and was sent",
+    false,
+    true,
+    { "rV eO wL wL  wL wL wL wL  wL wL wL wL  wL wL wL wL  wL eO dO eO",
+      "sP eO wV wV  wV wV wV wV  wV wV wV wV  wV wV wV wV  wV eO dO eO",
+      "wP wP wR eO  wP wP wP wP  wP wP wP wP  wP wP wP wP  wP eO dO eO",
+      "wR wR wR wR  wS pO pO yR  yR yR yR yR  wR wR wR wR  wR eO dO eO",
+      "wQ wQ wS aO  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ wQ wQ wQ  wQ aO dO aO",
+      "wS wS wS wS  wS pO yS yS  yS yS yS yS  wS wS wS wS  wS aO dO aO",
+      "wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  wZ wZ wZ wZ  zZ eO dO eO",
+      "wH wH wH wH  wH wH wH wH  wH wH wH wH  wH wH wH wH  zH aO dO aO",
+      "wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO  wO wO wO wO" } },
 };
 
 static const DyCourseSituation all_allowed = { .error = DY_SUSPENDED,
@@ -85,6 +100,7 @@
         DyCourse course = course_in ((DyCourseState) state);
         DyCourseSituation situation = all_allowed;
         situation.within_budget = tables[_i].may_resend;
+        situation.other_sent = tables[_i].other_sent;
         bool had_attempt = dy_course_has_attempt (&course);
         DyCourseStep step = dy_course_step (&course, (DyCourseEvent) event, &situation);
         ck_assert_msg (action_letters[step.action] == expected[0]
@@ -109,25 +125,35 @@
   bool may_have_run; /* by an earlier attempt */
   bool sent;         /* the open attempt */
   int error;
+  bool other_sent;
 } error_cases[] = {
-  { "denied", DY_COURSE_RESERVING, DY_COURSE_DENIED, false, false, DY_SUSPENDED },
-  { "late, origin", DY_COURSE_LOOKING_UP, DY_COURSE_DEADLINE, false, false, DY_ORIGIN_UNKNOWN },
-  { "late, budget", DY_COURSE_RESERVING, DY_COURSE_DEADLINE, false, false, DY_BUDGET_UNAVAILABLE },
-  { "late, not sent", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, false, false, DY_NO_ENDPOINT },
-  { "late, sent", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, false, true, DY_TIMEOUT },
-  { "late, sent before", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, true, false, DY_TIMEOUT },
-  { "late, streaming", DY_COURSE_STREAMING, DY_COURSE_DEADLINE, true, true, DY_TIMEOUT },
-  { "stop, not sent", DY_COURSE_RUNNING, DY_COURSE_STOP, false, false, DY_DRAINING },
-  { "stop, sent", DY_COURSE_RUNNING, DY_COURSE_STOP, false, true, DY_OUTCOME_UNKNOWN },
-  { "stop, streaming", DY_COURSE_STREAMING, DY_COURSE_STOP, true, true, DY_OUTCOME_UNKNOWN },
-  { "no endpoint", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, false, false, DY_NO_ENDPOINT },
-  { "none after one", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, true, false, DY_OUTCOME_UNKNOWN },
-  { "none to resume", DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT, true, false, DY_STREAM_BROKEN },
-  { "broken", DY_COURSE_RUNNING, DY_COURSE_BROKEN, false, true, DY_OUTCOME_UNKNOWN },
-  { "not run", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, false, true, DY_NO_ENDPOINT },
-  { "not run after one", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, true, true, DY_OUTCOME_UNKNOWN },
-  { "stream broken", DY_COURSE_STREAMING, DY_COURSE_BROKEN, true, true, DY_STREAM_BROKEN },
-  { "stream failed", DY_COURSE_STREAMING, DY_COURSE_FAILED, true, true, DY_STREAM_BROKEN },
+  { "denied", DY_COURSE_RESERVING, DY_COURSE_DENIED, false, false, DY_SUSPENDED, false },
+  { "late, origin", DY_COURSE_LOOKING_UP, DY_COURSE_DEADLINE, false, false, DY_ORIGIN_UNKNOWN,
+    false },
+  { "late, budget", DY_COURSE_RESERVING, DY_COURSE_DEADLINE, false, false, DY_BUDGET_UNAVAILABLE,
+    false },
+  { "late, not sent", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, false, false, DY_NO_ENDPOINT, false },
+  { "late, sent", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, false, true, DY_TIMEOUT, false },
+  { "late, sent before", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, true, false, DY_TIMEOUT, false },
+  { "late, streaming", DY_COURSE_STREAMING, DY_COURSE_DEADLINE, true, true, DY_TIMEOUT, false },
+  { "stop, not sent", DY_COURSE_RUNNING, DY_COURSE_STOP, false, false, DY_DRAINING, false },
+  { "stop, sent", DY_COURSE_RUNNING, DY_COURSE_STOP, false, true, DY_OUTCOME_UNKNOWN, false },
+  { "stop, streaming", DY_COURSE_STREAMING, DY_COURSE_STOP, true, true, DY_OUTCOME_UNKNOWN, false },
+  { "no endpoint", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, false, false, DY_NO_ENDPOINT, false },
+  { "none after one", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, true, false, DY_OUTCOME_UNKNOWN,
+    false },
+  { "none to resume", DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT, true, false, DY_STREAM_BROKEN,
+    false },
+  { "broken", DY_COURSE_RUNNING, DY_COURSE_BROKEN, false, true, DY_OUTCOME_UNKNOWN, false },
+  { "not run", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, false, true, DY_NO_ENDPOINT, false },
+  { "not run after one", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, true, true, DY_OUTCOME_UNKNOWN,
+    false },
+  { "stream broken", DY_COURSE_STREAMING, DY_COURSE_BROKEN, true, true, DY_STREAM_BROKEN, false },
+  { "stream failed", DY_COURSE_STREAMING, DY_COURSE_FAILED, true, true, DY_STREAM_BROKEN, false },
+  { "late, only the other sent", DY_COURSE_RUNNING, DY_COURSE_DEADLINE, false, false, DY_TIMEOUT,
+    true },
+  { "stop, only the other sent", DY_COURSE_RUNNING, DY_COURSE_STOP, false, false,
+    DY_OUTCOME_UNKNOWN, true },
 };
 
 START_TEST (error_tells_what_may_have_run)
@@ -136,6 +162,7 @@
   DyCourseSituation situation = all_allowed;
   situation.within_budget = false;
   situation.sent = error_cases[_i].sent;
+  situation.other_sent = error_cases[_i].other_sent;
   course.may_have_run = error_cases[_i].may_have_run;
   DyCourseStep step = dy_course_step (&course, error_cases[_i].event, &situation);
   ck_assert_msg (step.error == error_cases[_i].error, "%s: %d", error_cases[_i].name, step.error);
@@ -185,10 +212,10 @@
       ck_assert_msg (step.action == (waits ? DY_COURSE_WAIT : DY_COURSE_REPLACE), "%s: %d",
                      silence_cases[_i].name, step.action);
       ck_assert_msg (!step.abandons && course.state == before.state
-                         && course.n_started == before.n_started && !course.gave_up,
+                         && course.n_started == before.n_started && !course.persists,
                      "%s", silence_cases[_i].name);
       step = dy_course_step (&course, DY_COURSE_REPLACED, &situation);
-      ck_assert_msg (step.action == DY_COURSE_WAIT && step.abandons && course.gave_up
+      ck_assert_msg (step.action == DY_COURSE_WAIT && step.abandons && course.persists
                          && course.n_started == before.n_started + 1
                          && course.state == before.state,
                      "%s", silence_cases[_i].name);
@@ -204,13 +231,16 @@
   uint32_t n_refused;
   DyCourseAction action;
   bool blocked;
-} gave_up_cases[] = {
+} persistent_cases[] = {
   { "no endpoint", DY_COURSE_PLACING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE, false },
   { "no endpoint to resume", DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT, 0, DY_COURSE_PAUSE, false },
   { "not run", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 0, DY_COURSE_SEND, false },
   { "not run, too often", DY_COURSE_RUNNING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE, false },
   { "not run, too often, a stream", DY_COURSE_STREAMING, DY_COURSE_NOT_RUN, 3, DY_COURSE_PAUSE,
     false },
+  { "broken, not run too often", DY_COURSE_STREAMING, DY_COURSE_BROKEN, 3, DY_COURSE_PAUSE, false },
+  { "silent, not run too often", DY_COURSE_STREAMING, DY_COURSE_SILENT, 3, DY_COURSE_REPLACE,
+    false },
   { "the caller leaves", DY_COURSE_PAUSING, DY_COURSE_CALLER_LEFT, 0, DY_COURSE_DROP, false },
   { "late", DY_COURSE_PAUSING, DY_COURSE_DEADLINE, 0, DY_COURSE_REFUSE, false },
   { "late, a stream", DY_COURSE_HALTING, DY_COURSE_DEADLINE, 0, DY_COURSE_ABORT, false },
@@ -221,19 +251,42 @@
 
 START_TEST (request_goes_on_after_its_silent_attempt_was_abandoned)
 {
-  DyCourse course = course_in (gave_up_cases[_i].state);
-  course.gave_up = true;
+  DyCourse course = course_in (persistent_cases[_i].state);
+  course.persists = true;
   course.may_have_run = true;
   course.n_started = 1;
-  course.n_refused = gave_up_cases[_i].n_refused;
+  course.n_refused = persistent_cases[_i].n_refused;
   DyCourseSituation situation = all_allowed;
-  situation.blocked = gave_up_cases[_i].blocked;
-  DyCourseStep step = dy_course_step (&course, gave_up_cases[_i].event, &situation);
-  ck_assert_msg (step.action == gave_up_cases[_i].action, "%s: %d", gave_up_cases[_i].name,
+  situation.blocked = persistent_cases[_i].blocked;
+  DyCourseStep step = dy_course_step (&course, persistent_cases[_i].event, &situation);
+  ck_assert_msg (step.action == persistent_cases[_i].action, "%s: %d", persistent_cases[_i].name,
                  step.action);
 }
 END_TEST
 
+/* Refusals of attempts beside the silent one ended the request with that one. */
+START_TEST (refusals_beside_a_silent_attempt_do_not_end_the_request)
+{
+  enum
+  {
+    N_REFUSALS = 3,
+  };
+  static const DyCourseEvent ends[] = { DY_COURSE_BROKEN, DY_COURSE_NOT_RUN, DY_COURSE_NOT_SENT };
+  static const DyCourseState states[] = { DY_COURSE_RUNNING, DY_COURSE_STREAMING };
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      DyCourse course = course_in (states[i]);
+      for (int n = 0; n < N_REFUSALS; n++)
+        {
+          ck_assert_int_eq (dy_course_step (&course, DY_COURSE_SILENT, &all_allowed).action,
+                            DY_COURSE_REPLACE);
+          dy_course_step (&course, DY_COURSE_OTHER_UNRUN, &all_allowed);
+        }
+      ck_assert_int_eq (dy_course_step (&course, ends[_i], &all_allowed).action, DY_COURSE_PAUSE);
+    }
+}
+END_TEST
+
 static DyCourseSituation
 random_situation (GRand *rng)
 {
@@ -245,6 +298,38 @@
                               .time_left_ms = g_rand_int_range (rng, 0, 200) };
 }
 
+/* The attempt beside the open one, as the gateway keeps it. */
+typedef struct
+{
+  bool open;
+  bool sent;
+} Other;
+
+static bool
+is_of_attempt (DyCourseEvent event)
+{
+  return event >= DY_COURSE_DATA && event <= DY_COURSE_ENDPOINT_LEFT;
+}
+
+static bool
+is_of_other (DyCourseEvent event)
+{
+  return event >= DY_COURSE_REPLACED && event <= DY_COURSE_OTHER_UNRUN;
+}
+
+/* Returns the event that follows for the course from EVENT of the open attempt, or of OTHER. */
+static DyCourseEvent
+keep_other (Other *other, DyCourseEvent event)
+{
+  if (other->open && is_of_attempt (event) && !other->sent)
+    other->open = false;
+  if (other->open && event == DY_COURSE_DATA)
+    event = DY_COURSE_OTHER_RAN;
+  if (is_of_other (event))
+    other->open = false;
+  return event;
+}
+
 /* Events come at random, most of them without sense in their state; the deadline comes at last. An
  * attempt is replaced only by one that was started. */
 START_TEST (any_sequence_of_events_has_exactly_one_end)
@@ -258,8 +343,8 @@
   for (int n = 0; n < N_SEQUENCES; n++)
     {
       DyCourse course;
+      Other other = { 0 };
       int n_ends = 0;
-      bool replacing = false;
       int n_events = g_rand_int_range (rng, 1, MAX_EVENTS);
       uint32_t max_attempts = (uint32_t) g_rand_int_range (rng, 1, 4);
       dy_course_init (&course, g_rand_boolean (rng), g_rand_boolean (rng), max_attempts);
@@ -268,21 +353,26 @@
           DyCourseEvent event = i == n_events
                                     ? DY_COURSE_DEADLINE
                                     : (DyCourseEvent) g_rand_int_range (rng, 0, DY_COURSE_N_EVENTS);
-          if (event == DY_COURSE_REPLACED && !replacing)
+          if (is_of_other (event) && !other.open)
             continue;
+          event = keep_other (&other, event);
           DyCourseSituation situation = random_situation (rng);
+          situation.other_sent = other.open && other.sent;
           bool had_run = course.may_have_run;
           DyCourseStep step = dy_course_step (&course, event, &situation);
-          replacing = step.action == DY_COURSE_REPLACE;
           bool ends = dy_course_ends (step.action);
           n_ends += ends;
           if ((ends && event == DY_COURSE_SILENT) || n_ends != (course.state == DY_COURSE_OVER)
-              || (ends && event == DY_COURSE_REPLACED)
-              || (n_ends > ends && step.action != DY_COURSE_WAIT)
+              || (ends && is_of_other (event)) || (n_ends > ends && step.action != DY_COURSE_WAIT)
               || (step.action == DY_COURSE_SEND && had_run && !course.repeatable)
+              || (step.action == DY_COURSE_SEND && other.open)
+              || (step.action == DY_COURSE_SWITCH && !other.open)
               || course.n_started > max_attempts)
             ck_abort_msg ("sequence %d, event %d: %d, action %d, state %d", n, i, event,
                           step.action, course.state);
+          bool starts = step.action == DY_COURSE_REPLACE && !other.open;
+          other.open = (other.open && step.action != DY_COURSE_SWITCH && !ends) || starts;
+          other.sent = !starts && (other.sent || g_rand_boolean (rng));
         }
       if (n_ends != 1)
         ck_abort_msg ("sequence %d: %d ends", n, n_ends);
@@ -302,7 +392,8 @@
   tcase_add_loop_test (tcase, silence_changes_nothing_unless_another_attempt_follows, 0,
                        (int) G_N_ELEMENTS (silence_cases));
   tcase_add_loop_test (tcase, request_goes_on_after_its_silent_attempt_was_abandoned, 0,
-                       (int) G_N_ELEMENTS (gave_up_cases));
+                       (int) G_N_ELEMENTS (persistent_cases));
+  tcase_add_loop_test (tcase, refusals_beside_a_silent_attempt_do_not_end_the_request, 0, 3);
   tcase_add_test (tcase, any_sequence_of_events_has_exactly_one_end);
   return suite_run ("request_course", tcase);
 }
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -508,7 +508,7 @@
     { .outcome = DY_ATTEMPT_NOT_RUN,
       .may_have_run = true,
       .repeatable = true,
-      .gave_up = true,
+      .persists = true,
       .n_started = 1,
       .n_refused = 3,
       .max_attempts = 2 },
