HTTP client: sockets in a file of their own

The entries of sockets, their options and the checks before a request is sent move to http_sockets.c. No behaviour is changed.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -2,41 +2,23 @@
 
 #include "kernel/error.h"
 #include "kernel/priority.h"
+#include "net/http_sockets.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 enum
 {
   /* Of the header and trailer fields of an answer and of its interim answers. */
   MAX_HEAD_BYTES = 64 * 1024,
-  USER_TIMEOUT_MS = 2000, /* TCP drops a connection whose bytes stay unacknowledged this long */
-  KEEP_ALIVE_IDLE_S = 1,  /* idle time before the first keep-alive probe */
-  KEEP_ALIVE_INTERVAL_S = 1,
-  KEEP_ALIVE_PROBES = 2,
 };
 
-/* An open connection's socket. */
-typedef struct
-{
-  ev_io io; /* polled for libcurl while in use, for unread bytes while idle */
-  DyHttpClient *client;
-  DyHttpTransfer *transfer; /* whose request was sent; NULL: idle, or the request is not sent yet */
-  bool connected;           /* the addresses are set */
-  struct sockaddr_in local;
-  struct sockaddr_in remote;
-} Socket;
-
 struct DyHttpTransfer
 {
   DyHttpClient *client;
   CURL *easy;
-  Socket *sock; /* on which the request was sent; NULL: not sent, or the connection is closed */
+  DyHttpSocket *sock; /* that the request was sent on; NULL: not sent, or the socket is closed */
   struct curl_slist *headers;
   const DyHttpTransferWatcher *watcher;
   void *ctx;
@@ -59,39 +41,6 @@
   ev_timer read_timer;  /* runs while bytes of the answer are awaited */
 };
 
-/* An idle connection that the server closes or sends bytes on is of no more use. The shutdown makes
- * the kernel reject further bytes; libcurl closes the socket when it looks for a connection. */
-static void
-on_idle_event (struct ev_loop *loop, ev_io *w, int events)
-{
-  (void) events;
-  ev_io_stop (loop, w);
-  shutdown (w->fd, SHUT_RDWR);
-}
-
-static void
-remove_socket (DyHttpClient *client, int fd)
-{
-  Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
-  if (!sock)
-    return;
-  ev_io_stop (client->loop, &sock->io);
-  if (sock->transfer)
-    sock->transfer->sock = NULL;
-  g_hash_table_remove (client->sockets, GINT_TO_POINTER (fd));
-}
-
-static void
-watch_idle (Socket *sock)
-{
-  struct ev_loop *loop = sock->client->loop;
-  sock->transfer = NULL;
-  ev_io_stop (loop, &sock->io);
-  ev_set_cb (&sock->io, on_idle_event);
-  ev_io_set (&sock->io, sock->io.fd, EV_READ);
-  ev_io_start (loop, &sock->io);
-}
-
 static void
 free_transfer (DyHttpTransfer *transfer)
 {
@@ -102,7 +51,7 @@
   curl_multi_remove_handle (transfer->client->multi, transfer->easy);
   curl_easy_cleanup (transfer->easy);
   if (transfer->sock)
-    watch_idle (transfer->sock);
+    dy_http_socket_watch_idle (transfer->sock);
   curl_slist_free_all (transfer->headers);
   g_ptr_array_unref (transfer->head);
   transfer->client->n_transfers--;
@@ -193,7 +142,7 @@
 static void
 on_socket_event (struct ev_loop *loop, ev_io *w, int events)
 {
-  const Socket *sock = w->data;
+  const DyHttpSocket *sock = w->data;
   DyHttpClient *client = sock->client;
   int running;
   int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
@@ -226,37 +175,23 @@
   return 0;
 }
 
-/* Adds the entry of a new socket. libcurl closes sockets whose connecting it gives up without the
- * close callback, so there can be an entry of an older socket with the same descriptor. */
-static Socket *
-add_socket (DyHttpClient *client, curl_socket_t fd)
-{
-  Socket *sock = g_new0 (Socket, 1);
-  remove_socket (client, fd);
-  sock->client = client;
-  ev_io_init (&sock->io, on_socket_event, fd, EV_READ);
-  sock->io.data = sock;
-  g_hash_table_insert (client->sockets, GINT_TO_POINTER (fd), sock);
-  return sock;
-}
-
 static int
 set_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
 {
   DyHttpClient *client = ctx;
-  Socket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
+  DyHttpSocket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
   (void) easy;
   (void) socket_ctx;
   if (what == CURL_POLL_REMOVE)
     {
-      if (sock && !sock->transfer)
-        remove_socket (client, fd);
+      if (sock && !sock->user)
+        dy_http_socket_remove (client, fd);
       else if (sock)
         ev_io_stop (client->loop, &sock->io);
       return 0;
     }
   if (!sock)
-    sock = add_socket (client, fd);
+    sock = dy_http_socket_add (client, fd);
   int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
   ev_io_stop (client->loop, &sock->io);
   ev_set_cb (&sock->io, on_socket_event);
@@ -346,123 +281,38 @@
   return size * n;
 }
 
-/* Binds FD to the local address SOURCE and any port. Returns whether that worked. */
-static bool
-bind_source (int fd, const char *source)
-{
-  struct sockaddr_in addr = { .sin_family = AF_INET };
-  return inet_pton (AF_INET, source, &addr.sin_addr) == 1
-         && bind (fd, (const struct sockaddr *) &addr, sizeof addr) == 0;
-}
-
 static curl_socket_t
 open_socket (void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
 {
-  DyHttpClient *client = ctx;
   (void) purpose;
-  int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
-  if (fd < 0)
-    return CURL_SOCKET_BAD;
-  if (client->source && client->source[0] && !bind_source (fd, client->source))
-    {
-      close (fd);
-      return CURL_SOCKET_BAD;
-    }
-  add_socket (client, fd);
-  client->n_connections++;
-  return fd;
+  return dy_http_socket_open (ctx, address);
 }
 
 static int
 close_socket (void *ctx, curl_socket_t fd)
 {
-  remove_socket (ctx, fd);
+  dy_http_socket_remove (ctx, fd);
   return close (fd);
 }
 
 static int
 set_socket_options (void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
-  const struct
-  {
-    int level;
-    int name;
-    int value;
-  } options[] = { { IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS },
-                  { SOL_SOCKET, SO_KEEPALIVE, 1 },
-                  { IPPROTO_TCP, TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S },
-                  { IPPROTO_TCP, TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S },
-                  { IPPROTO_TCP, TCP_KEEPCNT, KEEP_ALIVE_PROBES } };
   (void) ctx;
   (void) purpose;
-  for (size_t i = 0; i < G_N_ELEMENTS (options); i++)
-    setsockopt (fd, options[i].level, options[i].name, &options[i].value, sizeof (int));
+  dy_http_socket_set_options (fd);
   return CURL_SOCKOPT_OK;
 }
 
-/* Reads the addresses of a socket; it must be connected. */
-static void
-read_addresses (Socket *sock)
-{
-  socklen_t n_remote = sizeof sock->remote;
-  socklen_t n_local = sizeof sock->local;
-  sock->connected = getpeername (sock->io.fd, (struct sockaddr *) &sock->remote, &n_remote) == 0
-                    && getsockname (sock->io.fd, (struct sockaddr *) &sock->local, &n_local) == 0;
-}
-
-static bool
-is_connected_to (const Socket *sock, struct in_addr ip, int port, int local_port)
-{
-  return sock->connected && ntohs (sock->local.sin_port) == local_port
-         && ntohs (sock->remote.sin_port) == port && sock->remote.sin_addr.s_addr == ip.s_addr;
-}
-
-/* Returns the socket that is connected from LOCAL_PORT to IP and PORT, or NULL. Sockets that are
- * connected to different addresses can have the same local port, and after a reset a new connection
- * can have the addresses of one that is not closed yet. */
-static Socket *
-find_socket (DyHttpClient *client, const char *ip, int port, int local_port)
-{
-  GHashTableIter iter;
-  gpointer value;
-  struct in_addr addr;
-  if (inet_pton (AF_INET, ip, &addr) != 1)
-    return NULL;
-  g_hash_table_iter_init (&iter, client->sockets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Socket *sock = value;
-      bool was_connected = sock->connected;
-      if (!was_connected)
-        read_addresses (sock);
-      if (!is_connected_to (sock, addr, port, local_port))
-        continue;
-      if (was_connected)
-        read_addresses (sock);
-      if (sock->connected)
-        return sock;
-    }
-  return NULL;
-}
-
-/* Returns whether the connection has unread bytes, such as the rest of an earlier answer, or was
- * closed by the server. Before a request is sent there must be neither. */
-static bool
-is_stale (const Socket *sock)
-{
-  char byte;
-  return recv (sock->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
-}
-
 static void
-attach_socket (DyHttpTransfer *transfer, Socket *sock)
+attach_socket (DyHttpTransfer *transfer, DyHttpSocket *sock)
 {
   transfer->sock = sock;
   if (!sock)
     return;
-  if (sock->transfer)
-    sock->transfer->sock = NULL;
-  sock->transfer = transfer;
+  if (sock->user)
+    *sock->user = NULL;
+  sock->user = &transfer->sock;
 }
 
 /* Called by libcurl before each send of the request. */
@@ -476,8 +326,8 @@
       transfer->resend_prevented = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  Socket *sock = find_socket (transfer->client, ip, port, local_port);
-  if (sock && is_stale (sock))
+  DyHttpSocket *sock = dy_http_socket_find (transfer->client, ip, port, local_port);
+  if (sock && dy_http_socket_is_stale (sock))
     {
       transfer->stale = true;
       return CURL_PREREQFUNC_ABORT;
--- /dev/null
+++ b/src/net/http_sockets.h
@@ -0,0 +1,58 @@
+#ifndef DY_NET_HTTP_SOCKETS_H
+#define DY_NET_HTTP_SOCKETS_H
+
+/**
+ * NAME
+ *   http_sockets - sockets of the HTTP client's connections
+ *
+ * DESCRIPTION
+ *   The client keeps an entry for each open socket, by its descriptor. A socket is in use from the
+ *   sending of a request to the end of its transfer, and idle otherwise. An idle one on which bytes
+ *   or the end of the connection arrive is shut down.
+ *
+ *   Only net/http_client uses this module.
+ */
+
+#include "net/http_client.h"
+
+#include <netinet/in.h>
+
+typedef struct DyHttpSocket
+{
+  ev_io io; /* polled for libcurl while in use, for unread bytes while idle */
+  DyHttpClient *client;
+  /* The pointer to this socket of the transfer whose request was sent, which is cleared when the
+   * socket is removed; NULL: idle, or the request is not sent yet. */
+  struct DyHttpSocket **user;
+  bool connected; /* the addresses are set */
+  struct sockaddr_in local;
+  struct sockaddr_in remote;
+} DyHttpSocket;
+
+/* Opens a socket for libcurl, bound to the client's source address, and adds its entry. Returns
+ * CURL_SOCKET_BAD if there is none. */
+curl_socket_t dy_http_socket_open (DyHttpClient *client, const struct curl_sockaddr *address);
+
+/* Sets the options of FD before it is connected. */
+void dy_http_socket_set_options (int fd);
+
+/* Adds the entry of a new socket. libcurl closes sockets whose connecting it gives up without the
+ * close callback, so there can be an entry of an older socket with the same descriptor. */
+DyHttpSocket *dy_http_socket_add (DyHttpClient *client, int fd);
+
+/* Removes the entry of FD, if there is one. */
+void dy_http_socket_remove (DyHttpClient *client, int fd);
+
+/* Returns the socket that is connected from LOCAL_PORT to IP and PORT, or NULL. Sockets that are
+ * connected to different addresses can have the same local port, and after a reset a new connection
+ * can have the addresses of one that is not closed yet. */
+DyHttpSocket *dy_http_socket_find (DyHttpClient *client, const char *ip, int port, int local_port);
+
+/* Starts the idle time of the socket, whose transfer has ended. */
+void dy_http_socket_watch_idle (DyHttpSocket *sock);
+
+/* Returns whether the connection has unread bytes, such as the rest of an earlier answer, or was
+ * closed by the server. Before a request is sent there must be neither. */
+bool dy_http_socket_is_stale (const DyHttpSocket *sock);
+
+#endif
