--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -29,6 +29,7 @@
   uint64_t n_head_bytes;
   uint64_t n_body_bytes;
   int64_t sent_us;
+  int64_t idle_us; /* of the connection, before the request was sent */
   bool connected;
   bool stale;             /* the reused connection had unread bytes or was closed by the server */
   bool on_new_connection; /* is to use one, or was restarted on one */
@@ -85,7 +86,8 @@
   DyHttpResult result = { .error = aborted ? DY_UNAVAILABLE : error,
                           .connected = transfer->connected,
                           .etag = transfer->etag,
-                          .sent_us = transfer->sent_us };
+                          .sent_us = transfer->sent_us,
+                          .idle_us = transfer->idle_us };
   long n_connects = 1;
   curl_easy_getinfo (transfer->easy, CURLINFO_NUM_CONNECTS, &n_connects);
   result.reused = transfer->connected && n_connects == 0;
@@ -310,6 +312,7 @@
   transfer->sock = sock;
   if (!sock)
     return;
+  transfer->idle_us = dy_http_socket_idle_us (sock);
   if (sock->user)
     *sock->user = NULL;
   sock->user = &transfer->sock;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -72,6 +72,7 @@
   uint64_t etag;   /* ETag of the answer, a decimal number; 0 when absent */
   int64_t sent_us; /* monotonic time at which the request was sent; 0: it was not */
   bool reused;     /* it was sent on a connection that had been used before */
+  int64_t idle_us; /* of that connection, between its last transfer and the sending; else 0 */
 } DyHttpResult;
 
 typedef struct
--- a/src/net/http_sockets.c
+++ b/src/net/http_sockets.c
@@ -137,12 +137,19 @@
 {
   struct ev_loop *loop = sock->client->loop;
   sock->user = NULL;
+  sock->idle_since_us = g_get_monotonic_time ();
   ev_io_stop (loop, &sock->io);
   ev_set_cb (&sock->io, on_idle_event);
   ev_io_set (&sock->io, sock->io.fd, EV_READ);
   ev_io_start (loop, &sock->io);
 }
 
+int64_t
+dy_http_socket_idle_us (const DyHttpSocket *sock)
+{
+  return sock->idle_since_us ? g_get_monotonic_time () - sock->idle_since_us : 0;
+}
+
 bool
 dy_http_socket_is_stale (const DyHttpSocket *sock)
 {
--- a/src/net/http_sockets.h
+++ b/src/net/http_sockets.h
@@ -24,7 +24,8 @@
   /* The pointer to this socket of the transfer whose request was sent, which is cleared when the
    * socket is removed; NULL: idle, or the request is not sent yet. */
   struct DyHttpSocket **user;
-  bool connected; /* the addresses are set */
+  int64_t idle_since_us; /* monotonic time at which its latest transfer ended; 0: none has */
+  bool connected;        /* the addresses are set */
   struct sockaddr_in local;
   struct sockaddr_in remote;
 } DyHttpSocket;
@@ -51,6 +52,9 @@
 /* Starts the idle time of the socket, whose transfer has ended. */
 void dy_http_socket_watch_idle (DyHttpSocket *sock);
 
+/* Returns the time since the socket's latest transfer ended; 0: none has. */
+int64_t dy_http_socket_idle_us (const DyHttpSocket *sock);
+
 /* Returns whether the connection has unread bytes, such as the rest of an earlier answer, or was
  * closed by the server. Before a request is sent there must be neither. */
 bool dy_http_socket_is_stale (const DyHttpSocket *sock);
