Send no request on a connection that its endpoint is about to close

By reading: an at-most-once request that crosses the close of a kept connection ends with 502, and one with a single attempt is lost, though the endpoint is sound.

Hypothesis: the margin before the end of an endpoint's Keep-Alive time is not what the code says. It holds. libcurl counts whole seconds and reuses a connection to the end of the last one, so "timeout - 1" left no margin at all; and a timeout of 1 s was taken for no limit.

The limit is in milliseconds now and checked before the sending: 1 s before the stated end, at most half of it. Where an endpoint states no time, there is no limit, as before.

test_kept_connections, the cases of idle times: 3 of 7 fail with the old limits ("timeout=2, idle for 1600 ms: 1 connections"), none with these.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -25,13 +25,14 @@
   uint64_t etag;
   int64_t timeout_ms;
   int64_t read_timeout_ms;
+  int64_t max_idle_ms;     /* 0: no limit */
   uint64_t max_body_bytes; /* 0: no limit */
   uint64_t n_head_bytes;
   uint64_t n_body_bytes;
   int64_t sent_us;
   int64_t idle_us; /* of the connection, before the request was sent */
   bool connected;
-  bool stale;             /* the reused connection had unread bytes or was closed by the server */
+  bool stale;             /* the reused connection was not fit for a request */
   bool on_new_connection; /* is to use one, or was restarted on one */
   bool resend_prevented;  /* libcurl was about to send the request a second time */
   bool rejected;          /* the data callback rejected the answer */
@@ -318,6 +319,15 @@
   sock->user = &transfer->sock;
 }
 
+/* Returns whether the request must not be sent on the connection, which the server may close. */
+static bool
+is_unfit (const DyHttpTransfer *transfer, const DyHttpSocket *sock)
+{
+  bool too_old = transfer->max_idle_ms
+                 && dy_http_socket_idle_us (sock) >= transfer->max_idle_ms * INT64_C (1000);
+  return too_old || dy_http_socket_is_stale (sock);
+}
+
 /* Called by libcurl before each send of the request. */
 static int
 on_prerequest (void *ctx, char *ip, char *local_ip, int port, int local_port)
@@ -330,7 +340,7 @@
       return CURL_PREREQFUNC_ABORT;
     }
   DyHttpSocket *sock = dy_http_socket_find (transfer->client, ip, port, local_port);
-  if (sock && dy_http_socket_is_stale (sock))
+  if (sock && is_unfit (transfer, sock))
     {
       transfer->stale = true;
       return CURL_PREREQFUNC_ABORT;
@@ -377,8 +387,9 @@
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   transfer->on_new_connection = spec->new_connection;
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, spec->new_connection ? 1L : 0L);
-  if (spec->max_idle_s)
-    curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long) spec->max_idle_s);
+  /* libcurl counts whole seconds and reuses a connection to the end of the last one. */
+  if (spec->max_idle_ms)
+    curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long) ((spec->max_idle_ms - 1) / 1000));
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
@@ -460,6 +471,7 @@
   transfer->head = g_ptr_array_new_with_free_func (g_free);
   transfer->timeout_ms = spec->timeout_ms;
   transfer->read_timeout_ms = spec->read_timeout_ms;
+  transfer->max_idle_ms = spec->max_idle_ms;
   transfer->max_body_bytes = spec->max_body_bytes;
   ev_init (&transfer->limit_timer, on_timeout);
   ev_init (&transfer->read_timer, on_timeout);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,9 +11,9 @@
  *
  *   A request is sent at most once. libcurl itself retries a request whose reused connection turns
  *   out to be closed; that second send is prevented and the transfer ends with an unknown outcome
- *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, or that the
- *   server has closed, is not reused: the request is sent on a new connection. The idle connection
- *   is shut down as soon as the bytes or the end arrive.
+ *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, that the server
+ *   has closed, or that has been idle for max_idle_ms is not reused: the request is sent on a new
+ *   connection. The idle connection is shut down as soon as the bytes or the end arrive.
  *
  *   A limit is checked after the sockets were read: what arrived while the loop was busy counts.
  *
@@ -104,7 +104,7 @@
   int64_t read_timeout_ms;    /* limit on each wait for bytes of the answer; 0: no limit */
   uint64_t max_body_bytes;    /* a longer body ends the transfer with DY_PROTOCOL; 0: no limit */
   bool new_connection;        /* do not use one that is kept, as it may be dead */
-  int64_t max_idle_s;         /* connections idle for longer are not reused; 0: libcurl's default */
+  int64_t max_idle_ms; /* connections idle for so long are not reused; 0: libcurl's default */
 } DyHttpSpec;
 
 void dy_http_client_init (DyHttpClient *client, struct ev_loop *loop);
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -11,6 +11,10 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 800, /* below the second that callers allow for a connection */
+  /* Time before an endpoint closes an idle connection in which it gets no more requests: they may
+   * be under way for long, and its clock started before this one's. At most half of the whole time.
+   */
+  IDLE_MARGIN_MS = 1000,
 };
 
 static int64_t
@@ -34,6 +38,14 @@
       g_hash_table_lookup (attempt->gateway->max_idle_by_service, attempt->service));
 }
 
+/* Returns the time for which a kept connection may be idle before a request; 0: not limited. */
+static int64_t
+max_idle_ms (const DyGatewayAttempt *attempt)
+{
+  int64_t kept_ms = max_idle_s (attempt) * 1000;
+  return kept_ms - MIN (IDLE_MARGIN_MS, kept_ms / 2);
+}
+
 static bool
 on_before_send (void *ctx)
 {
@@ -81,7 +93,7 @@
     dy_placement_report (attempt->endpoint, answer->n_running, answer->n_waiting, now_us (attempt));
   if (!attempt->foreign && status != DY_HTTP_MISDIRECTED)
     take_limit (attempt, success);
-  if (answer->max_idle_s > 1 && answer->max_idle_s != max_idle_s (attempt))
+  if (answer->max_idle_s > 0 && answer->max_idle_s != max_idle_s (attempt))
     g_hash_table_insert (gateway->max_idle_by_service, g_strdup (attempt->service),
                          GINT_TO_POINTER ((int) answer->max_idle_s));
   attempt->answer.request_id = NULL;
@@ -221,7 +233,6 @@
   const char *method = forwarded->method;
   char *url = g_strconcat ("http://", dy_placement_endpoint_address (attempt->endpoint),
                            forwarded->target, NULL);
-  int64_t idle_s = max_idle_s (attempt);
   bool has_body
       = forwarded->n_body > 0 || strcmp (method, "POST") == 0 || strcmp (method, "PUT") == 0;
   DyHttpSpec spec = { .method = method,
@@ -233,7 +244,7 @@
                       .timeout_ms = DY_HTTP_MAX_STREAM_MS,
                       .max_body_bytes = DY_HTTP_MAX_STREAM_BYTES,
                       .new_connection = attempt_spec->new_connection,
-                      .max_idle_s = idle_s > 1 ? idle_s - 1 : 0 };
+                      .max_idle_ms = max_idle_ms (attempt) };
   attempt->transfer = dy_http_client_start (&gateway->client, &spec, &transfer_watcher, attempt);
   g_free (url);
 }
