Send no request to a host that does not acknowledge keep-alive probes

Cause: before a request goes out on a kept connection, only unread bytes and a close were looked for. A connection whose far side has gone silent looks open until TCP gives it up, one to two seconds later; a request that is sent in between ends without an answer and counts as one that may have run. A pending reset was also taken for "open and nothing to read", as recv() fails then.

TCP_INFO tells of unanswered probes and of bytes that were sent again. With either, the request goes out on a new connection; if the host is dead, none is made, nothing is sent, and another endpoint may be tried. A process that is silent is not affected, as its kernel answers. The first second of idle time is not covered, as TCP sends no probe earlier.

test_kept_connections: a stand-in whose socket drops all segments; "does not hear probes" fails without the check, "hears the next probe" still uses the kept connection, and the case "reset" fails with the old reading of recv().

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -12,8 +12,9 @@
  *   A request is sent at most once. libcurl itself retries a request whose reused connection turns
  *   out to be closed; that second send is prevented and the transfer ends with an unknown outcome
  *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, that the server
- *   has closed, or that has been idle for max_idle_ms is not reused: the request is sent on a new
- *   connection. The idle connection is shut down as soon as the bytes or the end arrive.
+ *   has closed, whose host does not acknowledge keep-alive probes, or that has been idle for
+ *   max_idle_ms is not reused: the request is sent on a new connection. The idle connection is shut
+ * down as soon as the bytes or the end arrive.
  *
  *   A limit is checked after the sockets were read: what arrived while the loop was busy counts.
  *
--- a/src/net/http_sockets.c
+++ b/src/net/http_sockets.c
@@ -1,6 +1,7 @@
 #include "net/http_sockets.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -150,9 +151,23 @@
   return sock->idle_since_us ? g_get_monotonic_time () - sock->idle_since_us : 0;
 }
 
+/* Returns whether the other side's host owes an acknowledgement for longer than a round trip takes.
+ * A process that is silent owes none. */
+static bool
+is_unacknowledged (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t n = sizeof info;
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &n) == 0
+         && (info.tcpi_probes > 0 || info.tcpi_retransmits > 0);
+}
+
 bool
 dy_http_socket_is_stale (const DyHttpSocket *sock)
 {
   char byte;
-  return recv (sock->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+  ssize_t n = recv (sock->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+    return true;
+  return sock->idle_since_us && is_unacknowledged (sock->io.fd);
 }
--- a/src/net/http_sockets.h
+++ b/src/net/http_sockets.h
@@ -55,8 +55,9 @@
 /* Returns the time since the socket's latest transfer ended; 0: none has. */
 int64_t dy_http_socket_idle_us (const DyHttpSocket *sock);
 
-/* Returns whether the connection has unread bytes, such as the rest of an earlier answer, or was
- * closed by the server. Before a request is sent there must be neither. */
+/* Returns whether a request must not be sent on the connection: it has unread bytes, such as the
+ * rest of an earlier answer, was closed or reset, or has been idle and the server's host does not
+ * acknowledge keep-alive probes or earlier bytes. */
 bool dy_http_socket_is_stale (const DyHttpSocket *sock);
 
 #endif
--- a/test/test_kept_connections.c
+++ b/test/test_kept_connections.c
@@ -2,7 +2,9 @@
  * silent, and ones that fall silent while the request is under way. */
 
 #include "kernel/error.h"
+#include "net/address.h"
 #include "net/http_sockets.h"
+#include "support/fleet.h"
 #include "support/gateway_fixture.h"
 #include "support/listen.h"
 #include "support/suite.h"
@@ -32,7 +34,8 @@
   int64_t unread_ms;      /* time for which nothing is read from a new connection */
   int64_t work_ms;        /* time between a request and its answer */
   int listen_fd;
-  int fd; /* -1: none */
+  int fd;      /* -1: none */
+  int deaf_fd; /* the connection that is not heard */
   int n_connections;
   int n_requests;
   ev_io accept_io;
@@ -68,6 +71,8 @@
   int unused = 0;
   (void) loop;
   (void) events;
+  if (standin->fd != standin->deaf_fd)
+    return;
   ck_assert_int_eq (setsockopt (standin->fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused),
                     0);
 }
@@ -76,6 +81,7 @@
 be_deaf (Standin *standin, int64_t ms)
 {
   stop_hearing (standin);
+  standin->deaf_fd = standin->fd;
   start_timer (standin->loop, &standin->hear_timer, ms);
 }
 
@@ -287,6 +293,76 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  int64_t heard_ms; /* time after the answer for which the endpoint's host still hears */
+  int64_t deaf_ms;
+  int64_t idle_ms; /* between two requests */
+  int n_connections;
+} deaf_cases[] = {
+  { "does not hear probes", 200, 5000, 1400, 2 },
+  { "hears the next probe", 100, 400, 1400, 1 },
+};
+
+/* A request was sent on a connection whose other side had not acknowledged a probe, and ended with
+ * an unknown outcome. */
+START_TEST (no_request_is_sent_to_a_host_that_is_known_to_be_silent)
+{
+  Scene scene;
+  scene_init (&scene);
+  ck_assert_uint_eq (call (&scene, 1), 200);
+  wait_ms (scene.fixture.kernel.loop, deaf_cases[_i].heard_ms);
+  be_deaf (&scene.standin, deaf_cases[_i].deaf_ms);
+  wait_ms (scene.fixture.kernel.loop, deaf_cases[_i].idle_ms - deaf_cases[_i].heard_ms);
+  ck_assert_msg (call (&scene, 1) == 200, "%s", deaf_cases[_i].name);
+  ck_assert_msg (scene.standin.n_connections == deaf_cases[_i].n_connections, "%s: %d connections",
+                 deaf_cases[_i].name, scene.standin.n_connections);
+  scene_finish (&scene);
+}
+END_TEST
+
+static const struct
+{
+  const char *name;
+  bool answers; /* bytes come that belong to no request */
+  bool resets;
+  bool closes;
+  bool stale;
+} end_cases[] = {
+  { "open", false, false, false, false },
+  { "bytes", true, false, false, true },
+  { "closed", false, false, true, true },
+  { "reset", false, true, true, true },
+};
+
+/* A connection that was reset was taken for one that is open and has no unread bytes. */
+START_TEST (connection_that_ended_is_stale)
+{
+  const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  struct sockaddr_in addr;
+  DyHttpSocket sock = { 0 };
+  char *address = fleet_free_address ();
+  int listen_fd = listen_on (address);
+  ck_assert_int_eq (dy_address_parse (address, &addr), DY_OK);
+  ev_io_init (&sock.io, on_bytes, socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), EV_READ);
+  ck_assert_int_eq (connect (sock.io.fd, (struct sockaddr *) &addr, sizeof addr), 0);
+  int fd = accept (listen_fd, NULL, NULL);
+  if (end_cases[_i].answers)
+    ck_assert_int_eq (send (fd, "x", 1, MSG_NOSIGNAL), 1);
+  if (end_cases[_i].resets)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  if (end_cases[_i].closes)
+    close (fd);
+  ck_assert_msg (dy_http_socket_is_stale (&sock) == end_cases[_i].stale, "%s", end_cases[_i].name);
+  if (!end_cases[_i].closes)
+    close (fd);
+  close (sock.io.fd);
+  close (listen_fd);
+  g_free (address);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -295,5 +371,8 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, no_request_crosses_the_close_of_its_connection, 0,
                        (int) G_N_ELEMENTS (idle_cases));
+  tcase_add_loop_test (tcase, no_request_is_sent_to_a_host_that_is_known_to_be_silent, 0,
+                       (int) G_N_ELEMENTS (deaf_cases));
+  tcase_add_loop_test (tcase, connection_that_ended_is_stale, 0, (int) G_N_ELEMENTS (end_cases));
   return suite_run ("kept_connections", tcase);
 }
