Let requests outlast a VM that stands still and an endpoint that reads late

Callers saw 502 in the middle of a request when an endpoint's VM stood still for 2 to 4 s, or when its process did not read a long body for 4.4 s, though it went on.

Hypotheses: (1) TCP_USER_TIMEOUT of 2 s acts on a window of zero although the other side acknowledges each probe of it. (2) It also decides when keep-alive probes give up, so one unanswered probe is enough, and TCP_KEEPCNT has no effect. Both hold: with 2 s, a request whose 60 kB body is not read for 4.4 s, one sent 2.6 or 4.5 s before the host hears again, and one whose host hears nothing for 4.5 s before the answer all end with 502.

The limit of a request under way is the spec's now, 7 s for attempts at endpoints: TCP sends again after 0.2, 0.6, 1.4, 3.0 and 6.2 s, so a VM that stands still for 6 s is reached again. It is not taken away altogether, as a connection may hang for good without a reset; then callers who may send again get their 502 after 7 s. Idle connections keep 2 s, so that dead ones leave the pool as before, and so do calls of the store. TCP_KEEPCNT is dropped.

test_kept_connections, 5 cases of silence: 4 fail with 2 s, none with 7 s.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -26,6 +26,7 @@
   int64_t timeout_ms;
   int64_t read_timeout_ms;
   int64_t max_idle_ms;     /* 0: no limit */
+  int64_t max_silence_ms;  /* 0: that of the socket */
   uint64_t max_body_bytes; /* 0: no limit */
   uint64_t n_head_bytes;
   uint64_t n_body_bytes;
@@ -317,6 +318,8 @@
   if (sock->user)
     *sock->user = NULL;
   sock->user = &transfer->sock;
+  if (transfer->max_silence_ms)
+    dy_http_socket_limit_silence (sock, transfer->max_silence_ms);
 }
 
 /* Returns whether the request must not be sent on the connection, which the server may close. */
@@ -472,6 +475,7 @@
   transfer->timeout_ms = spec->timeout_ms;
   transfer->read_timeout_ms = spec->read_timeout_ms;
   transfer->max_idle_ms = spec->max_idle_ms;
+  transfer->max_silence_ms = spec->max_silence_ms;
   transfer->max_body_bytes = spec->max_body_bytes;
   ev_init (&transfer->limit_timer, on_timeout);
   ev_init (&transfer->read_timer, on_timeout);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -106,6 +106,10 @@
   uint64_t max_body_bytes;    /* a longer body ends the transfer with DY_PROTOCOL; 0: no limit */
   bool new_connection;        /* do not use one that is kept, as it may be dead */
   int64_t max_idle_ms; /* connections idle for so long are not reused; 0: libcurl's default */
+  /* Time for which the server's host may acknowledge nothing that was sent, or leave probes of the
+   * connection unanswered, before the transfer fails; also how long it may refuse to take the
+   * request's body; 0: 2 s. */
+  int64_t max_silence_ms;
 } DyHttpSpec;
 
 void dy_http_client_init (DyHttpClient *client, struct ev_loop *loop);
--- a/src/net/http_sockets.c
+++ b/src/net/http_sockets.c
@@ -9,10 +9,11 @@
 
 enum
 {
-  USER_TIMEOUT_MS = 2000, /* TCP drops a connection whose bytes stay unacknowledged this long */
-  KEEP_ALIVE_IDLE_S = 1,  /* idle time before the first keep-alive probe */
+  /* Of an idle connection. A time-out that is set also decides how many keep-alive probes may stay
+   * unanswered, in place of TCP_KEEPCNT. */
+  IDLE_SILENCE_MS = 2000,
+  KEEP_ALIVE_IDLE_S = 1, /* idle time before the first keep-alive probe */
   KEEP_ALIVE_INTERVAL_S = 1,
-  KEEP_ALIVE_PROBES = 2,
 };
 
 /* An idle connection that the server closes or sends bytes on is of no more use. The shutdown makes
@@ -58,11 +59,10 @@
     int level;
     int name;
     int value;
-  } options[] = { { IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS },
+  } options[] = { { IPPROTO_TCP, TCP_USER_TIMEOUT, IDLE_SILENCE_MS },
                   { SOL_SOCKET, SO_KEEPALIVE, 1 },
                   { IPPROTO_TCP, TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S },
-                  { IPPROTO_TCP, TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S },
-                  { IPPROTO_TCP, TCP_KEEPCNT, KEEP_ALIVE_PROBES } };
+                  { IPPROTO_TCP, TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S } };
   for (size_t i = 0; i < G_N_ELEMENTS (options); i++)
     setsockopt (fd, options[i].level, options[i].name, &options[i].value, sizeof (int));
 }
@@ -133,12 +133,20 @@
   return NULL;
 }
 
+void
+dy_http_socket_limit_silence (const DyHttpSocket *sock, int64_t ms)
+{
+  unsigned limit_ms = (unsigned) ms;
+  setsockopt (sock->io.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
+}
+
 void
 dy_http_socket_watch_idle (DyHttpSocket *sock)
 {
   struct ev_loop *loop = sock->client->loop;
   sock->user = NULL;
   sock->idle_since_us = g_get_monotonic_time ();
+  dy_http_socket_limit_silence (sock, IDLE_SILENCE_MS);
   ev_io_stop (loop, &sock->io);
   ev_set_cb (&sock->io, on_idle_event);
   ev_io_set (&sock->io, sock->io.fd, EV_READ);
--- a/src/net/http_sockets.h
+++ b/src/net/http_sockets.h
@@ -52,6 +52,10 @@
 /* Starts the idle time of the socket, whose transfer has ended. */
 void dy_http_socket_watch_idle (DyHttpSocket *sock);
 
+/* Sets the time for which the server's host may acknowledge nothing before TCP ends the connection,
+ * until it is idle again. */
+void dy_http_socket_limit_silence (const DyHttpSocket *sock, int64_t ms);
+
 /* Returns the time since the socket's latest transfer ended; 0: none has. */
 int64_t dy_http_socket_idle_us (const DyHttpSocket *sock);
 
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -15,6 +15,9 @@
    * be under way for long, and its clock started before this one's. At most half of the whole time.
    */
   IDLE_MARGIN_MS = 1000,
+  /* For an endpoint whose VM stands still for some seconds and goes on: TCP sends unacknowledged
+   * bytes again after 0.2, 0.6, 1.4, 3.0 and 6.2 s. */
+  MAX_SILENCE_MS = 7000,
 };
 
 static int64_t
@@ -244,7 +247,8 @@
                       .timeout_ms = DY_HTTP_MAX_STREAM_MS,
                       .max_body_bytes = DY_HTTP_MAX_STREAM_BYTES,
                       .new_connection = attempt_spec->new_connection,
-                      .max_idle_ms = max_idle_ms (attempt) };
+                      .max_idle_ms = max_idle_ms (attempt),
+                      .max_silence_ms = MAX_SILENCE_MS };
   attempt->transfer = dy_http_client_start (&gateway->client, &spec, &transfer_watcher, attempt);
   g_free (url);
 }
--- a/test/test_kept_connections.c
+++ b/test/test_kept_connections.c
@@ -30,7 +30,7 @@
 {
   struct ev_loop *loop;
   const char *keep_alive; /* value of the field in its answers; NULL: none */
-  int64_t deaf_ms;        /* of the next connection or request, see below */
+  int64_t deaf_ms;        /* time for which its host does not hear after each request */
   int64_t unread_ms;      /* time for which nothing is read from a new connection */
   int64_t work_ms;        /* time between a request and its answer */
   int listen_fd;
@@ -322,6 +322,41 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  size_t body_bytes;
+  int64_t deaf_before_ms; /* the host does not hear, from just before the request */
+  int64_t deaf_after_ms;  /* the same, from just after the request was read */
+  int64_t unread_ms;
+  int64_t work_ms;
+} silence_cases[] = {
+  { "process works", 1, 0, 0, 0, 3500 },
+  { "host stands still before the request", 1, 2600, 0, 0, 0 },
+  { "host stands still for long before the request", 1, 4500, 0, 0, 0 },
+  { "host stands still before the answer", 1, 0, 4500, 0, 4600 },
+  { "process does not read a long body", LARGE_BODY_BYTES, 0, 0, 4400, 0 },
+};
+
+/* A request failed though its endpoint, which had been silent, went on and answered it. */
+START_TEST (silence_of_an_endpoint_or_its_host_does_not_end_a_request)
+{
+  Scene scene;
+  scene_init (&scene);
+  scene.standin.unread_ms = silence_cases[_i].unread_ms;
+  if (!silence_cases[_i].unread_ms)
+    ck_assert_uint_eq (call (&scene, 1), 200);
+  if (silence_cases[_i].deaf_before_ms)
+    be_deaf (&scene.standin, silence_cases[_i].deaf_before_ms);
+  scene.standin.deaf_ms = silence_cases[_i].deaf_after_ms;
+  scene.standin.work_ms = silence_cases[_i].work_ms;
+  unsigned status = call (&scene, silence_cases[_i].body_bytes);
+  ck_assert_msg (status == 200, "%s: status %u", silence_cases[_i].name, status);
+  ck_assert_int_eq (scene.standin.n_connections, 1);
+  scene_finish (&scene);
+}
+END_TEST
+
 static const struct
 {
   const char *name;
@@ -373,6 +408,8 @@
                        (int) G_N_ELEMENTS (idle_cases));
   tcase_add_loop_test (tcase, no_request_is_sent_to_a_host_that_is_known_to_be_silent, 0,
                        (int) G_N_ELEMENTS (deaf_cases));
+  tcase_add_loop_test (tcase, silence_of_an_endpoint_or_its_host_does_not_end_a_request, 0,
+                       (int) G_N_ELEMENTS (silence_cases));
   tcase_add_loop_test (tcase, connection_that_ended_is_stale, 0, (int) G_N_ELEMENTS (end_cases));
   return suite_run ("kept_connections", tcase);
 }
