Count no crash for a kept connection that its endpoint closed

Cause: the end of a kept connection counted as a crash as soon as another endpoint answered. That shows that the link works, not that the endpoint crashed.

Such an end now counts only if the endpoint, besides, does not accept a new connection, or has started again within 10 s. The router probes the endpoint itself, once, 20 to 70 ms after the end. A crashed process refuses; it also resets its kept connections, so all of its requests count as before.

--- a/src/core/crash_evidence.c
+++ b/src/core/crash_evidence.c
@@ -20,7 +20,9 @@
   char *request;
   void *payload;
   int64_t failed_us;
-  bool is_new;      /* the connection was opened for the request */
+  DyBreakKind kind;
+  bool probed;      /* a new connection to the endpoint was tried */
+  bool refused;     /* and the endpoint did not accept it */
   bool link_worked; /* another endpoint answered soon after */
   bool ambiguous;   /* another request failed elsewhere before that */
 } Failure;
@@ -70,7 +72,7 @@
 dy_crash_evidence_fail (DyCrashEvidence *evidence,
                         const char *endpoint,
                         const char *request,
-                        bool is_new,
+                        DyBreakKind kind,
                         void *payload,
                         int64_t now_us)
 {
@@ -90,7 +92,7 @@
   failure->endpoint = g_strdup (endpoint);
   failure->request = g_strdup (request);
   failure->payload = payload;
-  failure->is_new = is_new;
+  failure->kind = kind;
   failure->failed_us = now_us;
   failure->ambiguous = ambiguous;
   g_ptr_array_add (evidence->failures, failure);
@@ -107,7 +109,7 @@
         continue;
       if (strcmp (failure->endpoint, endpoint) == 0)
         decide (evidence, i - 1, DY_EVIDENCE_ALIVE);
-      else if (!failure->is_new)
+      else if (failure->kind != DY_BREAK_NEW)
         failure->link_worked = true;
     }
 }
@@ -126,6 +128,37 @@
   return false;
 }
 
+const char *
+dy_crash_evidence_endpoint_to_probe (const DyCrashEvidence *evidence, int64_t now_us)
+{
+  for (guint i = 0; i < evidence->failures->len; i++)
+    {
+      const Failure *failure = g_ptr_array_index (evidence->failures, i);
+      int64_t age_us = now_us - failure->failed_us;
+      if (failure->kind == DY_BREAK_UNBEGUN && !failure->probed && age_us >= evidence->policy.gap_us
+          && age_us <= evidence->policy.link_us)
+        return failure->endpoint;
+    }
+  return NULL;
+}
+
+void
+dy_crash_evidence_probed (DyCrashEvidence *evidence,
+                          const char *endpoint,
+                          bool accepted,
+                          int64_t opened_us)
+{
+  for (guint i = 0; i < evidence->failures->len; i++)
+    {
+      Failure *failure = g_ptr_array_index (evidence->failures, i);
+      if (failure->probed || opened_us < failure->failed_us
+          || strcmp (failure->endpoint, endpoint) != 0)
+        continue;
+      failure->probed = true;
+      failure->refused = !accepted;
+    }
+}
+
 bool
 dy_crash_evidence_has_failed (const DyCrashEvidence *evidence, const char *endpoint)
 {
@@ -190,6 +223,13 @@
     decide (evidence, evidence->failures->len - 1, DY_EVIDENCE_NONE);
 }
 
+/* Returns whether FAILURE is a crash if the link works. */
+static bool
+is_crash (const Failure *failure)
+{
+  return failure->kind != DY_BREAK_UNBEGUN || failure->refused;
+}
+
 void
 dy_crash_evidence_tick (DyCrashEvidence *evidence, int64_t now_us)
 {
@@ -197,7 +237,8 @@
     {
       const Failure *failure = g_ptr_array_index (evidence->failures, i - 1);
       int64_t age_us = now_us - failure->failed_us;
-      if (failure->link_worked && !failure->ambiguous && age_us >= evidence->policy.hold_us)
+      if (failure->link_worked && !failure->ambiguous && is_crash (failure)
+          && age_us >= evidence->policy.hold_us)
         decide (evidence, i - 1, DY_EVIDENCE_LINK_WORKS);
       else if (age_us > evidence->policy.restart_us)
         decide (evidence, i - 1, DY_EVIDENCE_NONE);
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -17,6 +17,10 @@
  *     old connections may live on over a link on which new ones fail.
  *   - A new connection to an endpoint that was opened soon after: the link works.
  *
+ *   A kept connection may also end because the endpoint closed it as the request went out, or
+ *   because it had long been dead. So one that ends before any of the answer counts only if the
+ *   endpoint, besides, does not accept a new connection, or has started again.
+ *
  *   A failure for which there is none of these is dropped.
  *
  *   Bytes that come within a short time of the failure count for neither: they may have been
@@ -48,6 +52,13 @@
   DY_EVIDENCE_NONE,       /* does not count: no evidence came in time */
 } DyEvidence;
 
+typedef enum
+{
+  DY_BREAK_NEW,     /* of a connection that was opened for the request */
+  DY_BREAK_KEPT,    /* of one that had been used before, inside the answer */
+  DY_BREAK_UNBEGUN, /* of one that had been used before, before any of the answer */
+} DyBreakKind;
+
 typedef struct
 {
   /* PAYLOAD, as given to dy_crash_evidence_fail(), is decided on and is the callee's now. */
@@ -70,12 +81,11 @@
 /* Frees the payloads of failures that were not decided on. */
 void dy_crash_evidence_finish (DyCrashEvidence *evidence);
 
-/* Records that the connection of the request REQUEST to ENDPOINT broke; IS_NEW is whether it was
- * opened for the request. */
+/* Records that the connection of the request REQUEST to ENDPOINT broke. */
 void dy_crash_evidence_fail (DyCrashEvidence *evidence,
                              const char *endpoint,
                              const char *request,
-                             bool is_new,
+                             DyBreakKind kind,
                              void *payload,
                              int64_t now_us);
 
@@ -85,6 +95,16 @@
 /* Returns whether a new connection to an endpoint would help to decide on a failure. */
 bool dy_crash_evidence_needs_probe (const DyCrashEvidence *evidence, int64_t now_us);
 
+/* Returns the id of an endpoint for which a new connection to it would help to decide, or NULL. It
+ * is valid until the next call that decides on failures. */
+const char *dy_crash_evidence_endpoint_to_probe (const DyCrashEvidence *evidence, int64_t now_us);
+
+/* Records that a new connection to ENDPOINT that was started at OPENED_US was accepted or not. */
+void dy_crash_evidence_probed (DyCrashEvidence *evidence,
+                               const char *endpoint,
+                               bool accepted,
+                               int64_t opened_us);
+
 /* Returns whether a connection to ENDPOINT broke and was not decided on. */
 bool dy_crash_evidence_has_failed (const DyCrashEvidence *evidence, const char *endpoint);
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -502,6 +502,12 @@
   unref_endpoint (endpoint);
 }
 
+const DyPlacementEndpoint *
+dy_placement_find (const DyPlacement *placement, const char *id)
+{
+  return g_hash_table_lookup (placement->by_id, id);
+}
+
 const DyPlacementEndpoint *
 dy_placement_choose_for_probe (const DyPlacement *placement,
                                bool (*has_failed) (const void *ctx, const char *id),
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -161,6 +161,9 @@
 /* Returns whether ENDPOINT is leaving or was removed, possibly after it was chosen. */
 bool dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint);
 
+/* Returns the endpoint ID, or NULL if there is none. */
+const DyPlacementEndpoint *dy_placement_find (const DyPlacement *placement, const char *id);
+
 /* Returns any endpoint, for a probe of the link: if possible one for which HAS_FAILED returns
  * false. Returns NULL if there is none. */
 const DyPlacementEndpoint *dy_placement_choose_for_probe (const DyPlacement *placement,
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -48,8 +48,9 @@
   DyQuarantine quarantine;
   DyCrashEvidence crash_evidence;
   DyLinkProbe crash_probe;
-  ev_timer crash_timer; /* decides on failures; runs while there are any */
-  GHashTable *requests; /* set of the requests in progress */
+  char *crash_probed_id; /* endpoint of the probe in progress; else NULL */
+  ev_timer crash_timer;  /* decides on failures; runs while there are any */
+  GHashTable *requests;  /* set of the requests in progress */
   /* Service name to the seconds for which its endpoints keep an idle connection. */
   GHashTable *max_idle_by_service;
   GRand *rng;
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -10,6 +10,7 @@
   char *request_id;
   uint64_t body_hash;
   bool had_output;
+  bool is_new_connection;
   GArray *parts; /* of uint64_t: ids of the prompt's parts that may be the cause */
 } Suspicion;
 
@@ -35,8 +36,9 @@
     g_string_append_printf (text, "%s%" G_GINT64_MODIFIER "x", i ? "," : "", parts[i]);
   bool counts = evidence == DY_EVIDENCE_LINK_WORKS || evidence == DY_EVIDENCE_RESTARTED;
   dy_log (counts ? DY_EVENT_ENDPOINT_CRASHED : DY_EVENT_LINK_FAILED,
-          "request=%s endpoint=%s output=%d parts=%s evidence=%s", suspicion->request_id,
-          endpoint_id, suspicion->had_output, text->str, names[evidence]);
+          "request=%s endpoint=%s output=%d parts=%s evidence=%s reused=%d", suspicion->request_id,
+          endpoint_id, suspicion->had_output, text->str, names[evidence],
+          !suspicion->is_new_connection);
   g_string_free (text, TRUE);
 }
 
@@ -63,8 +65,13 @@
 on_probed (void *ctx, DyLinkProbeResult result, int64_t started_us)
 {
   DyGateway *gateway = ctx;
+  char *id = g_steal_pointer (&gateway->crash_probed_id);
   if (result == DY_LINK_PROBE_WORKS)
     dy_crash_evidence_link_works (&gateway->crash_evidence, started_us);
+  /* One that accepted the connection is there, though its answer may be late. */
+  dy_crash_evidence_probed (&gateway->crash_evidence, id, result != DY_LINK_PROBE_FAILED,
+                            started_us);
+  g_free (id);
 }
 
 static bool
@@ -73,19 +80,33 @@
   return dy_crash_evidence_has_failed (&((const DyGateway *) ctx)->crash_evidence, id);
 }
 
-/* Opens a connection to an endpoint if that would tell a crash from a fault of the link. */
+/* Returns an endpoint to which a connection would tell a crash from another cause, or NULL. */
+static const DyPlacementEndpoint *
+choose_probed (DyGateway *gateway, int64_t now_us)
+{
+  const DyPlacement *placement = &gateway->directory->placement;
+  const char *id = dy_crash_evidence_endpoint_to_probe (&gateway->crash_evidence, now_us);
+  const DyPlacementEndpoint *endpoint = id ? dy_placement_find (placement, id) : NULL;
+  if (endpoint)
+    return endpoint;
+  if (!dy_crash_evidence_needs_probe (&gateway->crash_evidence, now_us))
+    return NULL;
+  return dy_placement_choose_for_probe (placement, has_failed, gateway);
+}
+
 static void
 probe_link (DyGateway *gateway, int64_t now_us)
 {
-  if (gateway->crash_probe.fd >= 0
-      || !dy_crash_evidence_needs_probe (&gateway->crash_evidence, now_us))
+  if (gateway->crash_probe.fd >= 0)
     return;
-  const DyPlacementEndpoint *endpoint
-      = dy_placement_choose_for_probe (&gateway->directory->placement, has_failed, gateway);
-  if (endpoint)
-    dy_link_probe_start (&gateway->crash_probe, dy_placement_endpoint_address (endpoint),
-                         dy_directory_health_path (gateway->directory, endpoint),
-                         gateway->client.source);
+  const DyPlacementEndpoint *endpoint = choose_probed (gateway, now_us);
+  if (!endpoint)
+    return;
+  g_free (gateway->crash_probed_id);
+  gateway->crash_probed_id = g_strdup (dy_placement_endpoint_id (endpoint));
+  dy_link_probe_start (&gateway->crash_probe, dy_placement_endpoint_address (endpoint),
+                       dy_directory_health_path (gateway->directory, endpoint),
+                       gateway->client.source);
 }
 
 static void
@@ -125,6 +146,7 @@
 {
   ev_timer_stop (gateway->kernel->loop, &gateway->crash_timer);
   dy_link_probe_finish (&gateway->crash_probe);
+  g_clear_pointer (&gateway->crash_probed_id, g_free);
   dy_crash_evidence_finish (&gateway->crash_evidence);
 }
 
@@ -134,13 +156,16 @@
                          const DyGatewayBreak *broken)
 {
   Suspicion *suspicion = g_new0 (Suspicion, 1);
+  DyBreakKind kind = broken->had_output ? DY_BREAK_KEPT : DY_BREAK_UNBEGUN;
   suspicion->request_id = g_strdup (plan->id);
   suspicion->body_hash = plan->body_hash;
   suspicion->had_output = broken->had_output;
+  suspicion->is_new_connection = broken->is_new_connection;
   suspicion->parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_array_append_vals (suspicion->parts, plan->parts, plan->n_parts);
   dy_crash_evidence_fail (&gateway->crash_evidence, broken->endpoint_id, plan->id,
-                          broken->is_new_connection, suspicion, dy_kernel_now_us (gateway->kernel));
+                          broken->is_new_connection ? DY_BREAK_NEW : kind, suspicion,
+                          dy_kernel_now_us (gateway->kernel));
   ev_timer_start (gateway->kernel->loop, &gateway->crash_timer);
   /* The same request may come again at once, so this counts until it is decided otherwise. */
   dy_gateway_report_crash (gateway, plan->body_hash);
