--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,36 +1,8 @@
-#include "core/placement.h"
+#include "core/placement_private.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-struct DyPlacementEndpoint
-{
-  char *id;
-  char *service;
-  char *address;
-  char *data_centre;
-  char *version; /* see dy_placement_endpoint_version() */
-  uint32_t slots;
-  int64_t start_ms;
-  bool leaving;
-  bool removed;
-  uint32_t n_references;   /* one of the table by_id and one of each request in flight */
-  uint32_t in_flight;      /* requests of this router */
-  int64_t pending_tokens;  /* own_tokens of the prompts in flight that it has not processed */
-  uint32_t other_requests; /* requests of other routers, by its latest load report */
-  int64_t reported_us;     /* time of its latest load report; 0: none */
-  uint32_t n_failures;     /* consecutive */
-  int64_t open_until_us;   /* its circuit breaker is open until then */
-  GHashTable *cached;      /* prefix hash to the time of its latest use */
-};
-
-enum
-{
-  FAILURES_TO_OPEN = 2,      /* a single failure may be due to the request or to the network path */
-  MAX_CACHED_PREFIXES = 512, /* more sessions than one endpoint serves within cache_ttl_us */
-  FULL_BACKOFF_US = 50 * 1000, /* about the time of one answer, which then frees a slot */
-};
-
 const DyPlacementPolicy dy_placement_policy = {
   .ns_per_prompt_token = 20 * 1000, /* typical engine: 50 prompt tokens per millisecond */
   .us_per_running = 1000,           /* typical engine: delay of a batch per running request */
@@ -41,21 +13,6 @@
   .breaker_max_us = 3000 * 1000, /* a restarting endpoint is up within seconds */
 };
 
-static void
-unref_endpoint (gpointer data)
-{
-  DyPlacementEndpoint *endpoint = data;
-  if (--endpoint->n_references > 0)
-    return;
-  g_hash_table_unref (endpoint->cached);
-  g_free (endpoint->id);
-  g_free (endpoint->service);
-  g_free (endpoint->address);
-  g_free (endpoint->data_centre);
-  g_free (endpoint->version);
-  g_free (endpoint);
-}
-
 static void
 free_list (gpointer list)
 {
@@ -72,7 +29,8 @@
   placement->policy = *policy;
   placement->data_centre = g_strdup (data_centre);
   placement->rng = g_rand_new_with_seed (seed);
-  placement->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, unref_endpoint);
+  placement->by_id
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dy_placement_endpoint_unref);
   placement->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
 }
 
@@ -391,117 +349,6 @@
   return affinity && !is_allowed (placement, affinity, now_us) ? affinity->id : NULL;
 }
 
-static gboolean
-is_expired (gpointer key, gpointer value, gpointer ctx)
-{
-  (void) key;
-  return *(const int64_t *) value < *(const int64_t *) ctx;
-}
-
-static void
-record_prefix (const DyPlacement *placement,
-               DyPlacementEndpoint *endpoint,
-               uint64_t prefix_hash,
-               int64_t now_us)
-{
-  int64_t oldest_us = now_us - placement->policy.cache_ttl_us;
-  if (!prefix_hash)
-    return;
-  if (g_hash_table_size (endpoint->cached) >= MAX_CACHED_PREFIXES)
-    g_hash_table_foreach_remove (endpoint->cached, is_expired, &oldest_us);
-  if (g_hash_table_size (endpoint->cached) < MAX_CACHED_PREFIXES)
-    g_hash_table_insert (endpoint->cached, g_memdup2 (&prefix_hash, sizeof prefix_hash),
-                         g_memdup2 (&now_us, sizeof now_us));
-}
-
-void
-dy_placement_begin (DyPlacement *placement,
-                    DyPlacementEndpoint *endpoint,
-                    const DyPromptWork *work,
-                    int64_t now_us)
-{
-  endpoint->n_references++;
-  endpoint->in_flight++;
-  if (placement->gate)
-    placement->gate->record_sent (placement->gate_ctx, endpoint->id, now_us);
-  endpoint->pending_tokens += work->own_tokens;
-  record_prefix (placement, endpoint, work->prefix_hash, now_us);
-}
-
-void
-dy_placement_prompt_read (DyPlacementEndpoint *endpoint, const DyPromptWork *work)
-{
-  endpoint->pending_tokens -= work->own_tokens;
-}
-
-void
-dy_placement_report (DyPlacementEndpoint *endpoint,
-                     uint32_t running,
-                     uint32_t waiting,
-                     int64_t now_us)
-{
-  uint32_t total = running + waiting;
-  endpoint->other_requests = total > endpoint->in_flight ? total - endpoint->in_flight : 0;
-  endpoint->reported_us = now_us;
-}
-
-static void
-open_breaker (const DyPlacement *placement, DyPlacementEndpoint *endpoint, int64_t now_us)
-{
-  const DyPlacementPolicy *policy = &placement->policy;
-  uint32_t doublings = MIN (endpoint->n_failures - 1, 10);
-  int64_t delay_us = MIN (policy->breaker_min_us << doublings, policy->breaker_max_us);
-  endpoint->open_until_us = now_us + delay_us;
-}
-
-static void
-record_end (const DyPlacement *placement,
-            DyPlacementEndpoint *endpoint,
-            DyPlacementOutcome outcome,
-            int64_t now_us)
-{
-  switch (outcome)
-    {
-    case DY_PLACEMENT_ANSWERED:
-      endpoint->n_failures = 0;
-      endpoint->open_until_us = 0;
-      break;
-    case DY_PLACEMENT_FULL:
-      endpoint->open_until_us = MAX (endpoint->open_until_us, now_us + FULL_BACKOFF_US);
-      break;
-    case DY_PLACEMENT_FAILED:
-      endpoint->n_failures++;
-      if (endpoint->n_failures >= FAILURES_TO_OPEN)
-        open_breaker (placement, endpoint, now_us);
-      break;
-    case DY_PLACEMENT_UNREACHABLE:
-      endpoint->n_failures++;
-      open_breaker (placement, endpoint, now_us);
-      break;
-    case DY_PLACEMENT_MISDIRECTED:
-      endpoint->n_failures++;
-      endpoint->open_until_us = now_us + placement->policy.breaker_max_us;
-      break;
-    case DY_PLACEMENT_CANCELLED:
-      break;
-    }
-}
-
-void
-dy_placement_end (DyPlacement *placement,
-                  DyPlacementEndpoint *endpoint,
-                  const DyPromptWork *work,
-                  bool prompt_read,
-                  DyPlacementOutcome outcome,
-                  int64_t now_us)
-{
-  endpoint->in_flight--;
-  if (!prompt_read)
-    dy_placement_prompt_read (endpoint, work);
-  record_end (placement, endpoint, outcome, now_us);
-  unref_endpoint (endpoint);
-}
-
 const DyPlacementEndpoint *
 dy_placement_find (const DyPlacement *placement, const char *id)
 {
--- /dev/null
+++ b/src/core/placement_private.h
@@ -0,0 +1,35 @@
+#ifndef DY_CORE_PLACEMENT_PRIVATE_H
+#define DY_CORE_PLACEMENT_PRIVATE_H
+
+/**
+ * NAME
+ *   placement_private - what the files of core/placement share
+ */
+
+#include "core/placement.h"
+
+struct DyPlacementEndpoint
+{
+  char *id;
+  char *service;
+  char *address;
+  char *data_centre;
+  char *version; /* see dy_placement_endpoint_version() */
+  uint32_t slots;
+  int64_t start_ms;
+  bool leaving;
+  bool removed;
+  uint32_t n_references;   /* one of the table by_id and one of each request in flight */
+  uint32_t in_flight;      /* requests of this router */
+  int64_t pending_tokens;  /* own_tokens of the prompts in flight that it has not processed */
+  uint32_t other_requests; /* requests of other routers, by its latest load report */
+  int64_t reported_us;     /* time of its latest load report; 0: none */
+  uint32_t n_failures;     /* consecutive */
+  int64_t open_until_us;   /* its circuit breaker is open until then */
+  GHashTable *cached;      /* prefix hash to the time of its latest use */
+};
+
+/* Drops a reference of ENDPOINT, a DyPlacementEndpoint, and frees it with the last one. */
+void dy_placement_endpoint_unref (gpointer endpoint);
+
+#endif
