Spread requests over endpoints that are all silent

Hypotheses on the breaker that two abandoned attempts open: (1) with all breakers open, requests are refused. Does not hold: the first to close is used, and test_silent_fleet is served in full. (2) With all breakers open, all requests go to that one endpoint. Holds: 40 of 40 in virtual time, also to one that could not be reached while the others were only silent. (3) Each attempt that one silence ends doubles the time of the breaker. Holds: with 20 attempts given up at once a sound endpoint is still out after 1 s, with 2 it is not.

Attempts that were given up for silence end as DY_PLACEMENT_SILENT. They don't count while the breaker is open, as they were sent before it. With all breakers open, silent endpoints come right after those that are full (50 ms) and share by requests in flight.

test_silent_breakers: 3 of 9 cases fail with the old rules, none now. That a pile of requests at one endpoint is refused when it goes on was not shown with real routers.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -65,6 +65,7 @@
   g_hash_table_remove_all (endpoint->cached);
   endpoint->n_failures = 0;
   endpoint->open_until_us = 0;
+  endpoint->is_silent = false;
   endpoint->other_requests = 0;
 }
 
@@ -234,21 +235,37 @@
   return (int64_t) us;
 }
 
+/* Returns the time from which ENDPOINT, whose breaker is open, may be worth a try. One that is
+ * silent may go on at any time, so it comes after those that are only full. */
+static int64_t
+retry_us (const DyPlacementEndpoint *endpoint, int64_t now_us)
+{
+  int64_t soon_us = now_us + DY_PLACEMENT_FULL_US;
+  return endpoint->is_silent ? MIN (endpoint->open_until_us, soon_us) : endpoint->open_until_us;
+}
+
+/* Returns the endpoint that is worth a try first when all breakers are open; of several, such as
+ * all when all are silent, the one with the least work. */
 static DyPlacementEndpoint *
-first_to_close (const DyPlacement *placement,
+first_to_retry (const DyPlacement *placement,
                 const GPtrArray *list,
                 const DyPlacementQuery *query,
                 int64_t now_us)
 {
   DyPlacementEndpoint *best = NULL;
+  int64_t best_us = 0;
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
       if (endpoint->leaving || !is_allowed_by (query, endpoint)
           || !is_allowed (placement, endpoint, now_us))
         continue;
-      if (!best || endpoint->open_until_us < best->open_until_us)
-        best = endpoint;
+      int64_t us = retry_us (endpoint, now_us);
+      bool is_better = best && us == best_us && endpoint->in_flight < best->in_flight;
+      if (best && us >= best_us && !is_better)
+        continue;
+      best = endpoint;
+      best_us = us;
     }
   return best;
 }
@@ -309,7 +326,7 @@
       best_us = us;
     }
   if (!best)
-    best = first_to_close (placement, list, query, now_us);
+    best = first_to_retry (placement, list, query, now_us);
   if (predicted_us)
     *predicted_us = best_us;
   return best;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -93,6 +93,7 @@
   DY_PLACEMENT_UNREACHABLE, /* no connection could be made */
   DY_PLACEMENT_MISDIRECTED, /* another endpoint has the address now */
   DY_PLACEMENT_CANCELLED,   /* the router cancelled it for a reason unrelated to the endpoint */
+  DY_PLACEMENT_SILENT,      /* the router gave it up as it waited too long */
 } DyPlacementOutcome;
 
 void dy_placement_init (DyPlacement *placement,
--- a/src/core/placement_end.c
+++ b/src/core/placement_end.c
@@ -4,7 +4,6 @@
 {
   FAILURES_TO_OPEN = 2,      /* a single failure may be due to the request or to the network path */
   MAX_CACHED_PREFIXES = 512, /* more sessions than one endpoint serves within cache_ttl_us */
-  FULL_BACKOFF_US = 50 * 1000, /* about the time of one answer, which then frees a slot */
 };
 
 void
@@ -85,12 +84,26 @@
   endpoint->open_until_us = now_us + delay_us;
 }
 
+/* What was sent before the breaker opened tells nothing new: one silence ends many attempts. */
+static void
+record_silence (const DyPlacement *placement, DyPlacementEndpoint *endpoint, int64_t now_us)
+{
+  if (now_us < endpoint->open_until_us)
+    return;
+  endpoint->n_failures++;
+  endpoint->is_silent = true;
+  if (endpoint->n_failures >= FAILURES_TO_OPEN)
+    open_breaker (placement, endpoint, now_us);
+}
+
 static void
 record_end (const DyPlacement *placement,
             DyPlacementEndpoint *endpoint,
             DyPlacementOutcome outcome,
             int64_t now_us)
 {
+  if (outcome != DY_PLACEMENT_SILENT && outcome != DY_PLACEMENT_CANCELLED)
+    endpoint->is_silent = false;
   switch (outcome)
     {
     case DY_PLACEMENT_ANSWERED:
@@ -98,7 +111,7 @@
       endpoint->open_until_us = 0;
       break;
     case DY_PLACEMENT_FULL:
-      endpoint->open_until_us = MAX (endpoint->open_until_us, now_us + FULL_BACKOFF_US);
+      endpoint->open_until_us = MAX (endpoint->open_until_us, now_us + DY_PLACEMENT_FULL_US);
       break;
     case DY_PLACEMENT_FAILED:
       endpoint->n_failures++;
@@ -113,6 +126,9 @@
       endpoint->n_failures++;
       endpoint->open_until_us = now_us + placement->policy.breaker_max_us;
       break;
+    case DY_PLACEMENT_SILENT:
+      record_silence (placement, endpoint, now_us);
+      break;
     case DY_PLACEMENT_CANCELLED:
       break;
     }
--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -8,6 +8,12 @@
 
 #include "core/placement.h"
 
+enum
+{
+  /* Time for which a full endpoint gets nothing: about that of one answer, which frees a slot. */
+  DY_PLACEMENT_FULL_US = 50 * 1000,
+};
+
 struct DyPlacementEndpoint
 {
   char *id;
@@ -26,6 +32,7 @@
   int64_t reported_us;     /* time of its latest load report; 0: none */
   uint32_t n_failures;     /* consecutive */
   int64_t open_until_us;   /* its circuit breaker is open until then */
+  bool is_silent;          /* it was opened because the endpoint was silent, and may go on */
   GHashTable *cached;      /* prefix hash to the time of its latest use */
 };
 
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -464,5 +464,5 @@
     dy_relay_call_cancel (attempt->relay);
   attempt->transfer = NULL;
   attempt->relay = NULL;
-  release (attempt, outcome);
+  release (attempt, outcome == DY_PLACEMENT_FAILED ? DY_PLACEMENT_SILENT : outcome);
 }
