--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -93,6 +93,7 @@
   DY_PLACEMENT_UNREACHABLE, /* no connection could be made */
   DY_PLACEMENT_MISDIRECTED, /* another endpoint has the address now */
   DY_PLACEMENT_CANCELLED,   /* the router cancelled it for a reason unrelated to the endpoint */
+  DY_PLACEMENT_SILENT,      /* the router gave it up as it waited too long */
 } DyPlacementOutcome;
 
 void dy_placement_init (DyPlacement *placement,
@@ -161,6 +162,9 @@
 /* Returns whether ENDPOINT is leaving or was removed, possibly after it was chosen. */
 bool dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint);
 
+/* Returns the endpoint ID, or NULL if there is none. */
+const DyPlacementEndpoint *dy_placement_find (const DyPlacement *placement, const char *id);
+
 /* Returns any endpoint, for a probe of the link: if possible one for which HAS_FAILED returns
  * false. Returns NULL if there is none. */
 const DyPlacementEndpoint *dy_placement_choose_for_probe (const DyPlacement *placement,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,9 +11,10 @@
  *
  *   A request is sent at most once. libcurl itself retries a request whose reused connection turns
  *   out to be closed; that second send is prevented and the transfer ends with an unknown outcome
- *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, or that the
- *   server has closed, is not reused: the request is sent on a new connection. The idle connection
- *   is shut down as soon as the bytes or the end arrive.
+ *   (DY_UNAVAILABLE with connected set). An idle connection that has unread bytes, that the server
+ *   has closed, whose host does not acknowledge keep-alive probes, or that has been idle for
+ *   max_idle_ms is not reused: the request is sent on a new connection. The idle connection is shut
+ * down as soon as the bytes or the end arrive.
  *
  *   A limit is checked after the sockets were read: what arrived while the loop was busy counts.
  *
@@ -72,6 +73,7 @@
   uint64_t etag;   /* ETag of the answer, a decimal number; 0 when absent */
   int64_t sent_us; /* monotonic time at which the request was sent; 0: it was not */
   bool reused;     /* it was sent on a connection that had been used before */
+  int64_t idle_us; /* of that connection, between its last transfer and the sending; else 0 */
 } DyHttpResult;
 
 typedef struct
@@ -103,7 +105,11 @@
   int64_t read_timeout_ms;    /* limit on each wait for bytes of the answer; 0: no limit */
   uint64_t max_body_bytes;    /* a longer body ends the transfer with DY_PROTOCOL; 0: no limit */
   bool new_connection;        /* do not use one that is kept, as it may be dead */
-  int64_t max_idle_s;         /* connections idle for longer are not reused; 0: libcurl's default */
+  int64_t max_idle_ms; /* connections idle for so long are not reused; 0: libcurl's default */
+  /* Time for which the server's host may acknowledge nothing that was sent, or leave probes of the
+   * connection unanswered, before the transfer fails; also how long it may refuse to take the
+   * request's body; 0: 2 s. */
+  int64_t max_silence_ms;
 } DyHttpSpec;
 
 void dy_http_client_init (DyHttpClient *client, struct ev_loop *loop);
