Log connections that a stopping server leaves without an answer

Callers whose request lay unread in a socket, or whose connection waited to be accepted, when a router stopped got no answer, and no router logged a line: 8001 is for requests whose line was read.

dy_http_server_finish() now logs each connection that it resets with unread bytes (8004) and how many connections were left, unused or not accepted (8005). No change of what callers see.

test_kernel 24 of 24 (the catalogue of events).

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -85,7 +85,9 @@
   X (RELAY_PLACED, 7012, INFO, "relayed request sent to endpoint")                                 \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
-  X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")
+  X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")                          \
+  X (UNREAD_CLOSED, 8004, WARNING, "connection closed with unread bytes")                          \
+  X (CONNECTIONS_LEFT, 8005, MESSAGE, "server stopped with open connections")
 
 typedef enum
 {
--- a/src/net/http_call_private.h
+++ b/src/net/http_call_private.h
@@ -6,7 +6,8 @@
  *   http_call_private - declarations shared by the files of the HTTP server
  *
  * DESCRIPTION
- *   http_server.c  connections, requests as they are read, start and stop
+ *   http_server.c  connections, requests as they are read, start
+ *   http_stop.c    the stop of the server
  *   http_call.c    one call as its handler sees it, and the way of its answer to libmicrohttpd
  */
 
@@ -59,4 +60,7 @@
 /* Passes the answer, whose response is set, to libmicrohttpd. */
 enum MHD_Result dy_http_call_queue (DyHttpCall *call);
 
+/* Passes all queued requests to the handler, however long that takes. */
+void dy_http_server_take_pending (DyHttpServer *server);
+
 #endif
--- a/src/net/http_connections.h
+++ b/src/net/http_connections.h
@@ -32,6 +32,7 @@
   int fd;
   int64_t active_us;       /* monotonic time of the last activity */
   uint32_t idle_limit_s;   /* in force at the end of the last answer; 0: none */
+  uint32_t n_calls;        /* requests that were begun */
   bool busy;               /* a whole request is read and its answer is not complete */
   bool crowded;            /* opened beyond the limit of connections */
   bool shut;               /* shut down for reading */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -19,8 +19,6 @@
   SEND_TIMEOUT_S = 120,
   /* Connections beyond the limit that may wait for their refusal at a time. */
   CROWDED_CONNECTIONS = 64,
-  STOP_FLUSH_US = 100 * 1000, /* for answers that are not sent when the server stops */
-  STOP_PAUSE_US = 1000,       /* between tries to send them */
 };
 
 static const double SWEEP_INTERVAL_S = 0.2;
@@ -85,6 +83,7 @@
   call->connection = conn;
   call->record = MHD_get_connection_info (conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
   call->record->call = call;
+  call->record->n_calls++;
   call->record->active_us = g_get_monotonic_time ();
   call->target = g_strdup (target);
   call->arrived_us = g_get_monotonic_time ();
@@ -237,6 +236,17 @@
     }
 }
 
+void
+dy_http_server_take_pending (DyHttpServer *server)
+{
+  while (server->pending.length > 0)
+    {
+      DyHttpCall *call = g_queue_peek_head (&server->pending);
+      remove_pending (call);
+      run_handler (call);
+    }
+}
+
 static enum MHD_Result
 handle_connection (void *cls,
                    struct MHD_Connection *conn,
@@ -492,90 +502,6 @@
   return DY_OK;
 }
 
-static void
-stop_call (DyHttpCall *call)
-{
-  bool answered = call->queued || call->response;
-  if (call->complete && !answered && call->watcher && call->watcher->stopped)
-    call->watcher->stopped (call->ctx, call);
-}
-
-/* Returns whether an answer that is complete is not sent. */
-static bool
-has_unsent_answers (const DyHttpServer *server)
-{
-  GHashTableIter iter;
-  gpointer key;
-  g_hash_table_iter_init (&iter, server->calls);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const DyHttpCall *call = key;
-      if ((call->queued || call->response) && !call->aborted && (!call->streamed || call->ended))
-        return true;
-    }
-  return false;
-}
-
-/* Answers the requests that were read and sends what was answered, for a limited time. */
-static void
-flush_calls (DyHttpServer *server)
-{
-  int64_t end_us = g_get_monotonic_time () + STOP_FLUSH_US;
-  server->stopping = true;
-  server->closing = true;
-  while (server->pending.length > 0)
-    {
-      DyHttpCall *call = g_queue_peek_head (&server->pending);
-      remove_pending (call);
-      run_handler (call);
-    }
-  GList *calls = g_hash_table_get_keys (server->calls);
-  for (GList *l = calls; l; l = l->next)
-    stop_call (l->data);
-  g_list_free (calls);
-  MHD_run (server->daemon); /* accepts and reads what waits */
-  MHD_run (server->daemon);
-  while (has_unsent_answers (server) && g_get_monotonic_time () < end_us)
-    {
-      MHD_run (server->daemon);
-      g_usleep (STOP_PAUSE_US);
-    }
-}
-
-/* Aborts all calls, because libmicrohttpd cannot be stopped while connections are suspended. */
-static void
-abort_calls (DyHttpServer *server)
-{
-  GList *calls = g_hash_table_get_keys (server->calls);
-  for (GList *l = calls; l; l = l->next)
-    {
-      DyHttpCall *call = l->data;
-      call->cut = call->cut ? call->cut : DY_CUT_STOP;
-      call->aborted = true;
-      call->aborted_after_flush = true;
-      dy_http_call_resume (call);
-    }
-  g_list_free (calls);
-  MHD_run (server->daemon);
-}
-
-void
-dy_http_server_finish (DyHttpServer *server)
-{
-  if (!server->daemon)
-    return;
-  ev_io_stop (server->loop, &server->io);
-  ev_timer_stop (server->loop, &server->timer);
-  ev_timer_stop (server->loop, &server->sweep);
-  ev_check_stop (server->loop, &server->turn_start);
-  ev_prepare_stop (server->loop, &server->prepare);
-  flush_calls (server);
-  abort_calls (server);
-  MHD_stop_daemon (server->daemon);
-  g_hash_table_unref (server->calls);
-  server->daemon = NULL;
-}
-
 void
 dy_http_server_set_idle_timeout (DyHttpServer *server, uint32_t timeout_s)
 {
