Answer callers that connect as a router stops

Callers that had connected before a router left, but whose request came a moment later or in parts, saw their connection closed without an answer, and no router logged it: the process ended as soon as no request was known, also with connections on which none had come yet.

When all else of the drain is done, the router now accepts what waits at its listening socket and closes it, so that further callers are refused at once. Requests that come on open connections are refused as draining with "Connection: close", and have not run. The process ends when nothing is unread and each connection has had a request, or half a second for it, and at the end of the grace time in any case. dy_http_server_finish() reads on until nothing is unread, for the same tenth of a second as before, in place of two turns.

--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -79,14 +79,23 @@
 }
 
 bool
-dy_kernel_busy (DyKernel *kernel)
+dy_kernel_others_busy (DyKernel *kernel, const void *self)
 {
   for (uint32_t i = 0; i < kernel->n_started; i++)
-    if (kernel->services[i].busy && kernel->services[i].busy (kernel->services[i].self))
-      return true;
+    {
+      const DyService *service = &kernel->services[i];
+      if (service->self != self && service->busy && service->busy (service->self))
+        return true;
+    }
   return false;
 }
 
+bool
+dy_kernel_busy (DyKernel *kernel)
+{
+  return dy_kernel_others_busy (kernel, NULL);
+}
+
 void
 dy_kernel_stop (DyKernel *kernel)
 {
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -78,6 +78,9 @@
 /* Returns whether a started service is busy. */
 bool dy_kernel_busy (DyKernel *kernel);
 
+/* Returns the same for the services other than that of the interface SELF. */
+bool dy_kernel_others_busy (DyKernel *kernel, const void *self);
+
 /* Stops the started services in reverse order. */
 void dy_kernel_stop (DyKernel *kernel);
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -87,7 +87,8 @@
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
   X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")                          \
   X (UNREAD_CLOSED, 8004, WARNING, "connection closed with unread bytes")                          \
-  X (CONNECTIONS_LEFT, 8005, MESSAGE, "server stopped with open connections")
+  X (CONNECTIONS_LEFT, 8005, MESSAGE, "server stopped with open connections")                      \
+  X (CONNECTION_REJECTED, 8006, WARNING, "connection not taken as the server stops")
 
 typedef enum
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -89,7 +89,9 @@
   DyCounters *counters;    /* NULL: calls are not counted */
   DyHttpConnections connections;
   uint32_t idle_timeout_s; /* 0: no timeout */
-  bool stopping;           /* requests are refused */
+  bool stopping;           /* no connections are accepted and new requests are refused */
+  int64_t closed_us;       /* monotonic time at which that began */
+  uint32_t port;           /* on which the server listened; set then */
   bool closing;            /* answers carry "Connection: close" */
   bool run_needed;         /* MHD_run() is due before the loop waits */
   ev_io io;
@@ -112,9 +114,19 @@
                          uint64_t buffer_bytes,
                          const DyHttpServerHandler *handler,
                          void *ctx);
-/* Refuses the requests that the handler has not got, has the others answered by the stopped
- * callback of their watchers, sends for a tenth of a second what was answered, aborts all calls
- * that are left and stops listening. */
+/* Accepts the connections that wait and closes the listening socket, so that further callers are
+ * refused at once. Requests that the handler has not got are refused from then on, also those that
+ * come later on open connections; the others go on. Does nothing if it was called before. */
+void dy_http_server_close (DyHttpServer *server);
+
+/* Returns, for a server that was closed, whether no caller is known to wait: all calls have ended,
+ * no received bytes are unread, and each connection has had a request or half a second for it. */
+bool dy_http_server_is_quiet (const DyHttpServer *server);
+
+/* Closes the server if it is not closed, has the calls without an answer answered by the stopped
+ * callback of their watchers, reads and sends for a tenth of a second what is left to be read and
+ * sent, and aborts the other calls. Connections that have unread bytes then are reset, which is
+ * logged. */
 void dy_http_server_finish (DyHttpServer *server);
 
 /* Sets the time after which an idle connection is closed; 0: only after the time for which a caller
--- a/src/net/http_stop.c
+++ b/src/net/http_stop.c
@@ -12,6 +12,10 @@
 {
   STOP_FLUSH_US = 100 * 1000, /* for answers that are not sent when the server stops */
   STOP_PAUSE_US = 1000,       /* between tries to send them */
+  /* From the closing of the server to the first request of a connection.
+   * Callers open connections to send at once; the time is for the way there and
+   * a head in several parts. */
+  FIRST_REQUEST_WAIT_US = 500 * 1000,
 };
 
 static void
@@ -38,28 +42,86 @@
   return false;
 }
 
-/* Answers the requests that were read and sends what was answered, for a limited time. */
+static int
+n_unread_bytes (int fd)
+{
+  int n = 0;
+  return ioctl (fd, FIONREAD, &n) == 0 ? n : 0;
+}
+
+static uint32_t
+local_port (int fd)
+{
+  struct sockaddr_in addr = { 0 };
+  socklen_t n = sizeof addr;
+  return getsockname (fd, (struct sockaddr *) &addr, &n) == 0 ? ntohs (addr.sin_port) : 0;
+}
+
+/* Accepts the connections that wait at LISTENER, which is no longer
+ * libmicrohttpd's. */
 static void
-flush_calls (DyHttpServer *server)
+accept_queued (DyHttpServer *server, int listener)
 {
-  int64_t end_us = g_get_monotonic_time () + STOP_FLUSH_US;
-  server->stopping = true;
-  server->closing = true;
-  dy_http_server_take_pending (server);
-  GList *calls = g_hash_table_get_keys (server->calls);
-  for (GList *l = calls; l; l = l->next)
-    stop_call (l->data);
-  g_list_free (calls);
-  MHD_run (server->daemon); /* accepts and reads what waits */
-  MHD_run (server->daemon);
-  while (has_unsent_answers (server) && g_get_monotonic_time () < end_us)
+  struct sockaddr_in addr;
+  socklen_t n = sizeof addr;
+  int fd;
+  fcntl (listener, F_SETFL, O_NONBLOCK);
+  while ((fd = accept4 (listener, (struct sockaddr *) &addr, &n, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0
+         || errno == EINTR || errno == ECONNABORTED)
     {
-      MHD_run (server->daemon);
-      g_usleep (STOP_PAUSE_US);
+      if (fd >= 0
+          && MHD_add_connection (server->daemon, fd, (struct sockaddr *) &addr, n) != MHD_YES)
+        dy_log (DY_EVENT_CONNECTION_REJECTED, "port=%u", server->port);
+      n = sizeof addr;
     }
 }
 
-/* Aborts all calls, because libmicrohttpd cannot be stopped while connections are suspended. */
+void
+dy_http_server_close (DyHttpServer *server)
+{
+  if (server->stopping)
+    return;
+  int listener = MHD_quiesce_daemon (server->daemon);
+  server->stopping = true;
+  server->closing = true;
+  server->run_needed = true;
+  server->closed_us = g_get_monotonic_time ();
+  if (listener < 0)
+    return;
+  server->port = local_port (listener);
+  accept_queued (server, listener);
+  close (listener);
+}
+
+static bool
+has_unread_bytes (const DyHttpServer *server)
+{
+  for (const GList *l = server->connections.queue.head; l; l = l->next)
+    if (n_unread_bytes (((const DyHttpConnection *) l->data)->fd) > 0)
+      return true;
+  return false;
+}
+
+static bool
+has_unused_connections (const DyHttpServer *server)
+{
+  for (const GList *l = server->connections.queue.head; l; l = l->next)
+    if (((const DyHttpConnection *) l->data)->n_calls == 0)
+      return true;
+  return false;
+}
+
+bool
+dy_http_server_is_quiet (const DyHttpServer *server)
+{
+  int64_t age_us = g_get_monotonic_time () - server->closed_us;
+  if (g_hash_table_size (server->calls) > 0 || has_unread_bytes (server))
+    return false;
+  return age_us >= FIRST_REQUEST_WAIT_US || !has_unused_connections (server);
+}
+
+/* Aborts all calls, because libmicrohttpd cannot be stopped while connections
+ * are suspended. */
 static void
 abort_calls (DyHttpServer *server)
 {
@@ -81,26 +143,17 @@
   uint32_t n_open;   /* connections */
   uint32_t n_unused; /* no request was begun on them */
   uint32_t n_unread; /* bytes of theirs were not read */
-  uint32_t n_queued; /* not accepted */
-  uint32_t port;     /* on which the server listened */
 } Leftover;
 
-static int
-n_unread_bytes (int fd)
-{
-  int n = 0;
-  return ioctl (fd, FIONREAD, &n) == 0 ? n : 0;
-}
-
-/* A connection that is closed with unread bytes is reset, so its caller loses a request. */
+/* A connection that is closed with unread bytes is reset, so its caller loses a
+ * request. */
 static void
-report_unread (int fd, const char *where, uint32_t n_calls, int64_t idle_us)
+report_unread (const DyHttpConnection *connection, int64_t now_us)
 {
-  int n = n_unread_bytes (fd);
+  int n = n_unread_bytes (connection->fd);
   if (n > 0)
-    dy_log (DY_EVENT_UNREAD_CLOSED,
-            "where=%s unread_bytes=%d requests=%u idle_ms=%" G_GINT64_FORMAT, where, n, n_calls,
-            idle_us / 1000);
+    dy_log (DY_EVENT_UNREAD_CLOSED, "unread_bytes=%d requests=%u idle_ms=%" G_GINT64_FORMAT, n,
+            connection->n_calls, (now_us - connection->active_us) / 1000);
 }
 
 static void
@@ -113,49 +166,36 @@
       leftover->n_open++;
       leftover->n_unused += connection->n_calls == 0;
       leftover->n_unread += n_unread_bytes (connection->fd) > 0;
-      report_unread (connection->fd, "open", connection->n_calls, now_us - connection->active_us);
+      report_unread (connection, now_us);
     }
 }
 
-static uint32_t
-local_port (int fd)
+static void
+report_leftover (const DyHttpServer *server, const Leftover *leftover)
 {
-  struct sockaddr_in addr = { 0 };
-  socklen_t n = sizeof addr;
-  return getsockname (fd, (struct sockaddr *) &addr, &n) == 0 ? ntohs (addr.sin_port) : 0;
+  if (leftover->n_open > 0)
+    dy_log (DY_EVENT_CONNECTIONS_LEFT, "port=%u open=%u unused=%u unread=%u", server->port,
+            leftover->n_open, leftover->n_unused, leftover->n_unread);
 }
 
-/* Closes the listening socket, with the connections that wait in its queue. */
+/* Refuses what comes and sends what was answered, for a limited time. */
 static void
-close_listener (DyHttpServer *server, Leftover *leftover)
+flush_calls (DyHttpServer *server)
 {
-  int listener = MHD_quiesce_daemon (server->daemon);
-  if (listener < 0)
-    return;
-  leftover->port = local_port (listener);
-  fcntl (listener, F_SETFL, O_NONBLOCK);
-  for (;;)
+  int64_t end_us = g_get_monotonic_time () + STOP_FLUSH_US;
+  dy_http_server_take_pending (server);
+  GList *calls = g_hash_table_get_keys (server->calls);
+  for (GList *l = calls; l; l = l->next)
+    stop_call (l->data);
+  g_list_free (calls);
+  do
     {
-      int fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
-      if (fd < 0 && (errno == EINTR || errno == ECONNABORTED))
-        continue;
-      if (fd < 0)
-        break;
-      leftover->n_queued++;
-      leftover->n_unread += n_unread_bytes (fd) > 0;
-      report_unread (fd, "queue", 0, 0);
-      close (fd);
+      MHD_run (server->daemon);
+      MHD_run (server->daemon); /* what the first one accepted or resumed */
+      g_usleep (STOP_PAUSE_US);
     }
-  close (listener);
-}
-
-static void
-report_leftover (const Leftover *leftover)
-{
-  if (leftover->n_open + leftover->n_queued > 0)
-    dy_log (DY_EVENT_CONNECTIONS_LEFT, "port=%u open=%u unused=%u queued=%u unread=%u",
-            leftover->port, leftover->n_open, leftover->n_unused, leftover->n_queued,
-            leftover->n_unread);
+  while ((has_unsent_answers (server) || has_unread_bytes (server))
+         && g_get_monotonic_time () < end_us);
 }
 
 void
@@ -169,11 +209,11 @@
   ev_timer_stop (server->loop, &server->sweep);
   ev_check_stop (server->loop, &server->turn_start);
   ev_prepare_stop (server->loop, &server->prepare);
+  dy_http_server_close (server);
   flush_calls (server);
   abort_calls (server);
-  close_listener (server, &leftover);
   report_connections (server, &leftover);
-  report_leftover (&leftover);
+  report_leftover (server, &leftover);
   MHD_stop_daemon (server->daemon);
   g_hash_table_unref (server->calls);
   server->daemon = NULL;
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -24,6 +24,8 @@
 };
 
 static const double TICK_S = 0.25;
+/* Interval of checks, during a drain, whether callers are to be accepted any longer. */
+static const double STOP_CHECK_S = 0.02;
 
 bool
 dy_gateway_ready (const DyGateway *gateway)
@@ -162,6 +164,23 @@
     broadcast_crash (gateway, body_hash, true);
 }
 
+/* Accepts callers for at least drain_notice_ms, so that the load balancer can notice that this
+ * router is not ready, and until all else is done: a refusal tells callers more than a connection
+ * that fails. */
+static void
+on_stop_check (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyGateway *gateway = w->data;
+  (void) events;
+  int64_t age_us = dy_kernel_now_us (gateway->kernel) - gateway->drain_started_us;
+  if (g_hash_table_size (gateway->requests) > 0
+      || age_us < gateway->kernel->settings->drain_notice_ms * 1000
+      || dy_kernel_others_busy (gateway->kernel, gateway))
+    return;
+  ev_timer_stop (loop, w);
+  dy_http_server_close (&gateway->server);
+}
+
 static int
 listen_on (DyGateway *gateway, const DySettings *settings)
 {
@@ -202,6 +221,8 @@
   ev_timer_init (&gateway->tick, on_tick, TICK_S, TICK_S);
   gateway->tick.data = gateway;
   ev_timer_start (kernel->loop, &gateway->tick);
+  ev_timer_init (&gateway->stop_check, on_stop_check, STOP_CHECK_S, STOP_CHECK_S);
+  gateway->stop_check.data = gateway;
   dy_gateway_crashes_init (gateway);
   dy_directory_watch (gateway->directory, apply_routes, gateway);
   dy_peers_watch (gateway->directory->peers, &peers_watcher, gateway);
@@ -214,17 +235,15 @@
   DyGateway *gateway = self;
   gateway->server.closing = true;
   gateway->drain_started_us = dy_kernel_now_us (gateway->kernel);
+  ev_timer_start (gateway->kernel->loop, &gateway->stop_check);
 }
 
-/* Stays busy for at least drain_notice_ms, so that the load balancer can notice that this router is
- * not ready before it stops. */
 static bool
 service_busy (void *self)
 {
   const DyGateway *gateway = self;
-  int64_t age_us = dy_kernel_now_us (gateway->kernel) - gateway->drain_started_us;
-  return g_hash_table_size (gateway->requests) > 0 || dy_http_server_n_calls (&gateway->server) > 0
-         || age_us < gateway->kernel->settings->drain_notice_ms * 1000;
+  return g_hash_table_size (gateway->requests) > 0 || !gateway->server.stopping
+         || !dy_http_server_is_quiet (&gateway->server);
 }
 
 static void
@@ -232,6 +251,7 @@
 {
   DyGateway *gateway = self;
   ev_timer_stop (gateway->kernel->loop, &gateway->tick);
+  ev_timer_stop (gateway->kernel->loop, &gateway->stop_check);
   dy_http_server_finish (&gateway->server);
   dy_http_server_finish (&gateway->ready_server);
   g_hash_table_unref (gateway->requests);
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -55,6 +55,7 @@
   GRand *rng;
   int64_t drain_started_us; /* monotonic time at which the drain began; 0 before it */
   ev_timer tick;
+  ev_timer stop_check; /* runs from the start of a drain until callers are no longer accepted */
 } DyGateway;
 
 /* Adds the service "gateway", whose interface is a DyGateway. */
