--- a/test/test_silent_breakers.c
+++ b/test/test_silent_breakers.c
@@ -92,6 +92,7 @@
     N_REQUESTS = 40,
   };
   int n[N_ENDPOINTS] = { 0 };
+  DyPlacementEndpoint *chosen[N_REQUESTS];
   DyPlacement placement;
   DyPlacementQuery query = { .service = "app" };
   placement_init (&placement);
@@ -100,14 +101,16 @@
   for (int k = 0; k < N_REQUESTS; k++)
     {
       int64_t now_us = SILENT_US + 10 * MS;
-      DyPlacementEndpoint *endpoint = dy_placement_choose (&placement, &query, now_us, NULL);
-      ck_assert_ptr_nonnull (endpoint);
-      dy_placement_begin (&placement, endpoint, &no_work, now_us);
-      n[dy_placement_endpoint_id (endpoint)[1] - '0']++;
+      chosen[k] = dy_placement_choose (&placement, &query, now_us, NULL);
+      ck_assert_ptr_nonnull (chosen[k]);
+      dy_placement_begin (&placement, chosen[k], &no_work, now_us);
+      n[dy_placement_endpoint_id (chosen[k])[1] - '0']++;
     }
   for (int i = 0; i < N_ENDPOINTS; i++)
     ck_assert_msg (n[i] >= spread_cases[_i].least[i] && n[i] <= spread_cases[_i].most[i],
                    "%s: %d, %d, %d, %d", spread_cases[_i].name, n[0], n[1], n[2], n[3]);
+  for (int k = 0; k < N_REQUESTS; k++)
+    dy_placement_end (&placement, chosen[k], &no_work, false, DY_PLACEMENT_CANCELLED, SILENT_US);
   dy_placement_finish (&placement);
 }
 END_TEST
