--- a/src/net/http_stop.c
+++ b/src/net/http_stop.c
@@ -12,9 +12,8 @@
 {
   STOP_FLUSH_US = 100 * 1000, /* for answers that are not sent when the server stops */
   STOP_PAUSE_US = 1000,       /* between tries to send them */
-  /* From the closing of the server to the first request of a connection.
-   * Callers open connections to send at once; the time is for the way there and
-   * a head in several parts. */
+  /* From the closing of the server to the first request of a connection. Callers open connections
+   * to send at once; the time is for the way there and a head in several parts. */
   FIRST_REQUEST_WAIT_US = 500 * 1000,
 };
 
@@ -57,8 +56,7 @@
   return getsockname (fd, (struct sockaddr *) &addr, &n) == 0 ? ntohs (addr.sin_port) : 0;
 }
 
-/* Accepts the connections that wait at LISTENER, which is no longer
- * libmicrohttpd's. */
+/* Accepts the connections that wait at LISTENER, which is no longer libmicrohttpd's. */
 static void
 accept_queued (DyHttpServer *server, int listener)
 {
@@ -120,8 +118,7 @@
   return age_us >= FIRST_REQUEST_WAIT_US || !has_unused_connections (server);
 }
 
-/* Aborts all calls, because libmicrohttpd cannot be stopped while connections
- * are suspended. */
+/* Aborts all calls, because libmicrohttpd cannot be stopped while connections are suspended. */
 static void
 abort_calls (DyHttpServer *server)
 {
@@ -145,8 +142,7 @@
   uint32_t n_unread; /* bytes of theirs were not read */
 } Leftover;
 
-/* A connection that is closed with unread bytes is reset, so its caller loses a
- * request. */
+/* A connection that is closed with unread bytes is reset, so its caller loses a request. */
 static void
 report_unread (const DyHttpConnection *connection, int64_t now_us)
 {
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -683,6 +683,25 @@
 }
 END_TEST
 
+/* A router must not leave before a connection that it has just accepted has had a request. */
+START_TEST (a_connection_accepted_as_the_server_closes_is_waited_for)
+{
+  Host host;
+  host_init (&host);
+  int fd = open_socket (&host);
+  dy_http_server_close (&host.server);
+  ck_assert (!dy_http_server_is_quiet (&host.server));
+  run_for (&host, 0.05);
+  ck_assert (!dy_http_server_is_quiet (&host.server));
+  send_text (fd, GET ("/now"));
+  Reader reader = read_answers (&host, fd, 1);
+  ck_assert_msg (g_str_has_prefix (reader.text->str, "HTTP/1.1 503 "), "'%s'", reader.text->str);
+  ck_assert (dy_http_server_is_quiet (&host.server));
+  reader_finish (&reader);
+  host_finish (&host);
+}
+END_TEST
+
 START_TEST (a_connection_without_a_whole_request_ends_at_the_idle_timeout)
 {
   static const double MARGIN_S = 0.6;
@@ -721,6 +740,7 @@
   tcase_add_test (tcase, connections_beyond_the_limit_are_refused_and_closed);
   tcase_add_test (tcase, requests_that_wait_when_the_server_stops_are_refused);
   tcase_add_test (tcase, a_call_in_progress_can_be_answered_when_the_server_stops);
+  tcase_add_test (tcase, a_connection_accepted_as_the_server_closes_is_waited_for);
   tcase_add_loop_test (tcase, a_caller_that_leaves_is_noticed, 0,
                        (int) G_N_ELEMENTS (leaving_cases));
   tcase_add_loop_test (tcase, a_large_head_leaves_room_for_the_answer, 0,
