--- a/test/test_kept_connections.c
+++ b/test/test_kept_connections.c
@@ -1,4 +1,4 @@
-/* Requests on kept connections to an endpoint: ones that it is about to close, ones that have gone
+/* Requests on kept connections to an endpoint: ones that it is about to close, ones that are
  * silent, and ones that fall silent while the request is under way. */
 
 #include "kernel/error.h"
