--- a/test/test_failed_resumes.c
+++ b/test/test_failed_resumes.c
@@ -72,6 +72,96 @@
 }
 END_TEST
 
+/* What lets the stream be sent again, some time after it broke. */
+static void
+give_retry_budget (Fixture *fixture)
+{
+  fixture->gateway.resend_budget.slack = 100.0;
+}
+
+static void
+give_endpoints (Fixture *fixture)
+{
+  add_other_endpoints (fixture);
+}
+
+static void
+take_retry_budget (void *ctx)
+{
+  Fixture *fixture = ctx;
+  add_other_endpoints (ctx);
+  fixture->gateway.resend_budget.ratio = 0.0;
+  fixture->gateway.resend_budget.slack = 0.0;
+}
+
+static void
+take_endpoint (void *ctx)
+{
+  fixture_put_endpoint (ctx, 0, true);
+}
+
+static const struct
+{
+  const char *name;
+  void (*on_taken) (void *ctx);
+  void (*give) (Fixture *fixture);
+} wait_cases[] = {
+  { "no retry budget", take_retry_budget, give_retry_budget },
+  { "no endpoint", take_endpoint, give_endpoints },
+};
+
+typedef struct
+{
+  ev_timer timer;
+  Fixture *fixture;
+  int i;
+} Gift;
+
+static void
+on_gift (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Gift *gift = w->data;
+  (void) loop;
+  (void) events;
+  wait_cases[gift->i].give (gift->fixture);
+}
+
+/* A stream that broke was aborted with seconds left, as it could not be resumed at that moment. */
+START_TEST (begun_stream_waits_until_it_can_be_resumed)
+{
+  static const double wait_s = 0.4;
+  Fixture fixture;
+  FixtureAnswer answer;
+  CannedServer servers[FIXTURE_N_ENDPOINTS];
+  const char *name = wait_cases[_i].name;
+  const char *texts[FIXTURE_N_ENDPOINTS]
+      = { SIGNED "\r\n" EVENT_1, SIGNED "\r\n" EVENT_2, SIGNED "\r\n" EVENT_2 };
+  Gift gift = { .fixture = &fixture, .i = _i };
+  fixture_init (&fixture);
+  for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
+    {
+      dy_http_server_finish (&fixture.endpoints[i].server);
+      ck_assert (canned_init (&servers[i], fixture.kernel.loop, fixture.endpoints[i].address,
+                              texts[i], i == 0));
+    }
+  fixture_put_endpoint (&fixture, 0, false);
+  fixture.on_taken = wait_cases[_i].on_taken;
+  ev_timer_init (&gift.timer, on_gift, wait_s, 0.0);
+  gift.timer.data = &gift;
+  ev_timer_start (fixture.kernel.loop, &gift.timer);
+  fixture_send (&fixture, "/r3/x", &answer, 1);
+  ck_assert_msg (answer.result.error == DY_OK, "%s: error %d", name, answer.result.error);
+  ck_assert_msg (strcmp (answer.body->str, EVENT_1 EVENT_2) == 0, "%s: body \"%s\"", name,
+                 answer.body->str);
+  ck_assert_msg (g_hash_table_size (fixture.gateway.requests) == 0, "%s: in progress", name);
+  ev_timer_stop (fixture.kernel.loop, &gift.timer);
+  for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
+    canned_finish (&servers[i]);
+  fixture_free_answers (&answer, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -80,5 +170,7 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, stream_ends_when_its_resumed_run_fails, 0,
                        (int) G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tcase, begun_stream_waits_until_it_can_be_resumed, 0,
+                       (int) G_N_ELEMENTS (wait_cases));
   return suite_run ("failed_resumes", tcase);
 }
