--- a/test/test_failed_resumes.c
+++ b/test/test_failed_resumes.c
@@ -72,71 +72,80 @@
 }
 END_TEST
 
-/* What lets the stream be sent again, some time after it broke. */
 static void
-give_retry_budget (Fixture *fixture)
+take_retry_budget (Fixture *fixture)
 {
-  fixture->gateway.resend_budget.slack = 100.0;
+  add_other_endpoints (fixture);
+  fixture->gateway.resend_budget.ratio = 0.0;
+  fixture->gateway.resend_budget.slack = 0.0;
 }
 
 static void
-give_endpoints (Fixture *fixture)
+give_retry_budget (Fixture *fixture)
 {
-  add_other_endpoints (fixture);
+  fixture->gateway.resend_budget.slack = 100.0;
 }
 
 static void
-take_retry_budget (void *ctx)
+take_endpoint (Fixture *fixture)
 {
-  Fixture *fixture = ctx;
-  add_other_endpoints (ctx);
-  fixture->gateway.resend_budget.ratio = 0.0;
-  fixture->gateway.resend_budget.slack = 0.0;
+  fixture_put_endpoint (fixture, 0, true);
 }
 
 static void
-take_endpoint (void *ctx)
+give_endpoints (Fixture *fixture)
 {
-  fixture_put_endpoint (ctx, 0, true);
+  add_other_endpoints (fixture);
 }
 
+/* What the stream needs to be sent again, taken before it breaks and given back some time later. */
 static const struct
 {
   const char *name;
-  void (*on_taken) (void *ctx);
+  void (*take) (Fixture *fixture);
   void (*give) (Fixture *fixture);
-} wait_cases[] = {
+} lacks[] = {
   { "no retry budget", take_retry_budget, give_retry_budget },
   { "no endpoint", take_endpoint, give_endpoints },
 };
 
+static const double give_after_s = 0.4;
+
 typedef struct
 {
   ev_timer timer;
   Fixture *fixture;
   int i;
-} Gift;
+  bool taken;
+} Lack;
 
 static void
-on_gift (struct ev_loop *loop, ev_timer *w, int events)
+on_lack (struct ev_loop *loop, ev_timer *w, int events)
 {
-  Gift *gift = w->data;
-  (void) loop;
+  Lack *lack = w->data;
   (void) events;
-  wait_cases[gift->i].give (gift->fixture);
+  if (lack->taken)
+    {
+      lacks[lack->i].give (lack->fixture);
+      return;
+    }
+  lacks[lack->i].take (lack->fixture);
+  lack->taken = true;
+  ev_timer_set (w, give_after_s, 0.0);
+  ev_timer_start (loop, w);
 }
 
 /* A stream that broke was aborted with seconds left, as it could not be resumed at that moment. */
 START_TEST (begun_stream_waits_until_it_can_be_resumed)
 {
-  static const double wait_s = 0.4;
+  static const double take_after_s = 0.02; /* the endpoint breaks off after 0.05 s */
   Fixture fixture;
   FixtureAnswer answer;
   CannedServer servers[FIXTURE_N_ENDPOINTS];
-  const char *name = wait_cases[_i].name;
+  const char *name = lacks[_i].name;
   const char *texts[FIXTURE_N_ENDPOINTS]
       = { SIGNED "\r\n" EVENT_1, SIGNED "\r\n" EVENT_2, SIGNED "\r\n" EVENT_2 };
-  Gift gift = { .fixture = &fixture, .i = _i };
+  Lack lack = { .fixture = &fixture, .i = _i };
   fixture_init (&fixture);
   for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
     {
@@ -145,16 +154,15 @@
                               texts[i], i == 0));
     }
   fixture_put_endpoint (&fixture, 0, false);
-  fixture.on_taken = wait_cases[_i].on_taken;
-  ev_timer_init (&gift.timer, on_gift, wait_s, 0.0);
-  gift.timer.data = &gift;
-  ev_timer_start (fixture.kernel.loop, &gift.timer);
+  ev_timer_init (&lack.timer, on_lack, take_after_s, 0.0);
+  lack.timer.data = &lack;
+  ev_timer_start (fixture.kernel.loop, &lack.timer);
   fixture_send (&fixture, "/r3/x", &answer, 1);
   ck_assert_msg (answer.result.error == DY_OK, "%s: error %d", name, answer.result.error);
   ck_assert_msg (strcmp (answer.body->str, EVENT_1 EVENT_2) == 0, "%s: body \"%s\"", name,
                  answer.body->str);
   ck_assert_msg (g_hash_table_size (fixture.gateway.requests) == 0, "%s: in progress", name);
-  ev_timer_stop (fixture.kernel.loop, &gift.timer);
+  ev_timer_stop (fixture.kernel.loop, &lack.timer);
   for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
     canned_finish (&servers[i]);
   fixture_free_answers (&answer, 1);
@@ -171,6 +179,6 @@
   tcase_add_loop_test (tcase, stream_ends_when_its_resumed_run_fails, 0,
                        (int) G_N_ELEMENTS (cases));
   tcase_add_loop_test (tcase, begun_stream_waits_until_it_can_be_resumed, 0,
-                       (int) G_N_ELEMENTS (wait_cases));
+                       (int) G_N_ELEMENTS (lacks));
   return suite_run ("failed_resumes", tcase);
 }
