Resume a broken stream when that becomes possible, until its time limit

A request with no answer yet can be refused, and its caller may come again; a begun stream has no other answer, so nothing is gained by ending it early.

It now waits and tries again within attempts, retry budget and time limit, as one whose silent attempt was abandoned does.

--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -135,6 +135,14 @@
   course->may_have_run = course->may_have_run || ran;
 }
 
+/* Returns whether the request is sent until its deadline. The caller of a begun stream can be given
+ * no other answer any more. */
+static bool
+persists (const DyCourse *course)
+{
+  return course->persists || is_begun (course);
+}
+
 static DyResendQuery
 resend_query (const DyCourse *course, bool ran, const DyCourseSituation *situation)
 {
@@ -142,7 +150,7 @@
                           .repeatable = course->repeatable,
                           .may_have_run = course->may_have_run,
                           .answer_seen = is_begun (course),
-                          .persists = course->persists,
+                          .persists = persists (course),
                           .n_started = course->n_started,
                           .n_refused = course->n_refused,
                           .max_attempts = situation->blocked ? 0 : course->max_attempts,
@@ -201,6 +209,7 @@
 replace (const DyCourse *course, const DyCourseSituation *situation)
 {
   DyResendQuery query = resend_query (course, true, situation);
+  query.persists = course->persists;
   bool replaces = dy_resend_replaces_silent (&query, situation->has_other);
   return (DyCourseStep){ .action = replaces ? DY_COURSE_REPLACE : DY_COURSE_WAIT };
 }
@@ -270,10 +279,9 @@
 static DyCourseStep
 go_without_endpoint (DyCourse *course)
 {
-  if (course->persists)
+  if (persists (course))
     return pause_before_attempt (course);
-  int error = course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT;
-  return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
+  return end_with_error (course, course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT);
 }
 
 /* What forbids another attempt for good may have come up in the pause. */
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -23,7 +23,8 @@
  *   if it may be sent, with the open one counted. The open one is abandoned once the other endpoint
  *   has accepted the request, and stays in use if that one turns it away. If the open one ends
  *   first, without an answer for the caller, the other one takes its place. After such an attempt
- *   the request is not ended because none may be sent now: it is sent again after a pause.
+ *   the request is not ended because none may be sent now: it is sent again after a pause. The same
+ *   holds for a begun stream, whose caller can be given no other answer any more.
  *
  * ERRORS
  *   Those of core/resend, and those with which an event states that the request was denied.
--- a/src/core/resend.h
+++ b/src/core/resend.h
@@ -39,7 +39,7 @@
   bool repeatable;        /* idempotent, or a stream that can be resumed */
   bool may_have_run;      /* this attempt or an earlier one may have run */
   bool answer_seen;       /* the caller has received part of the answer */
-  bool persists;          /* an endpoint was silent, so it is sent until its deadline */
+  bool persists;          /* it is sent until its deadline */
   uint32_t n_started;     /* attempts that may have run */
   uint32_t n_refused;     /* attempts that certainly did not run */
   uint32_t max_attempts;  /* most attempts that may have run */
