--- a/test/test_failed_resumes.c
+++ b/test/test_failed_resumes.c
@@ -72,6 +72,104 @@
 }
 END_TEST
 
+static void
+take_retry_budget (Fixture *fixture)
+{
+  add_other_endpoints (fixture);
+  fixture->gateway.resend_budget.ratio = 0.0;
+  fixture->gateway.resend_budget.slack = 0.0;
+}
+
+static void
+give_retry_budget (Fixture *fixture)
+{
+  fixture->gateway.resend_budget.slack = 100.0;
+}
+
+static void
+take_endpoint (Fixture *fixture)
+{
+  fixture_put_endpoint (fixture, 0, true);
+}
+
+static void
+give_endpoints (Fixture *fixture)
+{
+  add_other_endpoints (fixture);
+}
+
+/* What the stream needs to be sent again, taken before it breaks and given back some time later. */
+static const struct
+{
+  const char *name;
+  void (*take) (Fixture *fixture);
+  void (*give) (Fixture *fixture);
+} lacks[] = {
+  { "no retry budget", take_retry_budget, give_retry_budget },
+  { "no endpoint", take_endpoint, give_endpoints },
+};
+
+static const double give_after_s = 0.4;
+
+typedef struct
+{
+  ev_timer timer;
+  Fixture *fixture;
+  int i;
+  bool taken;
+} Lack;
+
+static void
+on_lack (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Lack *lack = w->data;
+  (void) events;
+  if (lack->taken)
+    {
+      lacks[lack->i].give (lack->fixture);
+      return;
+    }
+  lacks[lack->i].take (lack->fixture);
+  lack->taken = true;
+  ev_timer_set (w, give_after_s, 0.0);
+  ev_timer_start (loop, w);
+}
+
+/* A stream that broke was aborted with seconds left, as it could not be resumed at that moment. */
+START_TEST (begun_stream_waits_until_it_can_be_resumed)
+{
+  static const double take_after_s = 0.02; /* the endpoint breaks off after 0.05 s */
+  Fixture fixture;
+  FixtureAnswer answer;
+  CannedServer servers[FIXTURE_N_ENDPOINTS];
+  const char *name = lacks[_i].name;
+  const char *texts[FIXTURE_N_ENDPOINTS]
+      = { SIGNED "\r\n" EVENT_1, SIGNED "\r\n" EVENT_2, SIGNED "\r\n" EVENT_2 };
+  Lack lack = { .fixture = &fixture, .i = _i };
+  fixture_init (&fixture);
+  for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
+    {
+      dy_http_server_finish (&fixture.endpoints[i].server);
+      ck_assert (canned_init (&servers[i], fixture.kernel.loop, fixture.endpoints[i].address,
+                              texts[i], i == 0));
+    }
+  fixture_put_endpoint (&fixture, 0, false);
+  ev_timer_init (&lack.timer, on_lack, take_after_s, 0.0);
+  lack.timer.data = &lack;
+  ev_timer_start (fixture.kernel.loop, &lack.timer);
+  fixture_send (&fixture, "/r3/x", &answer, 1);
+  ck_assert_msg (answer.result.error == DY_OK, "%s: error %d", name, answer.result.error);
+  ck_assert_msg (strcmp (answer.body->str, EVENT_1 EVENT_2) == 0, "%s: body \"%s\"", name,
+                 answer.body->str);
+  ck_assert_msg (g_hash_table_size (fixture.gateway.requests) == 0, "%s: in progress", name);
+  ev_timer_stop (fixture.kernel.loop, &lack.timer);
+  for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
+    canned_finish (&servers[i]);
+  fixture_free_answers (&answer, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -80,5 +178,7 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, stream_ends_when_its_resumed_run_fails, 0,
                        (int) G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tcase, begun_stream_waits_until_it_can_be_resumed, 0,
+                       (int) G_N_ELEMENTS (lacks));
   return suite_run ("failed_resumes", tcase);
 }
