Log why connections between routers and relays end

4002 said that a connection was lost, and not why: a sound router whose heartbeats lay unread, one whose network was full and one that had died read alike. It now states the reason, the ages of the last heartbeat, of the last bytes and of the first heartbeat without a reply, the pace of the own heartbeat timer, and the bytes that wait at each point of the way. 7014 names the request whose relay ended with the connection, 7015 the attempt that the serving router gave up, and for what.

--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -64,17 +64,20 @@
   g_hash_table_insert (peers->dialed, g_strdup (member->name), link);
 }
 
-/* Returns whether the other side of LINK did not authenticate in time or, on a dialled connection,
- * is no longer a member or did not reply to heartbeats in time. */
-static bool
-is_stale (const DyPeers *peers, const DyPeerLink *link)
+/* Returns why LINK must be closed, or NULL: the other side did not authenticate in time or, on a
+ * dialled connection, is no longer a member or did not reply to heartbeats in time. */
+static const char *
+find_stale_reason (const DyPeers *peers, const DyPeerLink *link)
 {
   if (!link->authenticated)
-    return dy_peers_now_us (peers) - link->opened_us > HELLO_TIMEOUT_US;
+    return dy_peers_now_us (peers) - link->opened_us > HELLO_TIMEOUT_US ? "hello" : NULL;
   const DyMember *member = dy_members_find (&peers->members, link->node);
   if (!link->dialed)
-    return false;
-  return !member || dy_peers_now_us (peers) - member->last_heartbeat_us > peers->members.timeout_us;
+    return NULL;
+  if (!member)
+    return "not_listed";
+  bool late = dy_peers_now_us (peers) - member->last_heartbeat_us > peers->members.timeout_us;
+  return late ? "heartbeat" : NULL;
 }
 
 static void
@@ -82,8 +85,11 @@
 {
   GList *links = g_hash_table_get_values (peers->links);
   for (GList *l = links; l; l = l->next)
-    if (is_stale (peers, l->data))
-      dy_peers_close_link (l->data);
+    {
+      const char *reason = find_stale_reason (peers, l->data);
+      if (reason)
+        dy_peers_close_link (l->data, reason);
+    }
   g_list_free (links);
 }
 
@@ -126,7 +132,7 @@
   g_hash_table_remove (peers->dial_states, name);
   DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
   if (link)
-    dy_peers_close_link (link);
+    dy_peers_close_link (link, "not_listed");
   dy_members_remove (&peers->members, name);
 }
 
@@ -257,6 +263,9 @@
   gpointer value;
   (void) loop;
   (void) events;
+  int64_t now_us = dy_peers_now_us (peers);
+  peers->tick_gap_us = peers->tick_us ? now_us - peers->tick_us : 0;
+  peers->tick_us = now_us;
   close_stale_links (peers);
   update_joining (peers);
   g_hash_table_iter_init (&iter, peers->members.by_name);
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -73,6 +73,8 @@
   int listen_fd;
   ev_io accept_io;
   ev_timer heartbeat_timer;
+  int64_t tick_us;            /* monotonic time at which the heartbeat timer last ran; 0: never */
+  int64_t tick_gap_us;        /* time between its last two runs */
   int64_t members_since_us;   /* monotonic time at which members were first known; 0: none are */
   bool vm_list_in_progress;   /* a call for the VM list is in progress */
   bool vm_list_read;          /* the VM list was read at least once */
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,6 +27,14 @@
   ev_io_start (link->peers->kernel->loop, &link->io);
 }
 
+/* Records why the connection must be closed. Returns false, for handlers to return. */
+static bool
+fail (DyPeerLink *link, const char *reason)
+{
+  link->end_reason = reason;
+  return false;
+}
+
 /* Sends queued bytes. Returns false if the connection is lost. */
 static bool
 flush (DyPeerLink *link)
@@ -34,7 +44,8 @@
       ssize_t n = send (link->fd, link->out.data + link->out_sent, link->out.size - link->out_sent,
                         MSG_NOSIGNAL | MSG_DONTWAIT);
       if (n < 0)
-        return errno == EAGAIN || errno == EINTR || errno == EINPROGRESS || errno == ENOTCONN;
+        return errno == EAGAIN || errno == EINTR || errno == EINPROGRESS || errno == ENOTCONN
+               || fail (link, "send_error");
       link->out_sent += (size_t) n;
     }
   msgpack_sbuffer_clear (&link->out);
@@ -48,6 +59,7 @@
   size_t before = link->out.size;
   if (before - link->out_sent > MAX_UNSENT_BYTES)
     {
+      link->end_reason = "unsent";
       shutdown (link->fd, SHUT_RDWR);
       return;
     }
@@ -113,6 +125,8 @@
   message.u.heartbeat.leaving = link->peers->kernel->draining;
   message.u.heartbeat.has_platform = !link->peers->platform->down;
   message.u.heartbeat.config_version = link->peers->config_version;
+  if (type == DY_MESSAGE_PING && !link->pinged_us)
+    link->pinged_us = dy_peers_now_us (link->peers);
   dy_peers_send_message (link, &message);
 }
 
@@ -137,7 +151,7 @@
 {
   dy_counters_add (&link->peers->kernel->counters, DY_COUNTER_PEER_REJECTED, 1);
   dy_log (DY_EVENT_PEER_REJECTED, "node=%s reason=%s", link->node, reason);
-  return false;
+  return fail (link, "rejected");
 }
 
 static bool
@@ -197,6 +211,8 @@
                                message->u.heartbeat.leaving, dy_peers_now_us (peers));
   if (message->type == DY_MESSAGE_PING)
     dy_peers_send_heartbeat (link, DY_MESSAGE_PONG);
+  else
+    link->pinged_us = 0;
 }
 
 /* Returns false if the connection must be closed. */
@@ -261,9 +277,10 @@
     {
       ssize_t n = recv (link->fd, block, sizeof block, MSG_DONTWAIT);
       if (n == 0)
-        return false;
+        return fail (link, "closed");
       if (n < 0)
-        return errno == EAGAIN || errno == EINTR;
+        return errno == EAGAIN || errno == EINTR || fail (link, "receive_error");
+      link->received_us = dy_peers_now_us (link->peers);
       g_byte_array_append (link->in, block, (guint) n);
       if (!handle_frames (link, &n_handled))
         return false;
@@ -284,7 +301,7 @@
   if (ok)
     watch_socket (link);
   else
-    dy_peers_close_link (link);
+    dy_peers_close_link (link, link->end_reason);
 }
 
 DyPeerLink *
@@ -318,14 +335,66 @@
   g_free (link);
 }
 
+static int64_t
+age_ms (const DyPeers *peers, int64_t time_us)
+{
+  return time_us ? (dy_peers_now_us (peers) - time_us) / 1000 : -1;
+}
+
+/* Returns the number of bytes that the socket of LINK holds, by REQUEST those received and not read
+ * or those sent and not acknowledged; -1 if it is not known. */
+static int
+count_socket_bytes (const DyPeerLink *link, unsigned long request)
+{
+  int n = 0;
+  return ioctl (link->fd, request, &n) ? -1 : n;
+}
+
+/* Returns the number of bytes received and not read on the connections that the router NODE
+ * dialled, on which its heartbeats may come, too. */
+static int
+count_unread_from (const DyPeers *peers, const char *node)
+{
+  int n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peers->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyPeerLink *link = value;
+      if (!link->dialed && link->authenticated && strcmp (link->node, node) == 0)
+        n += MAX (count_socket_bytes (link, FIONREAD), 0) + (int) link->in->len;
+    }
+  return n;
+}
+
+static void
+log_down (const DyPeerLink *link, const char *reason)
+{
+  const DyPeers *peers = link->peers;
+  const DyMember *member = dy_members_find (&peers->members, link->node);
+  dy_log (
+      DY_EVENT_PEER_DOWN,
+      "node=%s reason=%s link=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
+      " received_ms=%" G_GINT64_FORMAT " pinged_ms=%" G_GINT64_FORMAT " tick_ms=%" G_GINT64_FORMAT
+      " ticked_ms=%" G_GINT64_FORMAT " unread=%d unread_dialed=%d unacked=%d unsent=%zu",
+      link->node, reason, link->number, age_ms (peers, member ? member->last_heartbeat_us : 0),
+      age_ms (peers, link->received_us), age_ms (peers, link->pinged_us), peers->tick_gap_us / 1000,
+      age_ms (peers, peers->tick_us), count_socket_bytes (link, FIONREAD) + (int) link->in->len,
+      count_unread_from (peers, link->node), count_socket_bytes (link, SIOCOUTQ),
+      link->out.size - link->out_sent);
+}
+
 void
-dy_peers_close_link (DyPeerLink *link)
+dy_peers_close_link (DyPeerLink *link, const char *reason)
 {
   DyPeers *peers = link->peers;
   char node[DY_NAME_SIZE];
   bool lost = link->dialed && link->authenticated;
   uint64_t number = link->number;
   g_strlcpy (node, link->node, sizeof node);
+  if (lost)
+    log_down (link, reason);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, peers->dialed);
@@ -337,6 +406,5 @@
   if (!lost)
     return;
   dy_members_disconnected (&peers->members, node);
-  dy_log (DY_EVENT_PEER_DOWN, "node=%s", node);
   NOTIFY_WATCHERS (peers, down, node);
 }
--- a/src/services/peers_private.h
+++ b/src/services/peers_private.h
@@ -34,6 +34,9 @@
   uint64_t incarnation_id;      /* of the other router */
   uint8_t nonce[DY_NONCE_SIZE]; /* sent to the other side, to be hashed by it */
   int64_t opened_us;            /* monotonic time */
+  int64_t received_us;          /* monotonic time at which bytes were last read; 0: never */
+  int64_t pinged_us;            /* monotonic time of the first PING without a PONG; 0: none */
+  const char *end_reason;       /* why the connection must be closed; NULL: it stays open */
   GByteArray *in;               /* bytes received and not decoded yet */
   msgpack_sbuffer out;          /* frames to send */
   size_t out_sent;              /* bytes of out already sent */
@@ -65,7 +68,8 @@
 
 void dy_peers_free_link (gpointer data);
 
-/* Closes LINK and frees it. Notifies the watchers if it was dialled and authenticated. */
-void dy_peers_close_link (DyPeerLink *link);
+/* Closes LINK and frees it. Notifies the watchers if it was dialled and authenticated. REASON is
+ * for the log. */
+void dy_peers_close_link (DyPeerLink *link, const char *reason);
 
 #endif
--- a/src/services/relay_server.c
+++ b/src/services/relay_server.c
@@ -16,7 +16,8 @@
   DyRelays *relays;
   uint64_t link;
   uint64_t number;
-  json_t *open; /* the opening part */
+  int64_t opened_us; /* monotonic time */
+  json_t *open;      /* the opening part */
   GString *body;
   size_t body_bytes;
   GPtrArray *lines; /* texts of OPEN, NULL at the end */
@@ -171,12 +172,22 @@
 static const DyGatewayAttemptWatcher attempt_watcher
     = { .ready = on_ready, .head = on_head, .data = on_data, .done = on_done };
 
+static void
+log_cancel (const Served *served, const char *reason)
+{
+  const DyKernel *kernel = served->relays->kernel;
+  const char *id = text_of (served, "id");
+  dy_log (DY_EVENT_RELAY_CANCELLED, "request=%s reason=%s ms=%" G_GINT64_FORMAT, id ? id : "-",
+          reason, (dy_kernel_now_us (kernel) - served->opened_us) / 1000);
+}
+
 static void
 on_deadline (struct ev_loop *loop, ev_timer *w, int events)
 {
   Served *served = w->data;
   (void) loop;
   (void) events;
+  log_cancel (served, "time_limit");
   g_hash_table_remove (served->relays->served, served);
 }
 
@@ -290,6 +301,7 @@
   served->relays = relays;
   served->link = link;
   served->number = message->u.relay.number;
+  served->opened_us = dy_kernel_now_us (relays->kernel);
   served->open = json_loadb (message->u.relay.data, message->u.relay.n_data, 0, NULL);
   served->body = g_string_new (NULL);
   served->body_bytes = (size_t) MAX (integer_of (served, "body_bytes"), 0);
@@ -322,6 +334,7 @@
     return;
   if (message->u.relay.part == DY_RELAY_CANCEL)
     {
+      log_cancel (served, "asked");
       g_hash_table_remove (relays->served, served);
       return;
     }
@@ -340,5 +353,8 @@
   g_hash_table_iter_init (&iter, relays->served);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     if (((const Served *) key)->link == link)
-      g_hash_table_iter_remove (&iter);
+      {
+        log_cancel (key, "connection");
+        g_hash_table_iter_remove (&iter);
+      }
 }
--- a/src/services/relays.c
+++ b/src/services/relays.c
@@ -18,6 +18,8 @@
   DyRelays *relays;
   uint64_t number;
   char *peer;
+  char *request_id;
+  int64_t started_us; /* monotonic time */
   const DyRelayWatcher *watcher;
   void *ctx;
   GString *held; /* received while paused */
@@ -46,6 +48,7 @@
   dy_reach_end_relay (&call->relays->reachability->reach, call->peer);
   g_string_free (call->held, TRUE);
   g_free (call->peer);
+  g_free (call->request_id);
   g_free (call);
 }
 
@@ -120,6 +123,8 @@
   call->relays = relays;
   call->number = ++relays->last_number;
   call->peer = g_strdup (peer);
+  call->request_id = g_strdup (spec->attempt->request_id);
+  call->started_us = dy_kernel_now_us (relays->kernel);
   call->watcher = watcher;
   call->ctx = ctx;
   call->held = g_string_new (NULL);
@@ -301,6 +306,9 @@
       DyRelayCall *call = value;
       if (call->ended || strcmp (call->peer, name) != 0)
         continue;
+      dy_log (DY_EVENT_RELAY_LOST, "request=%s node=%s head=%d ms=%" G_GINT64_FORMAT,
+              call->request_id, call->peer, call->head_received,
+              (dy_kernel_now_us (relays->kernel) - call->started_us) / 1000);
       call->ended = true;
       call->result.outcome = call->head_received ? DY_ATTEMPT_BROKEN : DY_ATTEMPT_UNANSWERED;
       if (call->paused)
