Failing test: a silence of a router cuts the requests relayed through it

Three real routers, of which one is cut off from all endpoints and relays. The router that serves the relays, or the one that asked for them, is stopped for 1.6 s, longer than the peer timeout of 1 s and within the time limit of the requests, and goes on. All requests should be answered in full, and those that may not be repeated run once. The logs show two faults: the asking router gives up relays whose router is silent (4002 reason=heartbeat, unread=0, then 7014), and a router that was itself stopped gives up routers whose heartbeats lie unread in its sockets (tick_ms=1554 unread_dialed=2148).

--- /dev/null
+++ b/test/test_silent_peers.c
@@ -0,0 +1,106 @@
+/* Relayed requests while one of the two routers falls silent and goes on: real router processes. */
+
+#include "support/suite.h"
+#include "support/traffic.h"
+
+#include <signal.h>
+#include <string.h>
+
+enum
+{
+  N_ROUTERS = 3,
+  CUT = 0,     /* the router that asks for relays */
+  SERVING = 1, /* one of the two that make them */
+  INTERVAL_MS = 20,
+  CALM_MS = 1000,
+  BEFORE_MS = 400, /* from the first request to the silence */
+  DURING_MS = 100, /* for which requests are sent in it */
+  /* Longer than the routers wait for heartbeats, and within the time limit of the requests. */
+  SILENCE_MS = 1600,
+  PREPAID = 10000000,
+};
+
+static const struct
+{
+  const char *target;
+  uint32_t silent; /* router */
+  bool repeatable;
+} cases[] = { { "/once/x/later", SERVING, false }, { "/s1/x/paced", SERVING, false },
+              { "/ok/x/later", SERVING, true },    { "/s/x/paced", SERVING, true },
+              { "/once/x/later", CUT, false },     { "/s1/x/paced", CUT, false } };
+
+static void
+on_silence (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  fleet_signal (w->data, SIGSTOP);
+}
+
+static void
+on_speech (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  fleet_signal (w->data, SIGCONT);
+}
+
+/* Returns the number of runs beyond the first one of each request. */
+static uint32_t
+count_repeated_runs (const Site *site)
+{
+  uint32_t n = 0;
+  char *text = NULL;
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  ck_assert (g_file_get_contents (site->run_log, &text, NULL, NULL));
+  char **ids = g_strsplit (text, "\n", -1);
+  for (char **id = ids; *id; id++)
+    n += (*id)[0] && !g_hash_table_add (seen, *id);
+  g_hash_table_unref (seen);
+  g_strfreev (ids);
+  g_free (text);
+  return n;
+}
+
+/* Whole requests were cut, as the other router was given up after the peer timeout. */
+START_TEST (a_relayed_request_outlasts_a_silence_of_either_router)
+{
+  const TrafficStream stream = { cases[_i].target, "a1:4,", INTERVAL_MS, CUT, 1 };
+  TrafficResult result;
+  ev_timer silence;
+  ev_timer speech;
+  Site site;
+  ck_assert (site_init_large (&site, N_ROUTERS, SITE_MAX_WORKERS, PREPAID));
+  FleetProcess *silent = &site.router_process[cases[_i].silent];
+  site_cut_router (&site, CUT, RELAY_CUT_RESET);
+  traffic_run (&site, &stream, &result, 1, CALM_MS);
+  uint32_t n_relayed = site_count_output (&site, SERVING, "relayed request sent to endpoint");
+  ck_assert_uint_gt (n_relayed, 0);
+  ev_timer_init (&silence, on_silence, BEFORE_MS / 1e3, 0.0);
+  ev_timer_init (&speech, on_speech, (BEFORE_MS + SILENCE_MS) / 1e3, 0.0);
+  silence.data = speech.data = silent;
+  ev_now_update (site.fleet.loop);
+  ev_timer_start (site.fleet.loop, &silence);
+  ev_timer_start (site.fleet.loop, &speech);
+  traffic_run (&site, &stream, &result, 1, BEFORE_MS + DURING_MS);
+  ck_assert_msg (result.n_served == result.n_sent, "%u of %u served", result.n_served,
+                 result.n_sent);
+  if (!cases[_i].repeatable)
+    ck_assert_uint_eq (count_repeated_runs (&site), 0);
+  site_finish (&site);
+}
+END_TEST
+
+int
+main (void)
+{
+  enum
+  {
+    TIMEOUT_S = 60,
+  };
+  TCase *tcase = tcase_create ("silent_peers");
+  tcase_set_timeout (tcase, TIMEOUT_S);
+  tcase_add_loop_test (tcase, a_relayed_request_outlasts_a_silence_of_either_router, 0,
+                       G_N_ELEMENTS (cases));
+  return suite_run ("silent_peers", tcase);
+}
