Relays outlast a silence of the other router

Cause: a router that missed the heartbeats of a sound one closed the connection to it, and relays ended every attempt asked of a member that is down. What works was given up on a suspicion.

A member that is not heard from gets nothing new, as before: it is down and is dialled again. Its connection is now held by the relays that are open on it and is only set aside. Relays belong to the connection, not to the name: they end when it is closed by the other side or the network, when another incarnation of the router connects, on cancel, and at the time limit of the request. If the member is heard from on it before a new connection is authenticated, it is up again on the old one. A connection that was set aside closes with its last relay, or after 30 s without a byte, as one to a VM without power is never reset. Callers of repeatable requests are resumed elsewhere by the read timeout, which is shorter than the peer timeout in most cases; a request that may not run twice now waits for the answer until its limit. The connections of a dead incarnation are closed at once, in place of at the next missing heartbeat.

--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -14,6 +14,9 @@
   DIAL_MIN_US = 50 * 1000,
   DIAL_MAX_US = 2 * 1000 * 1000,
   HELLO_TIMEOUT_US = 2 * 1000 * 1000,
+  /* Time after which a connection that was set aside counts as dead: longer than a VM is suspended
+   * or cut off for, and bounds how long one to a VM without power stays open. */
+  SET_ASIDE_TIMEOUT_US = 30 * 1000 * 1000,
   LISTEN_BACKLOG = 512,
   /* Time in which all routers that reach a restored store have noticed it and written their records
    * again, and the VM list, which may be seconds old, shows them. */
@@ -72,6 +75,10 @@
   if (!link->authenticated)
     return dy_peers_now_us (peers) - link->opened_us > HELLO_TIMEOUT_US ? "hello" : NULL;
   const DyMember *member = dy_members_find (&peers->members, link->node);
+  if (link->set_aside && link->n_holds == 0)
+    return "unused";
+  if (link->set_aside)
+    return dy_peers_now_us (peers) - link->received_us > SET_ASIDE_TIMEOUT_US ? "silent" : NULL;
   if (!link->dialed)
     return NULL;
   if (!member)
@@ -88,7 +95,7 @@
     {
       const char *reason = find_stale_reason (peers, l->data);
       if (reason)
-        dy_peers_close_link (l->data, reason);
+        dy_peers_give_up_link (l->data, reason);
     }
   g_list_free (links);
 }
@@ -132,7 +139,7 @@
   g_hash_table_remove (peers->dial_states, name);
   DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
   if (link)
-    dy_peers_close_link (link, "not_listed");
+    dy_peers_give_up_link (link, "not_listed");
   dy_members_remove (&peers->members, name);
 }
 
@@ -423,12 +430,36 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       DyPeerLink *link = value;
-      if (link->authenticated && strcmp (link->node, name) == 0)
+      if (link->authenticated && !link->set_aside && strcmp (link->node, name) == 0)
         return link;
     }
   return NULL;
 }
 
+uint64_t
+dy_peers_link_to (const DyPeers *peers, const char *name)
+{
+  const DyPeerLink *link = find_link (peers, name);
+  return link ? link->number : 0;
+}
+
+void
+dy_peers_hold_link (DyPeers *peers, uint64_t link_number)
+{
+  DyPeerLink *link = g_hash_table_lookup (peers->links, &link_number);
+  if (link)
+    link->n_holds++;
+}
+
+/* Not closed here, as the caller may be handling a message of the connection. */
+void
+dy_peers_release_link (DyPeers *peers, uint64_t link_number)
+{
+  DyPeerLink *link = g_hash_table_lookup (peers->links, &link_number);
+  if (link && link->n_holds > 0)
+    link->n_holds--;
+}
+
 int
 dy_peers_send (DyPeers *peers, const char *name, const DyMessage *message)
 {
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -22,8 +22,14 @@
  *
  * ERRORS
  *   A connection is closed when its HELLO or authentication fails, when the other side breaks
- *   the protocol or does not read what is sent, and, if dialled, when heartbeats get no reply.
- *   A member whose connection was closed is dialled again with exponential backoff.
+ *   the protocol or does not read what is sent, when a later incarnation of the other router
+ *   connects, and, if dialled, when heartbeats get no reply. A missing heartbeat does not prove
+ * that the other router is dead, so a connection that is held is then set aside: the member is down
+ * and is dialled again, but what is in progress on the connection goes on. If the member is heard
+ * from on it first, it takes its place again. A connection that was set aside is closed when no one
+ *   holds it any longer or nothing has come on it for a time.
+ *
+ *   A member whose connection was closed or set aside is dialled again with exponential backoff.
  */
 
 #include "core/members.h"
@@ -45,12 +51,13 @@
   /* A message came on the connection LINK, which takes a reply by dy_peers_reply(). Not called for
    * HELLO, AUTH, PING and PONG. All callbacks but this one may be NULL. */
   void (*message) (void *ctx, uint64_t link, const DyMessage *message);
-  /* The dialled connection to the router NAME was authenticated, or was lost after that. */
+  /* The dialled connection to the router NAME was authenticated; after that, it was lost, or the
+   * router is not heard from. */
   void (*up) (void *ctx, const char *name);
   void (*down) (void *ctx, const char *name);
   /* A heartbeat came on the connection LINK; CONFIG_VERSION is the sender's. */
   void (*heartbeat) (void *ctx, uint64_t link, uint64_t config_version);
-  /* The connection LINK, which either side opened, is closed. */
+  /* The connection LINK, which either side opened, is closed. Called after DOWN. */
   void (*link_closed) (void *ctx, uint64_t link);
   /* A new router incarnation, ID, was authenticated. */
   void (*incarnation_seen) (void *ctx, uint64_t id);
@@ -117,4 +124,13 @@
 /* Sends MESSAGE on the connection LINK; drops it if that connection is closed. */
 void dy_peers_reply (DyPeers *peers, uint64_t link, const DyMessage *message);
 
+/* Returns the number of the connection on which dy_peers_send() sends to the router NAME, or 0 if
+ * there is none. */
+uint64_t dy_peers_link_to (const DyPeers *peers, const char *name);
+
+/* Keeps the connection LINK open while the other router is not heard from, until as many calls of
+ * dy_peers_release_link(). Both do nothing if LINK is closed. */
+void dy_peers_hold_link (DyPeers *peers, uint64_t link);
+void dy_peers_release_link (DyPeers *peers, uint64_t link);
+
 #endif
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -130,6 +130,19 @@
   dy_peers_send_message (link, &message);
 }
 
+static void
+close_links_of_incarnation (DyPeers *peers, uint64_t incarnation_id)
+{
+  GList *links = g_hash_table_get_values (peers->links);
+  for (GList *l = links; l; l = l->next)
+    {
+      DyPeerLink *link = l->data;
+      if (link->authenticated && link->incarnation_id == incarnation_id)
+        dy_peers_close_link (link, "replaced");
+    }
+  g_list_free (links);
+}
+
 /* Records an authenticated incarnation. If another one was known under the same name, that one is
  * dead. */
 static void
@@ -140,7 +153,10 @@
     return;
   NOTIFY_WATCHERS (peers, incarnation_seen, incarnation_id);
   if (latest)
-    NOTIFY_WATCHERS (peers, incarnation_dead, name, *latest);
+    {
+      close_links_of_incarnation (peers, *latest);
+      NOTIFY_WATCHERS (peers, incarnation_dead, name, *latest);
+    }
   g_hash_table_replace (peers->incarnations, g_strdup (name),
                         g_memdup2 (&incarnation_id, sizeof incarnation_id));
 }
@@ -201,6 +217,22 @@
   return true;
 }
 
+/* Puts LINK, which was set aside, in its place again if no other one has been authenticated. */
+static void
+take_back (DyPeerLink *link)
+{
+  DyPeers *peers = link->peers;
+  DyPeerLink *dialed = g_hash_table_lookup (peers->dialed, link->node);
+  if ((dialed && dialed->authenticated) || !dy_members_find (&peers->members, link->node))
+    return;
+  if (dialed)
+    dy_peers_close_link (dialed, "not_needed");
+  link->set_aside = false;
+  g_hash_table_insert (peers->dialed, g_strdup (link->node), link);
+  dy_log (DY_EVENT_PEER_UP, "node=%s", link->node);
+  NOTIFY_WATCHERS (peers, up, link->node);
+}
+
 static void
 on_heartbeat (DyPeerLink *link, const DyMessage *message)
 {
@@ -209,6 +241,8 @@
   dy_members_set_platform (&peers->members, link->node, message->u.heartbeat.has_platform);
   dy_members_record_heartbeat (&peers->members, link->node, link->incarnation_id,
                                message->u.heartbeat.leaving, dy_peers_now_us (peers));
+  if (link->set_aside)
+    take_back (link);
   if (message->type == DY_MESSAGE_PING)
     dy_peers_send_heartbeat (link, DY_MESSAGE_PONG);
   else
@@ -373,16 +407,35 @@
 {
   const DyPeers *peers = link->peers;
   const DyMember *member = dy_members_find (&peers->members, link->node);
-  dy_log (
-      DY_EVENT_PEER_DOWN,
-      "node=%s reason=%s link=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
-      " received_ms=%" G_GINT64_FORMAT " pinged_ms=%" G_GINT64_FORMAT " tick_ms=%" G_GINT64_FORMAT
-      " ticked_ms=%" G_GINT64_FORMAT " unread=%d unread_dialed=%d unacked=%d unsent=%zu",
-      link->node, reason, link->number, age_ms (peers, member ? member->last_heartbeat_us : 0),
-      age_ms (peers, link->received_us), age_ms (peers, link->pinged_us), peers->tick_gap_us / 1000,
-      age_ms (peers, peers->tick_us), count_socket_bytes (link, FIONREAD) + (int) link->in->len,
-      count_unread_from (peers, link->node), count_socket_bytes (link, SIOCOUTQ),
-      link->out.size - link->out_sent);
+  dy_log (DY_EVENT_PEER_DOWN,
+          "node=%s reason=%s link=%" G_GUINT64_FORMAT " holds=%u heard_ms=%" G_GINT64_FORMAT
+          " received_ms=%" G_GINT64_FORMAT " pinged_ms=%" G_GINT64_FORMAT
+          " tick_ms=%" G_GINT64_FORMAT " ticked_ms=%" G_GINT64_FORMAT
+          " unread=%d unread_dialed=%d unacked=%d unsent=%zu",
+          link->node, reason, link->number, link->n_holds,
+          age_ms (peers, member ? member->last_heartbeat_us : 0), age_ms (peers, link->received_us),
+          age_ms (peers, link->pinged_us), peers->tick_gap_us / 1000,
+          age_ms (peers, peers->tick_us), count_socket_bytes (link, FIONREAD) + (int) link->in->len,
+          count_unread_from (peers, link->node), count_socket_bytes (link, SIOCOUTQ),
+          link->out.size - link->out_sent);
+}
+
+static void
+remove_dialed (DyPeers *peers, const DyPeerLink *link)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peers->dialed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (value == link)
+      g_hash_table_iter_remove (&iter);
+}
+
+static void
+report_down (DyPeers *peers, const char *node)
+{
+  dy_members_disconnected (&peers->members, node);
+  NOTIFY_WATCHERS (peers, down, node);
 }
 
 void
@@ -390,21 +443,30 @@
 {
   DyPeers *peers = link->peers;
   char node[DY_NAME_SIZE];
-  bool lost = link->dialed && link->authenticated;
+  bool lost = link->dialed && link->authenticated && !link->set_aside;
   uint64_t number = link->number;
   g_strlcpy (node, link->node, sizeof node);
   if (lost)
     log_down (link, reason);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, peers->dialed);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (value == link)
-      g_hash_table_iter_remove (&iter);
+  remove_dialed (peers, link);
   g_hash_table_remove (peers->links, &link->number);
+  if (lost)
+    report_down (peers, node);
   NOTIFY_WATCHERS (peers, link_closed, number);
-  if (!lost)
-    return;
-  dy_members_disconnected (&peers->members, node);
-  NOTIFY_WATCHERS (peers, down, node);
+}
+
+void
+dy_peers_give_up_link (DyPeerLink *link, const char *reason)
+{
+  char node[DY_NAME_SIZE];
+  if (link->set_aside || link->n_holds == 0)
+    {
+      dy_peers_close_link (link, reason);
+      return;
+    }
+  log_down (link, reason);
+  link->set_aside = true;
+  remove_dialed (link->peers, link);
+  g_strlcpy (node, link->node, sizeof node);
+  report_down (link->peers, node);
 }
--- a/src/services/peers_private.h
+++ b/src/services/peers_private.h
@@ -37,6 +37,8 @@
   int64_t received_us;          /* monotonic time at which bytes were last read; 0: never */
   int64_t pinged_us;            /* monotonic time of the first PING without a PONG; 0: none */
   const char *end_reason;       /* why the connection must be closed; NULL: it stays open */
+  uint32_t n_holds;             /* of dy_peers_hold_link() */
+  bool set_aside;               /* the other side was given up; open for its holders only */
   GByteArray *in;               /* bytes received and not decoded yet */
   msgpack_sbuffer out;          /* frames to send */
   size_t out_sent;              /* bytes of out already sent */
@@ -68,8 +70,11 @@
 
 void dy_peers_free_link (gpointer data);
 
-/* Closes LINK and frees it. Notifies the watchers if it was dialled and authenticated. REASON is
- * for the log. */
+/* Closes LINK and frees it. Notifies the watchers if it was the dialled connection to a router that
+ * was not given up. REASON is for the log. */
 void dy_peers_close_link (DyPeerLink *link, const char *reason);
 
+/* Gives up the router on the other side of LINK. Closes LINK, or sets it aside if it is held. */
+void dy_peers_give_up_link (DyPeerLink *link, const char *reason);
+
 #endif
--- a/src/services/relays.c
+++ b/src/services/relays.c
@@ -18,6 +18,7 @@
   DyRelays *relays;
   uint64_t number;
   char *peer;
+  uint64_t link; /* on which PEER was asked and answers */
   char *request_id;
   int64_t started_us; /* monotonic time */
   const DyRelayWatcher *watcher;
@@ -30,7 +31,7 @@
   DyGatewayAttemptResult result;
 };
 
-static int
+static void
 send_part (DyRelayCall *call, DyRelayPart part, const char *data, size_t n)
 {
   DyMessage message = { .type = DY_MESSAGE_RELAY };
@@ -38,13 +39,14 @@
   message.u.relay.part = part;
   message.u.relay.data = data;
   message.u.relay.n_data = (uint32_t) n;
-  return dy_peers_send (call->relays->peers, call->peer, &message);
+  dy_peers_reply (call->relays->peers, call->link, &message);
 }
 
 static void
 free_call (gpointer data)
 {
   DyRelayCall *call = data;
+  dy_peers_release_link (call->relays->peers, call->link);
   dy_reach_end_relay (&call->relays->reachability->reach, call->peer);
   g_string_free (call->held, TRUE);
   g_free (call->peer);
@@ -100,12 +102,13 @@
 {
   const DyForwardedRequest *forwarded = spec->attempt->forwarded;
   char *text = format_open (spec);
-  bool ok = text && strlen (text) < BODY_PART_BYTES
-            && send_part (call, DY_RELAY_OPEN, text, strlen (text)) == DY_OK;
+  bool ok = text && strlen (text) < BODY_PART_BYTES;
+  if (ok)
+    send_part (call, DY_RELAY_OPEN, text, strlen (text));
   for (size_t sent = 0; ok && sent < forwarded->n_body;)
     {
       size_t n = MIN (forwarded->n_body - sent, BODY_PART_BYTES);
-      ok = send_part (call, DY_RELAY_BODY, forwarded->body + sent, n) == DY_OK;
+      send_part (call, DY_RELAY_BODY, forwarded->body + sent, n);
       sent += n;
     }
   free (text);
@@ -128,8 +131,10 @@
   call->watcher = watcher;
   call->ctx = ctx;
   call->held = g_string_new (NULL);
+  call->link = dy_peers_link_to (relays->peers, peer);
+  dy_peers_hold_link (relays->peers, call->link);
   dy_reach_begin_relay (&relays->reachability->reach, peer);
-  if (!send_open (call, spec))
+  if (!call->link || !send_open (call, spec))
     {
       free_call (call);
       return NULL;
@@ -293,18 +298,17 @@
     }
 }
 
-/* The relays that NAME was asked for may have run. */
+/* The relays that were asked for on LINK may have run. */
 static void
-on_peer_down (void *ctx, const char *name)
+end_calls (DyRelays *relays, uint64_t link)
 {
-  DyRelays *relays = ctx;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, relays->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       DyRelayCall *call = value;
-      if (call->ended || strcmp (call->peer, name) != 0)
+      if (call->ended || call->link != link)
         continue;
       dy_log (DY_EVENT_RELAY_LOST, "request=%s node=%s head=%d ms=%" G_GINT64_FORMAT,
               call->request_id, call->peer, call->head_received,
@@ -323,10 +327,11 @@
 on_link_closed (void *ctx, uint64_t link)
 {
   dy_relays_end_link (ctx, link);
+  end_calls (ctx, link);
 }
 
 static const DyPeersWatcher peers_watcher
-    = { .message = on_message, .down = on_peer_down, .link_closed = on_link_closed };
+    = { .message = on_message, .link_closed = on_link_closed };
 
 static int
 service_start (void *self, DyKernel *kernel)
