Judge a router's silence by all that it sends

Cause: only a handled heartbeat counted as a sign of life.

Anything that comes from a router now counts as a sign of life, and so does what its connections hold unread when it would be given up. Heartbeats are asked for as before.

--- a/src/core/members.c
+++ b/src/core/members.c
@@ -31,7 +31,7 @@
 {
   if (member->leaving || member->draining || member->incarnation_id == 0)
     return false;
-  return now_us - member->last_heartbeat_us < members->timeout_us;
+  return now_us - member->last_heard_us < members->timeout_us;
 }
 
 /* Returns the live member with the highest rendezvous hash above BEST_HASH, leaving out SKIP (may
@@ -125,9 +125,18 @@
     return;
   member->incarnation_id = incarnation_id;
   member->last_heartbeat_us = now_us;
+  member->last_heard_us = now_us;
   member->draining = leaving;
 }
 
+void
+dy_members_record_contact (DyMembers *members, const char *name, int64_t now_us)
+{
+  DyMember *member = g_hash_table_lookup (members->by_name, name);
+  if (member)
+    member->last_heard_us = now_us;
+}
+
 void
 dy_members_disconnected (DyMembers *members, const char *name)
 {
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -6,9 +6,9 @@
  *   members - the routers of the fleet and the home of each client account
  *
  * DESCRIPTION
- *   A live member is a router that the platform lists, that is not leaving or draining, and whose
- *   latest heartbeat is younger than the timeout. This router itself is not in the table, but takes
- *   part in the choice of homes unless it is leaving.
+ *   A live member is a router that the platform lists, that is not leaving or draining, and that
+ *   was heard from, by a heartbeat or anything else that it sent, within the timeout. This router
+ *   itself is not in the table, but takes part in the choice of homes unless it is leaving.
  *
  *   The home of an account is the live member with the highest rendezvous hash of the account and
  *   the router's name; it keeps the reservations of the account in one place. Two routers may
@@ -33,13 +33,14 @@
   bool has_platform;         /* by its own heartbeats: its calls to the platform succeed */
   uint64_t incarnation_id;   /* 0: not connected */
   int64_t last_heartbeat_us; /* time of its latest heartbeat */
+  int64_t last_heard_us;     /* time at which anything last came from it */
   uint64_t name_hash;
 } DyMember;
 
 typedef struct
 {
   char *self_name;
-  int64_t timeout_us;  /* age of the latest heartbeat at which a member is no longer live */
+  int64_t timeout_us;  /* silence after which a member is no longer live */
   GHashTable *by_name; /* name to DyMember, of all routers but this one */
   bool self_leaving;
   bool self_has_platform;
@@ -65,6 +66,9 @@
 void dy_members_record_heartbeat (
     DyMembers *members, const char *name, uint64_t incarnation_id, bool leaving, int64_t now_us);
 
+/* Records that something came from the member NAME. Ignored if NAME is not listed. */
+void dy_members_record_contact (DyMembers *members, const char *name, int64_t now_us);
+
 /* Records that the connection to the member NAME was lost. */
 void dy_members_disconnected (DyMembers *members, const char *name);
 
--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -67,10 +67,24 @@
   g_hash_table_insert (peers->dialed, g_strdup (member->name), link);
 }
 
+/* Returns whether MEMBER was not heard from in time. What its connections hold unread was sent by
+ * it, however late this router is. */
+static bool
+is_silent (DyPeers *peers, const DyMember *member)
+{
+  int64_t now_us = dy_peers_now_us (peers);
+  if (now_us - member->last_heard_us <= peers->members.timeout_us)
+    return false;
+  if (!dy_peers_has_unread (peers, member->name))
+    return true;
+  dy_members_record_contact (&peers->members, member->name, now_us);
+  return false;
+}
+
 /* Returns why LINK must be closed, or NULL: the other side did not authenticate in time or, on a
- * dialled connection, is no longer a member or did not reply to heartbeats in time. */
+ * dialled connection, is no longer a member or was not heard from in time. */
 static const char *
-find_stale_reason (const DyPeers *peers, const DyPeerLink *link)
+find_stale_reason (DyPeers *peers, const DyPeerLink *link)
 {
   if (!link->authenticated)
     return dy_peers_now_us (peers) - link->opened_us > HELLO_TIMEOUT_US ? "hello" : NULL;
@@ -83,8 +97,7 @@
     return NULL;
   if (!member)
     return "not_listed";
-  bool late = dy_peers_now_us (peers) - member->last_heartbeat_us > peers->members.timeout_us;
-  return late ? "heartbeat" : NULL;
+  return is_silent (peers, member) ? "heartbeat" : NULL;
 }
 
 static void
@@ -150,7 +163,7 @@
 {
   const DyMember *member = dy_members_find (&peers->members, name);
   return dy_platform_was_restored_within (peers->platform, REGISTRATION_GRACE_US) && member
-         && dy_peers_now_us (peers) - member->last_heartbeat_us <= peers->members.timeout_us;
+         && dy_peers_now_us (peers) - member->last_heard_us <= peers->members.timeout_us;
 }
 
 static void
@@ -368,7 +381,7 @@
   return json_pack ("{s:s, s:s, s:b, s:b, s:I}", "name", member->name, "data_centre",
                     member->data_centre, "leaving", member->leaving, "connected",
                     member->incarnation_id != 0, "heard_ms_ago",
-                    (json_int_t) ((dy_peers_now_us (peers) - member->last_heartbeat_us) / 1000));
+                    (json_int_t) ((dy_peers_now_us (peers) - member->last_heard_us) / 1000));
 }
 
 static json_t *
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -295,6 +295,15 @@
   return ok;
 }
 
+static void
+record_contact (DyPeerLink *link)
+{
+  DyPeers *peers = link->peers;
+  link->received_us = dy_peers_now_us (peers);
+  if (link->authenticated)
+    dy_members_record_contact (&peers->members, link->node, link->received_us);
+}
+
 /* Reads and handles what the socket holds, up to a number of messages; the rest waits for the next
  * turn of the loop. Returns false if the connection must be closed. */
 static bool
@@ -314,7 +323,7 @@
         return fail (link, "closed");
       if (n < 0)
         return errno == EAGAIN || errno == EINTR || fail (link, "receive_error");
-      link->received_us = dy_peers_now_us (link->peers);
+      record_contact (link);
       g_byte_array_append (link->in, block, (guint) n);
       if (!handle_frames (link, &n_handled))
         return false;
@@ -402,6 +411,22 @@
   return n;
 }
 
+bool
+dy_peers_has_unread (const DyPeers *peers, const char *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peers->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyPeerLink *link = value;
+      if (link->authenticated && strcmp (link->node, node) == 0
+          && count_socket_bytes (link, FIONREAD) > 0)
+        return true;
+    }
+  return false;
+}
+
 static void
 log_down (const DyPeerLink *link, const char *reason)
 {
--- a/src/services/peers_private.h
+++ b/src/services/peers_private.h
@@ -74,6 +74,9 @@
  * was not given up. REASON is for the log. */
 void dy_peers_close_link (DyPeerLink *link, const char *reason);
 
+/* Returns whether a connection with the router NODE holds bytes that were received and not read. */
+bool dy_peers_has_unread (const DyPeers *peers, const char *node);
+
 /* Gives up the router on the other side of LINK. Closes LINK, or sets it aside if it is held. */
 void dy_peers_give_up_link (DyPeerLink *link, const char *reason);
 
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -188,7 +188,7 @@
   const DyReachability *reachability = ctx;
   const DyMember *member = dy_members_find (&reachability->peers->members, name);
   return member && member->incarnation_id != 0
-         && now_us (reachability) - member->last_heartbeat_us
+         && now_us (reachability) - member->last_heard_us
                 <= reachability->peers->members.timeout_us;
 }
 
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -223,6 +223,25 @@
 }
 END_TEST
 
+/* Heartbeats wait behind data on a connection that is full. */
+START_TEST (member_that_sends_anything_is_live)
+{
+  DyMembers members;
+  dy_members_init (&members, "r0", SECOND);
+  dy_members_put (&members, "r1", "127.0.0.1:1", "dc-a", false);
+  dy_members_record_contact (&members, "r1", 0);
+  ck_assert_uint_eq (dy_members_count (&members, 0), 1);
+  dy_members_record_heartbeat (&members, "r1", 101, false, 0);
+  dy_members_record_contact (&members, "r1", SECOND - 1);
+  ck_assert_uint_eq (dy_members_count (&members, 2 * SECOND - 2), 2);
+  ck_assert_uint_eq (dy_members_count (&members, 2 * SECOND - 1), 1);
+  dy_members_disconnected (&members, "r1");
+  dy_members_record_contact (&members, "r1", 2 * SECOND);
+  ck_assert_uint_eq (dy_members_count (&members, 2 * SECOND), 1);
+  dy_members_finish (&members);
+}
+END_TEST
+
 typedef enum
 {
   NOT_REACHED,
@@ -729,6 +748,7 @@
   tcase_add_test (tcase, routing_picks_the_less_loaded_of_two);
   tcase_add_test (tcase, breaker_opens_probes_and_closes);
   tcase_add_test (tcase, lost_member_moves_only_its_accounts);
+  tcase_add_test (tcase, member_that_sends_anything_is_live);
   tcase_add_loop_test (tcase, joining_router_detects_a_known_home, 0, G_N_ELEMENTS (home_cases));
   tcase_add_loop_test (tcase, register_detects_repeated_requests, 0, G_N_ELEMENTS (register_cases));
   tcase_add_test (tcase, unacknowledged_release_does_not_delay_a_drain);
