--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -14,6 +14,9 @@
   DIAL_MIN_US = 50 * 1000,
   DIAL_MAX_US = 2 * 1000 * 1000,
   HELLO_TIMEOUT_US = 2 * 1000 * 1000,
+  /* Time after which a connection that was set aside counts as dead: longer than a VM is suspended
+   * or cut off for, and bounds how long one to a VM without power stays open. */
+  SET_ASIDE_TIMEOUT_US = 30 * 1000 * 1000,
   LISTEN_BACKLOG = 512,
   /* Time in which all routers that reach a restored store have noticed it and written their records
    * again, and the VM list, which may be seconds old, shows them. */
@@ -64,17 +67,37 @@
   g_hash_table_insert (peers->dialed, g_strdup (member->name), link);
 }
 
-/* Returns whether the other side of LINK did not authenticate in time or, on a dialled connection,
- * is no longer a member or did not reply to heartbeats in time. */
+/* Returns whether MEMBER was not heard from in time. What its connections hold unread was sent by
+ * it, however late this router is. */
 static bool
-is_stale (const DyPeers *peers, const DyPeerLink *link)
+is_silent (DyPeers *peers, const DyMember *member)
+{
+  int64_t now_us = dy_peers_now_us (peers);
+  if (now_us - member->last_heard_us <= peers->members.timeout_us)
+    return false;
+  if (!dy_peers_has_unread (peers, member->name))
+    return true;
+  dy_members_record_contact (&peers->members, member->name, now_us);
+  return false;
+}
+
+/* Returns why LINK must be closed, or NULL: the other side did not authenticate in time or, on a
+ * dialled connection, is no longer a member or was not heard from in time. */
+static const char *
+find_stale_reason (DyPeers *peers, const DyPeerLink *link)
 {
   if (!link->authenticated)
-    return dy_peers_now_us (peers) - link->opened_us > HELLO_TIMEOUT_US;
+    return dy_peers_now_us (peers) - link->opened_us > HELLO_TIMEOUT_US ? "hello" : NULL;
   const DyMember *member = dy_members_find (&peers->members, link->node);
+  if (link->set_aside && link->n_holds == 0)
+    return "unused";
+  if (link->set_aside)
+    return dy_peers_now_us (peers) - link->received_us > SET_ASIDE_TIMEOUT_US ? "silent" : NULL;
   if (!link->dialed)
-    return false;
-  return !member || dy_peers_now_us (peers) - member->last_heartbeat_us > peers->members.timeout_us;
+    return NULL;
+  if (!member)
+    return "not_listed";
+  return is_silent (peers, member) ? "heartbeat" : NULL;
 }
 
 static void
@@ -82,8 +105,11 @@
 {
   GList *links = g_hash_table_get_values (peers->links);
   for (GList *l = links; l; l = l->next)
-    if (is_stale (peers, l->data))
-      dy_peers_close_link (l->data);
+    {
+      const char *reason = find_stale_reason (peers, l->data);
+      if (reason)
+        dy_peers_give_up_link (l->data, reason);
+    }
   g_list_free (links);
 }
 
@@ -126,7 +152,7 @@
   g_hash_table_remove (peers->dial_states, name);
   DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
   if (link)
-    dy_peers_close_link (link);
+    dy_peers_give_up_link (link, "not_listed");
   dy_members_remove (&peers->members, name);
 }
 
@@ -137,7 +163,7 @@
 {
   const DyMember *member = dy_members_find (&peers->members, name);
   return dy_platform_was_restored_within (peers->platform, REGISTRATION_GRACE_US) && member
-         && dy_peers_now_us (peers) - member->last_heartbeat_us <= peers->members.timeout_us;
+         && dy_peers_now_us (peers) - member->last_heard_us <= peers->members.timeout_us;
 }
 
 static void
@@ -257,6 +283,9 @@
   gpointer value;
   (void) loop;
   (void) events;
+  int64_t now_us = dy_peers_now_us (peers);
+  peers->tick_gap_us = peers->tick_us ? now_us - peers->tick_us : 0;
+  peers->tick_us = now_us;
   close_stale_links (peers);
   update_joining (peers);
   g_hash_table_iter_init (&iter, peers->members.by_name);
@@ -352,7 +381,7 @@
   return json_pack ("{s:s, s:s, s:b, s:b, s:I}", "name", member->name, "data_centre",
                     member->data_centre, "leaving", member->leaving, "connected",
                     member->incarnation_id != 0, "heard_ms_ago",
-                    (json_int_t) ((dy_peers_now_us (peers) - member->last_heartbeat_us) / 1000));
+                    (json_int_t) ((dy_peers_now_us (peers) - member->last_heard_us) / 1000));
 }
 
 static json_t *
@@ -414,12 +443,36 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       DyPeerLink *link = value;
-      if (link->authenticated && strcmp (link->node, name) == 0)
+      if (link->authenticated && !link->set_aside && strcmp (link->node, name) == 0)
         return link;
     }
   return NULL;
 }
 
+uint64_t
+dy_peers_link_to (const DyPeers *peers, const char *name)
+{
+  const DyPeerLink *link = find_link (peers, name);
+  return link ? link->number : 0;
+}
+
+void
+dy_peers_hold_link (DyPeers *peers, uint64_t link_number)
+{
+  DyPeerLink *link = g_hash_table_lookup (peers->links, &link_number);
+  if (link)
+    link->n_holds++;
+}
+
+/* Not closed here, as the caller may be handling a message of the connection. */
+void
+dy_peers_release_link (DyPeers *peers, uint64_t link_number)
+{
+  DyPeerLink *link = g_hash_table_lookup (peers->links, &link_number);
+  if (link && link->n_holds > 0)
+    link->n_holds--;
+}
+
 int
 dy_peers_send (DyPeers *peers, const char *name, const DyMessage *message)
 {
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,6 +27,14 @@
   ev_io_start (link->peers->kernel->loop, &link->io);
 }
 
+/* Records why the connection must be closed. Returns false, for handlers to return. */
+static bool
+fail (DyPeerLink *link, const char *reason)
+{
+  link->end_reason = reason;
+  return false;
+}
+
 /* Sends queued bytes. Returns false if the connection is lost. */
 static bool
 flush (DyPeerLink *link)
@@ -34,7 +44,8 @@
       ssize_t n = send (link->fd, link->out.data + link->out_sent, link->out.size - link->out_sent,
                         MSG_NOSIGNAL | MSG_DONTWAIT);
       if (n < 0)
-        return errno == EAGAIN || errno == EINTR || errno == EINPROGRESS || errno == ENOTCONN;
+        return errno == EAGAIN || errno == EINTR || errno == EINPROGRESS || errno == ENOTCONN
+               || fail (link, "send_error");
       link->out_sent += (size_t) n;
     }
   msgpack_sbuffer_clear (&link->out);
@@ -48,6 +59,7 @@
   size_t before = link->out.size;
   if (before - link->out_sent > MAX_UNSENT_BYTES)
     {
+      link->end_reason = "unsent";
       shutdown (link->fd, SHUT_RDWR);
       return;
     }
@@ -113,9 +125,24 @@
   message.u.heartbeat.leaving = link->peers->kernel->draining;
   message.u.heartbeat.has_platform = !link->peers->platform->down;
   message.u.heartbeat.config_version = link->peers->config_version;
+  if (type == DY_MESSAGE_PING && !link->pinged_us)
+    link->pinged_us = dy_peers_now_us (link->peers);
   dy_peers_send_message (link, &message);
 }
 
+static void
+close_links_of_incarnation (DyPeers *peers, uint64_t incarnation_id)
+{
+  GList *links = g_hash_table_get_values (peers->links);
+  for (GList *l = links; l; l = l->next)
+    {
+      DyPeerLink *link = l->data;
+      if (link->authenticated && link->incarnation_id == incarnation_id)
+        dy_peers_close_link (link, "replaced");
+    }
+  g_list_free (links);
+}
+
 /* Records an authenticated incarnation. If another one was known under the same name, that one is
  * dead. */
 static void
@@ -126,7 +153,10 @@
     return;
   NOTIFY_WATCHERS (peers, incarnation_seen, incarnation_id);
   if (latest)
-    NOTIFY_WATCHERS (peers, incarnation_dead, name, *latest);
+    {
+      close_links_of_incarnation (peers, *latest);
+      NOTIFY_WATCHERS (peers, incarnation_dead, name, *latest);
+    }
   g_hash_table_replace (peers->incarnations, g_strdup (name),
                         g_memdup2 (&incarnation_id, sizeof incarnation_id));
 }
@@ -137,7 +167,7 @@
 {
   dy_counters_add (&link->peers->kernel->counters, DY_COUNTER_PEER_REJECTED, 1);
   dy_log (DY_EVENT_PEER_REJECTED, "node=%s reason=%s", link->node, reason);
-  return false;
+  return fail (link, "rejected");
 }
 
 static bool
@@ -187,6 +217,22 @@
   return true;
 }
 
+/* Puts LINK, which was set aside, in its place again if no other one has been authenticated. */
+static void
+take_back (DyPeerLink *link)
+{
+  DyPeers *peers = link->peers;
+  DyPeerLink *dialed = g_hash_table_lookup (peers->dialed, link->node);
+  if ((dialed && dialed->authenticated) || !dy_members_find (&peers->members, link->node))
+    return;
+  if (dialed)
+    dy_peers_close_link (dialed, "not_needed");
+  link->set_aside = false;
+  g_hash_table_insert (peers->dialed, g_strdup (link->node), link);
+  dy_log (DY_EVENT_PEER_UP, "node=%s", link->node);
+  NOTIFY_WATCHERS (peers, up, link->node);
+}
+
 static void
 on_heartbeat (DyPeerLink *link, const DyMessage *message)
 {
@@ -195,8 +241,12 @@
   dy_members_set_platform (&peers->members, link->node, message->u.heartbeat.has_platform);
   dy_members_record_heartbeat (&peers->members, link->node, link->incarnation_id,
                                message->u.heartbeat.leaving, dy_peers_now_us (peers));
+  if (link->set_aside)
+    take_back (link);
   if (message->type == DY_MESSAGE_PING)
     dy_peers_send_heartbeat (link, DY_MESSAGE_PONG);
+  else
+    link->pinged_us = 0;
 }
 
 /* Returns false if the connection must be closed. */
@@ -245,6 +295,15 @@
   return ok;
 }
 
+static void
+record_contact (DyPeerLink *link)
+{
+  DyPeers *peers = link->peers;
+  link->received_us = dy_peers_now_us (peers);
+  if (link->authenticated)
+    dy_members_record_contact (&peers->members, link->node, link->received_us);
+}
+
 /* Reads and handles what the socket holds, up to a number of messages; the rest waits for the next
  * turn of the loop. Returns false if the connection must be closed. */
 static bool
@@ -261,9 +320,10 @@
     {
       ssize_t n = recv (link->fd, block, sizeof block, MSG_DONTWAIT);
       if (n == 0)
-        return false;
+        return fail (link, "closed");
       if (n < 0)
-        return errno == EAGAIN || errno == EINTR;
+        return errno == EAGAIN || errno == EINTR || fail (link, "receive_error");
+      record_contact (link);
       g_byte_array_append (link->in, block, (guint) n);
       if (!handle_frames (link, &n_handled))
         return false;
@@ -284,7 +344,7 @@
   if (ok)
     watch_socket (link);
   else
-    dy_peers_close_link (link);
+    dy_peers_close_link (link, link->end_reason);
 }
 
 DyPeerLink *
@@ -318,25 +378,120 @@
   g_free (link);
 }
 
-void
-dy_peers_close_link (DyPeerLink *link)
+static int64_t
+age_ms (const DyPeers *peers, int64_t time_us)
+{
+  return time_us ? (dy_peers_now_us (peers) - time_us) / 1000 : -1;
+}
+
+/* Returns the number of bytes that the socket of LINK holds, by REQUEST those received and not read
+ * or those sent and not acknowledged; -1 if it is not known. */
+static int
+count_socket_bytes (const DyPeerLink *link, unsigned long request)
+{
+  int n = 0;
+  return ioctl (link->fd, request, &n) ? -1 : n;
+}
+
+/* Returns the number of bytes received and not read on the connections that the router NODE
+ * dialled, on which its heartbeats may come, too. */
+static int
+count_unread_from (const DyPeers *peers, const char *node)
+{
+  int n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peers->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyPeerLink *link = value;
+      if (!link->dialed && link->authenticated && strcmp (link->node, node) == 0)
+        n += MAX (count_socket_bytes (link, FIONREAD), 0) + (int) link->in->len;
+    }
+  return n;
+}
+
+bool
+dy_peers_has_unread (const DyPeers *peers, const char *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peers->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyPeerLink *link = value;
+      if (link->authenticated && strcmp (link->node, node) == 0
+          && count_socket_bytes (link, FIONREAD) > 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+log_down (const DyPeerLink *link, const char *reason)
+{
+  const DyPeers *peers = link->peers;
+  const DyMember *member = dy_members_find (&peers->members, link->node);
+  dy_log (DY_EVENT_PEER_DOWN,
+          "node=%s reason=%s link=%" G_GUINT64_FORMAT " holds=%u heard_ms=%" G_GINT64_FORMAT
+          " received_ms=%" G_GINT64_FORMAT " pinged_ms=%" G_GINT64_FORMAT
+          " tick_ms=%" G_GINT64_FORMAT " ticked_ms=%" G_GINT64_FORMAT
+          " unread=%d unread_dialed=%d unacked=%d unsent=%zu",
+          link->node, reason, link->number, link->n_holds,
+          age_ms (peers, member ? member->last_heartbeat_us : 0), age_ms (peers, link->received_us),
+          age_ms (peers, link->pinged_us), peers->tick_gap_us / 1000,
+          age_ms (peers, peers->tick_us), count_socket_bytes (link, FIONREAD) + (int) link->in->len,
+          count_unread_from (peers, link->node), count_socket_bytes (link, SIOCOUTQ),
+          link->out.size - link->out_sent);
+}
+
+static void
+remove_dialed (DyPeers *peers, const DyPeerLink *link)
 {
-  DyPeers *peers = link->peers;
-  char node[DY_NAME_SIZE];
-  bool lost = link->dialed && link->authenticated;
-  uint64_t number = link->number;
-  g_strlcpy (node, link->node, sizeof node);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, peers->dialed);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (value == link)
       g_hash_table_iter_remove (&iter);
-  g_hash_table_remove (peers->links, &link->number);
-  NOTIFY_WATCHERS (peers, link_closed, number);
-  if (!lost)
-    return;
+}
+
+static void
+report_down (DyPeers *peers, const char *node)
+{
   dy_members_disconnected (&peers->members, node);
-  dy_log (DY_EVENT_PEER_DOWN, "node=%s", node);
   NOTIFY_WATCHERS (peers, down, node);
 }
+
+void
+dy_peers_close_link (DyPeerLink *link, const char *reason)
+{
+  DyPeers *peers = link->peers;
+  char node[DY_NAME_SIZE];
+  bool lost = link->dialed && link->authenticated && !link->set_aside;
+  uint64_t number = link->number;
+  g_strlcpy (node, link->node, sizeof node);
+  if (lost)
+    log_down (link, reason);
+  remove_dialed (peers, link);
+  g_hash_table_remove (peers->links, &link->number);
+  if (lost)
+    report_down (peers, node);
+  NOTIFY_WATCHERS (peers, link_closed, number);
+}
+
+void
+dy_peers_give_up_link (DyPeerLink *link, const char *reason)
+{
+  char node[DY_NAME_SIZE];
+  if (link->set_aside || link->n_holds == 0)
+    {
+      dy_peers_close_link (link, reason);
+      return;
+    }
+  log_down (link, reason);
+  link->set_aside = true;
+  remove_dialed (link->peers, link);
+  g_strlcpy (node, link->node, sizeof node);
+  report_down (link->peers, node);
+}
