Log refused relays, and whether a router of a relay was stopping

A relay that was asked for and not begun left no line at the router that refused it: 7014 says which (no endpoint, out of reach, malformed). Whether the router that asks (7011) or that makes the attempt (7012) was stopping could be found only by joining their 1003 with the times; `stops` says it. No decision is changed.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -84,6 +84,7 @@
   X (REQUEST_RELAYED, 7011, INFO, "request relayed")                                               \
   X (RELAY_PLACED, 7012, INFO, "relayed request sent to endpoint")                                 \
   X (REPLACEMENT_REFUSED, 7013, INFO, "attempt beside a silent one turned away")                   \
+  X (RELAY_REFUSED, 7014, INFO, "relay refused")                                                   \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
   X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")                          \
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -81,8 +81,8 @@
   if (!relay.peer
       || !dy_gateway_attempt_init_relayed (attempt, gateway, &relay, spec, watcher, request))
     return false;
-  dy_log (DY_EVENT_REQUEST_RELAYED, "request=%s node=%s attempt=%u", request->plan.id, relay.peer,
-          attempt_number (request, attempt));
+  dy_log (DY_EVENT_REQUEST_RELAYED, "request=%s node=%s attempt=%u stops=%d", request->plan.id,
+          relay.peer, attempt_number (request, attempt), gateway->kernel->draining);
   return true;
 }
 
--- a/src/services/relay_server.c
+++ b/src/services/relay_server.c
@@ -89,6 +89,17 @@
   g_hash_table_remove (served->relays->served, served);
 }
 
+/* Tells the other router that nothing was sent. */
+static void
+refuse (Served *served, const char *reason)
+{
+  static const DyGatewayAttemptResult not_sent = { .outcome = DY_ATTEMPT_NOT_SENT };
+  const char *id = text_of (served, "id");
+  dy_log (DY_EVENT_RELAY_REFUSED, "request=%s reason=%s stops=%d", id ? id : "-", reason,
+          served->relays->kernel->draining);
+  end (served, &not_sent);
+}
+
 static void
 send_head (Served *served)
 {
@@ -228,7 +239,6 @@
 static void
 start_attempt (Served *served)
 {
-  static const DyGatewayAttemptResult no_endpoint = { .outcome = DY_ATTEMPT_NOT_SENT };
   DyRelays *relays = served->relays;
   DyPromptWork work = { .prefix_hash = parse_hex (json_object_get (served->open, "prefix")),
                         .shared_tokens = integer_of (served, "shared"),
@@ -237,7 +247,7 @@
   DyPlacementEndpoint *endpoint = out ? NULL : choose_endpoint (served, &work);
   if (!endpoint)
     {
-      end (served, &no_endpoint);
+      refuse (served, out ? "out_of_reach" : "no_endpoint");
       return;
     }
   const char *id = dy_placement_endpoint_id (endpoint);
@@ -258,8 +268,8 @@
               .time_left_ms = integer_of (served, "time_left_ms"),
               .priority = (uint32_t) integer_of (served, "priority"),
               .has_priority = json_is_true (json_object_get (served->open, "has_priority")) } };
-  dy_log (DY_EVENT_RELAY_PLACED, "request=%s endpoint=%s version=%s", spec.request_id, id,
-          dy_placement_endpoint_version (endpoint));
+  dy_log (DY_EVENT_RELAY_PLACED, "request=%s endpoint=%s version=%s stops=%d", spec.request_id, id,
+          dy_placement_endpoint_version (endpoint), relays->kernel->draining);
   dy_counters_add (&relays->kernel->counters, DY_COUNTER_RELAYS_SERVED, 1);
   start_deadline (served, spec.head.time_left_ms);
   served->attempt_open = true;
@@ -301,10 +311,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     valid = valid && text_of (served, texts[i]);
   if (!valid)
-    {
-      static const DyGatewayAttemptResult refused = { .outcome = DY_ATTEMPT_NOT_SENT };
-      end (served, &refused);
-    }
+    refuse (served, "malformed");
   else if (served->body_bytes == 0)
     start_attempt (served);
 }
