Relay nothing through routers that stop

A router that is cut off took any router it heard from for one that can be asked, and one that had got SIGTERM began each relay and stayed busy with them until its grace ended, where it cut what was open. Now a router that stops - tells all others in that moment, with a heartbeat and as one that does not reach the endpoints, which routers of earlier builds heed, too. Until now its next heartbeats told it, up to an interval later, and who asks for relays did not look at them; - begins no relay it is asked for and says "stops". The asking router goes elsewhere as if it had not chosen that one, with no attempt, refusal or resend counted, and does not choose it again. Routers of earlier builds see an attempt that was not sent; - goes on with the relays that it has begun. If all routers in reach stop, the request is refused as not run (no_endpoint): the grace of the one that is asked need not last for it, and a refusal is true.

--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -322,11 +322,23 @@
   return listen_on (peers, settings->peer_listen);
 }
 
+/* Tells all other routers at once that this one stops, as they would hand it work until its next
+ * heartbeats. */
 static void
 service_drain (void *self)
 {
   DyPeers *peers = self;
+  GHashTableIter iter;
+  gpointer value;
   peers->members.self_leaving = true;
+  g_hash_table_iter_init (&iter, peers->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DyPeerLink *link = value;
+      const DyPeerLink *dialed = g_hash_table_lookup (peers->dialed, link->node);
+      if (link->authenticated && (link == dialed || !dialed || !dialed->authenticated))
+        dy_peers_send_heartbeat (link, DY_MESSAGE_PONG);
+    }
 }
 
 static void
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -15,12 +15,13 @@
   return dy_kernel_now_us (reachability->kernel);
 }
 
-/* Tells the router on LINK, or all if it is 0, whether this one is out. */
+/* Tells the router on LINK, or all if it is 0, whether this one is out or stops. */
 static void
 send_state (const DyReachability *reachability, uint64_t link, bool asks)
 {
-  json_t *root = json_pack ("{s:s, s:b, s:b}", "node", reachability->kernel->settings->node_name,
-                            "out", reachability->reach.is_out, "asks", asks);
+  const DyKernel *kernel = reachability->kernel;
+  json_t *root = json_pack ("{s:s, s:b, s:b}", "node", kernel->settings->node_name, "out",
+                            reachability->reach.is_out || kernel->draining, "asks", asks);
   char *text = json_dumps (root, JSON_COMPACT);
   if (link)
     dy_peers_reply_object (reachability->peers, link, REACH_KEY, text);
@@ -146,6 +147,12 @@
   return DY_OK;
 }
 
+static void
+service_drain (void *self)
+{
+  send_state (self, 0, false);
+}
+
 static void
 service_stop (void *self)
 {
@@ -171,6 +178,7 @@
   DyService service = { .name = DY_SERVICE_REACHABILITY,
                         .self = reachability,
                         .start = service_start,
+                        .drain = service_drain,
                         .stop = service_stop,
                         .dump = service_dump };
   dy_kernel_add (kernel, &service);
@@ -182,20 +190,25 @@
   return reachability->reach.is_out;
 }
 
+void
+dy_reachability_record_refusal (DyReachability *reachability, const char *peer)
+{
+  dy_reach_record_peer (&reachability->reach, peer, true, now_us (reachability));
+}
+
 static bool
-is_connected (void *ctx, const char *name)
+is_live (void *ctx, const char *name)
 {
   const DyReachability *reachability = ctx;
-  const DyMember *member = dy_members_find (&reachability->peers->members, name);
-  return member && member->incarnation_id != 0
-         && now_us (reachability) - member->last_heartbeat_us
-                <= reachability->peers->members.timeout_us;
+  const DyMembers *members = &reachability->peers->members;
+  const DyMember *member = dy_members_find (members, name);
+  return member && dy_members_is_live (members, member, now_us (reachability));
 }
 
 const char *
 dy_reachability_choose_peer (const DyReachability *reachability)
 {
-  return dy_reach_choose_peer (&reachability->reach, is_connected, (void *) reachability,
+  return dy_reach_choose_peer (&reachability->reach, is_live, (void *) reachability,
                                now_us (reachability));
 }
 
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -9,7 +9,8 @@
  *   Feeds core/reach with the connections of requests and with probes (services/link_probe), and
  *   exchanges what routers know, as objects sent by dy_peers_send_object():
  *   reach   {"node": router, "out": bool, "asks": bool}
- *   A router that asks gets the same object of each other one. One that changes tells all.
+ *   A router that asks gets the same object of each other one. One that changes tells all. A router
+ *   that stops says that it is out, as nothing is to be relayed through it.
  *
  *   A router of a build that does not know this object never answers, so nothing is relayed through
  *   it.
@@ -48,6 +49,9 @@
 /* Returns whether it may not reach them: silent endpoints count, too. */
 bool dy_reachability_may_be_out (const DyReachability *reachability);
 
+/* Records that the router PEER refuses relays, as it stops. */
+void dy_reachability_record_refusal (DyReachability *reachability, const char *peer);
+
 /* Returns the name of the router to relay a request through, or NULL. */
 const char *dy_reachability_choose_peer (const DyReachability *reachability);
 
--- a/src/services/relay_server.c
+++ b/src/services/relay_server.c
@@ -79,13 +79,14 @@
   g_free (served);
 }
 
-/* Tells the other router how the attempt ended, and forgets it. */
+/* Tells the other router how the attempt ended, and forgets it. STOPS: it was not begun, as this
+ * router stops. */
 static void
-end (Served *served, const DyGatewayAttemptResult *result)
+end (Served *served, const DyGatewayAttemptResult *result, bool stops)
 {
   send_json (served, DY_RELAY_END,
-             json_pack ("{s:b, s:b, s:i}", "complete", result->complete, "endpoint_error",
-                        result->endpoint_error, "outcome", (int) result->outcome));
+             json_pack ("{s:b, s:b, s:i, s:b}", "complete", result->complete, "endpoint_error",
+                        result->endpoint_error, "outcome", (int) result->outcome, "stops", stops));
   g_hash_table_remove (served->relays->served, served);
 }
 
@@ -95,9 +96,9 @@
 {
   static const DyGatewayAttemptResult not_sent = { .outcome = DY_ATTEMPT_NOT_SENT };
   const char *id = text_of (served, "id");
-  dy_log (DY_EVENT_RELAY_REFUSED, "request=%s reason=%s stops=%d", id ? id : "-", reason,
-          served->relays->kernel->draining);
-  end (served, &not_sent);
+  bool stops = served->relays->kernel->draining;
+  dy_log (DY_EVENT_RELAY_REFUSED, "request=%s reason=%s stops=%d", id ? id : "-", reason, stops);
+  end (served, &not_sent, stops);
 }
 
 static void
@@ -176,7 +177,7 @@
   if (result->crashed)
     record_crash (served, result);
   send_head (served);
-  end (served, &out);
+  end (served, &out, false);
 }
 
 static const DyGatewayAttemptWatcher attempt_watcher
@@ -240,6 +241,11 @@
 start_attempt (Served *served)
 {
   DyRelays *relays = served->relays;
+  if (relays->kernel->draining)
+    {
+      refuse (served, "stops");
+      return;
+    }
   DyPromptWork work = { .prefix_hash = parse_hex (json_object_get (served->open, "prefix")),
                         .shared_tokens = integer_of (served, "shared"),
                         .own_tokens = integer_of (served, "own") };
@@ -310,8 +316,8 @@
   bool valid = served->body_bytes <= MAX_BODY_BYTES;
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     valid = valid && text_of (served, texts[i]);
-  if (!valid)
-    refuse (served, "malformed");
+  if (!valid || relays->kernel->draining)
+    refuse (served, valid ? "stops" : "malformed");
   else if (served->body_bytes == 0)
     start_attempt (served);
 }
--- a/src/services/relays.c
+++ b/src/services/relays.c
@@ -237,6 +237,12 @@
   const json_t *outcome = json_object_get (root, "outcome");
   call->result.outcome = outcome_from_number (
       json_is_integer (outcome) ? json_integer_value (outcome) : -1, call->head_received);
+  if (json_is_true (json_object_get (root, "stops")))
+    {
+      /* Another router is asked at once, as if this one had not been chosen. */
+      call->result.endpoint_left = true;
+      dy_reachability_record_refusal (call->relays->reachability, call->peer);
+    }
   if (!call->paused)
     deliver (call);
 }
--- a/src/services/relays.h
+++ b/src/services/relays.h
@@ -11,7 +11,8 @@
  *   connected: budget, limits on attempts, resumed streams, the settlement.
  *
  *   A relayed attempt is never relayed again. The other router cancels it on request, when the
- *   connection between the two is lost and when the caller's time limit has passed.
+ *   connection between the two is lost and when the caller's time limit has passed. A router that
+ *   stops begins none, and goes on with those that it has begun until its grace is over.
  *
  * FORMAT
  *   Messages of type DY_MESSAGE_RELAY with the number that the asking router gave the relay:
@@ -25,7 +26,8 @@
  *   placed  from the other router, JSON: {"endpoint", "version"}; the request is about to be sent
  *   head    JSON: {"status", "success": bool, "headers": [name, value, ...]}
  *   data    the next bytes of the answer's body
- *   end     JSON: {"complete": bool, "endpoint_error": bool, "outcome": number}
+ *   end     JSON: {"complete": bool, "endpoint_error": bool, "outcome": number, "stops": bool};
+ *           "stops": the other router did not begin the relay, as it stops
  *
  * ERRORS
  *   If the connection between the routers is lost, the request may have run. If the other router
--- a/test/test_stopping_relays.c
+++ b/test/test_stopping_relays.c
@@ -34,6 +34,7 @@
 {
   Site site;
   int i; /* of the case */
+  bool suspended;
   ev_timer timer;
   size_t printed[N_ROUTERS]; /* bytes up to the stop */
 } Scene;
@@ -104,6 +105,69 @@
 }
 END_TEST
 
+/* Routers of a site of three, of which the first is cut off. The others are suspended as they get
+ * SIGTERM, so they are asked before anyone can know of the stop. */
+static const struct
+{
+  const char *name;
+  uint32_t n_stopped; /* of the other two */
+} asked_cases[] = { { "one router is left to ask", 1 }, { "no router is left to ask", 2 } };
+
+static void
+on_suspended_stop (struct ev_loop *loop, ev_timer *w, int events)
+{
+  enum
+  {
+    WAIT_MS = 100, /* time in which requests come, less than links need to be taken for lost */
+  };
+  Scene *scene = w->data;
+  Site *site = &scene->site;
+  (void) events;
+  for (uint32_t i = 1; i <= asked_cases[scene->i].n_stopped; i++)
+    {
+      fleet_signal (&site->router_process[i], scene->suspended ? SIGCONT : SIGSTOP);
+      if (!scene->suspended)
+        fleet_signal (&site->router_process[i], SIGTERM);
+    }
+  if (scene->suspended)
+    return;
+  scene->suspended = true;
+  scene->printed[0] = site->router_process[0].output->len;
+  ev_timer_set (w, WAIT_MS / 1e3, 0.0);
+  ev_timer_start (loop, w);
+}
+
+/* What is asked of a router that stops has not run: it runs elsewhere, or its caller is told so. */
+START_TEST (a_relay_that_a_stopping_router_is_asked_for_goes_elsewhere)
+{
+  const TrafficStream streams[] = { { "/s1/x/paced", "c1:4,", INTERVAL_MS, 0, 1 },
+                                    { "/once/x/ok", "", INTERVAL_MS / 2, 0, 1 } };
+  TrafficResult results[G_N_ELEMENTS (streams)];
+  Scene *scene = g_new0 (Scene, 1);
+  Site *site = &scene->site;
+  scene->i = _i;
+  ck_assert (site_init_large (site, 3, SITE_MAX_WORKERS, PREPAID));
+  site_cut_router (site, 0, RELAY_CUT_RESET);
+  traffic_run (site, streams, results, G_N_ELEMENTS (streams), CALM_MS);
+  ev_now_update (site->fleet.loop);
+  ev_timer_init (&scene->timer, on_suspended_stop, BEFORE_MS / 1e3, 0.0);
+  scene->timer.data = scene;
+  ev_timer_start (site->fleet.loop, &scene->timer);
+  traffic_run (site, streams, results, G_N_ELEMENTS (streams), 3 * BEFORE_MS);
+  uint32_t n = count_since_stop (scene, 0, "request ended", "");
+  uint32_t n_answered = count_since_stop (scene, 0, "request ended", "outcome=answered");
+  uint32_t n_unrun = count_since_stop (scene, 0, "outcome=no_endpoint", "started=0");
+  uint32_t n_asked = site_count_output (site, 1, "reason=stops");
+  ck_assert_msg (n_answered + n_unrun == n && n > MIN_ANSWERED, "%s: %u and %u of %u",
+                 asked_cases[_i].name, n_answered, n_unrun, n);
+  if (asked_cases[_i].n_stopped == 1)
+    ck_assert_msg (n_unrun == 0 && n_asked > 0, "%s: %u refused, %u asked", asked_cases[_i].name,
+                   n_unrun, n_asked);
+  site_finish (site);
+  g_free (scene);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -115,5 +179,7 @@
   tcase_set_timeout (tcase, TIMEOUT_S);
   tcase_add_loop_test (tcase, a_router_that_stops_is_given_no_relays_and_ends_those_it_has, 0,
                        (int) G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tcase, a_relay_that_a_stopping_router_is_asked_for_goes_elsewhere, 0,
+                       (int) G_N_ELEMENTS (asked_cases));
   return suite_run ("stopping_relays", tcase);
 }
