Log each failure that counts towards "out of reach"

6016 says how many endpoints failed, and no line which, or why: of requests there may be a 6001, of probes there was nothing. 6018 names the endpoint, the kind and, of a probe, the time since it began: far more than the limits of a probe shows a process that was held up. No decision is changed.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -71,6 +71,7 @@
   X (LINK_FAILED, 6015, INFO, "broken connection not counted as a crash")                          \
   X (OUT_OF_REACH, 6016, WARNING, "endpoints out of reach")                                        \
   X (REACHES_AGAIN, 6017, MESSAGE, "endpoints reached again")                                      \
+  X (REACH_FAILED, 6018, INFO, "new connection to endpoint failed")                                \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -41,10 +41,17 @@
   send_state (reachability, 0, out);
 }
 
+/* STARTED_US: time at which a probe began; 0: a request's connection failed. */
 static void
-record_failure (DyReachability *reachability, const char *endpoint, DyReachFailureKind kind)
+record_failure (DyReachability *reachability,
+                const char *endpoint,
+                DyReachFailureKind kind,
+                int64_t started_us)
 {
   uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
+  dy_log (DY_EVENT_REACH_FAILED, "endpoint=%s kind=%s probe_ms=%" G_GINT64_FORMAT, endpoint,
+          kind == DY_REACH_SILENT ? "silent" : "refused",
+          started_us ? (now_us (reachability) - started_us) / 1000 : INT64_C (-1));
   if (dy_reach_record_failure (&reachability->reach, endpoint, kind, n, now_us (reachability)))
     report_change (reachability);
 }
@@ -53,7 +60,7 @@
 dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works)
 {
   if (!works)
-    record_failure (reachability, endpoint, DY_REACH_REFUSED);
+    record_failure (reachability, endpoint, DY_REACH_REFUSED, 0);
   else if (dy_reach_record_success (&reachability->reach, now_us (reachability)))
     report_change (reachability);
 }
@@ -68,12 +75,13 @@
 on_probed (void *ctx, DyLinkProbeResult result, int64_t started_us)
 {
   DyReachability *reachability = ctx;
-  (void) started_us;
   char *id = g_steal_pointer (&reachability->probed_id);
-  if (result == DY_LINK_PROBE_SILENT)
-    record_failure (reachability, id, DY_REACH_SILENT);
+  if (result == DY_LINK_PROBE_WORKS)
+    dy_reachability_record (reachability, id, true);
   else
-    dy_reachability_record (reachability, id, result == DY_LINK_PROBE_WORKS);
+    record_failure (reachability, id,
+                    result == DY_LINK_PROBE_SILENT ? DY_REACH_SILENT : DY_REACH_REFUSED,
+                    started_us);
   g_free (id);
 }
 
