--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -23,6 +23,7 @@
   const DyHttpTransferWatcher *watcher;
   void *ctx;
   uint64_t etag;
+  int64_t connect_timeout_ms;
   int64_t timeout_ms;
   int64_t read_timeout_ms;
   int64_t max_idle_ms;     /* 0: no limit */
@@ -285,11 +286,15 @@
   return size * n;
 }
 
+/* The limit on the connection counts from here: libcurl begins it in a later turn of the loop,
+ * which may be long, and the limit would be over before the connection could be made. */
 static curl_socket_t
 open_socket (void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
 {
+  DyHttpTransfer *transfer = ctx;
   (void) purpose;
-  return dy_http_socket_open (ctx, address);
+  set_limit (transfer, transfer->connect_timeout_ms);
+  return dy_http_socket_open (transfer->client, address);
 }
 
 static int
@@ -383,7 +388,7 @@
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_prerequest);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
-  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, transfer->client);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, transfer->client);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
@@ -472,6 +477,7 @@
   transfer->ctx = ctx;
   transfer->easy = curl_easy_init ();
   transfer->head = g_ptr_array_new_with_free_func (g_free);
+  transfer->connect_timeout_ms = spec->connect_timeout_ms;
   transfer->timeout_ms = spec->timeout_ms;
   transfer->read_timeout_ms = spec->read_timeout_ms;
   transfer->max_idle_ms = spec->max_idle_ms;
--- a/src/services/link_probe.c
+++ b/src/services/link_probe.c
@@ -1,5 +1,6 @@
 #include "services/link_probe.h"
 
+#include "kernel/priority.h"
 #include "net/address.h"
 
 #include <arpa/inet.h>
@@ -91,6 +92,7 @@
   ev_io_init (&probe->io, on_io, -1, 0);
   probe->io.data = probe;
   ev_timer_init (&probe->timer, on_timer, 0.0, 0.0);
+  ev_set_priority (&probe->timer, DY_PRIORITY_TIMEOUT);
   probe->timer.data = probe;
 }
 
