--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -71,6 +71,7 @@
   X (LINK_FAILED, 6015, INFO, "broken connection not counted as a crash")                          \
   X (OUT_OF_REACH, 6016, WARNING, "endpoints out of reach")                                        \
   X (REACHES_AGAIN, 6017, MESSAGE, "endpoints reached again")                                      \
+  X (REACH_FAILED, 6018, INFO, "new connection to endpoint failed")                                \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
@@ -86,6 +87,7 @@
   X (REPLACEMENT_REFUSED, 7013, INFO, "attempt beside a silent one turned away")                   \
   X (RELAY_LOST, 7014, INFO, "relay ended with its connection")                                    \
   X (RELAY_CANCELLED, 7015, INFO, "relayed attempt cancelled")                                     \
+  X (RELAY_REFUSED, 7016, INFO, "relay refused")                                                   \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
   X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")                          \
--- a/src/services/relay_server.c
+++ b/src/services/relay_server.c
@@ -80,16 +80,28 @@
   g_free (served);
 }
 
-/* Tells the other router how the attempt ended, and forgets it. */
+/* Tells the other router how the attempt ended, and forgets it. STOPS: it was not begun, as this
+ * router stops. */
 static void
-end (Served *served, const DyGatewayAttemptResult *result)
+end (Served *served, const DyGatewayAttemptResult *result, bool stops)
 {
   send_json (served, DY_RELAY_END,
-             json_pack ("{s:b, s:b, s:i}", "complete", result->complete, "endpoint_error",
-                        result->endpoint_error, "outcome", (int) result->outcome));
+             json_pack ("{s:b, s:b, s:i, s:b}", "complete", result->complete, "endpoint_error",
+                        result->endpoint_error, "outcome", (int) result->outcome, "stops", stops));
   g_hash_table_remove (served->relays->served, served);
 }
 
+/* Tells the other router that nothing was sent. */
+static void
+refuse (Served *served, const char *reason)
+{
+  static const DyGatewayAttemptResult not_sent = { .outcome = DY_ATTEMPT_NOT_SENT };
+  const char *id = text_of (served, "id");
+  bool stops = served->relays->kernel->draining;
+  dy_log (DY_EVENT_RELAY_REFUSED, "request=%s reason=%s stops=%d", id ? id : "-", reason, stops);
+  end (served, &not_sent, stops);
+}
+
 static void
 send_head (Served *served)
 {
@@ -166,7 +178,7 @@
   if (result->crashed)
     record_crash (served, result);
   send_head (served);
-  end (served, &out);
+  end (served, &out, false);
 }
 
 static const DyGatewayAttemptWatcher attempt_watcher
@@ -239,8 +251,12 @@
 static void
 start_attempt (Served *served)
 {
-  static const DyGatewayAttemptResult no_endpoint = { .outcome = DY_ATTEMPT_NOT_SENT };
   DyRelays *relays = served->relays;
+  if (relays->kernel->draining)
+    {
+      refuse (served, "stops");
+      return;
+    }
   DyPromptWork work = { .prefix_hash = parse_hex (json_object_get (served->open, "prefix")),
                         .shared_tokens = integer_of (served, "shared"),
                         .own_tokens = integer_of (served, "own") };
@@ -248,7 +264,7 @@
   DyPlacementEndpoint *endpoint = out ? NULL : choose_endpoint (served, &work);
   if (!endpoint)
     {
-      end (served, &no_endpoint);
+      refuse (served, out ? "out_of_reach" : "no_endpoint");
       return;
     }
   const char *id = dy_placement_endpoint_id (endpoint);
@@ -269,8 +285,8 @@
               .time_left_ms = integer_of (served, "time_left_ms"),
               .priority = (uint32_t) integer_of (served, "priority"),
               .has_priority = json_is_true (json_object_get (served->open, "has_priority")) } };
-  dy_log (DY_EVENT_RELAY_PLACED, "request=%s endpoint=%s version=%s", spec.request_id, id,
-          dy_placement_endpoint_version (endpoint));
+  dy_log (DY_EVENT_RELAY_PLACED, "request=%s endpoint=%s version=%s stops=%d", spec.request_id, id,
+          dy_placement_endpoint_version (endpoint), relays->kernel->draining);
   dy_counters_add (&relays->kernel->counters, DY_COUNTER_RELAYS_SERVED, 1);
   start_deadline (served, spec.head.time_left_ms);
   served->attempt_open = true;
@@ -312,11 +328,8 @@
   bool valid = served->body_bytes <= MAX_BODY_BYTES;
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     valid = valid && text_of (served, texts[i]);
-  if (!valid)
-    {
-      static const DyGatewayAttemptResult refused = { .outcome = DY_ATTEMPT_NOT_SENT };
-      end (served, &refused);
-    }
+  if (!valid || relays->kernel->draining)
+    refuse (served, valid ? "stops" : "malformed");
   else if (served->body_bytes == 0)
     start_attempt (served);
 }
