Keep heartbeats on connections that are set aside

A connection that is set aside closes after 30 s without a byte, as its VM may have lost power. On one to a router that goes on, and that was dialled anew meanwhile, a relay may have nothing to say for longer than that, and would be cut. Such connections now carry a heartbeat at a time. By reading; no test waits for 30 s.

--- a/src/services/peers.c
+++ b/src/services/peers.c
@@ -100,15 +100,20 @@
   return is_silent (peers, member) ? "heartbeat" : NULL;
 }
 
+/* A connection that was set aside carries heartbeats, too: what its holders wait for may take
+ * longer than SET_ASIDE_TIMEOUT_US. */
 static void
 close_stale_links (DyPeers *peers)
 {
   GList *links = g_hash_table_get_values (peers->links);
   for (GList *l = links; l; l = l->next)
     {
-      const char *reason = find_stale_reason (peers, l->data);
+      DyPeerLink *link = l->data;
+      const char *reason = find_stale_reason (peers, link);
       if (reason)
-        dy_peers_give_up_link (l->data, reason);
+        dy_peers_give_up_link (link, reason);
+      else if (link->set_aside && !link->pinged_us)
+        dy_peers_send_heartbeat (link, DY_MESSAGE_PING);
     }
   g_list_free (links);
 }
--- a/src/services/peers.h
+++ b/src/services/peers.h
@@ -23,11 +23,11 @@
  * ERRORS
  *   A connection is closed when its HELLO or authentication fails, when the other side breaks
  *   the protocol or does not read what is sent, when a later incarnation of the other router
- *   connects, and, if dialled, when heartbeats get no reply. A missing heartbeat does not prove
- * that the other router is dead, so a connection that is held is then set aside: the member is down
- * and is dialled again, but what is in progress on the connection goes on. If the member is heard
- * from on it first, it takes its place again. A connection that was set aside is closed when no one
- *   holds it any longer or nothing has come on it for a time.
+ *   connects, and, if dialled, when nothing comes from the other router. Silence does not prove
+ *   that it is dead, so a connection that is held is then set aside: the member is down and is
+ *   dialled again, but what is in progress on the connection goes on. If the member is heard from
+ *   on it first, it takes its place again. A connection that was set aside carries heartbeats, and
+ *   is closed when no one holds it any longer or nothing has come on it for a time.
  *
  *   A member whose connection was closed or set aside is dialled again with exponential backoff.
  */
