--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -204,25 +204,38 @@
   dy_reach_record_peer (&reachability->reach, peer, true, now_us (reachability));
 }
 
+typedef struct
+{
+  const DyReachability *reachability;
+  const char *except; /* NULL: none */
+} PeerChoice;
+
 static bool
-is_live (void *ctx, const char *name)
+is_usable (void *ctx, const char *name)
 {
-  const DyReachability *reachability = ctx;
+  const PeerChoice *choice = ctx;
+  const DyReachability *reachability = choice->reachability;
   const DyMembers *members = &reachability->peers->members;
   const DyMember *member = dy_members_find (members, name);
-  return member && dy_members_is_live (members, member, now_us (reachability));
+  return member && g_strcmp0 (name, choice->except) != 0
+         && dy_members_is_live (members, member, now_us (reachability));
 }
 
 const char *
-dy_reachability_choose_peer (const DyReachability *reachability)
+dy_reachability_choose_peer (const DyReachability *reachability, const char *avoid)
 {
-  return dy_reach_choose_peer (&reachability->reach, is_live, (void *) reachability,
-                               now_us (reachability));
+  PeerChoice choice = { reachability, avoid };
+  const char *peer
+      = dy_reach_choose_peer (&reachability->reach, is_usable, &choice, now_us (reachability));
+  if (peer || !avoid)
+    return peer;
+  choice.except = NULL;
+  return dy_reach_choose_peer (&reachability->reach, is_usable, &choice, now_us (reachability));
 }
 
 bool
 dy_reachability_is_out (const DyReachability *reachability)
 {
   return reachability->reach.is_out
-         && (reachability->reach.is_certain || dy_reachability_choose_peer (reachability));
+         && (reachability->reach.is_certain || dy_reachability_choose_peer (reachability, NULL));
 }
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -52,7 +52,8 @@
 /* Records that the router PEER refuses relays, as it stops. */
 void dy_reachability_record_refusal (DyReachability *reachability, const char *peer);
 
-/* Returns the name of the router to relay a request through, or NULL. */
-const char *dy_reachability_choose_peer (const DyReachability *reachability);
+/* Returns the name of the router to relay a request through, or NULL. AVOID (may be NULL) is chosen
+ * only if there is no other one. */
+const char *dy_reachability_choose_peer (const DyReachability *reachability, const char *avoid);
 
 #endif
