Bytes on older connections end "out of reach" unless new ones are refused

A router that is cut off either has channels that hang, old and new, or has new ones refused while old ones may live on. So connections that are not made in time ("unmade", now told from refused ones) or silent are no evidence once bytes have come from any endpoint after them; refused and reset ones are only answered by a new connection that works, as before. A router that has enough refused ones stays out until then.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -62,14 +62,14 @@
 }
 
 static uint32_t
-count_refused (const DyReach *reach)
+count_failed (const DyReach *reach, DyReachFailureKind kind)
 {
   uint32_t n = 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, reach->failed);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    n += ((const DyReachFailure *) value)->kind == DY_REACH_REFUSED;
+    n += ((const DyReachFailure *) value)->kind == kind;
   return n;
 }
 
@@ -84,7 +84,10 @@
   forget_old_failures (reach, now_us);
   g_hash_table_insert (reach->failed, g_strdup (endpoint), g_memdup2 (&failure, sizeof failure));
   uint32_t n_needed = MAX (MIN (reach->policy.min_failed, n_endpoints), 1);
-  reach->is_certain = reach->is_certain || count_refused (reach) >= n_needed;
+  uint32_t n_refused = count_failed (reach, DY_REACH_REFUSED);
+  reach->is_refused = reach->is_refused || n_refused >= n_needed;
+  reach->is_certain
+      = reach->is_certain || n_refused + count_failed (reach, DY_REACH_UNMADE) >= n_needed;
   if (reach->is_out || g_hash_table_size (reach->failed) < n_needed)
     return false;
   reach->is_out = true;
@@ -92,19 +95,44 @@
   return true;
 }
 
-bool
-dy_reach_record_success (DyReach *reach, int64_t now_us)
+/* Returns whether the router was out before. */
+static bool
+end_out (DyReach *reach, int64_t now_us)
 {
   bool was_out = reach->is_out;
-  g_hash_table_remove_all (reach->failed);
-  reach->silent_us = INT64_MIN / 2;
   reach->is_out = false;
   reach->is_certain = false;
+  reach->is_refused = false;
   if (was_out)
     reach->changed_us = now_us;
   return was_out;
 }
 
+bool
+dy_reach_record_success (DyReach *reach, int64_t now_us)
+{
+  g_hash_table_remove_all (reach->failed);
+  reach->silent_us = INT64_MIN / 2;
+  return end_out (reach, now_us);
+}
+
+static gboolean
+is_late (gpointer key, gpointer value, gpointer ctx)
+{
+  (void) key;
+  (void) ctx;
+  return ((const DyReachFailure *) value)->kind != DY_REACH_REFUSED;
+}
+
+bool
+dy_reach_record_bytes (DyReach *reach, int64_t now_us)
+{
+  if (g_hash_table_size (reach->failed) == 0 && !reach->is_out)
+    return false;
+  g_hash_table_foreach_remove (reach->failed, is_late, NULL);
+  return !reach->is_refused && end_out (reach, now_us);
+}
+
 bool
 dy_reach_take_probe (DyReach *reach, int64_t now_us)
 {
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -8,8 +8,11 @@
  * DESCRIPTION
  *   A router is out of reach of the endpoints if new connections to several of them fail and none
  *   works. It judges that by its own traffic and, once a connection has failed, by probes: one that
- *   works shows that the failure was the endpoint's. Connections that were opened earlier count for
- *   nothing, as they may live on.
+ *   works shows that the failure was the endpoint's. A router is cut off either so that nothing
+ *   passes, or so that new connections are refused, and those that were opened earlier may live on.
+ *   So what comes on an earlier connection counts for nothing against connections that were refused
+ *   or reset, and shows that those which were not made in time, or are silent, are late: packets
+ *   wait as long where the link of the router's VM is full.
  *
  *   A connection that is refused or reset, or never made, has failed for certain. One that is made
  *   and then silent may be cut, or its endpoint may go on after a while: as long as enough others
@@ -41,7 +44,8 @@
 
 typedef enum
 {
-  DY_REACH_REFUSED, /* refused, reset or not made */
+  DY_REACH_REFUSED, /* refused or reset */
+  DY_REACH_UNMADE,  /* not made in time */
   DY_REACH_SILENT,  /* made, and silent */
 } DyReachFailureKind;
 
@@ -56,6 +60,7 @@
   DyReachPolicy policy;
   bool is_out;
   bool is_certain;    /* enough connections failed for certain */
+  bool is_refused;    /* enough connections were refused */
   int64_t changed_us; /* time of the latest change of is_out */
   GHashTable *failed; /* endpoint id to its latest failure, a DyReachFailure, since one worked */
   int64_t silent_us;  /* time of the latest silence since one worked */
@@ -82,6 +87,10 @@
  */
 bool dy_reach_record_success (DyReach *reach, int64_t now_us);
 
+/* Records that bytes came from an endpoint on any connection. Returns whether the router was out
+ * before and is not from now on. */
+bool dy_reach_record_bytes (DyReach *reach, int64_t now_us);
+
 /* Returns whether a probe of an endpoint is due, and counts it as made. */
 bool dy_reach_take_probe (DyReach *reach, int64_t now_us);
 
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -199,10 +199,14 @@
 record_reach (const DyGatewayAttempt *attempt, const DyHttpResult *result)
 {
   bool failed = result->error && !attempt->head_received && !attempt->foreign;
+  bool late = result->error == DY_TIMEOUT;
   if (attempt->endpoint_left || result->reused)
     return;
-  if (failed || attempt->head_received)
-    dy_reachability_record (attempt->gateway->reachability, attempt->endpoint_id, !failed);
+  if (failed)
+    dy_reachability_record_failure (attempt->gateway->reachability, attempt->endpoint_id,
+                                    late ? DY_REACH_UNMADE : DY_REACH_REFUSED);
+  else if (attempt->head_received)
+    dy_reachability_record_success (attempt->gateway->reachability);
 }
 
 static void
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -69,7 +69,8 @@
   if (result == DY_LINK_PROBE_WORKS)
     dy_crash_evidence_link_works (&gateway->crash_evidence, started_us);
   /* One that accepted the connection is there, though its answer may be late. */
-  dy_crash_evidence_probed (&gateway->crash_evidence, id, result != DY_LINK_PROBE_FAILED,
+  dy_crash_evidence_probed (&gateway->crash_evidence, id,
+                            result == DY_LINK_PROBE_WORKS || result == DY_LINK_PROBE_SILENT,
                             started_us);
   g_free (id);
 }
@@ -203,6 +204,7 @@
 void
 dy_gateway_record_bytes (DyGateway *gateway, const char *endpoint_id)
 {
+  dy_reachability_record_bytes (gateway->reachability);
   if (gateway->crash_evidence.failures->len > 0)
     dy_crash_evidence_bytes (&gateway->crash_evidence, endpoint_id,
                              dy_kernel_now_us (gateway->kernel));
--- a/src/services/link_probe.c
+++ b/src/services/link_probe.c
@@ -48,7 +48,7 @@
   (void) loop;
   (void) events;
   if (!probe->connected)
-    end_probe (probe, DY_LINK_PROBE_FAILED);
+    end_probe (probe, DY_LINK_PROBE_UNMADE);
   else
     end_probe (probe, probe->request ? DY_LINK_PROBE_SILENT : DY_LINK_PROBE_WORKS);
 }
--- a/src/services/link_probe.h
+++ b/src/services/link_probe.h
@@ -19,7 +19,8 @@
 typedef enum
 {
   DY_LINK_PROBE_WORKS,  /* the connection was made, answered and stayed open */
-  DY_LINK_PROBE_FAILED, /* it was refused, reset or not made */
+  DY_LINK_PROBE_FAILED, /* it was refused or reset */
+  DY_LINK_PROBE_UNMADE, /* it was not made in time */
   DY_LINK_PROBE_SILENT, /* it was made, but no byte came in time */
 } DyLinkProbeResult;
 
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -48,20 +48,33 @@
                 DyReachFailureKind kind,
                 int64_t started_us)
 {
+  static const char *const kinds[] = { "refused", "unmade", "silent" };
   uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
   dy_log (DY_EVENT_REACH_FAILED, "endpoint=%s kind=%s probe_ms=%" G_GINT64_FORMAT, endpoint,
-          kind == DY_REACH_SILENT ? "silent" : "refused",
-          started_us ? (now_us (reachability) - started_us) / 1000 : INT64_C (-1));
+          kinds[kind], started_us ? (now_us (reachability) - started_us) / 1000 : INT64_C (-1));
   if (dy_reach_record_failure (&reachability->reach, endpoint, kind, n, now_us (reachability)))
     report_change (reachability);
 }
 
 void
-dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works)
+dy_reachability_record_failure (DyReachability *reachability,
+                                const char *endpoint,
+                                DyReachFailureKind kind)
 {
-  if (!works)
-    record_failure (reachability, endpoint, DY_REACH_REFUSED, 0);
-  else if (dy_reach_record_success (&reachability->reach, now_us (reachability)))
+  record_failure (reachability, endpoint, kind, 0);
+}
+
+void
+dy_reachability_record_success (DyReachability *reachability)
+{
+  if (dy_reach_record_success (&reachability->reach, now_us (reachability)))
+    report_change (reachability);
+}
+
+void
+dy_reachability_record_bytes (DyReachability *reachability)
+{
+  if (dy_reach_record_bytes (&reachability->reach, now_us (reachability)))
     report_change (reachability);
 }
 
@@ -74,14 +87,15 @@
 static void
 on_probed (void *ctx, DyLinkProbeResult result, int64_t started_us)
 {
+  static const DyReachFailureKind kinds[] = { [DY_LINK_PROBE_FAILED] = DY_REACH_REFUSED,
+                                              [DY_LINK_PROBE_UNMADE] = DY_REACH_UNMADE,
+                                              [DY_LINK_PROBE_SILENT] = DY_REACH_SILENT };
   DyReachability *reachability = ctx;
   char *id = g_steal_pointer (&reachability->probed_id);
   if (result == DY_LINK_PROBE_WORKS)
-    dy_reachability_record (reachability, id, true);
+    dy_reachability_record_success (reachability);
   else
-    record_failure (reachability, id,
-                    result == DY_LINK_PROBE_SILENT ? DY_REACH_SILENT : DY_REACH_REFUSED,
-                    started_us);
+    record_failure (reachability, id, kinds[result], started_us);
   g_free (id);
 }
 
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -40,8 +40,16 @@
 /* Records that an endpoint was silent for longer than expected. */
 void dy_reachability_record_silence (DyReachability *reachability);
 
-/* Records that a new connection to ENDPOINT was refused, reset or not made, or that one worked. */
-void dy_reachability_record (DyReachability *reachability, const char *endpoint, bool works);
+/* Records that a new connection to ENDPOINT failed. */
+void dy_reachability_record_failure (DyReachability *reachability,
+                                     const char *endpoint,
+                                     DyReachFailureKind kind);
+
+/* Records that a new connection to an endpoint worked. */
+void dy_reachability_record_success (DyReachability *reachability);
+
+/* Records that bytes came from an endpoint, on any connection. */
+void dy_reachability_record_bytes (DyReachability *reachability);
 
 /* Returns whether this router does not reach the endpoints, for certain or as another one does. */
 bool dy_reachability_is_out (const DyReachability *reachability);
