Refuse an unknown route or key as 503 where declarations may lack

A router that is behind answered requests on routes declared since with 404, and with keys declared since with 401, for as long as it was behind: the gateway never looked at the age of what it knows. A 404 says that a repeat is of no use, so callers gave up on proper requests.

The directory knows when it may be behind: another router has told of a later change, or the last moment at which there was none is longer ago than routes_bound_ms. Then the refusal is 503 routes_stale, not run, with Retry-After. A router that is up to date answers 404 and 401 as before, also for all that comes while no change is on its way.

The test, with 1, 2 and 9 routers whose store is silent for 3 s, fails with the former gateway_plan.c (404 in place of 503) in all three cases.

--- a/src/kernel/error.h
+++ b/src/kernel/error.h
@@ -82,7 +82,9 @@
      "this router has more requests than it can handle")                                           \
   X (ORIGIN_UNKNOWN, -37, "origin_unknown", 503, 7, NOT_RUN, 1,                                    \
      "the software version that began the stream is not known")                                    \
-  X (FORBIDDEN, -38, "forbidden", 403, 4, NOT_RUN, 0, "the platform does not permit the call")
+  X (FORBIDDEN, -38, "forbidden", 403, 4, NOT_RUN, 0, "the platform does not permit the call")     \
+  X (ROUTES_STALE, -39, "routes_stale", 503, 7, NOT_RUN, 1,                                        \
+     "this router may not know the latest declarations")
 
 typedef enum
 {
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -464,3 +464,10 @@
 {
   return dy_object_watch_age_ms (&directory->endpoints_watch);
 }
+
+bool
+dy_directory_may_lack_routes (const DyDirectory *directory)
+{
+  return directory->newer_us || directory->routes_watch.age.behind_us
+         || dy_directory_routes_age_ms (directory) > directory->kernel->settings->routes_bound_ms;
+}
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -87,4 +87,9 @@
 int64_t dy_directory_routes_age_ms (const DyDirectory *directory);
 int64_t dy_directory_endpoints_age_ms (const DyDirectory *directory);
 
+/* Returns whether a route or a key that is not known here may have been declared longer ago than
+ * declarations may take to come into force: a later change is known to exist, or it is too long ago
+ * that there was none. */
+bool dy_directory_may_lack_routes (const DyDirectory *directory);
+
 #endif
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -70,6 +70,7 @@
              const DyRouteAccount **account)
 {
   const DyRouteTable *routes = &gateway->directory->routes;
+  bool may_lack = dy_directory_may_lack_routes (gateway->directory);
   if (dy_gateway_is_closing (gateway))
     return DY_DRAINING;
   if (dy_http_call_waited_us (call) > MAX_HANDLER_WAIT_US)
@@ -78,10 +79,10 @@
     return DY_STARTING;
   *route = dy_route_table_find (routes, head->host ? head->host : "", dy_http_call_target (call));
   if (!*route)
-    return DY_NOT_FOUND;
+    return may_lack ? DY_ROUTES_STALE : DY_NOT_FOUND;
   *account = dy_route_table_account (routes, head->key);
   if (!*account && !(*route)->is_public && g_hash_table_size (routes->accounts) > 0)
-    return DY_UNAUTHORIZED;
+    return may_lack ? DY_ROUTES_STALE : DY_UNAUTHORIZED;
   return dy_route_pick_target (*route, 0) ? DY_OK : DY_NO_ENDPOINT;
 }
 
--- a/test/test_unanswered_watch.c
+++ b/test/test_unanswered_watch.c
@@ -4,6 +4,8 @@
 #include "support/suite.h"
 #include "support/traffic.h"
 
+#include <string.h>
+
 enum
 {
   INTERVAL_MS = 20,
@@ -87,6 +89,47 @@
 }
 END_TEST
 
+/* Neither can be proper by any declarations of these tests. */
+static const struct
+{
+  SiteRequest request;
+  unsigned status; /* while the declarations are known */
+} undeclared[] = {
+  { { .method = "GET", .target = "/unknown/x/ok" }, 404 },
+  { { .method = "GET", .target = "/ok/x/ok", .key = "k-unknown" }, 401 },
+};
+
+static void
+assert_undeclared (Site *site, bool known)
+{
+  for (uint32_t i = 0; i < site->n_routers; i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (undeclared); k++)
+      {
+        SiteAnswer answer;
+        site_send (site, i, &undeclared[k].request, &answer);
+        ck_assert_uint_eq (answer.status, known ? undeclared[k].status : 503);
+        ck_assert (known || strstr (answer.head->str, "retry-after: "));
+        site_answer_finish (&answer);
+      }
+}
+
+/* A router that cannot know whether a route was declared since must not say that there is none. */
+START_TEST (an_undeclared_route_or_key_is_refused_for_good_only_if_declarations_are_known)
+{
+  static const uint32_t fleets[] = { 1, 2, 9 };
+  Site site;
+  ck_assert (site_init (&site, fleets[_i]));
+  assert_undeclared (&site, true);
+  site_set_store (&site, "{\"drop_watches\":true,\"silent\":true}");
+  site_run_for (&site, SILENCE_MS);
+  assert_undeclared (&site, false);
+  site_set_store (&site, "{}");
+  site_run_for (&site, APPLY_MS);
+  assert_undeclared (&site, true);
+  site_finish (&site);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -100,5 +143,7 @@
                        G_N_ELEMENTS (cases));
   tcase_add_loop_test (tcase, a_leaving_endpoint_gets_no_requests_though_watches_are_unanswered, 0,
                        G_N_ELEMENTS (cases));
+  tcase_add_loop_test (
+      tcase, an_undeclared_route_or_key_is_refused_for_good_only_if_declarations_are_known, 0, 3);
   return suite_run ("unanswered_watch", tcase);
 }
