Pack long changes and route tables on the way between routers

A route table went along the tree as it is, to 8 routers by each that passes it on, and not at all above the frame size (64 KiB); then every router read it from the store itself.

Changes of more than 4 KiB are deflated (zlib, which libcurl brings into the process anyhow; zlib1g-dev is needed to build) and stand in the same message as "packed". So does the route table that a router asks others for when their heartbeats tell of a later one, if its request says that it understands that. A mixed fleet: former builds find no "changes" in a long message and ask the store, as they did above the frame size; they are sent, and send, tables as they are.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD_LEAK = build-leak
 JOBS = 6
 PACKAGES = pkg-config cmake libev-dev libmsgpack-dev libmicrohttpd-dev libcurl4-openssl-dev \
-  libglib2.0-dev check libjansson-dev libxxhash-dev clang-format clang-tidy cppcheck
+  libglib2.0-dev check libjansson-dev libxxhash-dev zlib1g-dev clang-format clang-tidy cppcheck
 SOURCES = $(shell git ls-files '*.c' '*.h' 2>/dev/null || find src test -name '*.[ch]')
 
 # Suites of which KNOWN-RED.txt may list single tests under the sanitizers.
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -3,6 +3,7 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/priority.h"
+#include "services/packed_text.h"
 
 #include <string.h>
 
@@ -17,7 +18,8 @@
   PEER_REQUEST_INTERVAL_US = 300 * 1000,
   /* A record that disappears this soon after an outage may have expired during the outage. */
   EXPIRY_WINDOW_US = 4000 * 1000,
-  EXPIRY_GRACE_US = 1200 * 1000, /* endpoints renew expired records within two seconds */
+  MAX_ROUTES_BYTES = 4 * 1024 * 1024, /* of another router's reply, once unpacked */
+  EXPIRY_GRACE_US = 1200 * 1000,      /* endpoints renew expired records within two seconds */
   /* A restored store may lack the records of endpoints that serve; they write them again within two
    * seconds. */
   RESTORED_GRACE_US = 1900 * 1000,
@@ -25,6 +27,9 @@
 
 static const double EXPIRY_CHECK_S = 0.1;
 
+/* Of a CONFIG_GET: the reply may be packed. Of a CONFIG: it is. */
+static const char PACKED_PREFIX[] = "packed/";
+
 typedef struct
 {
   int64_t start_ms; /* Unix time; 0: not stated */
@@ -63,6 +68,7 @@
   directory->newer_us = 0;
   g_free (directory->routes_text);
   directory->routes_text = g_strdup (object->value);
+  g_clear_pointer (&directory->routes_packed, g_free);
   directory->routes_revision = object->version;
   directory->peers->config_version = table.version;
   dy_counters_set (&directory->kernel->counters, DY_COUNTER_CONFIG_VERSION,
@@ -286,20 +292,49 @@
 static const DyObjectWatcher endpoints_watcher
     = { .apply = apply_endpoint, .list_begun = drop_held, .list_ended = remove_unlisted };
 
-/* Sends the route table to a router that asked for a version above AFTER. */
+/* Sends the route table to the router that asked with GET for a later one than its own. */
 static void
-reply_to_peer (DyDirectory *directory, uint64_t link, uint64_t after)
+reply_to_peer (DyDirectory *directory, uint64_t link, const DyMessage *get)
 {
   DyMessage message = { .type = DY_MESSAGE_CONFIG };
-  if (!directory->has_routes || directory->routes.version <= after)
+  if (!directory->has_routes || directory->routes.version <= get->u.config.version)
     return;
+  size_t n_text = strlen (directory->routes_text);
+  bool packs = n_text > DY_PACKED_TEXT_MIN_BYTES && strcmp (get->u.config.key, PACKED_PREFIX) == 0;
+  if (packs && !directory->routes_packed)
+    directory->routes_packed = dy_packed_text_encode (directory->routes_text, n_text);
   message.u.config.version = directory->routes_revision;
-  message.u.config.text = directory->routes_text;
-  message.u.config.n_text = (uint32_t) strlen (directory->routes_text);
-  g_strlcpy (message.u.config.key, directory->dialect->routes_key, DY_KEY_SIZE);
+  message.u.config.text = packs ? directory->routes_packed : directory->routes_text;
+  message.u.config.n_text = (uint32_t) strlen (message.u.config.text);
+  g_snprintf (message.u.config.key, DY_KEY_SIZE, "%s%s", packs ? PACKED_PREFIX : "",
+              directory->dialect->routes_key);
   dy_peers_reply (directory->peers, link, &message);
 }
 
+/* Takes the route table from another router's reply. */
+static void
+take_reply (DyDirectory *directory, const DyMessage *message)
+{
+  const char *text = message->u.config.text;
+  const char *key = message->u.config.key;
+  bool packed = g_str_has_prefix (key, PACKED_PREFIX);
+  size_t n_text = message->u.config.n_text;
+  char *value = packed ? dy_packed_text_decode (text, n_text, MAX_ROUTES_BYTES, &n_text)
+                       : g_strndup (text, n_text);
+  if (value)
+    {
+      DyObject object = { .key = packed ? key + strlen (PACKED_PREFIX) : key,
+                          .version = message->u.config.version,
+                          .value = value,
+                          .n_value = n_text };
+      apply_routes (directory, &object);
+    }
+  else
+    dy_log (DY_EVENT_DECLARATION_REJECTED, "key=%s version=%" G_GUINT64_FORMAT, key,
+            message->u.config.version);
+  g_free (value);
+}
+
 static void
 on_message (void *ctx, uint64_t link, const DyMessage *message)
 {
@@ -307,17 +342,9 @@
   dy_object_watch_take (&directory->routes_watch, message);
   dy_object_watch_take (&directory->endpoints_watch, message);
   if (message->type == DY_MESSAGE_CONFIG_GET)
-    reply_to_peer (directory, link, message->u.config.version);
+    reply_to_peer (directory, link, message);
   else if (message->type == DY_MESSAGE_CONFIG && message->u.config.text)
-    {
-      char *text = g_strndup (message->u.config.text, message->u.config.n_text);
-      DyObject object = { .key = message->u.config.key,
-                          .version = message->u.config.version,
-                          .value = text,
-                          .n_value = message->u.config.n_text };
-      apply_routes (directory, &object);
-      g_free (text);
-    }
+    take_reply (directory, message);
 }
 
 static void
@@ -334,6 +361,7 @@
     return;
   DyMessage message = { .type = DY_MESSAGE_CONFIG_GET };
   message.u.config.version = own;
+  g_strlcpy (message.u.config.key, PACKED_PREFIX, DY_KEY_SIZE);
   directory->asked_us = now;
   dy_peers_reply (directory->peers, link, &message);
 }
@@ -388,6 +416,7 @@
   g_hash_table_unref (directory->held);
   dy_departures_finish (&directory->departures);
   g_free (directory->routes_text);
+  g_free (directory->routes_packed);
 }
 
 static void
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -48,6 +48,7 @@
   DyRouteTable routes;
   bool has_routes;
   char *routes_text;        /* the encoded route table, to be sent to other routers */
+  char *routes_packed;      /* the same packed; NULL: not yet */
   uint64_t routes_revision; /* store version of the object that holds the route table */
   GHashTable *endpoints;    /* id to the state of the endpoint's record */
   DyDepartures departures;  /* endpoints that have left */
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -4,6 +4,7 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "services/object_changes.h"
+#include "services/packed_text.h"
 #include "services/wire.h"
 
 #include <jansson.h>
@@ -14,6 +15,7 @@
 enum
 {
   MAX_SPREAD_BYTES = DY_MAX_FRAME_BYTES - 8 * 1024, /* the rest is for the other fields */
+  MAX_CHANGES_BYTES = 4 * 1024 * 1024,              /* before they are packed */
   RETRY_MS = 200, /* between calls while the store is unreachable */
   /* A record that disappears soon after an outage may have expired during the outage, unless that
    * was shorter than a record's lifetime without renewals. */
@@ -127,6 +129,39 @@
     watch->watcher->updated (watch->ctx, reply->version);
 }
 
+/* Adds CHANGES to ROOT, packed if they are long. Returns false, and adds nothing, if they are too
+ * long even so. Takes the reference of CHANGES. */
+static bool
+add_changes (json_t *root, json_t *changes)
+{
+  char *text = json_dumps (changes, JSON_COMPACT);
+  size_t n = strlen (text);
+  char *packed = n > DY_PACKED_TEXT_MIN_BYTES ? dy_packed_text_encode (text, n) : NULL;
+  bool fits = !packed || strlen (packed) <= MAX_SPREAD_BYTES;
+  if (!packed)
+    json_object_set (root, "changes", changes);
+  else if (fits)
+    json_object_set_new (root, "packed", json_string (packed));
+  g_free (packed);
+  free (text);
+  json_decref (changes);
+  return fits;
+}
+
+/* Returns the changes in ROOT as a new reference, or NULL if it has none. */
+static json_t *
+read_changes (const json_t *root)
+{
+  const char *packed = json_string_value (json_object_get (root, "packed"));
+  size_t n_text = 0;
+  if (!packed)
+    return json_incref (json_object_get (root, "changes"));
+  char *text = dy_packed_text_decode (packed, strlen (packed), MAX_CHANGES_BYTES, &n_text);
+  json_t *changes = text ? json_loadb (text, n_text, 0, NULL) : NULL;
+  g_free (text);
+  return changes ? changes : json_null ();
+}
+
 /* Tells all routers up to which change this one has confirmed what it knows, and how long ago. With
  * REPLY, the answer to CALL, its changes are passed on. */
 static void
@@ -137,14 +172,13 @@
                             "age_ms", (json_int_t) age_ms, "by_list", call->lists);
   json_t *changes
       = reply && !call->lists
-            ? dy_object_changes_encode (reply->objects, reply->n_objects, MAX_SPREAD_BYTES)
+            ? dy_object_changes_encode (reply->objects, reply->n_objects, MAX_CHANGES_BYTES)
             : NULL;
-  if (changes)
+  if (changes && add_changes (root, changes))
     {
       json_object_set_new (root, "base", json_integer ((json_int_t) call->base));
       json_object_set_new (root, "base_changed", json_integer ((json_int_t) call->changed));
       json_object_set_new (root, "version", json_integer ((json_int_t) reply->version));
-      json_object_set_new (root, "changes", changes);
     }
   char *key = g_strconcat (AGE_PREFIX, watch->prefix, NULL);
   dy_spread_send (watch->spread, key, root);
@@ -357,23 +391,26 @@
 static void
 take_changes (DyObjectWatch *watch, const json_t *root, uint64_t changed, int64_t confirmed_us)
 {
-  const json_t *changes = json_object_get (root, "changes");
   uint64_t version = (uint64_t) json_integer_value (json_object_get (root, "version"));
-  if (!changes
-      || !dy_watch_age_may_take (
+  if (!dy_watch_age_may_take (
           &watch->age, (uint64_t) json_integer_value (json_object_get (root, "base")),
           (uint64_t) json_integer_value (json_object_get (root, "base_changed")), version))
     return;
+  json_t *changes = read_changes (root);
+  if (!changes)
+    return;
   if (!dy_object_changes_are_valid (changes, watch->prefix))
     {
       dy_log (DY_EVENT_SPREAD_INVALID, "prefix=%s version=%" G_GUINT64_FORMAT, watch->prefix,
               version);
+      json_decref (changes);
       return;
     }
   dy_watch_age_record_answer (&watch->age, version, changed, confirmed_us);
   dy_counters_add (&watch->kernel->counters, DY_COUNTER_CHANGES_TAKEN,
                    (int64_t) json_array_size (changes));
   apply_changes (watch, changes);
+  json_decref (changes);
 }
 
 void
--- a/test/test_store_calls.c
+++ b/test/test_store_calls.c
@@ -249,6 +249,105 @@
 }
 END_TEST
 
+/* Only one or two routers read it; the bound is that of small tables. */
+START_TEST (a_route_table_above_the_frame_size_costs_no_more_calls_in_a_large_fleet)
+{
+  enum
+  {
+    N_VERSIONS = LAST_LARGE_VERSION - 1,
+    MAX_LARGE_CALLS = 2 * N_VERSIONS + 3 * 2 * N_VERSIONS * APPLY_MS / 1000,
+  };
+  Site site;
+  char *extra = format_routes (N_LARGE_ROUTES);
+  ck_assert (site_init (&site, fleets[_i]));
+  site_run_for (&site, SETTLE_MS);
+  int64_t n_before = count_reads (&site);
+  for (int version = 2; version <= LAST_LARGE_VERSION; version++)
+    {
+      ck_assert (site_put_routes (&site, version, extra, PREPAID));
+      site_run_for (&site, APPLY_MS);
+    }
+  int64_t n_calls = count_reads (&site) - n_before;
+  ck_assert_uint_eq (count_updated (&site, LAST_LARGE_VERSION), site.n_routers);
+  ck_assert_msg (n_calls <= MAX_LARGE_CALLS, "%" G_GINT64_FORMAT " calls, allowed %d", n_calls,
+                 MAX_LARGE_CALLS);
+  g_free (extra);
+  site_finish (&site);
+}
+END_TEST
+
+static int64_t
+bytes_sent (Site *site, uint32_t i)
+{
+  json_t *dump = fleet_call (&site->fleet, "GET", site->operators[i], "/dump", NULL);
+  const json_t *peers = json_object_get (dump, "peers");
+  int64_t n = json_integer_value (json_object_get (peers, "bytes_sent"));
+  json_decref (dump);
+  return n;
+}
+
+/* Links of routers carry requests, too. Each version has one more route, so each is another text.
+ */
+START_TEST (changes_of_a_large_route_table_leave_a_small_link_to_requests)
+{
+  enum
+  {
+    SMALL_LINK_BITS_PER_S = 10 * 1000 * 1000,
+    N_ROUTES = 250, /* 50 KB */
+    STORM_INTERVAL_MS = 330,
+    N_STORM = 12,
+  };
+  static const double MAX_SHARE = 0.25;
+  Site site;
+  int64_t n_before[SITE_MAX_ROUTERS];
+  ck_assert (site_init (&site, fleets[_i]));
+  site_run_for (&site, SETTLE_MS);
+  for (uint32_t i = 0; i < site.n_routers; i++)
+    n_before[i] = bytes_sent (&site, i);
+  int64_t start_us = g_get_monotonic_time ();
+  for (int k = 0; k < N_STORM; k++)
+    {
+      char *extra = format_routes (N_ROUTES + k);
+      ck_assert (site_put_routes (&site, 2 + k, extra, PREPAID));
+      g_free (extra);
+      site_run_for (&site, STORM_INTERVAL_MS);
+    }
+  double storm_s = (double) (g_get_monotonic_time () - start_us) / 1e6;
+  for (uint32_t i = 0; i < site.n_routers; i++)
+    {
+      double bits_per_s = 8.0 * (double) (bytes_sent (&site, i) - n_before[i]) / storm_s;
+      ck_assert_msg (bits_per_s <= MAX_SHARE * SMALL_LINK_BITS_PER_S, "r%u sent %.0f bit/s", i,
+                     bits_per_s);
+    }
+  ck_assert_uint_eq (count_updated (&site, 1 + N_STORM), site.n_routers);
+  site_finish (&site);
+}
+END_TEST
+
+START_TEST (a_router_out_of_reach_of_the_store_gets_a_large_route_table_from_the_others)
+{
+  enum
+  {
+    N_ROUTERS = 3,
+    STARTED = 1,
+    VERSION = 2,
+  };
+  Site site;
+  char *extra = format_routes (N_LARGE_ROUTES);
+  ck_assert (site_init_relayed (&site, N_ROUTERS, PREPAID));
+  site_run_for (&site, SETTLE_MS);
+  ck_assert (site_put_routes (&site, VERSION, extra, PREPAID));
+  site_run_for (&site, APPLY_MS);
+  ck_assert_uint_eq (count_updated (&site, VERSION), N_ROUTERS);
+  relay_set_fault (&site.store_relay[STARTED], RELAY_DROP);
+  ck_assert (site_start_router (&site, STARTED));
+  site_run_for (&site, JOIN_MS);
+  ck_assert_uint_eq (count_updated (&site, VERSION), N_ROUTERS);
+  g_free (extra);
+  site_finish (&site);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -271,5 +370,12 @@
   tcase_add_loop_test (
       tcase, a_route_table_above_the_frame_size_reaches_all_routers_and_breaks_no_connection, 0,
       G_N_ELEMENTS (fleets));
+  tcase_add_loop_test (tcase,
+                       a_route_table_above_the_frame_size_costs_no_more_calls_in_a_large_fleet, 0,
+                       G_N_ELEMENTS (fleets));
+  tcase_add_loop_test (tcase, changes_of_a_large_route_table_leave_a_small_link_to_requests, 0,
+                       G_N_ELEMENTS (fleets));
+  tcase_add_test (tcase,
+                  a_router_out_of_reach_of_the_store_gets_a_large_route_table_from_the_others);
   return suite_run ("store_calls", tcase);
 }
