Pass on what a check returned only if nobody had told of it

A router that had heard of a later change, and not got it in time, asked the store and passed the answer on to all routers along a tree of its own.

A check that was made because another router had told of a change is passed on to nobody now: whoever told of it did so to all. One that was made for the age of what is known is passed on as before, also if it finds a change.

Test: changes_that_another_router_has_told_of_are_not_passed_on_again fails without the condition (1 message, expected 0).

--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -15,7 +15,8 @@
  *   check in an order that all compute alike, each after a longer time than those before it. Only
  *   the first router keeps a watch; it passes the changes on, and so does a router whose check
  *   returns some. A router that learns that a newer change exists checks after a short time, which
- *   differs between routers, unless the change itself arrives before.
+ *   differs between routers, unless the change itself arrives before; what that check returns is
+ *   passed on to nobody, as it was already.
  *
  *   A check is sent to the store as a short watch. After one that failed, all objects are listed
  *   instead, as the store may answer lists but no watches.
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -194,6 +194,7 @@
   call->lists = lists;
   call->base = lists ? 0 : watch->age.version;
   call->changed = watch->age.changed_version;
+  call->told = watch->age.behind_us != 0;
   call->sent_us = now_us (watch);
 }
 
@@ -309,7 +310,10 @@
   apply_reply (watch, reply, call->lists);
   if (has_changes || watch->suspect)
     replace_call (watch, has_changes ? "late" : "outage");
-  spread_age (watch, call, has_changes ? reply : NULL);
+  /* What this router asked for as another one had told of it is on its way to all others. If each
+   * that is late passed it on, all of them would be later still. */
+  if (!call->told)
+    spread_age (watch, call, has_changes ? reply : NULL);
 }
 
 static void
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -257,6 +257,39 @@
 }
 END_TEST
 
+/* Every router that is late would pass the same changes on to all others, and make them later. */
+static const struct
+{
+  const char *name;
+  bool told; /* by another router, before the check */
+  uint64_t n_spread;
+} spread_cases[] = {
+  { "found by age", false, 1 },
+  { "another router has told of it", true, 0 },
+};
+
+START_TEST (changes_that_another_router_has_told_of_are_not_passed_on_again)
+{
+  static const char told[] = "{\"changed\":3,\"age_ms\":0,\"by_list\":false}";
+  const DyPlatformReply list = { .version = 2, .objects = listed, .n_objects = 2 };
+  const DyPlatformReply change = { .version = 3, .objects = removal, .n_objects = 1 };
+  DyMessage message
+      = { .type = DY_MESSAGE_CONFIG,
+          .u.config = { .key = "watch-ages/servers/", .text = told, .n_text = sizeof told - 1 } };
+  Fixture fixture;
+  fixture_init (&fixture);
+  start_directory (&fixture);
+  answer_call (&fixture, 'l', "servers/", &list);
+  if (spread_cases[_i].told)
+    dy_object_watch_take (&fixture.directory.endpoints_watch, &message);
+  answer_call (&fixture, 'c', "servers/", &change);
+  ck_assert_uint_eq (dy_placement_count (&fixture.directory.placement, "app"), 1);
+  ck_assert_msg (fixture.directory.spread.number == spread_cases[_i].n_spread, "%s: %d messages",
+                 spread_cases[_i].name, (int) fixture.directory.spread.number);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* A stand-in of the store on a socket, which knows on which connection a call arrives. It answers
  * watches at once and other calls never. */
 typedef struct
@@ -517,6 +550,8 @@
   tcase_add_test (tcase, writes_that_the_store_refuses_do_not_open_the_breaker);
   tcase_add_test (tcase, watch_keeps_its_connection_when_other_calls_time_out);
   tcase_add_test (tcase, attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice);
+  tcase_add_loop_test (tcase, changes_that_another_router_has_told_of_are_not_passed_on_again, 0,
+                       G_N_ELEMENTS (spread_cases));
   tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
                        (int) G_N_ELEMENTS (removal_cases));
