Let lists and changes take longer as long as their bytes arrive

A list of the store, or the changes since a version, had one time limit for all, 700 ms as deployed.

The limit now ends with the first byte of the body. A store that is silent, or stops in the middle, is noticed as soon as before.

Test: a_body_that_keeps_arriving_may_take_longer_than_an_answer; its first case is the former behaviour.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -25,8 +25,11 @@
   uint64_t etag;
   int64_t timeout_ms;
   int64_t read_timeout_ms;
-  int64_t max_idle_ms;     /* 0: no limit */
-  int64_t max_silence_ms;  /* 0: that of the socket */
+  int64_t max_idle_ms;    /* 0: no limit */
+  int64_t max_silence_ms; /* 0: that of the socket */
+  int64_t progress_timeout_ms;
+  int64_t body_timeout_ms;
+  double body_end_s;       /* loop time at which the body must be complete; 0: it has not begun */
   uint64_t max_body_bytes; /* 0: no limit */
   uint64_t n_head_bytes;
   uint64_t n_body_bytes;
@@ -112,6 +115,19 @@
   ev_timer_start (loop, &transfer->limit_timer);
 }
 
+/* Bytes of the body have arrived. */
+static void
+extend_limit (DyHttpTransfer *transfer)
+{
+  double now_s = ev_now (transfer->client->loop);
+  if (!transfer->progress_timeout_ms)
+    return;
+  if (transfer->body_end_s == 0)
+    transfer->body_end_s = now_s + (double) transfer->body_timeout_ms / 1000.0;
+  int64_t left_ms = (int64_t) ((transfer->body_end_s - now_s) * 1000.0);
+  set_limit (transfer, CLAMP (left_ms, 1, transfer->progress_timeout_ms));
+}
+
 /* Restarts the transfer; nothing was sent on the stale connection. */
 static void
 restart_on_new_connection (DyHttpTransfer *transfer)
@@ -268,6 +284,7 @@
   DyHttpTransfer *transfer = ctx;
   if (transfer->read_timeout_ms)
     ev_timer_again (transfer->client->loop, &transfer->read_timer);
+  extend_limit (transfer);
   if (transfer->max_body_bytes && transfer->n_body_bytes + size * n > transfer->max_body_bytes)
     return 0;
   transfer->client->n_callbacks++;
@@ -474,6 +491,8 @@
   transfer->head = g_ptr_array_new_with_free_func (g_free);
   transfer->timeout_ms = spec->timeout_ms;
   transfer->read_timeout_ms = spec->read_timeout_ms;
+  transfer->progress_timeout_ms = spec->progress_timeout_ms;
+  transfer->body_timeout_ms = spec->body_timeout_ms;
   transfer->max_idle_ms = spec->max_idle_ms;
   transfer->max_silence_ms = spec->max_silence_ms;
   transfer->max_body_bytes = spec->max_body_bytes;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -103,9 +103,14 @@
   int64_t connect_timeout_ms; /* limit on the time until the request is sent; 0: libcurl's */
   int64_t timeout_ms;         /* limit on the time from then to the end of the answer; 0: none */
   int64_t read_timeout_ms;    /* limit on each wait for bytes of the answer; 0: no limit */
-  uint64_t max_body_bytes;    /* a longer body ends the transfer with DY_PROTOCOL; 0: no limit */
-  bool new_connection;        /* do not use one that is kept, as it may be dead */
-  int64_t max_idle_ms; /* connections idle for so long are not reused; 0: libcurl's default */
+  /* For long bodies on slow links: TIMEOUT_MS ends with the body's first byte. From then on each
+   * wait for further bytes is limited to PROGRESS_TIMEOUT_MS, and all of them together to
+   * BODY_TIMEOUT_MS. 0: not so. */
+  int64_t progress_timeout_ms;
+  int64_t body_timeout_ms;
+  uint64_t max_body_bytes; /* a longer body ends the transfer with DY_PROTOCOL; 0: no limit */
+  bool new_connection;     /* do not use one that is kept, as it may be dead */
+  int64_t max_idle_ms;     /* connections idle for so long are not reused; 0: libcurl's default */
   /* Time for which the server's host may acknowledge nothing that was sent, or leave probes of the
    * connection unanswered, before the transfer fails; also how long it may refuse to take the
    * request's body; 0: 2 s. */
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -6,6 +6,7 @@
 #include "net/address.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "support/canned.h"
 #include "support/endless.h"
 #include "support/fleet.h"
 #include "support/suite.h"
@@ -612,6 +613,63 @@
 }
 END_TEST
 
+/* The rest of the body comes REST_MS after the head and the first part. The time limit of the
+ * answer is HEAD_LIMIT_MS. */
+static const struct
+{
+  const char *name;
+  int64_t rest_ms; /* 0: never */
+  int64_t progress_timeout_ms;
+  int64_t body_timeout_ms;
+  int error;
+  int64_t max_ms; /* until the end */
+} slow_bodies[] = {
+  { "one limit for all", 900, 0, 0, DY_TIMEOUT, 800 },
+  { "makes progress", 900, 1500, 5000, DY_OK, 2000 },
+  { "stops", 0, 400, 5000, DY_TIMEOUT, 1200 },
+  { "takes too long in all", 900, 1500, 500, DY_TIMEOUT, 850 },
+};
+
+START_TEST (a_body_that_keeps_arriving_may_take_longer_than_an_answer)
+{
+  enum
+  {
+    HEAD_LIMIT_MS = 400,
+    NEVER_MS = 20 * 1000,
+  };
+  static const DyHttpTransferWatcher watcher = { .done = on_done };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  char *url = g_strdup_printf ("http://%s/p", address);
+  CannedServer server;
+  Outcome outcome = { .loop = loop };
+  DyHttpSpec spec = { .method = "GET",
+                      .url = url,
+                      .connect_timeout_ms = HEAD_LIMIT_MS,
+                      .timeout_ms = HEAD_LIMIT_MS,
+                      .progress_timeout_ms = slow_bodies[_i].progress_timeout_ms,
+                      .body_timeout_ms = slow_bodies[_i].body_timeout_ms };
+  DyHttpClient client;
+  ck_assert (canned_init (&server, loop, address, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab",
+                          false));
+  server.rest = "cd";
+  server.silence_ms = slow_bodies[_i].rest_ms ? slow_bodies[_i].rest_ms : NEVER_MS;
+  dy_http_client_init (&client, loop);
+  int64_t start_us = g_get_monotonic_time ();
+  dy_http_client_start (&client, &spec, &watcher, &outcome);
+  while (!outcome.done)
+    ev_run (loop, EVRUN_ONCE);
+  int64_t ms = (g_get_monotonic_time () - start_us) / 1000;
+  ck_assert_msg (outcome.result.error == slow_bodies[_i].error, "%s: error %d",
+                 slow_bodies[_i].name, outcome.result.error);
+  ck_assert_msg (ms <= slow_bodies[_i].max_ms, "%s: %d ms", slow_bodies[_i].name, (int) ms);
+  dy_http_client_finish (&client);
+  canned_finish (&server);
+  g_free (url);
+  g_free (address);
+}
+END_TEST
+
 typedef struct
 {
   DyHttpServer server;
@@ -696,6 +754,8 @@
   tcase_add_test (tcase, a_connection_with_unread_bytes_is_not_reused);
   tcase_add_test (tcase, socket_whose_connecting_timed_out_is_forgotten);
   tcase_add_test (tcase, connections_with_the_same_local_port_are_not_confused);
+  tcase_add_loop_test (tcase, a_body_that_keeps_arriving_may_take_longer_than_an_answer, 0,
+                       G_N_ELEMENTS (slow_bodies));
   tcase_add_loop_test (tcase, a_held_up_loop_is_not_a_timeout_of_the_server, 0,
                        (int) G_N_ELEMENTS (delay_cases));
   tcase_add_loop_test (tcase, answer_that_never_ends_is_cut_off, 0,
