--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -48,6 +48,7 @@
   DyRouteTable routes;
   bool has_routes;
   char *routes_text;        /* the encoded route table, to be sent to other routers */
+  char *routes_packed;      /* the same packed; NULL: not yet */
   uint64_t routes_revision; /* store version of the object that holds the route table */
   GHashTable *endpoints;    /* id to the state of the endpoint's record */
   DyDepartures departures;  /* endpoints that have left */
@@ -87,4 +88,9 @@
 int64_t dy_directory_routes_age_ms (const DyDirectory *directory);
 int64_t dy_directory_endpoints_age_ms (const DyDirectory *directory);
 
+/* Returns whether a route or a key that is not known here may have been declared longer ago than
+ * declarations may take to come into force: a later change is known to exist, or it is too long ago
+ * that there was none. */
+bool dy_directory_may_lack_routes (const DyDirectory *directory);
+
 #endif
