Tests: programs that run side by side take no port of each other

A test took a port that was free, closed it and had a process listen on it later; a second program could take it in between, or while a killed process was about to start again on it. That was rare only as suites ran one after the other: programs whose ids differ by 12 began 36 ports apart, and one with 24 routers takes over 100. Now ports come in blocks of 100, and the first port of a block stays bound until the program ends.

--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -30,31 +30,60 @@
   bool done;
 } Call;
 
-/* The port is outside the range of ephemeral ports, so no outgoing connection can take it before a
- * process of the fleet listens on it. */
+/* Ports are outside the range of ephemeral ports, so no outgoing connection can take one before a
+ * process of the fleet listens on it. They are handed out in blocks. The first port of a block
+ * stays bound while the test program runs: programs that run side by side take no port of each
+ * other, not even one whose process has been killed and will be started again. */
+enum
+{
+  FIRST_PORT = 20000,
+  PORTS_PER_BLOCK = 100,
+  N_BLOCKS = 120,
+};
+
+/* Binds SOCKET_FD to PORT. Returns whether it was free. */
+static bool
+bind_port (int socket_fd, uint32_t port)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t) port) };
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  return bind (socket_fd, (struct sockaddr *) &addr, sizeof addr) == 0;
+}
+
+/* Returns the first port of a block that no other program holds. */
+static uint32_t
+hold_block (void)
+{
+  static uint32_t block;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (block == 0)
+    block = (uint32_t) getpid ();
+  uint32_t port;
+  do
+    port = FIRST_PORT + block++ % N_BLOCKS * PORTS_PER_BLOCK;
+  while (!bind_port (fd, port));
+  return port;
+}
+
 char *
 fleet_free_address (void)
 {
-  enum
-  {
-    FIRST_PORT = 20000,
-    N_PORTS = 12000,
-  };
-  static uint32_t next;
-  struct sockaddr_in addr = { .sin_family = AF_INET };
-  int error = -1;
-  /* Test programs that run concurrently start at different ports. */
-  if (next == 0)
-    next = (uint32_t) getpid () * 997;
-  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  while (error)
+  static uint32_t port;
+  static uint32_t end;
+  bool is_free = false;
+  while (!is_free)
     {
-      int fd = socket (AF_INET, SOCK_STREAM, 0);
-      addr.sin_port = htons ((uint16_t) (FIRST_PORT + next++ % N_PORTS));
-      error = bind (fd, (struct sockaddr *) &addr, sizeof addr);
+      if (port == end)
+        {
+          port = hold_block ();
+          end = port + PORTS_PER_BLOCK;
+          port++;
+        }
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      is_free = bind_port (fd, port++);
       close (fd);
     }
-  return g_strdup_printf ("127.0.0.1:%u", ntohs (addr.sin_port));
+  return g_strdup_printf ("127.0.0.1:%u", port - 1);
 }
 
 char *
