--- a/Makefile
+++ b/Makefile
@@ -2,16 +2,12 @@
 
 BUILD = build
 BUILD_LEAK = build-leak
-JOBS = 6
+# Compilers, linters and suites side by side; `make JOBS=2 check` leaves the other cores to other work.
+JOBS := $(shell n=$$(nproc); echo $$((n < 16 ? n : 16)))
 PACKAGES = pkg-config cmake libev-dev libmsgpack-dev libmicrohttpd-dev libcurl4-openssl-dev \
   libglib2.0-dev check libjansson-dev libxxhash-dev clang-format clang-tidy cppcheck
 SOURCES = $(shell git ls-files '*.c' '*.h' 2>/dev/null || find src test -name '*.[ch]')
 
-# Suites of which KNOWN-RED.txt may list single tests under the sanitizers.
-SUITES_WITH_LIST = faults process soak net gateway_request silent_attempts directory crash_parts named_limits restored_store stream_origins \
-  unanswered_watch start_without_store endpoint_cut cut_relays store_calls silent_endpoints
-space = $(subst ,, )
-
 all: build
 
 packages:
@@ -23,7 +19,7 @@
 	@cmake --build $(BUILD) -j$(JOBS)
 
 test: build
-	@test/run.sh $(BUILD)
+	@test/run.sh $(BUILD) plain $(JOBS)
 
 demo: build
 	@DY_BIN=$(BUILD) DY_EXAMPLES=examples $(BUILD)/demo
@@ -33,18 +29,16 @@
 
 lint: build
 	@clang-format --dry-run --Werror $(SOURCES)
-	@test/lint.sh $(BUILD)
+	@test/lint.sh $(BUILD) $(JOBS)
 
 check: build lint leakcheck test
 
-# Runs the tests under the sanitizers; of the replay tests only a part of the random schedules, as
-# each takes ten times as long.
+# Runs the tests under the sanitizers; of the replay tests only a part of the random schedules (part-of-replay in
+# test/CMakeLists.txt), as each takes ten times as long.
 leakcheck: packages
 	@cmake -S . -B $(BUILD_LEAK) -DDY_SANITIZE=ON >/dev/null
 	@cmake --build $(BUILD_LEAK) -j$(JOBS)
-	@ctest --test-dir $(BUILD_LEAK) --output-on-failure -E '^(replay|$(subst $(space),|,$(SUITES_WITH_LIST)))'
-	@for suite in $(SUITES_WITH_LIST); do test/known_red.sh $(BUILD_LEAK) $$suite leakcheck || exit 1; done
-	@$(BUILD_LEAK)/test_replay 1 200
+	@test/run.sh $(BUILD_LEAK) leakcheck $(JOBS) -E '^replay'
 
 # Simulates placement policies on the load files of test/loads, in virtual time.
 play: build
