--- a/test/run.sh
+++ b/test/run.sh
@@ -12,6 +12,8 @@
   known=$(sed -n 's/^\([a-z_-]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null || true)
   cat KNOWN-RED.txt 2>/dev/null || true
 fi
+# With it, ctest would start first what failed last, and a suite of several cores would wait until most others ended.
+rm -f "$build/Testing/Temporary/CTestCostData.txt"
 { ctest --test-dir "$build" -j "$jobs" --output-on-failure "$@" 2>&1 || true; } | tee "$log"
 end='^[0-9]+% tests passed, ([0-9]+) tests failed out of ([0-9]+)$'
 line='^ *[0-9]+/[0-9]+ Test +#[0-9]+: '
