--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -722,6 +722,65 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  const char *text;
+  bool waits; /* for its turn, as others take the server's time */
+} crossing_cases[] = {
+  { "answered at once", GET ("/now"), false },
+  { "answered late", GET ("/held"), false },
+  { "answered at once after a wait", GET ("/now"), true },
+  { "answered late after a wait", GET ("/held"), true },
+  { "with a body after a wait", "POST /held HTTP/1.1\r\nContent-Length: 2\r\n" HEAD "ab", true },
+};
+
+/* A request that came between the shutdown of its idle connection and the next read was taken, and
+ * the connection closed without an answer. */
+START_TEST (a_request_that_crosses_the_idle_timeout_is_answered)
+{
+  enum
+  {
+    N_SPINS = 2,
+  };
+  Host host;
+  int spins[N_SPINS];
+  host_init (&host);
+  host.server.idle_timeout_s = 1;
+  int fd = open_socket (&host);
+  send_text (fd, GET ("/now"));
+  Reader reader = read_answers (&host, fd, 1);
+  g_string_truncate (reader.text, 0);
+  for (int i = 0; i < N_SPINS; i++)
+    {
+      spins[i] = open_socket (&host);
+      if (crossing_cases[_i].waits)
+        send_text (spins[i], GET ("/spin"));
+    }
+  g_usleep (SPIN_US);
+  dy_http_connections_sweep (&host.server.connections, 1,
+                             g_get_monotonic_time () + 2 * G_USEC_PER_SEC);
+  send_text (fd, crossing_cases[_i].text);
+  int64_t end_us = g_get_monotonic_time () + (int64_t) (WAIT_S * 1e6);
+  while (n_answers (&reader) == 0 && !reader.closed && g_get_monotonic_time () < end_us)
+    {
+      run_for (&host, 0.001);
+      if (host.n_held > 0 && host.held[0])
+        reply (host.held[0]);
+      read_available (&reader);
+    }
+  ck_assert_msg (n_answers (&reader) == 1, "%s: no answer", crossing_cases[_i].name);
+  ck_assert_msg (host.counters.values[DY_COUNTER_CALLS_CUT] == 0, "%s: cut",
+                 crossing_cases[_i].name);
+  bool refused = strstr (reader.text->str, " 503 ") != NULL;
+  ck_assert_msg (!refused || host.n_held == 0, "%s: refused and run", crossing_cases[_i].name);
+  for (int i = 0; i < N_SPINS; i++)
+    close (spins[i]);
+  reader_finish (&reader);
+  host_finish (&host);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -736,6 +795,8 @@
                        (int) G_N_ELEMENTS (idle_cases));
   tcase_add_loop_test (tcase, a_connection_without_a_whole_request_ends_at_the_idle_timeout, 0,
                        (int) G_N_ELEMENTS (expiry_cases));
+  tcase_add_loop_test (tcase, a_request_that_crosses_the_idle_timeout_is_answered, 0,
+                       (int) G_N_ELEMENTS (crossing_cases));
   tcase_add_test (tcase, each_of_2500_connections_is_answered);
   tcase_add_test (tcase, connections_beyond_the_limit_are_refused_and_closed);
   tcase_add_test (tcase, requests_that_wait_when_the_server_stops_are_refused);
