Answer a request that crosses the idle timeout of its connection

Cause: a connection that has been idle for its limit is shut down for reading, so that libmicrohttpd closes it. The kernel still accepts bytes after that. On a router that is behind, a request arrives before libmicrohttpd reads the end; it is read and taken like any other. If it is not answered in the same turn, its connection is suspended; when it goes on, libmicrohttpd reads first, finds the end of the connection and closes it, whatever answer is waiting. The request may have run by then.

A request on a connection that was shut down is now refused in the turn that reads it, as not run, with "Connection: close", which libmicrohttpd sends without reading. 8001 tells with `shut=1` of requests that are lost on such a connection all the same.

--- a/src/net/http_call.c
+++ b/src/net/http_call.c
@@ -101,7 +101,7 @@
   for (guint i = 0; i + 1 < call->headers->len; i += 2)
     MHD_add_response_header (call->response, g_ptr_array_index (call->headers, i),
                              g_ptr_array_index (call->headers, i + 1));
-  if (call->server->closing || call->record->crowded || call->failed)
+  if (call->server->closing || call->record->crowded || call->record->shut || call->failed)
     MHD_add_response_header (call->response, MHD_HTTP_HEADER_CONNECTION, "close");
   call->queued = true;
   enum MHD_Result result = MHD_queue_response (call->connection, call->status, call->response);
--- a/src/net/http_call_end.c
+++ b/src/net/http_call_end.c
@@ -71,10 +71,11 @@
       = { [DY_RECEIVED_LINE] = "line", [DY_RECEIVED_HEAD] = "head", [DY_RECEIVED_WHOLE] = "whole" };
   dy_log (DY_EVENT_CALL_CUT,
           "request=%s reason=%s code=%d peer=%s received=%s body_bytes=%" G_GUINT64_FORMAT
-          " waiting=%d status=%u begun=%d unsent_bytes=%" G_GUINT64_FORMAT " ms=%" G_GINT64_FORMAT,
+          " waiting=%d shut=%d status=%u begun=%d unsent_bytes=%" G_GUINT64_FORMAT
+          " ms=%" G_GINT64_FORMAT,
           printable_id (request_id), reason (end), (int) end->code, peers[end->peer],
-          received[end->received], end->body_bytes, end->waiting, end->status, end->answer_begun,
-          end->unsent_bytes, end->age_us / 1000);
+          received[end->received], end->body_bytes, end->waiting, end->shut, end->status,
+          end->answer_begun, end->unsent_bytes, end->age_us / 1000);
   if (!counters)
     return;
   dy_counters_add (counters, DY_COUNTER_CALLS_CUT, 1);
--- a/src/net/http_call_end.h
+++ b/src/net/http_call_end.h
@@ -48,6 +48,7 @@
   DyPeerState peer;
   DyReceived received;
   bool waiting;        /* the handler had not got the request */
+  bool shut;           /* the connection had been shut down, as it was idle */
   bool answer_begun;   /* the answer was passed to libmicrohttpd */
   unsigned status;     /* of the answer; 0: none was given */
   uint64_t body_bytes; /* of the request's body, as far as it was read */
--- a/src/net/http_connections.h
+++ b/src/net/http_connections.h
@@ -9,7 +9,9 @@
  *   A connection is idle from its last activity, which is its opening, a received part of a request
  *   or the end of an answer, to the end of the next request. One that has been idle for too long is
  *   shut down for reading, upon which the HTTP library closes it. That is never done while received
- *   bytes are unread, so a request that arrived while the process stood still is answered.
+ *   bytes are unread, so a request that arrived while the process stood still is answered. The
+ *   kernel still accepts bytes after it: a whole request that comes before the library has read the
+ *   end of the connection is refused at once, as not run.
  *
  *   The limit of a connection is the highest one that was in force since its last answer, as the
  *   caller may know any of these.
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -199,14 +199,15 @@
   int64_t started_us = g_get_monotonic_time ();
   if (call->too_large)
     server->handler->too_large (server->ctx, call);
-  else if (call->record->crowded || server->stopping)
+  else if (call->record->crowded || call->record->shut || server->stopping)
     refuse_crowded (call);
   else
     server->handler->handle (server->ctx, call);
   server->turn_spent_us += g_get_monotonic_time () - started_us;
 }
 
-/* Passes the request to the handler, or to the queue if the time of this turn is used up. */
+/* Passes the request to the handler, or to the queue if the time of this turn is used up. On a
+ * connection that was shut down, libmicrohttpd takes no answer later than in this turn. */
 static void
 take_request (DyHttpCall *call)
 {
@@ -215,7 +216,7 @@
   call->record->busy = true;
   call->ready_us = server->turn_started_us;
   bool has_time = server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US;
-  if (has_time || server->stopping)
+  if (has_time || server->stopping || call->record->shut)
     {
       run_handler (call);
       return;
@@ -298,6 +299,7 @@
                         .peer = dy_peer_state (call->disconnect_io.fd),
                         .received = received (call),
                         .waiting = call->pending_link.data != NULL,
+                        .shut = call->record->shut,
                         .answer_begun = call->queued,
                         .status = call->status,
                         .body_bytes = call->body->len,
