Say when a relay ends

The header said that a lost connection ends a relay; since relays hold their connection, it also says what does not.

--- a/src/services/relays.h
+++ b/src/services/relays.h
@@ -28,8 +28,10 @@
  *   end     JSON: {"complete": bool, "endpoint_error": bool, "outcome": number}
  *
  * ERRORS
- *   If the connection between the routers is lost, the request may have run. If the other router
- *   has no endpoint for it, it did not.
+ *   A relay belongs to the connection on which it was asked for, and holds it (peers.h): it
+ *   outlasts a silence of the other router. It ends when the connection does, on cancel, or at the
+ *   time limit of the request. If the connection is lost, the request may have run. If the other
+ *   router has no endpoint for it, it did not.
  */
 
 #include "services/gateway_attempt.h"
