Log why a connection between routers was shut down

A connection that was shut down as too much waited on it was logged as closed by a send_error, receive_error or the other router (4002), as what follows the shutdown replaced the reason.

--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -31,11 +31,13 @@
   ev_io_start (link->peers->kernel->loop, &link->io);
 }
 
-/* Records why the connection must be closed. Returns false, for handlers to return. */
+/* Records why the connection must be closed, unless that is known: what follows a shutdown is no
+ * reason. Returns false, for handlers to return. */
 static bool
 fail (DyPeerLink *link, const char *reason)
 {
-  link->end_reason = reason;
+  if (!link->end_reason)
+    link->end_reason = reason;
   return false;
 }
 
