--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -199,10 +199,14 @@
 record_reach (const DyGatewayAttempt *attempt, const DyHttpResult *result)
 {
   bool failed = result->error && !attempt->head_received && !attempt->foreign;
+  bool late = result->error == DY_TIMEOUT;
   if (attempt->endpoint_left || result->reused)
     return;
-  if (failed || attempt->head_received)
-    dy_reachability_record (attempt->gateway->reachability, attempt->endpoint_id, !failed);
+  if (failed)
+    dy_reachability_record_failure (attempt->gateway->reachability, attempt->endpoint_id,
+                                    late ? DY_REACH_UNMADE : DY_REACH_REFUSED);
+  else if (attempt->head_received)
+    dy_reachability_record_success (attempt->gateway->reachability);
 }
 
 static void
@@ -373,6 +377,14 @@
   return !attempt->paused;
 }
 
+static void
+on_relay_silent (void *ctx)
+{
+  const DyGatewayAttempt *attempt = ctx;
+  if (attempt->watcher->silent)
+    attempt->watcher->silent (attempt->ctx);
+}
+
 static void
 on_relay_done (void *ctx, const DyGatewayAttemptResult *result)
 {
@@ -383,9 +395,11 @@
   attempt->watcher->done (attempt->ctx, result);
 }
 
-static const DyRelayWatcher relay_watcher = {
-  .placed = on_relay_placed, .head = on_relay_head, .data = on_relay_data, .done = on_relay_done
-};
+static const DyRelayWatcher relay_watcher = { .placed = on_relay_placed,
+                                              .head = on_relay_head,
+                                              .data = on_relay_data,
+                                              .silent = on_relay_silent,
+                                              .done = on_relay_done };
 
 bool
 dy_gateway_attempt_init_relayed (DyGatewayAttempt *attempt,
@@ -420,6 +434,12 @@
   attempt->version = NULL;
 }
 
+const char *
+dy_gateway_attempt_router (const DyGatewayAttempt *attempt)
+{
+  return attempt->relay ? dy_relay_call_peer (attempt->relay) : NULL;
+}
+
 bool
 dy_gateway_attempt_was_sent (const DyGatewayAttempt *attempt)
 {
