--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -229,10 +229,11 @@
 {
   const PeerChoice *choice = ctx;
   const DyReachability *reachability = choice->reachability;
-  const DyMembers *members = &reachability->peers->members;
-  const DyMember *member = dy_members_find (members, name);
+  const DyPeers *peers = reachability->peers;
+  const DyMember *member = dy_members_find (&peers->members, name);
   return member && g_strcmp0 (name, choice->except) != 0
-         && dy_members_is_live (members, member, now_us (reachability));
+         && dy_members_is_live (&peers->members, member, now_us (reachability))
+         && dy_peers_takes (peers, dy_peers_link_to (peers, name), 0);
 }
 
 const char *
