Wait longer for the connections of probes, several at a time

A router that takes itself for cut off sends nothing from itself, so no bytes come, and it stays so until a probe works. Three are connected side by side, so that three failures take 1.2 s, 1.05 s before; answers are awaited one after the other as before, as endpoints may be silent. Probes after a crash keep 300 ms. - A connection that was late or silent counts only if no bytes came since it was begun (6018, counts=0); a refused one always counts.

--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -52,7 +52,8 @@
 typedef struct
 {
   DyReachFailureKind kind;
-  int64_t time_us;
+  int64_t begun_us; /* time at which the connection was begun */
+  int64_t time_us;  /* time of the failure, set when it is recorded */
 } DyReachFailure;
 
 typedef struct
@@ -63,6 +64,7 @@
   bool is_refused;    /* enough connections were refused */
   int64_t changed_us; /* time of the latest change of is_out */
   GHashTable *failed; /* endpoint id to its latest failure, a DyReachFailure, since one worked */
+  int64_t bytes_us;   /* time of the latest bytes of an endpoint on any connection */
   int64_t silent_us;  /* time of the latest silence since one worked */
   int64_t probed_us;  /* time of the latest probe */
   int64_t asked_us;   /* time of the latest question */
@@ -75,11 +77,14 @@
 /* Records that an endpoint was silent, which may be its own slowness: probes are to show. */
 void dy_reach_record_silence (DyReach *reach, int64_t now_us);
 
+/* Returns whether FAILURE shows anything: not if it was late and bytes came since it was begun. */
+bool dy_reach_counts (const DyReach *reach, const DyReachFailure *failure);
+
 /* Records that a new connection to ENDPOINT failed; N_ENDPOINTS are known.
  * Returns whether the router is out from now on and was not before. */
 bool dy_reach_record_failure (DyReach *reach,
                               const char *endpoint,
-                              DyReachFailureKind kind,
+                              const DyReachFailure *failure,
                               uint32_t n_endpoints,
                               int64_t now_us);
 
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -204,7 +204,7 @@
     return;
   if (failed)
     dy_reachability_record_failure (attempt->gateway->reachability, attempt->endpoint_id,
-                                    late ? DY_REACH_UNMADE : DY_REACH_REFUSED);
+                                    late ? DY_REACH_UNMADE : DY_REACH_REFUSED, attempt->placed_us);
   else if (attempt->head_received)
     dy_reachability_record_success (attempt->gateway->reachability);
 }
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -3,6 +3,8 @@
 #include "kernel/log.h"
 
 static const double DECIDE_INTERVAL_S = 0.05;
+/* Of a probe. */
+static const double CONNECT_TIMEOUT_S = 0.3;
 
 /* What a crash would tell of the request. */
 typedef struct
@@ -136,7 +138,8 @@
 {
   dy_crash_evidence_init (&gateway->crash_evidence, &dy_crash_evidence_policy, &evidence_watcher,
                           gateway);
-  dy_link_probe_init (&gateway->crash_probe, gateway->kernel->loop, on_probed, gateway);
+  dy_link_probe_init (&gateway->crash_probe, gateway->kernel->loop, CONNECT_TIMEOUT_S, on_probed,
+                      gateway);
   ev_timer_init (&gateway->crash_timer, on_timer, DECIDE_INTERVAL_S, DECIDE_INTERVAL_S);
   gateway->crash_timer.data = gateway;
   dy_directory_watch_ends (gateway->directory, on_endpoint_end, gateway);
--- a/src/services/link_probe.c
+++ b/src/services/link_probe.c
@@ -11,7 +11,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-static const double CONNECT_TIMEOUT_S = 0.3;
 static const double RESET_WAIT_S = 0.05;
 static const double ANSWER_TIMEOUT_S = 0.5;
 
@@ -82,10 +81,15 @@
 }
 
 void
-dy_link_probe_init (DyLinkProbe *probe, struct ev_loop *loop, DyLinkProbeDone done, void *ctx)
+dy_link_probe_init (DyLinkProbe *probe,
+                    struct ev_loop *loop,
+                    double connect_timeout_s,
+                    DyLinkProbeDone done,
+                    void *ctx)
 {
   memset (probe, 0, sizeof *probe);
   probe->loop = loop;
+  probe->connect_timeout_s = connect_timeout_s;
   probe->done = done;
   probe->ctx = ctx;
   probe->fd = -1;
@@ -128,6 +132,6 @@
   probe->started_us = g_get_monotonic_time ();
   ev_io_set (&probe->io, probe->fd, EV_WRITE);
   ev_io_start (probe->loop, &probe->io);
-  set_timer (probe, CONNECT_TIMEOUT_S);
+  set_timer (probe, probe->connect_timeout_s);
   return true;
 }
--- a/src/services/link_probe.h
+++ b/src/services/link_probe.h
@@ -33,6 +33,7 @@
   DyLinkProbeDone done;
   void *ctx;
   int fd; /* -1: no probe is in progress */
+  double connect_timeout_s;
   bool connected;
   char *request;      /* to be sent once connected; NULL: none */
   int64_t started_us; /* monotonic time */
@@ -40,7 +41,12 @@
   ev_timer timer;
 } DyLinkProbe;
 
-void dy_link_probe_init (DyLinkProbe *probe, struct ev_loop *loop, DyLinkProbeDone done, void *ctx);
+/* CONNECT_TIMEOUT_S limits the time until the connection is made. */
+void dy_link_probe_init (DyLinkProbe *probe,
+                         struct ev_loop *loop,
+                         double connect_timeout_s,
+                         DyLinkProbeDone done,
+                         void *ctx);
 
 /* Ends the probe in progress without a callback. */
 void dy_link_probe_finish (DyLinkProbe *probe);
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -8,6 +8,8 @@
 #define REACH_KEY "reach"
 
 static const double TICK_S = 0.05;
+/* Of a probe. Packets wait for half a second where the link of the router's VM is full. */
+static const double CONNECT_TIMEOUT_S = 0.9;
 
 static int64_t
 now_us (const DyReachability *reachability)
@@ -41,27 +43,20 @@
   send_state (reachability, 0, out);
 }
 
-/* STARTED_US: time at which a probe began; 0: a request's connection failed. */
-static void
-record_failure (DyReachability *reachability,
-                const char *endpoint,
-                DyReachFailureKind kind,
-                int64_t started_us)
-{
-  static const char *const kinds[] = { "refused", "unmade", "silent" };
-  uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
-  dy_log (DY_EVENT_REACH_FAILED, "endpoint=%s kind=%s probe_ms=%" G_GINT64_FORMAT, endpoint,
-          kinds[kind], started_us ? (now_us (reachability) - started_us) / 1000 : INT64_C (-1));
-  if (dy_reach_record_failure (&reachability->reach, endpoint, kind, n, now_us (reachability)))
-    report_change (reachability);
-}
-
 void
 dy_reachability_record_failure (DyReachability *reachability,
                                 const char *endpoint,
-                                DyReachFailureKind kind)
+                                DyReachFailureKind kind,
+                                int64_t begun_us)
 {
-  record_failure (reachability, endpoint, kind, 0);
+  static const char *const kinds[] = { "refused", "unmade", "silent" };
+  uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
+  const DyReachFailure failure = { .kind = kind, .begun_us = begun_us };
+  dy_log (DY_EVENT_REACH_FAILED, "endpoint=%s kind=%s ms=%" G_GINT64_FORMAT " counts=%d", endpoint,
+          kinds[kind], (now_us (reachability) - begun_us) / 1000,
+          dy_reach_counts (&reachability->reach, &failure));
+  if (dy_reach_record_failure (&reachability->reach, endpoint, &failure, n, now_us (reachability)))
+    report_change (reachability);
 }
 
 void
@@ -90,36 +85,55 @@
   static const DyReachFailureKind kinds[] = { [DY_LINK_PROBE_FAILED] = DY_REACH_REFUSED,
                                               [DY_LINK_PROBE_UNMADE] = DY_REACH_UNMADE,
                                               [DY_LINK_PROBE_SILENT] = DY_REACH_SILENT };
-  DyReachability *reachability = ctx;
-  char *id = g_steal_pointer (&reachability->probed_id);
+  DyReachProbe *slot = ctx;
+  char *id = g_steal_pointer (&slot->endpoint_id);
   if (result == DY_LINK_PROBE_WORKS)
-    dy_reachability_record_success (reachability);
+    dy_reachability_record_success (slot->reachability);
   else
-    record_failure (reachability, id, kinds[result], started_us);
+    dy_reachability_record_failure (slot->reachability, id, kinds[result], started_us);
   g_free (id);
 }
 
 static bool
-has_failed (const void *ctx, const char *id)
+has_failed_or_is_probed (const void *ctx, const char *id)
+{
+  const DyReachability *reachability = ctx;
+  for (uint32_t i = 0; i < DY_REACH_N_PROBES; i++)
+    if (g_strcmp0 (reachability->probes[i].endpoint_id, id) == 0)
+      return true;
+  return dy_reach_has_failed (&reachability->reach, id);
+}
+
+/* Returns what the next probe may use, or NULL. Probes wait for connections side by side, and for
+ * answers one after the other: endpoints may be silent for a while. */
+static DyReachProbe *
+find_free_probe (DyReachability *reachability)
 {
-  return dy_reach_has_failed (&((const DyReachability *) ctx)->reach, id);
+  DyReachProbe *found = NULL;
+  for (uint32_t i = 0; i < DY_REACH_N_PROBES; i++)
+    {
+      DyReachProbe *slot = &reachability->probes[i];
+      if (slot->probe.fd < 0)
+        found = slot;
+      else if (slot->probe.connected)
+        return NULL;
+    }
+  return found;
 }
 
 static void
 probe (DyReachability *reachability)
 {
-  if (reachability->probe.fd >= 0
-      || !dy_reach_take_probe (&reachability->reach, now_us (reachability)))
+  DyReachProbe *slot = find_free_probe (reachability);
+  if (!slot || !dy_reach_take_probe (&reachability->reach, now_us (reachability)))
     return;
   const DyPlacementEndpoint *endpoint = dy_placement_choose_for_probe (
-      &reachability->directory->placement, has_failed, reachability);
-  if (!endpoint)
-    return;
-  g_free (reachability->probed_id);
-  reachability->probed_id = g_strdup (dy_placement_endpoint_id (endpoint));
-  dy_link_probe_start (&reachability->probe, dy_placement_endpoint_address (endpoint),
-                       dy_directory_health_path (reachability->directory, endpoint),
-                       reachability->source);
+      &reachability->directory->placement, has_failed_or_is_probed, reachability);
+  if (endpoint
+      && dy_link_probe_start (&slot->probe, dy_placement_endpoint_address (endpoint),
+                              dy_directory_health_path (reachability->directory, endpoint),
+                              reachability->source))
+    slot->endpoint_id = g_strdup (dy_placement_endpoint_id (endpoint));
 }
 
 static void
@@ -161,7 +175,12 @@
   reachability->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
   reachability->source = kernel->settings->connect_from;
   dy_reach_init (&reachability->reach, &dy_reach_policy);
-  dy_link_probe_init (&reachability->probe, kernel->loop, on_probed, reachability);
+  for (uint32_t i = 0; i < DY_REACH_N_PROBES; i++)
+    {
+      DyReachProbe *slot = &reachability->probes[i];
+      slot->reachability = reachability;
+      dy_link_probe_init (&slot->probe, kernel->loop, CONNECT_TIMEOUT_S, on_probed, slot);
+    }
   dy_peers_watch (reachability->peers, &peers_watcher, reachability);
   ev_timer_init (&reachability->timer, on_timer, TICK_S, TICK_S);
   reachability->timer.data = reachability;
@@ -180,9 +199,12 @@
 {
   DyReachability *reachability = self;
   ev_timer_stop (reachability->kernel->loop, &reachability->timer);
-  dy_link_probe_finish (&reachability->probe);
+  for (uint32_t i = 0; i < DY_REACH_N_PROBES; i++)
+    {
+      dy_link_probe_finish (&reachability->probes[i].probe);
+      g_free (reachability->probes[i].endpoint_id);
+    }
   dy_reach_finish (&reachability->reach);
-  g_free (reachability->probed_id);
 }
 
 static json_t *
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -22,14 +22,25 @@
 
 #define DY_SERVICE_REACHABILITY "reachability"
 
+enum
+{
+  DY_REACH_N_PROBES = 3, /* that are being connected at a time */
+};
+
 typedef struct
+{
+  struct DyReachability *reachability;
+  DyLinkProbe probe;
+  char *endpoint_id; /* of the probe in progress; NULL: there is none */
+} DyReachProbe;
+
+typedef struct DyReachability
 {
   DyKernel *kernel;
   DyDirectory *directory;
   DyPeers *peers;
   DyReach reach;
-  DyLinkProbe probe;
-  char *probed_id;    /* endpoint of the probe in progress */
+  DyReachProbe probes[DY_REACH_N_PROBES];
   const char *source; /* local IP address of connections to endpoints; empty: any */
   ev_timer timer;
 } DyReachability;
@@ -40,10 +51,11 @@
 /* Records that an endpoint was silent for longer than expected. */
 void dy_reachability_record_silence (DyReachability *reachability);
 
-/* Records that a new connection to ENDPOINT failed. */
+/* Records that a new connection to ENDPOINT, begun at BEGUN_US, failed. */
 void dy_reachability_record_failure (DyReachability *reachability,
                                      const char *endpoint,
-                                     DyReachFailureKind kind);
+                                     DyReachFailureKind kind,
+                                     int64_t begun_us);
 
 /* Records that a new connection to an endpoint worked. */
 void dy_reachability_record_success (DyReachability *reachability);
