--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -1,6 +1,7 @@
 /* The endpoint records as the router sees them through a stand-in of the platform's store, whose
  * replies the test gives by hand. */
 
+#include "core/store_version.h"
 #include "kernel/error.h"
 #include "net/address.h"
 #include "platform/dialect.h"
@@ -8,6 +9,7 @@
 #include "services/directory.h"
 #include "services/endpoints.h"
 #include "services/peers_private.h"
+#include "support/canned.h"
 #include "support/fleet.h"
 #include "support/suite.h"
 
@@ -437,6 +439,56 @@
     continue;
 }
 
+#define EVENT(name, revision, deleted)                                                             \
+  "{\"deleted\":" deleted ",\"object\":{\"metadata\":{\"name\":\"" name                            \
+  "\",\"revision\":" revision "},\"spec\":" revision "}}"
+
+typedef struct
+{
+  struct ev_loop *loop;
+  GString *text; /* "key version value," of each object */
+} Changes;
+
+static void
+on_changes (void *ctx, const DyPlatformReply *reply)
+{
+  Changes *changes = ctx;
+  for (uint32_t i = 0; i < reply->n_objects; i++)
+    g_string_append_printf (changes->text, "%s %d %s,", reply->objects[i].key,
+                            (int) dy_store_version_revision (reply->objects[i].version),
+                            reply->objects[i].value ? reply->objects[i].value : "-");
+  ev_break (changes->loop, EVBREAK_ONE);
+}
+
+/* A route table takes long to decode, and the router answers nobody meanwhile. */
+START_TEST (of_several_states_in_one_answer_only_the_latest_is_read)
+{
+  enum
+  {
+    TIMEOUT_MS = 2000,
+  };
+  static const char body[]
+      = "{\"at\":9,\"events\":[" EVENT ("a", "4", "false") "," EVENT ("b", "5", "false") "," EVENT (
+          "a", "6", "false") "," EVENT ("c", "7", "false") "," EVENT ("b", "8", "true") "]}";
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  char *answer
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", sizeof body - 1, body);
+  Changes changes = { loop, g_string_new (NULL) };
+  CannedServer server;
+  ck_assert (canned_init (&server, loop, address, answer, false));
+  void *store = dy_store_new (loop, address, TIMEOUT_MS, TIMEOUT_MS);
+  dy_store_ops.changes (store, "config/", 3, on_changes, &changes);
+  ev_run (loop, 0);
+  ck_assert_str_eq (changes.text->str, "config/a 6 6,config/c 7 7,config/b 8 -,");
+  dy_store_ops.free (store);
+  canned_finish (&server);
+  g_string_free (changes.text, TRUE);
+  g_free (answer);
+  g_free (address);
+}
+END_TEST
+
 /* Other work, such as reading the list of endpoints, waits for the end of the turn of the loop in
  * which messages of other routers are handled. */
 START_TEST (messages_of_one_router_do_not_hold_up_the_loop)
@@ -552,6 +604,7 @@
   tcase_add_test (tcase, attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice);
   tcase_add_loop_test (tcase, changes_that_another_router_has_told_of_are_not_passed_on_again, 0,
                        G_N_ELEMENTS (spread_cases));
+  tcase_add_test (tcase, of_several_states_in_one_answer_only_the_latest_is_read);
   tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
                        (int) G_N_ELEMENTS (removal_cases));
