Count the time on the way in the age that another router confirms

Routers tell each other along the tree that there was no later change, and how long ago. A message that waited on its way, on a full link or in crowded routers, was taken as if it had just been sent: a router could be seconds behind and believe that it knew all that was half a second old. It then answered routes that it did not know with 404, did not ask the store, and took a list of endpoints for fresh.

A message now says when it was sent, by its root's monotonic clock. The fastest message of the root in the last minute or two stands for no delay, and what another one takes longer is added to the age that it confirms (core/transit.h). A router at the end of such a way is stale by its own account, checks itself, and refuses as routes_stale. Messages of former builds, which don't say when they were sent, count as before.

Not seen is a delay that lasts for longer than two minutes, or since the router started.

--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -18,6 +18,8 @@
  *   differs between routers, unless the change itself arrives before; what that check returns is
  *   passed on to nobody, as it was already.
  *
+ *   What another router says of its check has grown older on its way, see core/transit.h.
+ *
  *   A check is sent to the store as a short watch. After one that failed, all objects are listed
  *   instead, as the store may answer lists but no watches.
  *
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -431,7 +431,8 @@
   if (json_is_integer (changed) && json_is_integer (age_ms) && json_integer_value (age_ms) >= 0)
     {
       uint64_t version = (uint64_t) json_integer_value (changed);
-      int64_t confirmed_us = now_us (watch) - json_integer_value (age_ms) * US_PER_MS;
+      int64_t confirmed_us = now_us (watch) - json_integer_value (age_ms) * US_PER_MS
+                             - dy_spread_delay_us (watch->spread, root);
       dy_spread_pass_on (watch->spread, message, root);
       record_success_of_peer (watch, version);
       take_changes (watch, root, version, confirmed_us);
--- a/src/services/spread.c
+++ b/src/services/spread.c
@@ -13,6 +13,7 @@
   spread->kernel = kernel;
   spread->peers = peers;
   spread->number = 0;
+  dy_transit_init (&spread->transit);
   spread->begun = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
 }
 
@@ -20,6 +21,7 @@
 dy_spread_finish (DySpread *spread)
 {
   g_hash_table_unref (spread->begun);
+  dy_transit_finish (&spread->transit);
 }
 
 static void
@@ -39,9 +41,10 @@
   const char *name = spread->peers->members.self_name;
   spread->number++;
   json_object_set_new (root, "spread",
-                       json_pack ("{s:s, s:I, s:I}", "root", name, "incarnation",
+                       json_pack ("{s:s, s:I, s:I, s:I}", "root", name, "incarnation",
                                   (json_int_t) spread->kernel->incarnation_id, "number",
-                                  (json_int_t) spread->number));
+                                  (json_int_t) spread->number, "sent_us",
+                                  (json_int_t) dy_kernel_now_us (spread->kernel)));
   char *text = json_dumps (root, JSON_COMPACT);
   send_to_targets (spread, name, spread->number, key, text);
   free (text);
@@ -81,3 +84,15 @@
   send_to_targets (spread, name, number, message->u.config.key, text);
   g_free (text);
 }
+
+int64_t
+dy_spread_delay_us (DySpread *spread, const json_t *root)
+{
+  const json_t *field = json_object_get (root, "spread");
+  const json_t *id = json_object_get (field, "incarnation");
+  const json_t *sent_us = json_object_get (field, "sent_us");
+  if (!json_is_integer (id) || !json_is_integer (sent_us))
+    return 0;
+  return dy_transit_delay_us (&spread->transit, (uint64_t) json_integer_value (id),
+                              json_integer_value (sent_us), dy_kernel_now_us (spread->kernel));
+}
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -439,6 +439,42 @@
     continue;
 }
 
+/* Waiting in a queue on the way does not make what a message says younger. */
+START_TEST (a_confirmation_that_was_held_up_is_as_old_as_its_time_on_the_way)
+{
+  enum
+  {
+    OLD_MS = 9000, /* of the first message, which sets the clocks' difference */
+    HELD_UP_MS = 3000,
+    SLACK_MS = 500,
+  };
+  const DyPlatformReply list = { .version = 2 };
+  Fixture fixture;
+  fixture_init (&fixture);
+  start_directory (&fixture);
+  answer_call (&fixture, 'l', "config/", &list);
+  fixture.directory.routes_watch.age.confirmed_us = 0;
+  int64_t sent_us = dy_kernel_now_us (&fixture.kernel);
+  for (int i = 0; i < 2; i++)
+    {
+      char *text = g_strdup_printf (
+          "{\"changed\":2,\"age_ms\":%d,\"by_list\":false,\"spread\":{\"root\":\"r1\",\"incarnation"
+          "\":7,\"number\":%d,\"sent_us\":%" G_GINT64_FORMAT "}}",
+          i == 0 ? OLD_MS : 0, i + 1, sent_us - (i == 0 ? 0 : HELD_UP_MS * 1000));
+      DyMessage message
+          = { .type = DY_MESSAGE_CONFIG,
+              .u.config
+              = { .key = "watch-ages/config/", .text = text, .n_text = (uint32_t) strlen (text) } };
+      dy_object_watch_take (&fixture.directory.routes_watch, &message);
+      g_free (text);
+    }
+  int64_t age_ms = dy_directory_routes_age_ms (&fixture.directory);
+  ck_assert_int_ge (age_ms, HELD_UP_MS);
+  ck_assert_int_le (age_ms, HELD_UP_MS + SLACK_MS);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 #define EVENT(name, revision, deleted)                                                             \
   "{\"deleted\":" deleted ",\"object\":{\"metadata\":{\"name\":\"" name                            \
   "\",\"revision\":" revision "},\"spec\":" revision "}}"
@@ -604,6 +640,7 @@
   tcase_add_test (tcase, attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice);
   tcase_add_loop_test (tcase, changes_that_another_router_has_told_of_are_not_passed_on_again, 0,
                        G_N_ELEMENTS (spread_cases));
+  tcase_add_test (tcase, a_confirmation_that_was_held_up_is_as_old_as_its_time_on_the_way);
   tcase_add_test (tcase, of_several_states_in_one_answer_only_the_latest_is_read);
   tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
