--- a/test/test_store_calls.c
+++ b/test/test_store_calls.c
@@ -299,7 +299,7 @@
   };
   static const double MAX_SHARE = 0.25;
   Site site;
-  int64_t n_before[SITE_MAX_ROUTERS];
+  int64_t n_before[SITE_MAX_ROUTERS] = { 0 };
   ck_assert (site_init (&site, fleets[_i]));
   site_run_for (&site, SETTLE_MS);
   for (uint32_t i = 0; i < site.n_routers; i++)
