--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -167,6 +167,13 @@
   return acct ? dy_ledger_entry_part (&acct->entry, ledger->holder_id, origin_id) : 0;
 }
 
+int64_t
+dy_ledger_reserved_tokens (const DyLedger *ledger, const char *account)
+{
+  const DyLedgerAccount *acct = dy_ledger_find_account (ledger, account);
+  return acct ? acct->reserved_tokens : 0;
+}
+
 void
 dy_ledger_raise_oldest_open (DyLedger *ledger, uint64_t origin_id, uint64_t number)
 {
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -194,6 +194,9 @@
  * given origin router. */
 int64_t dy_ledger_written_tokens (const DyLedger *ledger, const char *account, uint64_t origin_id);
 
+/* Returns the tokens of ACCOUNT that open requests have reserved from this holder's row. */
+int64_t dy_ledger_reserved_tokens (const DyLedger *ledger, const char *account);
+
 /* Reports that the platform is reachable again: delayed retries start now. */
 void dy_ledger_on_platform_reachable (DyLedger *ledger, int64_t now_us);
 
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -49,19 +49,19 @@
                   uint64_t version,
                   const DyLedgerEntry *entry)
 {
-  uint64_t holder_id = call->budgets->reservations.holders[call->pool].ledger.holder_id;
-  const DyLedgerRow *row = dy_ledger_entry_row (entry, holder_id);
+  const DyLedger *ledger = &call->budgets->reservations.holders[call->pool].ledger;
+  const DyLedgerRow *row = dy_ledger_entry_row (entry, ledger->holder_id);
   dy_log (event,
           "account=%s pool=%d result=%s version=%" G_GUINT64_FORMAT " paid=%" G_GINT64_FORMAT
           " settled=%" G_GINT64_FORMAT " outstanding=%" G_GINT64_FORMAT " free=%" G_GINT64_FORMAT
           " own_granted=%" G_GINT64_FORMAT " own_settled=%" G_GINT64_FORMAT
-          " rows=%u era=%" G_GUINT64_FORMAT " withheld=%" G_GINT64_FORMAT
-          " ceiling=%" G_GINT64_FORMAT,
+          " own_reserved=%" G_GINT64_FORMAT " rows=%u era=%" G_GUINT64_FORMAT
+          " withheld=%" G_GINT64_FORMAT " ceiling=%" G_GINT64_FORMAT,
           call->account, call->pool, dy_error_info (error)->kind, version, entry->paid_tokens,
           dy_ledger_entry_settled_tokens (entry), dy_ledger_entry_outstanding_tokens (entry),
           dy_ledger_entry_free_tokens (entry), row ? row->granted_tokens : 0,
-          row ? row->settled_tokens : 0, entry->rows->len, entry->era, entry->withheld_tokens,
-          entry->ceiling_tokens);
+          row ? row->settled_tokens : 0, dy_ledger_reserved_tokens (ledger, call->account),
+          entry->rows->len, entry->era, entry->withheld_tokens, entry->ceiling_tokens);
 }
 
 static void on_read (void *ctx, const DyPlatformReply *reply);
