--- a/test/support/replay.c
+++ b/test/support/replay.c
@@ -34,6 +34,7 @@
   { "answered", offsetof (ReplayOutcome, answered), 1 },
   { "refused", offsetof (ReplayOutcome, refused), 1 },
   { "false_refusals", offsetof (ReplayOutcome, false_refusals), 1 },
+  { "refused_resumes", offsetof (ReplayOutcome, refused_resumes), 1 },
   { "broken", offsetof (ReplayOutcome, broken), 1 },
   { "overspend_tokens", offsetof (ReplayOutcome, overspend_tokens), 1 },
   { "overbilled_tokens", offsetof (ReplayOutcome, overbilled_tokens), 1 },
@@ -182,7 +183,9 @@
 {
   char **word = event->data;
   if (strcmp (word[0], "request") == 0)
-    replay_start_request (replay, word + 1);
+    replay_start_request (replay, word + 1, OTHER_RANK);
+  else if (strcmp (word[0], "again") == 0)
+    replay_start_request (replay, word + 1, RESUME_RANK);
   else if (strcmp (word[0], "topup") == 0)
     top_up (replay, word[1], g_ascii_strtoll (word[2], NULL, 10));
   else if (strcmp (word[0], "cut") == 0 || strcmp (word[0], "island") == 0)
--- a/test/support/replay.h
+++ b/test/support/replay.h
@@ -24,6 +24,8 @@
  *                                           reserves TOKENS, runs for RUN_MS and settles USED under
  *                                           the idempotency key KEY; not sent while NODE is down,
  *                                           draining or, after its start, not ready yet
+ *   MS again NODE ACCOUNT TOKENS USED RUN_MS
+ *                                           as request, for a stream that its caller resumes
  *   MS topup ACCOUNT TOKENS
  *   MS kill|start|pause|resume|drain NODE   kill leaves the VM on the VM list until `unlist`
  *   MS open NODE                            requests reach a started NODE before it is ready
@@ -51,6 +53,7 @@
   int64_t refused;           /* requests refused before they ran */
   int64_t false_refusals;    /* refused with a budget error, though the account had enough
                                 unspent and unreserved tokens */
+  int64_t refused_resumes;   /* part of refused: streams that callers resumed */
   int64_t broken;            /* requests whose settlement failed or whose router died */
   int64_t overspend_tokens;  /* largest amount by which one account was charged beyond what it had
                                 paid by then */
--- a/test/support/replay_private.h
+++ b/test/support/replay_private.h
@@ -22,6 +22,8 @@
   PEER_TIMEOUT_US = 1000 * MS,
   CALL_TIMEOUT_US = 1000 * MS,
   DRAIN_US = 60 * 1000 * MS,
+  RESUME_RANK = 0, /* of streams that callers resume */
+  OTHER_RANK = 1,  /* of all other requests */
 };
 
 typedef struct Replay Replay;
@@ -60,6 +62,7 @@
   char *key;        /* idempotency key; NULL: none */
   int64_t tokens;   /* tokens to be reserved */
   int64_t used;     /* tokens to be settled */
+  uint32_t rank;    /* RESUME_RANK or OTHER_RANK */
   int64_t run_us;   /* time from the reservation to the settlement */
   DyTicket *ticket; /* NULL once refused, settled or aborted */
   bool running;     /* its tokens are counted in Account.running */
@@ -160,7 +163,7 @@
 
 void replay_free_request (gpointer data);
 
-/* Sends a request; WORD is NODE ACCOUNT TOKENS USED RUN_MS [KEY], NULL at the end. */
-void replay_start_request (Replay *replay, char **word);
+/* Sends a request of RANK; WORD is NODE ACCOUNT TOKENS USED RUN_MS [KEY], NULL at the end. */
+void replay_start_request (Replay *replay, char **word, uint32_t rank);
 
 #endif
--- a/test/support/replay_request.c
+++ b/test/support/replay_request.c
@@ -26,6 +26,7 @@
   bool budget_error
       = error == DY_BUDGET_SPENT || error == DY_BUDGET_RESERVED || error == DY_BUDGET_UNAVAILABLE;
   replay->outcome.refused++;
+  replay->outcome.refused_resumes += request->rank == RESUME_RANK;
   if (has_budget && budget_error)
     replay->outcome.false_refusals++;
 }
@@ -131,7 +132,7 @@
 }
 
 void
-replay_start_request (Replay *replay, char **word)
+replay_start_request (Replay *replay, char **word, uint32_t rank)
 {
   Node *node = replay_find_node (replay, word[0]);
   if (!node->up || node->draining || replay->now_us < node->ready_us)
@@ -142,11 +143,13 @@
   request->account = g_strdup (word[1]);
   request->tokens = g_ascii_strtoll (word[2], NULL, 10);
   request->used = g_ascii_strtoll (word[3], NULL, 10);
+  request->rank = rank;
   request->run_us = g_ascii_strtoll (word[4], NULL, 10) * MS;
   request->key = g_strdup (word[5]);
   g_ptr_array_add (replay->requests, request);
   DyReservationSpec spec = { .account = request->account,
                              .tokens = request->tokens,
+                             .rank = rank,
                              .key = dy_register_hash (request->account, request->key),
                              .idempotent = true };
   if (!node->paused)
--- a/test/test_replay.c
+++ b/test/test_replay.c
@@ -304,6 +304,7 @@
       sum.answered += outcome.answered;
       sum.refused += outcome.refused;
       sum.false_refusals += outcome.false_refusals;
+      sum.refused_resumes += outcome.refused_resumes;
       sum.broken += outcome.broken;
       sum.overspend_tokens += outcome.overspend_tokens;
       sum.overbilled_tokens += outcome.overbilled_tokens;
