Limit what losses of all routers withhold of a budget

Callers saw: after routers were all lost, requests refused as budget_reserved, most of those that came later. Cause: a home is granted ten seconds of demand ahead, up to 36 % of the rest, to bridge an outage of the store. When it dies with all others, nothing tells how much of it was used, so its row keeps all of it as if spent, and the next home is granted as much again. Change: what is granted ahead gets smaller with what rows of other holders have unsettled: all together stay below unsettled_percent of what was paid (25 on the users' platform; 100, no limit, otherwise), but one in a hundred is granted in any case. Grants only get smaller and still cover what is spent and reserved, so the entry's invariant and its proof are as before.

--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -53,9 +53,12 @@
 
 typedef struct
 {
-  int64_t horizon_us;         /* period of demand that a grant covers */
-  int64_t minimum_tokens;     /* smallest grant requested ahead of demand */
-  int64_t percent;            /* largest percentage of the free budget granted ahead of demand */
+  int64_t horizon_us;     /* period of demand that a grant covers */
+  int64_t minimum_tokens; /* smallest grant requested ahead of demand */
+  int64_t percent;        /* largest percentage of the free budget granted ahead of demand */
+  /* Largest percentage of the paid tokens that all holders together have granted and unsettled, for
+   * a grant ahead of demand. */
+  int64_t unsettled_percent;
   int64_t float_percent;      /* percentage of the free budget kept granted for platform outages */
   int64_t settle_interval_us; /* longest time that settled tokens stay unwritten */
   int64_t idle_return_us;     /* idle time after which a grant is returned */
--- a/src/core/ledger_account.c
+++ b/src/core/ledger_account.c
@@ -102,6 +102,14 @@
   return (int64_t) ((double) dy_ledger_demand_below (acct, rank) * seconds);
 }
 
+int64_t
+dy_ledger_others_unsettled_tokens (const DyLedger *ledger, const DyLedgerAccount *acct)
+{
+  const DyLedgerRow *own = dy_ledger_entry_row (&acct->entry, ledger->holder_id);
+  return dy_ledger_entry_outstanding_tokens (&acct->entry)
+         - (own ? own->granted_tokens - own->settled_tokens : 0);
+}
+
 /* Returns the tokens that the account's requests can still reserve, as far as is known: the rest of
  * the own grant and, while the platform is reachable, the free tokens of the entry. */
 static int64_t
--- a/src/core/ledger_private.h
+++ b/src/core/ledger_private.h
@@ -136,6 +136,9 @@
 int64_t
 dy_ledger_headroom_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, uint32_t rank);
 
+/* Returns the tokens that other holders have granted and not settled, by the known entry. */
+int64_t dy_ledger_others_unsettled_tokens (const DyLedger *ledger, const DyLedgerAccount *acct);
+
 /* Queues the result of the reservation ID for dy_ledger_send_results(). */
 void dy_ledger_queue_result (DyLedger *ledger, const DyRequestId *id, int error);
 
--- a/src/core/ledger_write.c
+++ b/src/core/ledger_write.c
@@ -13,6 +13,7 @@
   RECALL_INTERVAL_US = 1000 * 1000,
   NON_HOME_IDLE_US = 1500 * 1000, /* idle time after which a router returns the grant of an account
                                      whose home it is not */
+  MIN_AHEAD_PERCENT = 1, /* of what was paid, granted ahead whatever other holders have unsettled */
 };
 
 static void
@@ -112,6 +113,17 @@
   return MIN (idle_grant_tokens (ledger, spare), dy_ledger_available_tokens (acct));
 }
 
+/* Returns the most that may be granted ahead of demand. The row of a holder that dies may withhold
+ * it for good, so it gets smaller with what other holders have unsettled. */
+static int64_t
+most_ahead_tokens (const DyLedger *ledger, const DyLedgerAccount *acct)
+{
+  int64_t paid = acct->entry.paid_tokens;
+  return MAX (paid * ledger->policy.unsettled_percent / 100
+                  - dy_ledger_others_unsettled_tokens (ledger, acct),
+              paid * MIN_AHEAD_PERCENT / 100);
+}
+
 /* Returns the tokens to be granted ahead of demand when SPARE_TOKENS remain beyond the waiters. */
 static int64_t
 ahead_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t spare_tokens)
@@ -120,8 +132,9 @@
   double demand
       = (double) dy_ledger_demand_below (acct, DY_LEDGER_RANKS) * (double) policy->horizon_us / 1e6;
   int64_t ahead = MAX (policy->minimum_tokens, (int64_t) demand);
-  return MIN (MAX (ahead, idle_grant_tokens (ledger, spare_tokens)),
-              spare_tokens * policy->percent / 100);
+  ahead = MIN (MAX (ahead, idle_grant_tokens (ledger, spare_tokens)),
+               spare_tokens * policy->percent / 100);
+  return MIN (ahead, most_ahead_tokens (ledger, acct));
 }
 
 /* Returns the grant that covers the spent and reserved tokens and, as far as the policy's share of
@@ -136,6 +149,7 @@
   int64_t spare = dy_ledger_entry_free_tokens (&acct->entry) + available;
   int64_t ahead
       = MIN (MAX (policy->minimum_tokens, (int64_t) demand), spare * policy->percent / 100);
+  ahead = MIN (ahead, most_ahead_tokens (ledger, acct));
   ahead = MIN (ahead, available + dy_ledger_grantable_tokens (ledger, acct, now_us));
   return acct->spent_tokens + acct->reserved_tokens + ahead;
 }
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -148,6 +148,13 @@
            1,
            100,
            "largest percentage of the free budget granted ahead of demand"),
+  INTEGER (
+      "budget",
+      unsettled_percent,
+      "100",
+      1,
+      100,
+      "largest percentage of the paid tokens, granted and unsettled, for a grant ahead of demand"),
   INTEGER (
       "budget",
       float_percent,
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -50,6 +50,7 @@
   int64_t grant_horizon_ms;
   int64_t grant_minimum_tokens;
   int64_t grant_percent;
+  int64_t unsettled_percent;
   int64_t float_percent;
   int64_t idle_return_ms;
   int64_t keep_urgent_ms;
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -298,6 +298,7 @@
                       .horizon_us = settings->grant_horizon_ms * 1000,
                       .minimum_tokens = settings->grant_minimum_tokens,
                       .percent = settings->grant_percent,
+                      .unsettled_percent = settings->unsettled_percent,
                       .float_percent = settings->float_percent,
                       .settle_interval_us = settings->settle_interval_ms * 1000,
                       .idle_return_us = settings->idle_return_ms * 1000 } };
--- a/test/bench/bench_core.c
+++ b/test/bench/bench_core.c
@@ -127,6 +127,7 @@
 bench_ledger (uint32_t n_budgets)
 {
   DyLedgerPolicy policy = { .horizon_us = 5000000,
+                            .unsettled_percent = 100,
                             .minimum_tokens = GRANT_TOKENS,
                             .percent = 50,
                             .settle_interval_us = INT64_MAX / 2,
--- a/test/support/replay.c
+++ b/test/support/replay.c
@@ -23,6 +23,7 @@
   { "horizon_ms", offsetof (DyReservationsPolicy, ledger.horizon_us), MS },
   { "minimum_tokens", offsetof (DyReservationsPolicy, ledger.minimum_tokens), 1 },
   { "percent", offsetof (DyReservationsPolicy, ledger.percent), 1 },
+  { "unsettled_percent", offsetof (DyReservationsPolicy, ledger.unsettled_percent), 1 },
   { "float_percent", offsetof (DyReservationsPolicy, ledger.float_percent), 1 },
   { "settle_interval_ms", offsetof (DyReservationsPolicy, ledger.settle_interval_us), MS },
   { "copy_age_ms", offsetof (DyReservationsPolicy, ledger.copy_age_us), MS },
@@ -241,6 +242,7 @@
       replay->policy.answers_before_settlement = true;
       replay->policy.ledger.renews_grant = true;
       replay->policy.ledger.refuses_early = true;
+      replay->policy.ledger.unsettled_percent = 25;
       return true;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (policy_fields); i++)
@@ -428,6 +430,7 @@
                                                .ledger = { .horizon_us = 5000 * MS,
                                                            .minimum_tokens = 1000,
                                                            .percent = 50,
+                                                           .unsettled_percent = 100,
                                                            .float_percent = 25,
                                                            .settle_interval_us = 1000 * MS,
                                                            .idle_return_us = 10000 * MS } };
--- a/test/test_ledger.c
+++ b/test/test_ledger.c
@@ -110,6 +110,7 @@
   static const DyLedgerPolicy policy = { .horizon_us = 10 * SECOND,
                                          .minimum_tokens = 100,
                                          .percent = 50,
+                                         .unsettled_percent = 100,
                                          .settle_interval_us = SECOND,
                                          .idle_return_us = 60 * SECOND,
                                          .urgent_headroom_us = 5 * SECOND,
@@ -124,6 +125,7 @@
   static const DyLedgerPolicy policy = { .horizon_us = SECOND,
                                          .minimum_tokens = 100,
                                          .percent = 50,
+                                         .unsettled_percent = 100,
                                          .settle_interval_us = SECOND,
                                          .idle_return_us = 5 * SECOND };
   fixture_init_with (fixture, paid_tokens, &policy, &actions);
@@ -541,6 +543,39 @@
 }
 END_TEST
 
+/* Loses the holders one after the other: what their rows keep must not grow beyond its limit. */
+START_TEST (losses_withhold_a_limited_part)
+{
+  static const struct
+  {
+    int64_t unsettled_percent;
+    int64_t others_tokens; /* unsettled in the row of a holder that was lost */
+    int64_t most_tokens;   /* granted by the first write for a request of 100 tokens */
+  } cases[] = {
+    { 100, 0, 5050 }, /* half of the rest, by the policy's percent */
+    { 100, 5000, 2550 }, { 25, 0, 2600 },   { 25, 1500, 1100 },
+    { 25, 2450, 200 }, /* one in a hundred remains */
+    { 25, 2500, 200 },   { 25, 6000, 200 }, { 1, 0, 200 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Fixture fixture;
+      fixture_init_users_platform (&fixture, 10000);
+      fixture.ledger.policy.minimum_tokens = 10000;
+      fixture.ledger.policy.unsettled_percent = cases[i].unsettled_percent;
+      if (cases[i].others_tokens > 0)
+        dy_ledger_entry_add_row (&fixture.stored, OTHER, "r8")->granted_tokens
+            = cases[i].others_tokens;
+      reserve (&fixture, 1, 100);
+      complete_calls (&fixture);
+      ck_assert_int_eq (fixture.results[1], DY_OK);
+      ck_assert_int_eq (dy_ledger_entry_row (&fixture.stored, HOLDER)->granted_tokens,
+                        cases[i].most_tokens);
+      fixture_finish (&fixture);
+    }
+}
+END_TEST
+
 /* Two kinds of request together use up the budget: the large, less urgent ones must be refused
  * early enough to leave the urgent ones tokens for about five seconds more. */
 START_TEST (headroom_is_for_urgent_requests)
@@ -661,6 +696,7 @@
   tcase_add_test (tcase, a_former_home_returns_its_grant);
   tcase_add_test (tcase, an_unreachable_platform_refuses_early);
   tcase_add_test (tcase, unreturned_tokens_are_not_waited_for);
+  tcase_add_test (tcase, losses_withhold_a_limited_part);
   tcase_add_test (tcase, headroom_is_for_urgent_requests);
   tcase_add_test (tcase, drain_returns_everything);
   tcase_add_loop_test (tcase, invalid_entries_are_rejected, 0, G_N_ELEMENTS (bad_entries));
