Keep tokens free for streams that callers resume

Cause: near the end of an account a resume competes with all new requests for the last tokens, and they are gone within 0.2 s of the start. Change: a resumed stream has the first rank, other requests the ranks after it. New requests leave free what may be asked for again, at most resume_percent of what was paid (2 on the users' platform, 0 otherwise): what open requests have reserved, and at a new home what is unsettled in rows of others, over 12 s less and less. The limit only refuses or shrinks grants, so the invariant of the entry holds as before. Ranks go over the wire as they did: an old router's first rank counts as a resume at a new home until it is replaced.

--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -37,7 +37,7 @@
 
 enum
 {
-  DY_LEDGER_RANKS = 10, /* urgency ranks, 0 the most urgent; higher ranks count as the last */
+  DY_LEDGER_RANKS = 11, /* urgency ranks, 0 the most urgent; higher ranks count as the last */
 };
 
 /* Identifies a request across the fleet. */
@@ -63,6 +63,9 @@
   int64_t settle_interval_us; /* longest time that settled tokens stay unwritten */
   int64_t idle_return_us;     /* idle time after which a grant is returned */
   int64_t urgent_headroom_us; /* period of more urgent demand kept as headroom; 0: none */
+  /* Largest percentage of the paid tokens kept free for rank 0, no more than requests that are
+   * open, or were lost with the former home, may ask for again; 0: none. */
+  int64_t first_rank_percent;
   /* Waiting reservations are refused before their deadline when the latest platform call failed, or
    * when other holders were asked to return unneeded tokens and had time to, but did not. */
   bool refuses_early;
@@ -85,7 +88,7 @@
   int error;
   int64_t available_tokens; /* of the own grant, neither spent nor reserved */
   int64_t free_tokens;      /* granted to no holder, by the latest known entry */
-  int64_t headroom_tokens;  /* headroom for more urgent requests */
+  int64_t headroom_tokens;  /* headroom for more urgent requests, or kept for rank 0 */
   int64_t verified_us;      /* start of the latest successful platform call; INT64_MIN: none */
   bool failing;             /* the latest platform call failed */
 } DyLedgerRefusal;
--- a/src/core/ledger_account.c
+++ b/src/core/ledger_account.c
@@ -9,6 +9,8 @@
   RETRY_MIN_US = 20 * 1000,
   RETRY_MAX_US = 1000 * 1000,
   RATE_WINDOW_US = 1000 * 1000,
+  /* Time over which tokens kept for streams that were lost with the former home are released. */
+  RESUME_US = 12 * 1000 * 1000,
 };
 
 void
@@ -52,6 +54,8 @@
   g_queue_init (&acct->waiters);
   dy_backoff_init (&acct->backoff, RETRY_MIN_US, RETRY_MAX_US);
   acct->verified_us = INT64_MIN;
+  acct->created_us = now_us;
+  acct->step_us = now_us;
   acct->window_start_us = now_us;
   acct->last_use_us = now_us;
   acct->written_us = now_us;
@@ -99,7 +103,11 @@
 dy_ledger_headroom_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, uint32_t rank)
 {
   double seconds = (double) ledger->policy.urgent_headroom_us / 1e6;
-  return (int64_t) ((double) dy_ledger_demand_below (acct, rank) * seconds);
+  int64_t demand = dy_ledger_demand_below (acct, rank);
+  /* Rank 0 has the kept tokens instead. */
+  if (ledger->policy.first_rank_percent > 0)
+    demand -= dy_ledger_demand_below (acct, MIN (rank, 1));
+  return (int64_t) ((double) demand * seconds);
 }
 
 int64_t
@@ -110,10 +118,20 @@
          - (own ? own->granted_tokens - own->settled_tokens : 0);
 }
 
-/* Returns the tokens that the account's requests can still reserve, as far as is known: the rest of
- * the own grant and, while the platform is reachable, the free tokens of the entry. */
-static int64_t
-spare_tokens (const DyLedgerAccount *acct)
+int64_t
+dy_ledger_kept_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, uint32_t rank)
+{
+  int64_t most = acct->entry.paid_tokens * ledger->policy.first_rank_percent / 100;
+  if (rank == 0 || !acct->has_entry || acct->failing)
+    return 0;
+  int64_t left_us = CLAMP (acct->created_us + RESUME_US - acct->step_us, 0, RESUME_US);
+  int64_t lost = MIN (dy_ledger_others_unsettled_tokens (ledger, acct),
+                      (int64_t) ((double) most * (double) left_us / RESUME_US));
+  return MIN (most, acct->reserved_tokens + lost);
+}
+
+int64_t
+dy_ledger_spare_tokens (const DyLedgerAccount *acct)
 {
   int64_t free = acct->has_entry && !acct->failing ? dy_ledger_entry_free_tokens (&acct->entry) : 0;
   return dy_ledger_available_tokens (acct) + free;
@@ -125,7 +143,18 @@
 {
   int64_t headroom = dy_ledger_headroom_tokens (ledger, acct, waiter->rank);
   return headroom > 0 && (acct->has_entry || acct->failing)
-         && spare_tokens (acct) - waiter->tokens < headroom;
+         && dy_ledger_spare_tokens (acct) - waiter->tokens < headroom;
+}
+
+bool
+dy_ledger_fits (const DyLedger *ledger,
+                const DyLedgerAccount *acct,
+                const Waiter *waiter,
+                int64_t remaining_tokens,
+                int64_t spare_tokens)
+{
+  int64_t kept = dy_ledger_kept_tokens (ledger, acct, waiter->rank);
+  return waiter->tokens <= remaining_tokens && (kept == 0 || waiter->tokens <= spare_tokens - kept);
 }
 
 static void
@@ -181,7 +210,8 @@
           .error = error,
           .available_tokens = dy_ledger_available_tokens (acct),
           .free_tokens = acct->has_entry ? dy_ledger_entry_free_tokens (&acct->entry) : 0,
-          .headroom_tokens = dy_ledger_headroom_tokens (ledger, acct, waiter->rank),
+          .headroom_tokens = MAX (dy_ledger_headroom_tokens (ledger, acct, waiter->rank),
+                                  dy_ledger_kept_tokens (ledger, acct, waiter->rank)),
           .verified_us = acct->verified_us,
           .failing = acct->failing };
   ledger->actions->refused (ledger->ctx, &refusal);
@@ -211,7 +241,8 @@
       Waiter *waiter = link->data;
       if (uses_headroom (ledger, acct, waiter))
         end_waiter (ledger, acct, link, DY_BUDGET_RESERVED);
-      else if (waiter->tokens <= dy_ledger_available_tokens (acct))
+      else if (dy_ledger_fits (ledger, acct, waiter, dy_ledger_available_tokens (acct),
+                               dy_ledger_spare_tokens (acct)))
         end_waiter (ledger, acct, link, DY_OK);
       else if (!may_pass)
         return;
@@ -247,15 +278,19 @@
 dy_ledger_refuse_beyond (DyLedger *ledger, DyLedgerAccount *acct, int64_t free_tokens, int error)
 {
   int64_t remaining = dy_ledger_available_tokens (acct) + free_tokens;
+  int64_t spare = dy_ledger_spare_tokens (acct);
   GList *link = acct->waiters.head;
   while (link)
     {
       GList *next = link->next;
       const Waiter *waiter = link->data;
-      if (waiter->tokens > remaining)
+      if (!dy_ledger_fits (ledger, acct, waiter, remaining, spare))
         end_waiter (ledger, acct, link, error);
       else
-        remaining -= waiter->tokens;
+        {
+          remaining -= waiter->tokens;
+          spare -= waiter->tokens;
+        }
       link = next;
     }
 }
--- a/src/core/ledger_private.h
+++ b/src/core/ledger_private.h
@@ -84,6 +84,9 @@
                                the recall failed */
   int64_t scarce_until_us;  /* no tokens are expected to be returned before this time */
 
+  int64_t created_us; /* when this holder first used the account */
+  int64_t step_us;    /* latest call of dy_ledger_step() */
+
   Operation operation;
   int64_t operation_start_us;
   int64_t read_us;     /* start of the latest read */
@@ -139,6 +142,22 @@
 /* Returns the tokens that other holders have granted and not settled, by the known entry. */
 int64_t dy_ledger_others_unsettled_tokens (const DyLedger *ledger, const DyLedgerAccount *acct);
 
+/* Returns the tokens that requests of RANK must leave for rank 0. Unlike the headroom, they are no
+ * reason to refuse a request before other holders were asked to return tokens. */
+int64_t dy_ledger_kept_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, uint32_t rank);
+
+/* Returns the tokens that the account's requests can still reserve, as far as is known: the rest of
+ * the own grant and, while the platform is reachable, the free tokens of the entry. */
+int64_t dy_ledger_spare_tokens (const DyLedgerAccount *acct);
+
+/* Returns whether WAITER can be served from REMAINING_TOKENS when SPARE_TOKENS can still be
+ * reserved in all. */
+bool dy_ledger_fits (const DyLedger *ledger,
+                     const DyLedgerAccount *acct,
+                     const Waiter *waiter,
+                     int64_t remaining_tokens,
+                     int64_t spare_tokens);
+
 /* Queues the result of the reservation ID for dy_ledger_send_results(). */
 void dy_ledger_queue_result (DyLedger *ledger, const DyRequestId *id, int error);
 
--- a/src/core/ledger_write.c
+++ b/src/core/ledger_write.c
@@ -134,7 +134,8 @@
   int64_t ahead = MAX (policy->minimum_tokens, (int64_t) demand);
   ahead = MIN (MAX (ahead, idle_grant_tokens (ledger, spare_tokens)),
                spare_tokens * policy->percent / 100);
-  return MIN (ahead, most_ahead_tokens (ledger, acct));
+  ahead = MIN (ahead, spare_tokens - dy_ledger_kept_tokens (ledger, acct, 1));
+  return CLAMP (ahead, 0, most_ahead_tokens (ledger, acct));
 }
 
 /* Returns the grant that covers the spent and reserved tokens and, as far as the policy's share of
@@ -149,7 +150,8 @@
   int64_t spare = dy_ledger_entry_free_tokens (&acct->entry) + available;
   int64_t ahead
       = MIN (MAX (policy->minimum_tokens, (int64_t) demand), spare * policy->percent / 100);
-  ahead = MIN (ahead, most_ahead_tokens (ledger, acct));
+  ahead = MIN (ahead, spare - dy_ledger_kept_tokens (ledger, acct, 1));
+  ahead = CLAMP (ahead, 0, most_ahead_tokens (ledger, acct));
   ahead = MIN (ahead, available + dy_ledger_grantable_tokens (ledger, acct, now_us));
   return acct->spent_tokens + acct->reserved_tokens + ahead;
 }
@@ -169,16 +171,18 @@
 /* Returns the tokens by which the grant must grow to serve waiters in order. A waiter that the
  * remainder of the grant and of FREE_TOKENS does not cover is skipped. */
 static int64_t
-missing_tokens (const DyLedgerAccount *acct, int64_t free_tokens)
+missing_tokens (const DyLedger *ledger, const DyLedgerAccount *acct, int64_t free_tokens)
 {
   int64_t remaining = dy_ledger_available_tokens (acct) + free_tokens;
+  int64_t spare = dy_ledger_spare_tokens (acct);
   int64_t sum = 0;
   for (const GList *link = acct->waiters.head; link; link = link->next)
     {
       const Waiter *waiter = link->data;
-      if (waiter->tokens > remaining)
+      if (!dy_ledger_fits (ledger, acct, waiter, remaining, spare))
         continue;
       remaining -= waiter->tokens;
+      spare -= waiter->tokens;
       sum += waiter->tokens;
     }
   return sum - dy_ledger_available_tokens (acct);
@@ -210,7 +214,7 @@
 extend_grant (DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us)
 {
   int64_t free_tokens = dy_ledger_grantable_tokens (ledger, acct, now_us);
-  int64_t missing = missing_tokens (acct, free_tokens);
+  int64_t missing = missing_tokens (ledger, acct, free_tokens);
   if (missing > 0)
     {
       int64_t spare = dy_ledger_entry_free_tokens (&acct->entry) - missing;
@@ -285,6 +289,7 @@
 void
 dy_ledger_step (DyLedger *ledger, DyLedgerAccount *acct, int64_t now_us)
 {
+  acct->step_us = now_us;
   dy_ledger_serve_waiters (ledger, acct, false);
   refuse_early (ledger, acct, now_us);
   if (acct->operation != OPERATION_NONE || now_us < acct->retry_us)
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -170,6 +170,12 @@
            0,
            600000,
            "time whose demand of more urgent requests is kept as headroom of an account; 0: none"),
+  INTEGER ("budget",
+           resume_percent,
+           "0",
+           0,
+           50,
+           "largest percentage of the paid tokens kept free for streams that callers resume"),
   INTEGER (
       "budget",
       recovery_delay_ms,
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -54,6 +54,7 @@
   int64_t float_percent;
   int64_t idle_return_ms;
   int64_t keep_urgent_ms;
+  int64_t resume_percent;
   int64_t store_copy_age_ms;
   int64_t ceiling_percent;
   int64_t recovery_delay_ms;
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -295,6 +295,7 @@
                       .copy_age_us = settings->store_copy_age_ms * 1000,
                       .ceiling_percent = settings->ceiling_percent,
                       .urgent_headroom_us = settings->keep_urgent_ms * 1000,
+                      .first_rank_percent = settings->resume_percent,
                       .horizon_us = settings->grant_horizon_ms * 1000,
                       .minimum_tokens = settings->grant_minimum_tokens,
                       .percent = settings->grant_percent,
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -103,7 +103,8 @@
       = route->kind == DY_ROUTE_IDEMPOTENT || (route->kind == DY_ROUTE_STREAM && route->resumable);
   plan->max_attempts = MAX (route->max_attempts, 1);
   plan->priority = account && account->has_priority ? account->priority : route->priority;
-  plan->rank = route->priority;
+  /* The first rank is for callers that have part of the stream already. */
+  plan->rank = route->kind == DY_ROUTE_STREAM && head->resume_from ? 0 : route->priority + 1;
   plan->target_ms = route->target_ms;
   plan->max_event_gap_ms = route->max_event_gap_ms;
   plan->prompt_tokens = head->prompt_tokens;
--- a/test/support/replay.c
+++ b/test/support/replay.c
@@ -24,6 +24,7 @@
   { "minimum_tokens", offsetof (DyReservationsPolicy, ledger.minimum_tokens), 1 },
   { "percent", offsetof (DyReservationsPolicy, ledger.percent), 1 },
   { "unsettled_percent", offsetof (DyReservationsPolicy, ledger.unsettled_percent), 1 },
+  { "first_rank_percent", offsetof (DyReservationsPolicy, ledger.first_rank_percent), 1 },
   { "float_percent", offsetof (DyReservationsPolicy, ledger.float_percent), 1 },
   { "settle_interval_ms", offsetof (DyReservationsPolicy, ledger.settle_interval_us), MS },
   { "copy_age_ms", offsetof (DyReservationsPolicy, ledger.copy_age_us), MS },
@@ -178,6 +179,33 @@
     }
 }
 
+static void run_input (Replay *replay, Event *event);
+
+static void
+free_words (void *data)
+{
+  g_strfreev (data);
+}
+
+static void
+resume_requests (Replay *replay)
+{
+  uint32_t n = 0;
+  for (guint i = 0; i < replay->requests->len; i++)
+    {
+      Request *request = g_ptr_array_index (replay->requests, i);
+      if (!request->resumable)
+        continue;
+      char *text = g_strdup_printf ("again r%u %s %" PRId64 " %" PRId64 " %" PRId64,
+                                    n % replay->n_nodes, request->account, request->tokens,
+                                    request->used, request->run_us / MS);
+      replay_schedule (replay, (int64_t) n++ * RESUME_INTERVAL_US, NULL, run_input,
+                       g_strsplit (text, " ", -1), free_words);
+      request->resumable = false;
+      g_free (text);
+    }
+}
+
 /* EVENT's data are the words of an input after its time. */
 static void
 run_input (Replay *replay, Event *event)
@@ -185,6 +213,8 @@
   char **word = event->data;
   if (strcmp (word[0], "request") == 0)
     replay_start_request (replay, word + 1, OTHER_RANK);
+  else if (strcmp (word[0], "again") == 0 && !word[1])
+    resume_requests (replay);
   else if (strcmp (word[0], "again") == 0)
     replay_start_request (replay, word + 1, RESUME_RANK);
   else if (strcmp (word[0], "topup") == 0)
@@ -199,12 +229,6 @@
     run_node_input (replay, word[0], replay_find_node (replay, word[1]));
 }
 
-static void
-free_words (void *data)
-{
-  g_strfreev (data);
-}
-
 static void
 create_account (Replay *replay, const char *name, int64_t paid)
 {
@@ -243,6 +267,7 @@
       replay->policy.ledger.renews_grant = true;
       replay->policy.ledger.refuses_early = true;
       replay->policy.ledger.unsettled_percent = 25;
+      replay->policy.ledger.first_rank_percent = 2;
       return true;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (policy_fields); i++)
--- a/test/support/replay_private.h
+++ b/test/support/replay_private.h
@@ -24,6 +24,7 @@
   DRAIN_US = 60 * 1000 * MS,
   RESUME_RANK = 0, /* of streams that callers resume */
   OTHER_RANK = 1,  /* of all other requests */
+  RESUME_INTERVAL_US = 20 * MS,
 };
 
 typedef struct Replay Replay;
@@ -67,6 +68,7 @@
   DyTicket *ticket; /* NULL once refused, settled or aborted */
   bool running;     /* its tokens are counted in Account.running */
   bool settling;    /* settlement was requested */
+  bool resumable;   /* its router was killed while it ran, and its caller has not resumed it */
 } Request;
 
 typedef struct
--- a/test/support/replay_request.c
+++ b/test/support/replay_request.c
@@ -113,6 +113,7 @@
       request->ticket = NULL;
       replay->outcome.broken++;
       bool running = request->running;
+      request->resumable = running;
       stop_running (request);
       Account *acct = replay_find_account (replay, request->account);
       if (request->settling)
--- a/test/test_ledger.c
+++ b/test/test_ledger.c
@@ -576,6 +576,63 @@
 }
 END_TEST
 
+/* A home begins with few tokens free, some of them after others were lost; a request of 100 tokens
+ * of each rank is then decided. */
+START_TEST (new_requests_leave_tokens_for_resumed_streams)
+{
+  static const struct
+  {
+    int64_t percent;       /* of 10,000 paid tokens */
+    int64_t free_tokens;   /* at first */
+    int64_t others_tokens; /* unsettled in the row of a holder that was lost */
+    int64_t open_tokens;   /* reserved before */
+    int64_t wait_us;       /* from the first use to the request */
+    uint32_t rank;
+    int error;
+  } cases[] = {
+    { 0, 500, 500, 0, 0, 1, DY_OK },
+    { 10, 500, 500, 0, 0, 1, DY_BUDGET_RESERVED }, /* 400 would be left, of 500 lost */
+    { 10, 500, 500, 0, 0, 0, DY_OK },
+    { 10, 500, 300, 0, 0, 1, DY_OK },
+    { 10, 1200, 5000, 0, 0, 1, DY_OK }, /* no more than the percentage is kept */
+    { 10, 1000, 5000, 0, 0, 1, DY_BUDGET_RESERVED },
+    { 10, 1000, 5000, 0, 6 * SECOND, 1, DY_OK },
+    { 10, 500, 5000, 0, 6 * SECOND, 1, DY_BUDGET_RESERVED },
+    { 10, 100, 5000, 0, 12 * SECOND, 1, DY_OK },
+    { 10, 1000, 0, 600, 0, 1, DY_BUDGET_RESERVED }, /* 300 would be left, of 600 open */
+    { 10, 1000, 0, 600, 0, 0, DY_OK },
+    { 10, 1000, 0, 400, 0, 1, DY_OK },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Fixture fixture;
+      fixture_init_users_platform (&fixture, 10000);
+      fixture.ledger.policy.first_rank_percent = cases[i].percent;
+      fixture.ledger.policy.minimum_tokens = 1;
+      fixture.stored.closed_tokens = 10000 - cases[i].free_tokens - cases[i].others_tokens;
+      if (cases[i].others_tokens > 0)
+        dy_ledger_entry_add_row (&fixture.stored, OTHER, "r8")->granted_tokens
+            = cases[i].others_tokens;
+      reserve (&fixture, 0, cases[i].open_tokens);
+      complete_calls (&fixture);
+      ck_assert_int_eq (fixture.results[0], DY_OK);
+      tick (&fixture, cases[i].wait_us);
+      complete_calls (&fixture);
+      DyRequestId id = { HOLDER, 1 };
+      dy_ledger_reserve (&fixture.ledger, "a", &id, 100, cases[i].rank, fixture.now_us + SECOND,
+                         fixture.now_us);
+      for (int j = 0; j < 5; j++)
+        {
+          complete_calls (&fixture);
+          tick (&fixture, SECOND / 4);
+        }
+      ck_assert_msg (fixture.results[1] == cases[i].error, "case %zu: %d, expected %d", i,
+                     fixture.results[1], cases[i].error);
+      fixture_finish (&fixture);
+    }
+}
+END_TEST
+
 /* Two kinds of request together use up the budget: the large, less urgent ones must be refused
  * early enough to leave the urgent ones tokens for about five seconds more. */
 START_TEST (headroom_is_for_urgent_requests)
@@ -697,6 +754,7 @@
   tcase_add_test (tcase, an_unreachable_platform_refuses_early);
   tcase_add_test (tcase, unreturned_tokens_are_not_waited_for);
   tcase_add_test (tcase, losses_withhold_a_limited_part);
+  tcase_add_test (tcase, new_requests_leave_tokens_for_resumed_streams);
   tcase_add_test (tcase, headroom_is_for_urgent_requests);
   tcase_add_test (tcase, drain_returns_everything);
   tcase_add_loop_test (tcase, invalid_entries_are_rejected, 0, G_N_ELEMENTS (bad_entries));
--- a/test/test_replay.c
+++ b/test/test_replay.c
@@ -210,10 +210,10 @@
       used = tokens / 2;
       first_account = key % 2 == 0;
     }
-  g_string_append_printf (text, "%d request r%d %s %d %d %d",
-                          g_rand_int_range (rng, 0, SCHEDULE_MS),
-                          g_rand_int_range (rng, 0, N_NODES), first_account ? "a" : "b", tokens,
-                          used, g_rand_int_range (rng, 1, 4000));
+  const char *verb = key < 0 && tokens % 4 == 0 ? "again" : "request";
+  g_string_append_printf (text, "%d %s r%d %s %d %d %d", g_rand_int_range (rng, 0, SCHEDULE_MS),
+                          verb, g_rand_int_range (rng, 0, N_NODES), first_account ? "a" : "b",
+                          tokens, used, g_rand_int_range (rng, 1, 4000));
   if (key >= 0)
     g_string_append_printf (text, " k%d", key);
   g_string_append_c (text, '\n');
