--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -37,7 +37,7 @@
 
 enum
 {
-  DY_LEDGER_RANKS = 10, /* urgency ranks, 0 the most urgent; higher ranks count as the last */
+  DY_LEDGER_RANKS = 11, /* urgency ranks, 0 the most urgent; higher ranks count as the last */
 };
 
 /* Identifies a request across the fleet. */
@@ -53,13 +53,19 @@
 
 typedef struct
 {
-  int64_t horizon_us;         /* period of demand that a grant covers */
-  int64_t minimum_tokens;     /* smallest grant requested ahead of demand */
-  int64_t percent;            /* largest percentage of the free budget granted ahead of demand */
+  int64_t horizon_us;     /* period of demand that a grant covers */
+  int64_t minimum_tokens; /* smallest grant requested ahead of demand */
+  int64_t percent;        /* largest percentage of the free budget granted ahead of demand */
+  /* Largest percentage of the paid tokens that all holders together have granted and unsettled, for
+   * a grant ahead of demand. */
+  int64_t unsettled_percent;
   int64_t float_percent;      /* percentage of the free budget kept granted for platform outages */
   int64_t settle_interval_us; /* longest time that settled tokens stay unwritten */
   int64_t idle_return_us;     /* idle time after which a grant is returned */
   int64_t urgent_headroom_us; /* period of more urgent demand kept as headroom; 0: none */
+  /* Largest percentage of the paid tokens kept free for rank 0, no more than requests that are
+   * open, or were lost with the former home, may ask for again; 0: none. */
+  int64_t first_rank_percent;
   /* Waiting reservations are refused before their deadline when the latest platform call failed, or
    * when other holders were asked to return unneeded tokens and had time to, but did not. */
   bool refuses_early;
@@ -82,7 +88,7 @@
   int error;
   int64_t available_tokens; /* of the own grant, neither spent nor reserved */
   int64_t free_tokens;      /* granted to no holder, by the latest known entry */
-  int64_t headroom_tokens;  /* headroom for more urgent requests */
+  int64_t headroom_tokens;  /* headroom for more urgent requests, or kept for rank 0 */
   int64_t verified_us;      /* start of the latest successful platform call; INT64_MIN: none */
   bool failing;             /* the latest platform call failed */
 } DyLedgerRefusal;
@@ -194,6 +200,9 @@
  * given origin router. */
 int64_t dy_ledger_written_tokens (const DyLedger *ledger, const char *account, uint64_t origin_id);
 
+/* Returns the tokens of ACCOUNT that open requests have reserved from this holder's row. */
+int64_t dy_ledger_reserved_tokens (const DyLedger *ledger, const char *account);
+
 /* Reports that the platform is reachable again: delayed retries start now. */
 void dy_ledger_on_platform_reachable (DyLedger *ledger, int64_t now_us);
 
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -148,6 +148,13 @@
            1,
            100,
            "largest percentage of the free budget granted ahead of demand"),
+  INTEGER (
+      "budget",
+      unsettled_percent,
+      "100",
+      1,
+      100,
+      "largest percentage of the paid tokens, granted and unsettled, for a grant ahead of demand"),
   INTEGER (
       "budget",
       float_percent,
@@ -163,6 +170,12 @@
            0,
            600000,
            "time whose demand of more urgent requests is kept as headroom of an account; 0: none"),
+  INTEGER ("budget",
+           resume_percent,
+           "0",
+           0,
+           50,
+           "largest percentage of the paid tokens kept free for streams that callers resume"),
   INTEGER (
       "budget",
       recovery_delay_ms,
