Count a router as living again when its old connection is taken back

By reading, found by the reviewer: a router that disappears from the VM list while a relay holds the connection to it is reported as dead. Listed again and heard from on that connection, it was taken back without being seen as a living incarnation, so its real death later would not have been reported here: settlements to it would be repeated and its reservations not recovered by this router.

--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -241,6 +241,8 @@
     return;
   if (dialed)
     dy_peers_close_link (dialed, "not_needed");
+  /* It may have been missing on the VM list, and counted as dead, since. */
+  record_incarnation (peers, link->node, link->incarnation_id);
   link->set_aside = false;
   g_hash_table_insert (peers->dialed, g_strdup (link->node), link);
   dy_log (DY_EVENT_PEER_UP, "node=%s", link->node);
