Abort a broken stream that has no deadline, as before

A begun stream whose route and caller set no time limit would have waited to be resumed for ever, with its reservation; found by the reviewer, by reading. Only streams with a deadline wait now. A table of three cases; the random courses have both kinds.

--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -140,7 +140,7 @@
 static bool
 persists (const DyCourse *course)
 {
-  return course->persists || is_begun (course);
+  return course->persists || (course->has_deadline && is_begun (course));
 }
 
 static DyResendQuery
@@ -281,7 +281,8 @@
 {
   if (persists (course))
     return pause_before_attempt (course);
-  return end_with_error (course, course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT);
+  int error = course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT;
+  return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
 }
 
 /* What forbids another attempt for good may have come up in the pause. */
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -24,7 +24,7 @@
  *   has accepted the request, and stays in use if that one turns it away. If the open one ends
  *   first, without an answer for the caller, the other one takes its place. After such an attempt
  *   the request is not ended because none may be sent now: it is sent again after a pause. The same
- *   holds for a begun stream, whose caller can be given no other answer any more.
+ *   holds for a begun stream with a deadline, whose caller can be given no other answer any more.
  *
  * ERRORS
  *   Those of core/resend, and those with which an event states that the request was denied.
@@ -95,6 +95,7 @@
   DyCourseState state;
   bool repeatable; /* idempotent, or a stream that can be resumed */
   bool may_have_run;
+  bool has_deadline;
   bool persists; /* an attempt was abandoned for its silence, or one beside it turned away */
   uint32_t max_attempts; /* most attempts that may run */
   uint32_t n_started;    /* ended or abandoned attempts that may have run */
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -526,6 +526,7 @@
   request->body = g_string_new (NULL);
   dy_course_init (&request->course, plan->kind == DY_ROUTE_STREAM && plan->resume_from,
                   plan->repeatable, plan->max_attempts);
+  request->course.has_deadline = plan->end_us != INT64_MAX;
   start_timers (request);
   return request;
 }
--- a/test/test_request_course.c
+++ b/test/test_request_course.c
@@ -74,6 +74,7 @@
       = state == DY_COURSE_RESUMING || state == DY_COURSE_STREAMING || state == DY_COURSE_HALTING;
   return (DyCourse){ .state = state,
                      .repeatable = true,
+                     .has_deadline = true,
                      .may_have_run = begun,
                      .max_attempts = 3,
                      .n_started = begun ? 1 : 0 };
@@ -266,6 +267,29 @@
 }
 END_TEST
 
+/* A broken stream without a deadline would wait for ever. */
+START_TEST (begun_stream_without_a_deadline_ends_when_it_cannot_be_resumed)
+{
+  static const struct
+  {
+    DyCourseState state;
+    DyCourseEvent event;
+  } events[] = { { DY_COURSE_STREAMING, DY_COURSE_BROKEN },
+                 { DY_COURSE_STREAMING, DY_COURSE_FAILED },
+                 { DY_COURSE_RESUMING, DY_COURSE_NO_ENDPOINT } };
+  for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
+    {
+      DyCourse course = course_in (events[i].state);
+      DyCourseSituation situation = all_allowed;
+      course.has_deadline = false;
+      situation.within_budget = false;
+      DyCourseStep step = dy_course_step (&course, events[i].event, &situation);
+      ck_assert_int_eq (step.action, DY_COURSE_ABORT);
+      ck_assert_int_eq (step.error, DY_STREAM_BROKEN);
+    }
+}
+END_TEST
+
 /* Refusals of attempts beside the silent one ended the request with that one. */
 START_TEST (refusals_beside_a_silent_attempt_do_not_end_the_request)
 {
@@ -350,6 +374,7 @@
       int n_events = g_rand_int_range (rng, 1, MAX_EVENTS);
       uint32_t max_attempts = (uint32_t) g_rand_int_range (rng, 1, 4);
       dy_course_init (&course, g_rand_boolean (rng), g_rand_boolean (rng), max_attempts);
+      course.has_deadline = g_rand_boolean (rng);
       for (int i = 0; i <= n_events; i++)
         {
           DyCourseEvent event = i == n_events
@@ -395,6 +420,7 @@
                        (int) G_N_ELEMENTS (silence_cases));
   tcase_add_loop_test (tcase, request_goes_on_after_its_silent_attempt_was_abandoned, 0,
                        (int) G_N_ELEMENTS (persistent_cases));
+  tcase_add_test (tcase, begun_stream_without_a_deadline_ends_when_it_cannot_be_resumed);
   tcase_add_loop_test (tcase, refusals_beside_a_silent_attempt_do_not_end_the_request, 0, 3);
   tcase_add_test (tcase, any_sequence_of_events_has_exactly_one_end);
   return suite_run ("request_course", tcase);
