--- a/test/test_silent_peers.c
+++ b/test/test_silent_peers.c
@@ -124,7 +124,7 @@
                                     { "/once/x/ok", "", BODY_INTERVAL_MS, CUT, 1 } };
   TrafficResult results[G_N_ELEMENTS (streams)];
   uint32_t n_before[G_N_ELEMENTS (ends)]; /* while the router did not know that it is cut off */
-  uint32_t n_ends[G_N_ELEMENTS (ends)];
+  uint32_t n_ends[G_N_ELEMENTS (ends)] = { 0 };
   ev_timer silence;
   ev_timer speech;
   Site site;
