Bytes on older connections no longer end "out of reach"

The reasoning held for routers that are cut off from all endpoints. Where nearly all are cut off (20 of 22), bytes of the others say nothing of those: such a router then never relayed and tried them one after the other.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -22,7 +22,6 @@
 {
   memset (reach, 0, sizeof *reach);
   reach->policy = *policy;
-  reach->bytes_us = INT64_MIN / 2;
   reach->silent_us = INT64_MIN / 2;
   reach->probed_us = INT64_MIN / 2;
   reach->asked_us = INT64_MIN / 2;
@@ -74,28 +73,18 @@
   return n;
 }
 
-bool
-dy_reach_counts (const DyReach *reach, const DyReachFailure *failure)
-{
-  return failure->kind == DY_REACH_REFUSED || failure->begun_us > reach->bytes_us;
-}
-
 bool
 dy_reach_record_failure (DyReach *reach,
                          const char *endpoint,
-                         const DyReachFailure *failure,
+                         DyReachFailureKind kind,
                          uint32_t n_endpoints,
                          int64_t now_us)
 {
+  DyReachFailure failure = { .kind = kind, .time_us = now_us };
   forget_old_failures (reach, now_us);
-  if (!dy_reach_counts (reach, failure))
-    return false;
-  DyReachFailure *copy = g_memdup2 (failure, sizeof *failure);
-  copy->time_us = now_us;
-  g_hash_table_insert (reach->failed, g_strdup (endpoint), copy);
+  g_hash_table_insert (reach->failed, g_strdup (endpoint), g_memdup2 (&failure, sizeof failure));
   uint32_t n_needed = MAX (MIN (reach->policy.min_failed, n_endpoints), 1);
   uint32_t n_refused = count_failed (reach, DY_REACH_REFUSED);
-  reach->is_refused = reach->is_refused || n_refused >= n_needed;
   reach->is_certain
       = reach->is_certain || n_refused + count_failed (reach, DY_REACH_UNMADE) >= n_needed;
   if (reach->is_out || g_hash_table_size (reach->failed) < n_needed)
@@ -105,46 +94,19 @@
   return true;
 }
 
-/* Returns whether the router was out before. */
-static bool
-end_out (DyReach *reach, int64_t now_us)
+bool
+dy_reach_record_success (DyReach *reach, int64_t now_us)
 {
   bool was_out = reach->is_out;
+  g_hash_table_remove_all (reach->failed);
+  reach->silent_us = INT64_MIN / 2;
   reach->is_out = false;
   reach->is_certain = false;
-  reach->is_refused = false;
   if (was_out)
     reach->changed_us = now_us;
   return was_out;
 }
 
-bool
-dy_reach_record_success (DyReach *reach, int64_t now_us)
-{
-  g_hash_table_remove_all (reach->failed);
-  reach->bytes_us = now_us;
-  reach->silent_us = INT64_MIN / 2;
-  return end_out (reach, now_us);
-}
-
-static gboolean
-is_late (gpointer key, gpointer value, gpointer ctx)
-{
-  (void) key;
-  (void) ctx;
-  return ((const DyReachFailure *) value)->kind != DY_REACH_REFUSED;
-}
-
-bool
-dy_reach_record_bytes (DyReach *reach, int64_t now_us)
-{
-  reach->bytes_us = now_us;
-  if (g_hash_table_size (reach->failed) == 0 && !reach->is_out)
-    return false;
-  g_hash_table_foreach_remove (reach->failed, is_late, NULL);
-  return !reach->is_refused && end_out (reach, now_us);
-}
-
 bool
 dy_reach_take_probe (DyReach *reach, int64_t now_us)
 {
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -8,11 +8,8 @@
  * DESCRIPTION
  *   A router is out of reach of the endpoints if new connections to several of them fail and none
  *   works. It judges that by its own traffic and, once a connection has failed, by probes: one that
- *   works shows that the failure was the endpoint's. A router is cut off either so that nothing
- *   passes, or so that new connections are refused, and those that were opened earlier may live on.
- *   So what comes on an earlier connection counts for nothing against connections that were refused
- *   or reset, and shows that those which were not made in time, or are silent, are late: packets
- *   wait as long where the link of the router's VM is full.
+ *   works shows that the failure was the endpoint's. Connections that were opened earlier count for
+ *   nothing, as they may live on.
  *
  *   A connection that is refused or reset, or never made, has failed for certain. One that is made
  *   and then silent may be cut, or its endpoint may go on after a while: as long as enough others
@@ -52,8 +49,7 @@
 typedef struct
 {
   DyReachFailureKind kind;
-  int64_t begun_us; /* time at which the connection was begun */
-  int64_t time_us;  /* time of the failure, set when it is recorded */
+  int64_t time_us;
 } DyReachFailure;
 
 typedef struct
@@ -61,10 +57,8 @@
   DyReachPolicy policy;
   bool is_out;
   bool is_certain;    /* enough connections failed for certain */
-  bool is_refused;    /* enough connections were refused */
   int64_t changed_us; /* time of the latest change of is_out */
   GHashTable *failed; /* endpoint id to its latest failure, a DyReachFailure, since one worked */
-  int64_t bytes_us;   /* time of the latest bytes of an endpoint on any connection */
   int64_t silent_us;  /* time of the latest silence since one worked */
   int64_t probed_us;  /* time of the latest probe */
   int64_t asked_us;   /* time of the latest question */
@@ -77,14 +71,11 @@
 /* Records that an endpoint was silent, which may be its own slowness: probes are to show. */
 void dy_reach_record_silence (DyReach *reach, int64_t now_us);
 
-/* Returns whether FAILURE shows anything: not if it was late and bytes came since it was begun. */
-bool dy_reach_counts (const DyReach *reach, const DyReachFailure *failure);
-
 /* Records that a new connection to ENDPOINT failed; N_ENDPOINTS are known.
  * Returns whether the router is out from now on and was not before. */
 bool dy_reach_record_failure (DyReach *reach,
                               const char *endpoint,
-                              const DyReachFailure *failure,
+                              DyReachFailureKind kind,
                               uint32_t n_endpoints,
                               int64_t now_us);
 
@@ -92,10 +83,6 @@
  */
 bool dy_reach_record_success (DyReach *reach, int64_t now_us);
 
-/* Records that bytes came from an endpoint on any connection. Returns whether the router was out
- * before and is not from now on. */
-bool dy_reach_record_bytes (DyReach *reach, int64_t now_us);
-
 /* Returns whether a probe of an endpoint is due, and counts it as made. */
 bool dy_reach_take_probe (DyReach *reach, int64_t now_us);
 
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway_crashes.c
@@ -207,7 +207,6 @@
 void
 dy_gateway_record_bytes (DyGateway *gateway, const char *endpoint_id)
 {
-  dy_reachability_record_bytes (gateway->reachability);
   if (gateway->crash_evidence.failures->len > 0)
     dy_crash_evidence_bytes (&gateway->crash_evidence, endpoint_id,
                              dy_kernel_now_us (gateway->kernel));
--- a/src/services/reachability.c
+++ b/src/services/reachability.c
@@ -51,11 +51,9 @@
 {
   static const char *const kinds[] = { "refused", "unmade", "silent" };
   uint32_t n = g_hash_table_size (reachability->directory->placement.by_id);
-  const DyReachFailure failure = { .kind = kind, .begun_us = begun_us };
-  dy_log (DY_EVENT_REACH_FAILED, "endpoint=%s kind=%s ms=%" G_GINT64_FORMAT " counts=%d", endpoint,
-          kinds[kind], (now_us (reachability) - begun_us) / 1000,
-          dy_reach_counts (&reachability->reach, &failure));
-  if (dy_reach_record_failure (&reachability->reach, endpoint, &failure, n, now_us (reachability)))
+  dy_log (DY_EVENT_REACH_FAILED, "endpoint=%s kind=%s ms=%" G_GINT64_FORMAT, endpoint, kinds[kind],
+          (now_us (reachability) - begun_us) / 1000);
+  if (dy_reach_record_failure (&reachability->reach, endpoint, kind, n, now_us (reachability)))
     report_change (reachability);
 }
 
@@ -66,13 +64,6 @@
     report_change (reachability);
 }
 
-void
-dy_reachability_record_bytes (DyReachability *reachability)
-{
-  if (dy_reach_record_bytes (&reachability->reach, now_us (reachability)))
-    report_change (reachability);
-}
-
 void
 dy_reachability_record_silence (DyReachability *reachability)
 {
--- a/src/services/reachability.h
+++ b/src/services/reachability.h
@@ -60,9 +60,6 @@
 /* Records that a new connection to an endpoint worked. */
 void dy_reachability_record_success (DyReachability *reachability);
 
-/* Records that bytes came from an endpoint, on any connection. */
-void dy_reachability_record_bytes (DyReachability *reachability);
-
 /* Returns whether this router does not reach the endpoints, for certain or as another one does. */
 bool dy_reachability_is_out (const DyReachability *reachability);
 
