Count a relay beside a silent attempt as sent until the other router denies it

One was sent to an endpoint by its own router at 4.171 s, through a second router at 6.803 and through a third one at 9.093, with two attempts allowed.

Cause: a relay that takes the place of a silent attempt counted as sent only when the other router had said so. If it was ended before, as its router fell silent, it counted as not run, and its resend was given back; on full links that word takes seconds.

A relay counts as sent from the moment at which it is asked for, unless the other router says that nothing was sent.

--- a/src/services/gateway_replacement.c
+++ b/src/services/gateway_replacement.c
@@ -37,10 +37,11 @@
   if (!request->replacing)
     return;
   DyGatewayAttempt *attempt = other_attempt (request);
-  bool sent = request->replacement_sent_us != 0;
+  bool sent = dy_gateway_replacement_was_sent (request);
   bool ran = !dy_gateway_attempt_states_not_run (attempt);
   forget_replacement (request);
-  dy_gateway_return_resend (request, attempt);
+  if (!sent)
+    dy_gateway_return_resend (request, attempt);
   dy_gateway_attempt_cancel (attempt, DY_PLACEMENT_CANCELLED);
   if (sent)
     dy_gateway_take_event (request, ran ? DY_COURSE_OTHER_RAN : DY_COURSE_OTHER_UNRUN, DY_OK);
@@ -49,7 +50,10 @@
 bool
 dy_gateway_replacement_was_sent (const DyGatewayRequest *request)
 {
-  return request->replacing && request->replacement_sent_us != 0;
+  /* Another router may have sent what it was asked for without having said so yet. */
+  return request->replacing
+         && (request->replacement_sent_us != 0
+             || dy_gateway_attempt_was_sent (other_attempt ((DyGatewayRequest *) request)));
 }
 
 void
@@ -130,8 +134,9 @@
           "request=%s endpoint=%s status=%u ran=%d ms=%" G_GINT64_FORMAT
           " started=%u refused=%u allowed=%u",
           request->plan.id, attempt->endpoint_id ? attempt->endpoint_id : "-", attempt->status, ran,
-          (now_us (request) - request->replacement_sent_us) / 1000, request->course.n_started,
-          request->course.n_refused, request->plan.max_attempts);
+          request->replacement_sent_us ? (now_us (request) - request->replacement_sent_us) / 1000
+                                       : (int64_t) -1,
+          request->course.n_started, request->course.n_refused, request->plan.max_attempts);
 }
 
 /* The silent attempt stays in use. */
@@ -140,27 +145,31 @@
 {
   DyGatewayRequest *request = ctx;
   DyGatewayAttempt *attempt = other_attempt (request);
-  bool sent = request->replacement_sent_us != 0;
   DyCourseEvent event = dy_gateway_classify_end (request, attempt, result);
   bool ran = event != DY_COURSE_NOT_RUN && event != DY_COURSE_NOT_SENT
              && event != DY_COURSE_ENDPOINT_LEFT;
+  bool sent = request->replacement_sent_us != 0 || ran;
   if (sent)
     log_refusal (request, ran);
   forget_replacement (request);
-  dy_gateway_return_resend (request, attempt);
   if (!sent)
-    return;
+    {
+      dy_gateway_return_resend (request, attempt);
+      return;
+    }
   dy_gateway_record_end (request, attempt, event, result);
   dy_gateway_take_event (request, ran ? DY_COURSE_OTHER_RAN : DY_COURSE_OTHER_UNRUN, DY_OK);
   dy_gateway_report_silence_again (request);
 }
 
-/* Another router can take the request, unless this one has sent it on. */
+/* Another router can take the request, unless this one has said that it sent it on. It may have
+ * done so without saying, so that counts as an attempt. */
 static void
 on_silent (void *ctx)
 {
   DyGatewayRequest *request = ctx;
-  if (dy_gateway_replacement_was_sent (request))
+  if (request->replacement_sent_us
+      || request->course.n_started + N_OPEN >= request->plan.max_attempts)
     return;
   dy_gateway_end_replacement (request);
   dy_gateway_report_silence_again (request);
