--- a/test/support/replay.h
+++ b/test/support/replay.h
@@ -26,19 +26,22 @@
  *                                           draining or, after its start, not ready yet
  *   MS again NODE ACCOUNT TOKENS USED RUN_MS
  *                                           as request, for a stream that its caller resumes
- *   MS again                                sends all requests so that ran at routers that were
- * killed since, one each 20 ms, at the routers in turn MS topup ACCOUNT TOKENS MS
- * kill|start|pause|resume|drain NODE   kill leaves the VM on the VM list until `unlist` MS open
- * NODE                            requests reach a started NODE before it is ready MS unlist NODE
- * removes the VM from the VM list MS cut NODES                            network partition between
- * NODES ("r0,r1") and the rest MS island NODES                         as cut, and NODES cannot
- * reach the platform either MS heal                                 ends all partitions MS platform
- * up|down                     while down, calls time out MS platform slow MS adds MS to the delay
- * of each reply MS platform lose PERCENT                share of writes that are applied and get no
- * reply MS platform restore AGE_MS              the store goes back to what it was AGE_MS ago run
- * MS                                  end of the inputs. All faults then end, and the routers run
- * on for 60 s, then drain for 60 s expect NAME =|<=|>= VALUE               an expected outcome, see
- * outcome_fields in replay.c
+ *   MS again                                sends so, at the routers in turn, all requests that ran
+ *                                           at routers killed since, one each 20 ms
+ *   MS topup ACCOUNT TOKENS
+ *   MS kill|start|pause|resume|drain NODE   kill leaves the VM on the VM list until `unlist`
+ *   MS open NODE                            requests reach a started NODE before it is ready
+ *   MS unlist NODE                          removes the VM from the VM list
+ *   MS cut NODES                            network partition between NODES ("r0,r1") and the rest
+ *   MS island NODES                         as cut, and NODES cannot reach the platform either
+ *   MS heal                                 ends all partitions
+ *   MS platform up|down                     while down, calls time out
+ *   MS platform slow MS                     adds MS to the delay of each reply
+ *   MS platform lose PERCENT                share of writes that are applied and get no reply
+ *   MS platform restore AGE_MS              the store goes back to what it was AGE_MS ago
+ *   run MS                                  end of the inputs. All faults then end, and the routers
+ *                                           run on for 60 s, then drain for 60 s
+ *   expect NAME =|<=|>= VALUE               an expected outcome, see outcome_fields in replay.c
  */
 
 #include <glib.h>
