Comments: announced changes and refused relays in the field's terms

Cause: three comments told how the code came about. Change: they say what the code does; no code changed, so nothing was measured.

--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -310,8 +310,7 @@
   apply_reply (watch, reply, call->lists);
   if (has_changes || watch->suspect)
     replace_call (watch, has_changes ? "late" : "outage");
-  /* What this router asked for as another one had told of it is on its way to all others. If each
-   * that is late passed it on, all of them would be later still. */
+  /* A change that another router has announced is sent to all by that one. */
   if (!call->told)
     spread_age (watch, call, has_changes ? reply : NULL);
 }
--- a/src/services/object_watch.h
+++ b/src/services/object_watch.h
@@ -11,7 +11,7 @@
  *   the absence of changes, the age of what is known is bounded by checks, which the routers share;
  *   see core/watch_age.h. A check that returns changes shows that the call which waits for them is
  *   dead or late: its answer no longer counts, and another one is sent. Its changes, too, are
- *   passed on, unless another router had told of them.
+ *   passed on, unless another router had announced them.
  *
  *   The watcher is the first live router that reaches the store, in an order for the prefix that
  *   all compute alike. Of routers that don't reach it, the first live one watches.
@@ -54,7 +54,7 @@
   bool lists;       /* all objects, instead of waiting for changes */
   uint64_t base;    /* version after which changes are asked for */
   uint64_t changed; /* at or after the latest change up to BASE */
-  bool told;        /* another router had told of a change after BASE */
+  bool told;        /* a change after BASE had been announced by another router */
   int64_t sent_us;
 } DyObjectWatchCall;
 
--- a/test/test_stopping_relays.c
+++ b/test/test_stopping_relays.c
@@ -137,7 +137,8 @@
   ev_timer_start (loop, w);
 }
 
-/* What is asked of a router that stops has not run: it runs elsewhere, or its caller is told so. */
+/* A relay refused by a stopping router is placed elsewhere, or its request is refused as not run.
+ */
 START_TEST (a_relay_that_a_stopping_router_is_asked_for_goes_elsewhere)
 {
   const TrafficStream streams[] = { { "/s1/x/paced", "c1:4,", INTERVAL_MS, 0, 1 },
