--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -27,11 +27,12 @@
  *
  * GET /admin/stats returns {"runs": {request id: n}, "last": {header: value}, "cancelled": n,
  * "crashing": requests that came with the part "bad0",
- * "limited_ms": [time of each request since the limit was set]}.
+ * "limited_ms": [time of each request since the limit or the fields were set]}.
  * POST /admin/label takes {"label": text}, which each event then ends with.
  * POST /admin/set takes {"instance": id}; requests whose X-Expect-Instance differs are answered
  * 421. POST /admin/limit takes {"limit": text}, which signed answers then have as Server-Limit;
- * null ends that.
+ * null ends that. POST /admin/say takes {header: value, ...}, fields that all answers then have,
+ * refusals too; {} ends that.
  *
  * POST /admin/silence takes {"ms": n}: for n milliseconds requests are read, but no byte of an
  * answer is sent, except to /admin. Then all answers go on where they were.
@@ -88,6 +89,7 @@
 static int64_t n_crashing;  /* requests that came with the crashing part */
 static GHashTable *pending; /* set of PendingCall */
 static char *limit;         /* value of Server-Limit; NULL: none */
+static json_t *said;        /* header fields of all answers; NULL: none */
 static char *label;         /* end of each event's data; NULL: none */
 static ev_tstamp down_until;
 static ev_tstamp silent_until;
@@ -124,9 +126,21 @@
   json_object_set_new (worker->last, "target", json_string (dy_http_call_target (call)));
 }
 
+static void
+say (DyHttpCall *call)
+{
+  const char *name;
+  const json_t *value;
+  json_object_foreach (said, name, value)
+  {
+    dy_http_call_add_header (call, name, json_string_value (value));
+  }
+}
+
 static void
 sign (DyHttpCall *call, const char *id)
 {
+  say (call);
   dy_http_call_add_header (call, "X-Request-Id", id);
   dy_http_call_add_header (call, "X-Server-Seal", SEAL);
   if (limit)
@@ -380,6 +394,7 @@
 refuse (DyHttpCall *call, unsigned status)
 {
   dy_http_call_add_header (call, status == 421 ? "X-Instance-Id" : "X-Not-Run", "1");
+  say (call);
   dy_http_call_reply (call, status, "text/plain", "", 0);
 }
 
@@ -516,6 +531,16 @@
   reply_json (call, json_object ());
 }
 
+static void
+set_said (Worker *worker, DyHttpCall *call)
+{
+  json_decref (said);
+  said = json_loadb (dy_http_call_body (call)->str, dy_http_call_body (call)->len, 0, NULL);
+  json_array_clear (worker->limited_ms);
+  worker->limit_set_at = ev_now (main_loop);
+  reply_json (call, json_object ());
+}
+
 static void
 handle (void *ctx, DyHttpCall *call)
 {
@@ -531,6 +556,8 @@
     set_instance (worker, call);
   else if (strcmp (path, "/admin/limit") == 0)
     set_limit (worker, call);
+  else if (strcmp (path, "/admin/say") == 0)
+    set_said (worker, call);
   else if (strcmp (path, "/admin/silence") == 0)
     silent_until = ev_now (main_loop) + (double) take_integer (call, "ms") / 1e3;
   else if (strcmp (path, "/admin/resumes") == 0)
