Send nothing new to an endpoint whose answers say that it leaves

Callers saw requests end at endpoints that were about to exit. Nothing read the header field Server-Leaving: an endpoint whose record did not say it yet, or never, went on to get requests from routers that had passed its word on.

What an endpoint says of itself is now a notice (core/notices) that belongs to one start of the endpoint. Placement, resends, resumes, attempts beside silent ones, relays and the check before the send pass over it as over one whose record says it. The first router that is told tells all others, and those that connect later. It ends when the endpoint starts again, and a minute after it was last given, as an endpoint that gets nothing cannot take it back. Values that cannot be read are logged.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -108,6 +108,14 @@
   endpoint->leaving = record->leaving;
 }
 
+void
+dy_placement_set_leaving (DyPlacement *placement, const char *id, bool leaving)
+{
+  DyPlacementEndpoint *endpoint = g_hash_table_lookup (placement->by_id, id);
+  if (endpoint)
+    endpoint->leaving = leaving;
+}
+
 void
 dy_placement_remove (DyPlacement *placement, const char *id)
 {
@@ -403,6 +411,12 @@
   return endpoint->id;
 }
 
+int64_t
+dy_placement_endpoint_start_ms (const DyPlacementEndpoint *endpoint)
+{
+  return endpoint->start_ms;
+}
+
 const char *
 dy_placement_endpoint_service (const DyPlacementEndpoint *endpoint)
 {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -106,6 +106,9 @@
  * and clears the load report and the cached prefixes. */
 void dy_placement_put (DyPlacement *placement, const DyEndpointRecord *record);
 
+/* Sets whether the endpoint ID, if there is one, is leaving. dy_placement_put() sets it, too. */
+void dy_placement_set_leaving (DyPlacement *placement, const char *id, bool leaving);
+
 /* Removes the endpoint ID, if there is one. Requests in flight keep their DyPlacementEndpoint. */
 void dy_placement_remove (DyPlacement *placement, const char *id);
 
@@ -173,6 +176,7 @@
                                                           const void *ctx);
 
 const char *dy_placement_endpoint_id (const DyPlacementEndpoint *endpoint);
+int64_t dy_placement_endpoint_start_ms (const DyPlacementEndpoint *endpoint);
 const char *dy_placement_endpoint_address (const DyPlacementEndpoint *endpoint);
 const char *dy_placement_endpoint_service (const DyPlacementEndpoint *endpoint);
 
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -49,6 +49,7 @@
   DyRegistration registration;
   DyDirectory directory;
   DyEndpointLimits limits;
+  DyEndpointNotices notices;
   DyPartBlocks part_blocks;
   DyRestores restores;
   DyOrigins origins;
@@ -281,6 +282,7 @@
   dy_restores_add_service (kernel, &daemon->restores);
   dy_directory_add_service (kernel, &daemon->directory);
   dy_endpoint_limits_add_service (kernel, &daemon->limits);
+  dy_endpoint_notices_add_service (kernel, &daemon->notices);
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
   dy_origins_add_service (kernel, &daemon->origins);
   dy_reachability_add_service (kernel, &daemon->reachability);
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -59,6 +59,8 @@
   X (LIMITED_ENDPOINTS, gauge, "dogwoodyoke_limited_endpoints", "endpoints that name a limit")     \
   X (LIMIT_SKIPS, counter, "dogwoodyoke_limit_skips_total",                                        \
      "requests that passed over an endpoint for its limit")                                        \
+  X (NOTICES, gauge, "dogwoodyoke_endpoint_notices",                                               \
+     "endpoints that said something of themselves in answers")                                     \
   X (RESUMES, counter, "dogwoodyoke_resumes_total", "streams that callers resumed")                \
   X (RESUMES_REFUSED, counter, "dogwoodyoke_resumes_refused_total",                                \
      "resumed streams whose origin was not known")                                                 \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -72,6 +72,9 @@
   X (OUT_OF_REACH, 6016, WARNING, "endpoints out of reach")                                        \
   X (REACHES_AGAIN, 6017, MESSAGE, "endpoints reached again")                                      \
   X (REACH_FAILED, 6018, INFO, "new connection to endpoint failed")                                \
+  X (NOTICE_KNOWN, 6019, MESSAGE, "endpoint says something of itself")                             \
+  X (NOTICE_ENDED, 6020, MESSAGE, "notice of an endpoint ended")                                   \
+  X (NOTICE_UNREADABLE, 6021, WARNING, "notice of an endpoint unreadable")                         \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -73,6 +73,10 @@
   uint32_t n_waiting;
   /* Requests in a thousand seconds that the endpoint accepts from all routers; 0: not limited. */
   int64_t limit_per_1000_s;
+  bool leaving; /* the endpoint states that it leaves */
+  /* Name of a header field of these that cannot be read; its value counts as not stated. NULL:
+   * none. */
+  const char *unreadable;
   int64_t max_idle_s; /* time after which the endpoint closes an idle connection; 0: not stated */
 } DyAnswerHead;
 
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -33,6 +33,7 @@
 typedef struct
 {
   int64_t start_ms; /* Unix time; 0: not stated */
+  bool leaving;     /* by the record */
   bool expiring;
   int64_t remove_us; /* if expiring: monotonic time at which the endpoint is removed */
 } EndpointState;
@@ -203,6 +204,9 @@
     notify_end (directory, id);
   state->expiring = false;
   state->start_ms = record.start_ms;
+  state->leaving = record.leaving;
+  record.leaving
+      = record.leaving || dy_notices_is_leaving (&directory->notices, id, record.start_ms);
   if (record.leaving)
     dy_departures_add (&directory->departures, id, record.start_ms, now_us (directory));
   else
@@ -379,6 +383,7 @@
   directory->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   directory->held = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_held);
   dy_departures_init (&directory->departures);
+  dy_notices_init (&directory->notices);
   dy_placement_init (&directory->placement, &dy_placement_policy, kernel->settings->data_centre,
                      (uint32_t) kernel->incarnation_id);
   dy_peers_watch (directory->peers, &peers_watcher, directory);
@@ -415,6 +420,7 @@
   g_hash_table_unref (directory->endpoints);
   g_hash_table_unref (directory->held);
   dy_departures_finish (&directory->departures);
+  dy_notices_finish (&directory->notices);
   g_free (directory->routes_text);
   g_free (directory->routes_packed);
 }
@@ -468,6 +474,38 @@
   directory->end_watcher_ctx = ctx;
 }
 
+bool
+dy_directory_take_leaving (
+    DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, bool from_peer)
+{
+  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
+  if (!dy_notices_take_leaving (&directory->notices, id, start_ms, said_us, from_peer))
+    return false;
+  if (state && state->start_ms == start_ms)
+    {
+      dy_departures_add (&directory->departures, id, start_ms, now_us (directory));
+      dy_placement_set_leaving (&directory->placement, id, true);
+    }
+  return true;
+}
+
+void
+dy_directory_end_leaving (DyDirectory *directory, const char *id)
+{
+  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
+  if (!state || state->leaving)
+    return;
+  dy_departures_remove (&directory->departures, id);
+  dy_placement_set_leaving (&directory->placement, id, false);
+}
+
+int64_t
+dy_directory_start_ms (const DyDirectory *directory, const char *id)
+{
+  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
+  return state ? state->start_ms : 0;
+}
+
 const char *
 dy_directory_health_path (const DyDirectory *directory, const DyPlacementEndpoint *endpoint)
 {
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -24,6 +24,7 @@
  */
 
 #include "core/departures.h"
+#include "core/notices.h"
 #include "core/placement.h"
 #include "kernel/kernel.h"
 #include "services/dialect.h"
@@ -52,6 +53,7 @@
   uint64_t routes_revision; /* store version of the object that holds the route table */
   GHashTable *endpoints;    /* id to the state of the endpoint's record */
   DyDepartures departures;  /* endpoints that have left */
+  DyNotices notices;        /* what endpoints say of themselves in answers */
   GHashTable *held;         /* key to a listed record that is not taken yet */
   DySpread spread;
   DyObjectWatch routes_watch;
@@ -76,6 +78,17 @@
  * watcher. */
 void dy_directory_watch_ends (DyDirectory *directory, DyEndpointEndWatcher watcher, void *ctx);
 
+/* Records that the endpoint ID, started at START_MS, said at SAID_US in an answer that it leaves;
+ * FROM_PEER is whether another router reported it. Returns whether that was not known. */
+bool dy_directory_take_leaving (
+    DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, bool from_peer);
+
+/* The notice that the endpoint ID leaves has ended: what its record says holds again. */
+void dy_directory_end_leaving (DyDirectory *directory, const char *id);
+
+/* Returns the start time of the endpoint ID by its record; 0 if it is not known. */
+int64_t dy_directory_start_ms (const DyDirectory *directory, const char *id);
+
 /* Returns the path of the health check of ENDPOINT, or NULL if it is not known. */
 const char *dy_directory_health_path (const DyDirectory *directory,
                                       const DyPlacementEndpoint *endpoint);
--- /dev/null
+++ b/src/services/endpoint_notices.h
@@ -0,0 +1,45 @@
+#ifndef DY_SERVICES_ENDPOINT_NOTICES_H
+#define DY_SERVICES_ENDPOINT_NOTICES_H
+
+/**
+ * NAME
+ *   endpoint_notices - what endpoints say of themselves in their answers, known to all routers
+ *
+ * DESCRIPTION
+ *   Feeds the notices of the directory (core/notices.h) with what answers say. Placement passes
+ * over an endpoint that has said that it leaves, as over one whose record says it. Routers tell
+ * each other as objects that dy_peers_send_object() sends:
+ *
+ *     notices/ENDPOINT  {"start_ms": n, "leaving": true, "age_ms": n}
+ *       The fields of DyNotice; age_ms is the time since it was last said.
+ *
+ *   The first router that is told tells all others. A router that has restarted learns the notices
+ *   when its connections to the others come up, or from the first answers.
+ *
+ * ERRORS
+ *   A header field that cannot be read is logged, once for each endpoint and field, and changes
+ *   nothing. Likewise an object of another router.
+ */
+
+#include "services/directory.h"
+
+#define DY_SERVICE_ENDPOINT_NOTICES "endpoint_notices"
+
+typedef struct
+{
+  DyKernel *kernel;
+  DyDirectory *directory;
+  GHashTable *reported; /* set of "ENDPOINT FIELD", the unreadable fields that were logged */
+  ev_timer sweep;       /* ends notices by their age */
+} DyEndpointNotices;
+
+/* Adds the service "endpoint_notices", whose interface is a DyEndpointNotices. */
+void dy_endpoint_notices_add_service (DyKernel *kernel, DyEndpointNotices *notices);
+
+/* Takes what ENDPOINT, started at START_MS, says of itself in ANSWER. */
+void dy_endpoint_notices_take (DyEndpointNotices *notices,
+                               const char *endpoint,
+                               int64_t start_ms,
+                               const DyAnswerHead *answer);
+
+#endif
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -23,6 +23,7 @@
 #include "services/budgets.h"
 #include "services/directory.h"
 #include "services/endpoint_limits.h"
+#include "services/endpoint_notices.h"
 #include "services/link_probe.h"
 #include "services/origins.h"
 #include "services/part_blocks.h"
@@ -38,6 +39,7 @@
   DyBudgets *budgets;
   DyPartBlocks *part_blocks;
   DyEndpointLimits *limits;
+  DyEndpointNotices *notices;
   DyOrigins *origins;
   DyReachability *reachability;
   struct DyRelays *relays;
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -95,7 +95,10 @@
   if (answer->has_load && !other_request)
     dy_placement_report (attempt->endpoint, answer->n_running, answer->n_waiting, now_us (attempt));
   if (!attempt->foreign && status != DY_HTTP_MISDIRECTED)
-    take_limit (attempt, success);
+    {
+      take_limit (attempt, success);
+      dy_endpoint_notices_take (gateway->notices, attempt->endpoint_id, attempt->start_ms, answer);
+    }
   if (answer->max_idle_s > 0 && answer->max_idle_s != max_idle_s (attempt))
     g_hash_table_insert (gateway->max_idle_by_service, g_strdup (attempt->service),
                          GINT_TO_POINTER ((int) answer->max_idle_s));
@@ -339,6 +342,7 @@
   attempt->endpoint = endpoint;
   attempt->endpoint_id = g_strdup (dy_placement_endpoint_id (endpoint));
   attempt->version = g_strdup (dy_placement_endpoint_version (endpoint));
+  attempt->start_ms = dy_placement_endpoint_start_ms (endpoint);
   build_lines (attempt, spec);
   dy_placement_begin (&gateway->directory->placement, endpoint, &attempt->work, attempt->placed_us);
   start (attempt, spec);
@@ -356,6 +360,29 @@
   attempt->watcher->ready (attempt->ctx);
 }
 
+/* The router that made the attempt tells all others, but this one passes the answer on and may not
+ * hear of it for a while. */
+static void
+take_relayed_notices (DyGatewayAttempt *attempt, const char *const *headers)
+{
+  DyGateway *gateway = attempt->gateway;
+  GArray *fields = g_array_new (FALSE, FALSE, sizeof (DyHttpHeader));
+  DyAnswerHead answer;
+  for (; headers[0] && headers[1]; headers += 2)
+    {
+      DyHttpHeader field = { .name = headers[0], .value = headers[1] };
+      g_array_append_val (fields, field);
+    }
+  gateway->dialect->decode_answer ((const DyHttpHeader *) (void *) fields->data, fields->len,
+                                   &answer);
+  bool foreign = answer.request_id && strcmp (answer.request_id, attempt->request_id) != 0;
+  if (attempt->endpoint_id && !foreign && attempt->status != DY_HTTP_MISDIRECTED)
+    dy_endpoint_notices_take (gateway->notices, attempt->endpoint_id,
+                              dy_directory_start_ms (gateway->directory, attempt->endpoint_id),
+                              &answer);
+  g_array_unref (fields);
+}
+
 static void
 on_relay_head (void *ctx, unsigned status, bool is_success, const char *const *headers)
 {
@@ -363,6 +390,7 @@
   attempt->head_received = true;
   attempt->status = status;
   attempt->is_success = is_success;
+  take_relayed_notices (attempt, headers);
   for (; headers[0] && headers[1]; headers += 2)
     add_header (attempt->headers, headers[0], headers[1]);
   if (attempt->watcher->head)
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -81,6 +81,7 @@
   char *request_id;          /* empty: none */
   char *service;
   DyPromptWork work;
+  int64_t start_ms;   /* start time of the endpoint when it was chosen; of a relay 0 */
   int64_t placed_us;  /* monotonic time at which the endpoint was chosen */
   int64_t send_us;    /* time from then to the sending, once the attempt has ended; -1: not sent */
   GPtrArray *lines;   /* "Name: value" lines sent, NULL at the end */
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -105,6 +105,7 @@
   gateway->part_blocks = &fixture->part_blocks;
   fixture->part_blocks.loaded = true;
   gateway->limits = &fixture->limits;
+  gateway->notices = &fixture->notices;
   dy_limit_shares_init (&fixture->limits.shares, &dy_limit_policy, NULL, NULL);
   dy_crash_cause_init (&fixture->part_blocks.cause, &dy_crash_cause_policy, NULL, NULL);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -40,9 +40,10 @@
   DyBudgets budgets;
   DyPeers peers; /* has no other router */
   DyDirectory directory;
-  DyPartBlocks part_blocks; /* knows of no crash */
-  DyEndpointLimits limits;  /* knows of no limit */
-  DyOrigins origins;        /* all endpoints have one software version */
+  DyPartBlocks part_blocks;  /* knows of no crash */
+  DyEndpointLimits limits;   /* knows of no limit */
+  DyEndpointNotices notices; /* is given none */
+  DyOrigins origins;         /* all endpoints have one software version */
   DyReachability reachability;
   DyGateway gateway;
   char *address; /* where the gateway accepts callers */
