Do not take a message of unknown age for a confirmation of now

A router counted the first message of another router that begins to confirm what is known as if it had been no time on its way, and later ones by how much slower than the fastest they were. Where the link of the receiver has been full for seconds, as on a crowded router, all of them were late, and its knowledge was taken for younger than it was by as much.

Routers now ask each other for their clocks (services/clocks), which bounds from above for how long a message was on its way (core/transit). A message of a router whose clock is not known shows only that there are changes. Times that are compared between routers count the time for which a VM was suspended.

--- a/src/core/transit.c
+++ b/src/core/transit.c
@@ -11,7 +11,7 @@
 
 typedef struct
 {
-  int64_t least_us;    /* difference of the clocks at the fastest message of this period */
+  int64_t behind_us; /* least by which the other clock is behind, by the exchanges of this period */
   int64_t previous_us; /* the same of the period before */
   int64_t end_us;      /* of this period */
 } Sender;
@@ -28,31 +28,42 @@
   g_hash_table_unref (transit->senders);
 }
 
-static Sender *
-find_sender (DyTransit *transit, uint64_t id, int64_t difference_us, int64_t now_us)
+void
+dy_transit_record_exchange (DyTransit *transit,
+                            uint64_t sender_id,
+                            int64_t asked_us,
+                            int64_t clock_us)
 {
-  Sender *sender = g_hash_table_lookup (transit->senders, &id);
-  if (sender && now_us < sender->end_us)
-    return sender;
+  Sender *sender = g_hash_table_lookup (transit->senders, &sender_id);
+  int64_t behind_us = asked_us - clock_us;
   if (!sender)
     {
       if (g_hash_table_size (transit->senders) >= MAX_SENDERS)
         g_hash_table_remove_all (transit->senders);
       sender = g_new0 (Sender, 1);
-      g_hash_table_insert (transit->senders, g_memdup2 (&id, sizeof id), sender);
+      sender->end_us = INT64_MIN / 2;
+      g_hash_table_insert (transit->senders, g_memdup2 (&sender_id, sizeof sender_id), sender);
+    }
+  if (asked_us >= sender->end_us)
+    {
+      bool follows = asked_us < sender->end_us + PERIOD_US;
+      sender->previous_us = follows ? sender->behind_us : behind_us;
+      sender->behind_us = behind_us;
+      sender->end_us = asked_us + PERIOD_US;
     }
-  bool follows = sender->end_us != 0 && now_us < sender->end_us + PERIOD_US;
-  sender->previous_us = follows ? sender->least_us : difference_us;
-  sender->least_us = difference_us;
-  sender->end_us = now_us + PERIOD_US;
-  return sender;
+  sender->behind_us = MAX (sender->behind_us, behind_us);
 }
 
 int64_t
-dy_transit_delay_us (DyTransit *transit, uint64_t sender_id, int64_t sent_us, int64_t received_us)
+dy_transit_delay_us (const DyTransit *transit,
+                     uint64_t sender_id,
+                     int64_t sent_us,
+                     int64_t received_us)
 {
-  int64_t difference_us = received_us - sent_us;
-  Sender *sender = find_sender (transit, sender_id, difference_us, received_us);
-  sender->least_us = MIN (sender->least_us, difference_us);
-  return difference_us - MIN (sender->least_us, sender->previous_us);
+  const Sender *sender = g_hash_table_lookup (transit->senders, &sender_id);
+  if (!sender || received_us >= sender->end_us + PERIOD_US)
+    return DY_TRANSIT_UNKNOWN;
+  int64_t behind_us = received_us < sender->end_us ? MAX (sender->behind_us, sender->previous_us)
+                                                   : sender->behind_us;
+  return MAX (received_us - sent_us - behind_us, 0);
 }
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <time.h>
 
 /* The lowest bit is 0, because a router can have two rows in a ledger entry and the second one
  * takes the id plus 1. An id of 0 means no incarnation. */
@@ -135,3 +136,11 @@
   (void) kernel;
   return g_get_monotonic_time ();
 }
+
+int64_t
+dy_kernel_boot_us (void)
+{
+  struct timespec time;
+  clock_gettime (CLOCK_BOOTTIME, &time);
+  return (int64_t) time.tv_sec * G_USEC_PER_SEC + time.tv_nsec / 1000;
+}
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -90,4 +90,8 @@
 /* Returns the monotonic time in microseconds. */
 int64_t dy_kernel_now_us (const DyKernel *kernel);
 
+/* Returns the microseconds since the VM was started, with the time for which it was suspended,
+ * which the monotonic time leaves out. */
+int64_t dy_kernel_boot_us (void);
+
 #endif
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -391,7 +391,8 @@
   ev_set_priority (&directory->expiry_timer, DY_PRIORITY_TIMEOUT);
   directory->expiry_timer.data = directory;
   ev_timer_start (kernel->loop, &directory->expiry_timer);
-  dy_spread_init (&directory->spread, kernel, directory->peers);
+  dy_clocks_init (&directory->clocks, kernel, directory->peers);
+  dy_spread_init (&directory->spread, kernel, directory->peers, &directory->clocks);
   const DyObjectWatchSpec routes = { .prefix = directory->dialect->routes_prefix,
                                      .batch_delay_ms = ROUTES_BATCH_DELAY_MS,
                                      .bound_ms = kernel->settings->routes_bound_ms,
@@ -415,6 +416,7 @@
   dy_object_watch_stop (&directory->routes_watch);
   dy_object_watch_stop (&directory->endpoints_watch);
   dy_spread_finish (&directory->spread);
+  dy_clocks_finish (&directory->clocks);
   dy_placement_finish (&directory->placement);
   dy_route_table_finish (&directory->routes);
   g_hash_table_unref (directory->endpoints);
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -55,6 +55,7 @@
   DyDepartures departures;  /* endpoints that have left */
   DyNotices notices;        /* what endpoints say of themselves in answers */
   GHashTable *held;         /* key to a listed record that is not taken yet */
+  DyClocks clocks;
   DySpread spread;
   DyObjectWatch routes_watch;
   DyObjectWatch endpoints_watch;
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -65,7 +65,7 @@
   if (!watch->current)
     return;
   dy_log (DY_EVENT_WATCH_REPLACED, "prefix=%s reason=%s ms=%" G_GINT64_FORMAT, watch->prefix,
-          reason, (now_us (watch) - watch->current->sent_us) / US_PER_MS);
+          reason, (dy_kernel_boot_us () - watch->current->sent_us) / US_PER_MS);
   dy_counters_add (&watch->kernel->counters, DY_COUNTER_WATCHES_REPLACED, 1);
   request_changes (watch);
 }
@@ -167,7 +167,7 @@
 static void
 spread_age (DyObjectWatch *watch, const DyObjectWatchCall *call, const DyPlatformReply *reply)
 {
-  int64_t age_ms = (now_us (watch) - watch->age.confirmed_us) / US_PER_MS;
+  int64_t age_ms = (dy_kernel_boot_us () - watch->age.confirmed_us) / US_PER_MS;
   json_t *root = json_pack ("{s:I, s:I, s:b}", "changed", (json_int_t) watch->age.changed_version,
                             "age_ms", (json_int_t) age_ms, "by_list", call->lists);
   json_t *changes
@@ -195,7 +195,7 @@
   call->base = lists ? 0 : watch->age.version;
   call->changed = watch->age.changed_version;
   call->told = watch->age.behind_us != 0;
-  call->sent_us = now_us (watch);
+  call->sent_us = dy_kernel_boot_us ();
 }
 
 /* Goes on after an answer: the watcher waits for the next changes. */
@@ -299,7 +299,7 @@
     {
       watch->failing = true;
       watch->suspect = true;
-      dy_watch_age_record_failure (&watch->age, now_us (watch));
+      dy_watch_age_record_failure (&watch->age, dy_kernel_boot_us ());
       return;
     }
   uint64_t changed = latest_change (watch, reply, call->lists);
@@ -327,7 +327,7 @@
     return;
   uint32_t rank = rank_of (watch);
   DyWatchAgeAction action
-      = dy_watch_age_decide (&watch->age, rank, watch->current || rank > 0, now_us (watch));
+      = dy_watch_age_decide (&watch->age, rank, watch->current || rank > 0, dy_kernel_boot_us ());
   if (action == DY_WATCH_AGE_FRESH)
     return;
   begin_call (watch, &watch->check, action == DY_WATCH_AGE_LIST);
@@ -430,13 +430,17 @@
   if (json_is_integer (changed) && json_is_integer (age_ms) && json_integer_value (age_ms) >= 0)
     {
       uint64_t version = (uint64_t) json_integer_value (changed);
-      int64_t confirmed_us = now_us (watch) - json_integer_value (age_ms) * US_PER_MS
-                             - dy_spread_delay_us (watch->spread, root);
+      int64_t delay_us = dy_spread_delay_us (watch->spread, root);
+      int64_t confirmed_us
+          = delay_us == DY_TRANSIT_UNKNOWN
+                ? INT64_MIN / 2
+                : dy_kernel_boot_us () - json_integer_value (age_ms) * US_PER_MS - delay_us;
       dy_spread_pass_on (watch->spread, message, root);
       record_success_of_peer (watch, version);
       take_changes (watch, root, version, confirmed_us);
       dy_watch_age_record_peer (&watch->age, version, confirmed_us,
-                                json_is_true (json_object_get (root, "by_list")), now_us (watch));
+                                json_is_true (json_object_get (root, "by_list")),
+                                dy_kernel_boot_us ());
     }
   json_decref (root);
 }
@@ -446,5 +450,5 @@
 {
   if (watch->age.confirmed_us < 0)
     return INT64_MAX;
-  return (now_us (watch) - watch->age.confirmed_us) / US_PER_MS;
+  return (dy_kernel_boot_us () - watch->age.confirmed_us) / US_PER_MS;
 }
--- a/src/services/object_watch.h
+++ b/src/services/object_watch.h
@@ -55,7 +55,7 @@
   uint64_t base;    /* version after which changes are asked for */
   uint64_t changed; /* at or after the latest change up to BASE */
   bool told;        /* a change after BASE had been announced by another router */
-  int64_t sent_us;
+  int64_t sent_us;  /* by dy_kernel_boot_us(), as all times of DyWatchAge */
 } DyObjectWatchCall;
 
 typedef struct DyObjectWatch
--- a/src/services/spread.c
+++ b/src/services/spread.c
@@ -8,12 +8,12 @@
 };
 
 void
-dy_spread_init (DySpread *spread, DyKernel *kernel, DyPeers *peers)
+dy_spread_init (DySpread *spread, DyKernel *kernel, DyPeers *peers, const DyClocks *clocks)
 {
   spread->kernel = kernel;
   spread->peers = peers;
   spread->number = 0;
-  dy_transit_init (&spread->transit);
+  spread->clocks = clocks;
   spread->begun = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
 }
 
@@ -21,7 +21,6 @@
 dy_spread_finish (DySpread *spread)
 {
   g_hash_table_unref (spread->begun);
-  dy_transit_finish (&spread->transit);
 }
 
 static void
@@ -44,7 +43,7 @@
                        json_pack ("{s:s, s:I, s:I, s:I}", "root", name, "incarnation",
                                   (json_int_t) spread->kernel->incarnation_id, "number",
                                   (json_int_t) spread->number, "sent_us",
-                                  (json_int_t) dy_kernel_now_us (spread->kernel)));
+                                  (json_int_t) dy_kernel_boot_us ()));
   char *text = json_dumps (root, JSON_COMPACT);
   send_to_targets (spread, name, spread->number, key, text);
   free (text);
@@ -86,13 +85,13 @@
 }
 
 int64_t
-dy_spread_delay_us (DySpread *spread, const json_t *root)
+dy_spread_delay_us (const DySpread *spread, const json_t *root)
 {
   const json_t *field = json_object_get (root, "spread");
   const json_t *id = json_object_get (field, "incarnation");
   const json_t *sent_us = json_object_get (field, "sent_us");
   if (!json_is_integer (id) || !json_is_integer (sent_us))
-    return 0;
-  return dy_transit_delay_us (&spread->transit, (uint64_t) json_integer_value (id),
-                              json_integer_value (sent_us), dy_kernel_now_us (spread->kernel));
+    return DY_TRANSIT_UNKNOWN;
+  return dy_clocks_delay_us (spread->clocks, (uint64_t) json_integer_value (id),
+                             json_integer_value (sent_us));
 }
--- a/src/services/spread.h
+++ b/src/services/spread.h
@@ -8,14 +8,13 @@
  * DESCRIPTION
  *   core/spread.h describes the tree. The object is JSON text; its field
  *     "spread": {"root": name, "incarnation": I, "number": n, "sent_us": t}
- *   says who began it, and when, by the root's monotonic clock. A router passes each message on
- * once. Routers of builds that don't know the field don't pass it on.
+ *   says who began it, and when, by the root's clock (services/clocks.h). A router passes each
+ * message on once. Routers of builds that don't know the field don't pass it on.
  *
  *   Delivery is not certain: what is sent must be of use only, or be repeated.
  */
 
-#include "core/transit.h"
-#include "services/peers.h"
+#include "services/clocks.h"
 
 #include <jansson.h>
 
@@ -24,11 +23,12 @@
   DyKernel *kernel;
   DyPeers *peers;
   uint64_t number; /* of the latest message that this router began */
-  DyTransit transit;
+  const DyClocks *clocks;
   GHashTable *begun; /* incarnation of a root to the number of its latest message passed on */
 } DySpread;
 
-void dy_spread_init (DySpread *spread, DyKernel *kernel, DyPeers *peers);
+/* PEERS and CLOCKS must outlive SPREAD. */
+void dy_spread_init (DySpread *spread, DyKernel *kernel, DyPeers *peers, const DyClocks *clocks);
 void dy_spread_finish (DySpread *spread);
 
 /* Sends ROOT as the object KEY to all routers. Adds the field "spread" to it. */
@@ -37,8 +37,8 @@
 /* Passes MESSAGE on, whose text is ROOT, if it was spread and this router has not passed it on. */
 void dy_spread_pass_on (DySpread *spread, const DyMessage *message, const json_t *root);
 
-/* Returns how long the message ROOT, which is being handled, was held up on its way; 0 if that is
- * not known, as the router that began it does not say when. */
-int64_t dy_spread_delay_us (DySpread *spread, const json_t *root);
+/* Returns for how long at most the message ROOT, which is being handled, was on its way, or
+ * DY_TRANSIT_UNKNOWN. */
+int64_t dy_spread_delay_us (const DySpread *spread, const json_t *root);
 
 #endif
