Do not let a router watch for the fleet whose calls the store turns away

The router that was first in the order for the endpoint records got nothing but 429, which did not count as a store that it does not reach, so it stayed the first.

A router whose last two calls failed or were refused says in its heartbeats that it does not reach the platform, until one succeeds. Grants and the probe interval go by outages only, as before.

test_directory fails without it.

--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -258,10 +258,11 @@
                                     dy_members_is_prober (&peers->members, now_us (budgets))
                                         ? PROBER_INTERVAL_US
                                         : NON_PROBER_INTERVAL_US);
+  dy_members_set_platform (&peers->members, peers->kernel->settings->node_name,
+                           dy_platform_answers (budgets->platform));
   if (reached == budgets->reaches_platform)
     return;
   budgets->reaches_platform = reached;
-  dy_members_set_platform (&peers->members, peers->kernel->settings->node_name, reached);
   dy_reservations_on_platform (&budgets->reservations, reached, now_us (budgets));
 }
 
--- a/src/services/peers_link.c
+++ b/src/services/peers_link.c
@@ -137,7 +137,7 @@
 {
   DyMessage message = { .type = type };
   message.u.heartbeat.leaving = link->peers->kernel->draining;
-  message.u.heartbeat.has_platform = !link->peers->platform->down;
+  message.u.heartbeat.has_platform = dy_platform_answers (link->peers->platform);
   message.u.heartbeat.config_version = link->peers->config_version;
   if (type == DY_MESSAGE_PING && !link->pinged_us)
     link->pinged_us = dy_peers_now_us (link->peers);
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -349,6 +349,12 @@
     watcher (ctx, platform->era, false);
 }
 
+bool
+dy_platform_answers (const DyPlatform *platform)
+{
+  return !platform->down && platform->n_failures < FAILURES_TO_OPEN;
+}
+
 bool
 dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us)
 {
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -160,6 +160,10 @@
  * stated its era already. At most DY_MAX_ERA_WATCHERS. */
 void dy_platform_watch_era (DyPlatform *platform, DyEraWatcher watcher, void *ctx);
 
+/* Returns whether the platform answers calls of this router: it is reachable and does not refuse
+ * them. */
+bool dy_platform_answers (const DyPlatform *platform);
+
 /* Returns whether the store was restored less than TIME_US ago, as far as this router knows. */
 bool dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us);
 
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -439,6 +439,25 @@
     continue;
 }
 
+/* The router that watches for all went on to, though the store turned all of its calls away. */
+START_TEST (a_router_whose_calls_are_turned_away_does_not_count_as_one_that_reaches_the_store)
+{
+  const DyPlatformReply refused = { .error = DY_RATE_LIMITED };
+  const DyPlatformReply list = { .version = 2 };
+  Fixture fixture;
+  fixture_init (&fixture);
+  start_directory (&fixture);
+  answer_call (&fixture, 'l', "config/", &refused);
+  ck_assert (dy_platform_answers (&fixture.platform));
+  answer_call (&fixture, 'l', "servers/", &refused);
+  ck_assert (!dy_platform_answers (&fixture.platform));
+  ck_assert (!fixture.platform.down);
+  answer_call (&fixture, 'l', "config/", &list);
+  ck_assert (dy_platform_answers (&fixture.platform));
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* Takes a message of router "r1" that there was no change since version 2 as it was sent, at
  * SENT_US.
  */
@@ -650,6 +669,8 @@
   tcase_add_test (tcase, attempt_is_not_sent_to_a_declared_endpoint_that_left_after_the_choice);
   tcase_add_loop_test (tcase, changes_that_another_router_has_told_of_are_not_passed_on_again, 0,
                        G_N_ELEMENTS (spread_cases));
+  tcase_add_test (
+      tcase, a_router_whose_calls_are_turned_away_does_not_count_as_one_that_reaches_the_store);
   tcase_add_test (tcase, a_confirmation_that_was_held_up_is_as_old_as_its_time_on_the_way);
   tcase_add_test (tcase, of_several_states_in_one_answer_only_the_latest_is_read);
   tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
