Ask at each decision how old the knowledge is that it rests on

Callers' requests reached endpoints seconds after these had left, and were run by routes that had been dropped, from routers that were late: their event loop had stood still, or what came to them waited on a full link. Each of them knew how old its list was (list_age_ms of 7003), and sent all the same; only a 404 or a 401 asked for the age of the routes.

core/knowledge judges what is known as current, bridged (older, as the store is away) or late. An unanswered call shows that the store is away only if the router was on time meanwhile, by quick round trips to other routers and endpoints, for long enough to hear of what others confirm. It is asked when a request is planned, when an endpoint is chosen, before the request goes out and for relays. A late router refuses with a Retry-After that sends callers elsewhere; while the store is away, routers serve as before. Events 2009, 2010 and 7017 and two metrics tell of it.

Routers check a little earlier one after the other, so that they learn within the bound that the store is away (the rows of test_watch_age are as strict, or stricter).

--- /dev/null
+++ b/src/core/knowledge.c
@@ -0,0 +1,43 @@
+#include "core/knowledge.h"
+
+#include <glib.h>
+
+enum
+{
+  /* Time without an answer after which a router that is on time takes the store to be away. */
+  UNANSWERED_US = 400 * 1000,
+  /* Time in which a router that is on time hears of what another one has confirmed, if one has. */
+  HEAR_US = 1000 * 1000,
+  /* Age at which the last round trip no longer tells whether the router is on time. */
+  ON_TIME_US = 600 * 1000,
+  /* Time for which the store is then held to be away: longer than from one probe of it to the next.
+   */
+  AWAY_US = 3000 * 1000,
+};
+
+static bool
+is_on_time (const DyKnowledgeEvidence *evidence, int64_t now_us)
+{
+  return now_us - evidence->on_time_until_us <= ON_TIME_US;
+}
+
+bool
+dy_knowledge_is_unanswered (const DyKnowledgeEvidence *evidence, int64_t asked_us, int64_t now_us)
+{
+  return is_on_time (evidence, now_us)
+         && now_us - MAX (asked_us, evidence->on_time_since_us) >= UNANSWERED_US;
+}
+
+DyKnowledge
+dy_knowledge_judge (const DyKnowledgeEvidence *evidence, int64_t now_us)
+{
+  if (now_us - evidence->confirmed_us <= evidence->bound_us)
+    return DY_KNOWLEDGE_CURRENT;
+  bool would_hear = is_on_time (evidence, now_us) && now_us - evidence->on_time_since_us >= HEAR_US;
+  bool refused
+      = evidence->away_us > evidence->confirmed_us && now_us - evidence->away_us <= AWAY_US;
+  bool unanswered = evidence->asked_us > evidence->confirmed_us
+                    && dy_knowledge_is_unanswered (evidence, evidence->asked_us, now_us);
+  bool away = (would_hear && (refused || unanswered)) || evidence->others_away;
+  return away && !evidence->behind ? DY_KNOWLEDGE_BRIDGED : DY_KNOWLEDGE_LATE;
+}
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -318,6 +318,25 @@
   return highest_member (members, hash_string (account), 0, skip, false, now_us);
 }
 
+bool
+dy_members_lack_platform (const DyMembers *members, int64_t now_us)
+{
+  uint32_t n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, members->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyMember *member = value;
+      if (!dy_members_is_live (members, member, now_us))
+        continue;
+      if (member->has_platform)
+        return false;
+      n++;
+    }
+  return n > 0;
+}
+
 bool
 dy_members_all_connected (const DyMembers *members)
 {
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -122,6 +122,10 @@
                                        const char *skip,
                                        int64_t now_us);
 
+/* Returns whether members other than this router are live and all of them say that they do not
+ * reach the platform. */
+bool dy_members_lack_platform (const DyMembers *members, int64_t now_us);
+
 /* Returns whether MEMBER is live. */
 bool dy_members_is_live (const DyMembers *members, const DyMember *member, int64_t now_us);
 
--- a/src/core/watch_age.c
+++ b/src/core/watch_age.c
@@ -7,6 +7,7 @@
 
 const DyWatchAgePolicy dy_watch_age_policy = {
   .step_us = 500 * 1000,
+  .next_us = 350 * 1000,
   .n_steps = 2,
   .spread_us = 4 * 1000, /* about the time in which the store answers */
   .max_spread_us = 300 * 1000,
@@ -19,11 +20,13 @@
 {
   enum
   {
-    STEPS_PER_BOUND = 4, /* the last routers check after three of them and the spread */
+    /* The last routers check early enough to learn within the bound that the store is away. */
+    STEPS_PER_BOUND = 4,
     MAX_STEP_US = 1000 * 1000,
   };
   DyWatchAgePolicy policy = dy_watch_age_policy;
   policy.step_us = CLAMP (bound_us / STEPS_PER_BOUND, policy.step_us, MAX_STEP_US);
+  policy.next_us = policy.step_us * 7 / 10;
   return policy;
 }
 
@@ -47,9 +50,11 @@
   age->version = version;
   age->changed_version = MAX (age->changed_version, changed_version);
   age->confirmed_us = MAX (age->confirmed_us, sent_us);
-  age->behind_us = 0;
   age->n_failures = 0;
   age->check_fails = false;
+  /* The answer may be older than what another router says. */
+  if (version >= age->later_version)
+    age->behind_us = 0;
   return true;
 }
 
@@ -81,6 +86,7 @@
         age->n_failures = 0;
       return;
     }
+  age->later_version = MAX (age->later_version, changed_version);
   if (!age->behind_us)
     age->behind_us = now_us;
   age->check_fails = by_list;
@@ -97,7 +103,7 @@
 static int64_t
 check_age_us (const DyWatchAgePolicy *policy, uint32_t rank)
 {
-  return policy->step_us * (MIN (rank, policy->n_steps) + 1) + spread_us (policy, rank);
+  return policy->step_us + policy->next_us * MIN (rank, policy->n_steps) + spread_us (policy, rank);
 }
 
 bool
--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -33,9 +33,9 @@
 
 typedef struct
 {
-  int64_t step_us;   /* age at which the first router checks, and by which the next ones wait
-                        longer */
-  uint32_t n_steps;  /* routers of higher ranks wait for n_steps + 1 steps */
+  int64_t step_us;   /* age at which the first router checks */
+  int64_t next_us;   /* by which the next ones wait longer */
+  uint32_t n_steps;  /* routers of higher ranks wait as long as the one of rank n_steps */
   int64_t spread_us; /* by which their waits differ, so that few of them check at once */
   int64_t max_spread_us;
   int64_t answer_us; /* time within which a watch returns a change that another router knows of */
@@ -54,6 +54,7 @@
   uint64_t version;         /* up to which all changes are known; 0: no list was read */
   uint64_t changed_version; /* at or after the latest change up to VERSION, at most VERSION */
   int64_t confirmed_us;     /* time at which there was no later change */
+  uint64_t later_version;   /* of the latest change that another router knows of */
   int64_t behind_us;        /* since when a later change is known to exist; 0: none is */
   int64_t failed_us;        /* time of the latest failure */
   uint32_t n_failures;      /* consecutive failed checks */
@@ -90,7 +91,8 @@
 void dy_watch_age_record_failure (DyWatchAge *age, int64_t now_us);
 
 /* Records what another router says: at CONFIRMED_US there was no change after CHANGED_VERSION.
- * BY_LIST is whether it had to list all objects to know it. */
+ * BY_LIST is whether it had to list all objects to know it. CONFIRMED_US is INT64_MIN / 2 if it is
+ * not known for how long the message was on its way: it then shows only that there are changes. */
 void dy_watch_age_record_peer (
     DyWatchAge *age, uint64_t changed_version, int64_t confirmed_us, bool by_list, int64_t now_us);
 
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -72,6 +72,9 @@
      "watches given up as a check had shown changes that they lacked")                             \
   X (CHANGES_TAKEN, counter, "dogwoodyoke_changes_taken_total",                                    \
      "changes of watched objects that another router passed on")                                   \
+  X (LATE, gauge, "dogwoodyoke_knowledge_late", "1: what this router knows is too old to act on")  \
+  X (HELD, counter, "dogwoodyoke_held_total",                                                      \
+     "requests that were not sent as what is known was too old")                                   \
   X (OUT_OF_REACH, gauge, "dogwoodyoke_out_of_reach",                                              \
      "1: this router does not reach the endpoints")                                                \
   X (RELAYS, counter, "dogwoodyoke_relays_total",                                                  \
--- a/src/kernel/error.h
+++ b/src/kernel/error.h
@@ -84,7 +84,9 @@
      "the software version that began the stream is not known")                                    \
   X (FORBIDDEN, -38, "forbidden", 403, 4, NOT_RUN, 0, "the platform does not permit the call")     \
   X (ROUTES_STALE, -39, "routes_stale", 503, 7, NOT_RUN, 1,                                        \
-     "this router may not know the latest declarations")
+     "this router may not know the latest declarations")                                           \
+  X (ENDPOINTS_STALE, -40, "endpoints_stale", 503, 7, NOT_RUN, 1,                                  \
+     "this router may not know which endpoints have left")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -39,6 +39,8 @@
   X (STORE_RESTORED, 2006, WARNING, "store restored from an older copy")                           \
   X (WATCH_REPLACED, 2007, MESSAGE, "watch sent again")                                            \
   X (SPREAD_INVALID, 2008, WARNING, "changes from a peer rejected")                                \
+  X (KNOWLEDGE_LATE, 2009, WARNING, "knowledge too old to act on")                                 \
+  X (KNOWLEDGE_IN_TIME, 2010, MESSAGE, "knowledge may be acted on again")                          \
   X (DECLARATION_APPLIED, 3001, MESSAGE, "declaration in force")                                   \
   X (DECLARATION_REJECTED, 3002, WARNING, "declaration rejected")                                  \
   X (PEER_UP, 4001, MESSAGE, "peer connected")                                                     \
@@ -91,6 +93,7 @@
   X (RELAY_LOST, 7014, INFO, "relay ended with its connection")                                    \
   X (RELAY_CANCELLED, 7015, INFO, "relayed attempt cancelled")                                     \
   X (RELAY_REFUSED, 7016, INFO, "relay refused")                                                   \
+  X (REQUEST_HELD, 7017, INFO, "request not sent by old knowledge")                                \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
   X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")                          \
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -18,16 +18,21 @@
  *   therefore stays in use for a grace period and is removed only if the record does not return.
  *   Calls that fail for a shorter time than a record lives are no outage in this sense.
  *
+ *   What is known may be acted on while its age is below the bound of the settings, and beyond that
+ *   while the store is away; see core/knowledge.h.
+ *
  * ERRORS
  *   A route table or an endpoint record that cannot be decoded is logged and ignored; the one in
  *   force stays.
  */
 
 #include "core/departures.h"
+#include "core/knowledge.h"
 #include "core/notices.h"
 #include "core/placement.h"
 #include "kernel/kernel.h"
 #include "services/dialect.h"
+#include "services/link_probe.h"
 #include "services/object_watch.h"
 #include "services/peers.h"
 #include "services/platform.h"
@@ -61,6 +66,9 @@
   DyObjectWatch endpoints_watch;
   int64_t asked_us; /* monotonic time of the latest request to a peer */
   int64_t newer_us; /* monotonic time since when a peer has a later route table; 0: none has */
+  DyLinkProbe time_probe; /* connects to an endpoint, to learn whether this router is on time */
+  int64_t probed_us;      /* by dy_kernel_boot_us(): start of the latest one */
+  bool is_late;           /* as last logged */
   ev_timer expiry_timer;
   DyRoutesWatcher watcher;
   void *watcher_ctx;
@@ -102,6 +110,15 @@
 int64_t dy_directory_routes_age_ms (const DyDirectory *directory);
 int64_t dy_directory_endpoints_age_ms (const DyDirectory *directory);
 
+/* Returns what this router may do by what it knows of the routes, or of the endpoint records, now.
+ */
+DyKnowledge dy_directory_routes_knowledge (const DyDirectory *directory);
+DyKnowledge dy_directory_endpoints_knowledge (const DyDirectory *directory);
+
+/* Returns DY_OK if requests may be sent by what is known now, or the error with which they are
+ * refused: DY_ROUTES_STALE or DY_ENDPOINTS_STALE. To be asked at each decision. */
+int dy_directory_check_age (const DyDirectory *directory);
+
 /* Returns whether a route or a key that is not known here may have been declared longer ago than
  * declarations may take to come into force: a later change is known to exist, or it is too long ago
  * that there was none. */
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -41,6 +41,22 @@
          && dy_kernel_now_us (gateway->kernel) - gateway->drain_started_us >= DRAIN_ACCEPT_US;
 }
 
+bool
+dy_gateway_may_send (const DyGateway *gateway, const char *id, const char *step)
+{
+  const DyDirectory *directory = gateway->directory;
+  int error = dy_directory_check_age (directory);
+  if (!error)
+    return true;
+  dy_counters_add (&gateway->kernel->counters, DY_COUNTER_HELD, 1);
+  dy_log (DY_EVENT_REQUEST_HELD,
+          "request=%s step=%s kind=%s routes_age_ms=%" G_GINT64_FORMAT
+          " list_age_ms=%" G_GINT64_FORMAT,
+          id, step, dy_error_info (error)->kind, dy_directory_routes_age_ms (directory),
+          dy_directory_endpoints_age_ms (directory));
+  return false;
+}
+
 static void
 handle (void *ctx, DyHttpCall *call)
 {
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -72,6 +72,10 @@
  * to the endpoint had failed, and broadcasts it to the other routers if there were any. */
 void dy_gateway_report_success (DyGateway *gateway, uint64_t body_hash);
 
+/* Returns whether requests may be sent by what this router knows now. If not, logs and counts that
+ * the request ID was not sent at STEP. */
+bool dy_gateway_may_send (const DyGateway *gateway, const char *id, const char *step);
+
 /* Returns whether the drain has lasted so long that a new request might not end before the router
  * stops; new requests are then refused. */
 bool dy_gateway_is_closing (const DyGateway *gateway);
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -53,7 +53,9 @@
 on_before_send (void *ctx)
 {
   DyGatewayAttempt *attempt = ctx;
-  attempt->endpoint_left = dy_placement_endpoint_has_left (attempt->endpoint);
+  /* It may have left without the knowledge of a router that is late. */
+  attempt->endpoint_left = dy_placement_endpoint_has_left (attempt->endpoint)
+                           || !dy_gateway_may_send (attempt->gateway, attempt->request_id, "send");
   if (!attempt->endpoint_left && attempt->watcher->ready)
     attempt->watcher->ready (attempt->ctx);
   return !attempt->endpoint_left;
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -15,7 +15,7 @@
  *   answer to this request.
  *
  *   If the endpoint leaves after it was chosen and before the request is sent, the attempt ends
- *   without sending it.
+ *   without sending it. Likewise if what is known has grown too old by then.
  */
 
 #include "services/gateway.h"
@@ -26,7 +26,7 @@
   bool endpoint_error;      /* its status, 500 or above, reports a failure of the endpoint */
   bool is_new_connection;   /* opened for the attempt */
   bool crashed;             /* the connection broke before the answer was complete */
-  bool endpoint_left;       /* not sent, as the endpoint left after it was chosen */
+  bool endpoint_left;       /* not sent, as the endpoint left after it was chosen, or may have */
   DyAttemptOutcome outcome; /* of an attempt without a complete answer */
 } DyGatewayAttemptResult;
 
@@ -89,7 +89,7 @@
   unsigned status;
   DyAnswerHead answer; /* its texts are invalid once the header has been handled */
   bool sent;           /* bytes may have reached the endpoint; set when the attempt ends */
-  bool endpoint_left;  /* nothing was sent, as the endpoint has left */
+  bool endpoint_left;  /* nothing was sent, as the endpoint has left, or may have */
   bool paused;
   bool head_received; /* the answer's header has been received */
   bool foreign;       /* the answer is rejected: it is not the endpoint's to this request */
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway_plan.c
@@ -77,6 +77,9 @@
     return DY_OVERLOADED;
   if (!dy_directory_ready (gateway->directory) || !dy_part_blocks_loaded (gateway->part_blocks))
     return DY_STARTING;
+  int error = dy_directory_check_age (gateway->directory);
+  if (error)
+    return error;
   *route = dy_route_table_find (routes, head->host ? head->host : "", dy_http_call_target (call));
   if (!*route)
     return may_lack ? DY_ROUTES_STALE : DY_NOT_FOUND;
--- a/src/services/gateway_refusal.c
+++ b/src/services/gateway_refusal.c
@@ -20,7 +20,8 @@
   if (info->run != DY_RUN_NOT_RUN || info->retry_after_s == 0)
     return 0;
   const DyPlatform *platform = gateway->budgets->platform;
-  bool elsewhere = error == DY_DRAINING || error == DY_OVERLOADED;
+  bool late = dy_directory_check_age (gateway->directory) != DY_OK;
+  bool elsewhere = error == DY_DRAINING || error == DY_OVERLOADED || late;
   int64_t wait_ms = elsewhere ? ELSEWHERE_WAIT_MS : RETRY_WAIT_MS;
   /* The platform outage is assumed to last as long again as it has lasted so far. */
   if (error == DY_BUDGET_UNAVAILABLE && platform->down)
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -85,14 +85,18 @@
 static void
 fail_request (DyGatewayRequest *request, const DyCourseStep *step)
 {
-  log_end (request, dy_error_info (step->error)->kind);
+  /* What is known may have grown too old since the request was planned. */
+  int late = step->error == DY_NO_ENDPOINT ? dy_directory_check_age (request->gateway->directory)
+                                           : DY_OK;
+  int error = late ? late : step->error;
+  log_end (request, dy_error_info (error)->kind);
   if (step->action == DY_COURSE_ABORT)
     {
       count (request, DY_COUNTER_BROKEN);
       dy_http_call_abort (request->call);
     }
   else
-    dy_gateway_refuse (request->gateway, request->call, step->error);
+    dy_gateway_refuse (request->gateway, request->call, error);
   end_request (request, false);
 }
 
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -154,6 +154,8 @@
                              .avoid = (const char *const *) request->tried->pdata,
                              .version = preferred_version (request, attempt) };
   int64_t predicted_us = 0;
+  if (!dy_gateway_may_send (gateway, request->plan.id, "choice"))
+    return false;
   DyPlacementEndpoint *endpoint = attempt == request->attempt
                                       ? choose_alone (request, &query, &predicted_us)
                                       : choose_beside (request, &query, &predicted_us);
@@ -166,11 +168,12 @@
   dy_gateway_take_placement (request, spec->head.endpoint_id);
   dy_log (DY_EVENT_REQUEST_PLACED,
           "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
-          " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT,
+          " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT " bridged=%d",
           request->plan.id, spec->head.endpoint_id, predicted_us, attempt_number (request, attempt),
           spec->head.resume_from ? spec->head.resume_from : "-",
           dy_placement_endpoint_version (endpoint),
-          dy_directory_endpoints_age_ms (gateway->directory));
+          dy_directory_endpoints_age_ms (gateway->directory),
+          dy_directory_endpoints_knowledge (gateway->directory) == DY_KNOWLEDGE_BRIDGED);
   dy_gateway_attempt_init (attempt, gateway, endpoint, spec, watcher, request);
   return true;
 }
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -24,6 +24,7 @@
   char *value;
   uint64_t version; /* EXPECTED of a put, AFTER of a list or of changes */
   int64_t sent_us;
+  int64_t sent_boot_us; /* by dy_kernel_boot_us(); 0: not sent yet */
   DyPlatformDone done;
   void *ctx;
 } Call;
@@ -108,6 +109,18 @@
           dy_error_info (error)->kind, rejected, rejected ? 0 : time_us / 1000);
 }
 
+/* Records whether the end of CALL shows that the platform does not answer this router. A call may
+ * time out because the router is late. */
+static void
+record_away (DyPlatform *platform, const Call *call, int error)
+{
+  if (!is_failure (error) || is_watch (call))
+    return;
+  if (error != DY_TIMEOUT || !platform->is_unanswered
+      || platform->is_unanswered (platform->is_unanswered_ctx, call->sent_boot_us))
+    platform->away_us = dy_kernel_boot_us ();
+}
+
 static void
 on_reply (void *ctx, const DyPlatformReply *reply)
 {
@@ -115,6 +128,7 @@
   DyPlatform *platform = call->platform;
   g_hash_table_steal (platform->calls, call);
   log_slow_call (call, reply->error, false);
+  record_away (platform, call, reply->error);
   update_reachability (platform, reply->error);
   update_era (platform, reply->era);
   if (!is_watch (call))
@@ -131,6 +145,7 @@
   const DyPlatformOps *ops = platform->ops;
   dy_counters_add (platform->counters, DY_COUNTER_PLATFORM_CALLS, 1);
   call->sent_us = g_get_monotonic_time ();
+  call->sent_boot_us = dy_kernel_boot_us ();
   switch (call->kind)
     {
     case CALL_GET:
@@ -273,6 +288,7 @@
   platform->credited_us = g_get_monotonic_time ();
   platform->probe_interval_us = DEFAULT_PROBE_INTERVAL_US;
   platform->restored_us = INT64_MIN / 2;
+  platform->away_us = INT64_MIN / 2;
   platform->calls = g_hash_table_new_full (NULL, NULL, free_call, NULL);
   g_queue_init (&platform->held);
   g_queue_init (&platform->rejected);
@@ -355,6 +371,22 @@
   return !platform->down && platform->n_failures < FAILURES_TO_OPEN;
 }
 
+int64_t
+dy_platform_asked_us (const DyPlatform *platform)
+{
+  int64_t oldest_us = INT64_MAX;
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, platform->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Call *call = key;
+      if (call->sent_boot_us && !is_watch (call))
+        oldest_us = MIN (oldest_us, call->sent_boot_us);
+    }
+  return oldest_us == INT64_MAX ? INT64_MIN / 2 : oldest_us;
+}
+
 bool
 dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us)
 {
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -126,7 +126,13 @@
     void *ctx;
   } era_watchers[DY_MAX_ERA_WATCHERS];
   uint32_t n_era_watchers;
-  bool down;             /* the platform is unreachable */
+  /* Returns whether a call that was sent at SENT_US, by dy_kernel_boot_us(), and has timed out
+   * shows that the platform does not answer; it does not if this router is late. NULL: it does. */
+  bool (*is_unanswered) (void *ctx, int64_t sent_us);
+  void *is_unanswered_ctx;
+  int64_t away_us; /* by dy_kernel_boot_us(): time of the latest call that failed though this router
+                      was on time, or that was refused; INT64_MIN / 2: none */
+  bool down;       /* the platform is unreachable */
   int64_t down_since_us; /* monotonic time at which it last became unreachable; 0: never */
 } DyPlatform;
 
@@ -164,6 +170,10 @@
  * them. */
 bool dy_platform_answers (const DyPlatform *platform);
 
+/* Returns by dy_kernel_boot_us() when the oldest call in progress was sent, watches left out;
+ * INT64_MIN / 2: there is none. */
+int64_t dy_platform_asked_us (const DyPlatform *platform);
+
 /* Returns whether the store was restored less than TIME_US ago, as far as this router knows. */
 bool dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us);
 
--- a/src/services/relay_server.c
+++ b/src/services/relay_server.c
@@ -262,10 +262,11 @@
                         .shared_tokens = integer_of (served, "shared"),
                         .own_tokens = integer_of (served, "own") };
   bool out = dy_reachability_is_out (relays->reachability);
-  DyPlacementEndpoint *endpoint = out ? NULL : choose_endpoint (served, &work);
+  bool late = !out && !dy_gateway_may_send (relays->gateway, text_of (served, "id"), "relay");
+  DyPlacementEndpoint *endpoint = out || late ? NULL : choose_endpoint (served, &work);
   if (!endpoint)
     {
-      refuse (served, out ? "out_of_reach" : "no_endpoint");
+      refuse (served, out ? "out_of_reach" : late ? "late" : "no_endpoint");
       return;
     }
   const char *id = dy_placement_endpoint_id (endpoint);
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -11,6 +11,7 @@
 
 enum
 {
+  KNOWN_MS = 600 * 1000,
   FIXTURE_BODY_BYTES = 65536,
   FIXTURE_HEADER_BYTES = 32768,
   FIXTURE_CALL_TIMEOUT_MS = 20000,
@@ -80,6 +81,11 @@
   DyDirectory *directory = &fixture->directory;
   directory->kernel = &fixture->kernel;
   directory->dialect = &dy_platform_dialect;
+  directory->platform = &fixture->platform;
+  /* Nothing is known to have changed for as long as a test takes. */
+  fixture->settings.routes_bound_ms = fixture->settings.endpoints_bound_ms = KNOWN_MS;
+  directory->routes_watch.age.confirmed_us = dy_kernel_boot_us ();
+  directory->endpoints_watch.age.confirmed_us = dy_kernel_boot_us ();
   directory->peers = &fixture->peers;
   fixture->peers.members.by_name = g_hash_table_new (NULL, NULL);
   directory->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- /dev/null
+++ b/test/test_knowledge.c
@@ -0,0 +1,96 @@
+/* What a router may do by old knowledge: a table of evidence. */
+
+#include "support/suite.h"
+
+#include "core/knowledge.h"
+
+#include <glib.h>
+
+enum
+{
+  MS = 1000,
+  NEVER = -1,
+  BOUND_MS = 2000,
+  NOW_MS = 20000,
+};
+
+/* Times are milliseconds before now. */
+static const struct
+{
+  const char *name;
+  int64_t confirmed_ms;
+  int64_t away_ms;
+  int64_t asked_ms;
+  int64_t since_ms; /* on time */
+  int64_t until_ms;
+  bool others_away;
+  bool behind;
+  DyKnowledge knowledge;
+} cases[] = {
+  { "confirmed", 1900, NEVER, NEVER, NEVER, NEVER, false, false, DY_KNOWLEDGE_CURRENT },
+  { "confirmed, the store is away", 1900, 100, 500, 1200, 10, true, false, DY_KNOWLEDGE_CURRENT },
+  { "old, nothing known", 2100, NEVER, NEVER, NEVER, NEVER, false, false, DY_KNOWLEDGE_LATE },
+  { "never confirmed", NEVER, NEVER, NEVER, 1200, 10, false, false, DY_KNOWLEDGE_LATE },
+  { "never confirmed, the store is away", NEVER, 100, NEVER, 1200, 10, false, false,
+    DY_KNOWLEDGE_BRIDGED },
+  { "old, though on time", 2100, NEVER, NEVER, 1200, 10, false, false, DY_KNOWLEDGE_LATE },
+  { "the store refuses", 2100, 300, NEVER, 1200, 10, false, false, DY_KNOWLEDGE_BRIDGED },
+  { "the store refuses, not known to be on time", 2100, 300, NEVER, NEVER, NEVER, false, false,
+    DY_KNOWLEDGE_LATE },
+  { "the store refuses, on time for a moment", 12000, 80, NEVER, 60, 10, false, false,
+    DY_KNOWLEDGE_LATE },
+  { "the store was away before the confirmation", 2100, 2200, NEVER, 1200, 10, false, false,
+    DY_KNOWLEDGE_LATE },
+  { "the store was away long ago", 5000, 3100, NEVER, 1200, 10, false, false, DY_KNOWLEDGE_LATE },
+  { "a call without an answer, on time since", 2100, NEVER, 500, 1200, 10, false, false,
+    DY_KNOWLEDGE_BRIDGED },
+  { "a call without an answer, not known to be on time", 2100, NEVER, 500, NEVER, NEVER, false,
+    false, DY_KNOWLEDGE_LATE },
+  { "a call without an answer, on time before", 2100, NEVER, 900, 2000, 700, false, false,
+    DY_KNOWLEDGE_LATE },
+  { "a call without an answer, on time again for a moment", 4100, NEVER, 4000, 300, 10, false,
+    false, DY_KNOWLEDGE_LATE },
+  { "a call without an answer, on time again", 4100, NEVER, 4000, 1100, 10, false, false,
+    DY_KNOWLEDGE_BRIDGED },
+  { "a call that was just sent", 2100, NEVER, 300, 1200, 10, false, false, DY_KNOWLEDGE_LATE },
+  { "a call from before the confirmation", 2100, NEVER, 2200, 1200, 10, false, false,
+    DY_KNOWLEDGE_LATE },
+  { "the store refuses, and has a later change", 2100, 300, NEVER, 1200, 10, false, true,
+    DY_KNOWLEDGE_LATE },
+  { "no router reaches the store, and one knows more", 9000, NEVER, NEVER, NEVER, NEVER, true, true,
+    DY_KNOWLEDGE_LATE },
+  { "confirmed, though there is a later change", 1900, NEVER, NEVER, 1200, 10, false, true,
+    DY_KNOWLEDGE_CURRENT },
+  { "no router reaches the store", 9000, NEVER, NEVER, NEVER, NEVER, true, false,
+    DY_KNOWLEDGE_BRIDGED },
+};
+
+static int64_t
+time_of (int64_t ms_ago)
+{
+  return ms_ago == NEVER ? INT64_MIN / 2 : (NOW_MS - ms_ago) * MS;
+}
+
+START_TEST (old_knowledge_is_acted_on_only_while_the_store_is_known_to_be_away)
+{
+  DyKnowledgeEvidence evidence = { .confirmed_us = time_of (cases[_i].confirmed_ms),
+                                   .bound_us = BOUND_MS * MS,
+                                   .behind = cases[_i].behind,
+                                   .away_us = time_of (cases[_i].away_ms),
+                                   .asked_us = time_of (cases[_i].asked_ms),
+                                   .on_time_since_us = time_of (cases[_i].since_ms),
+                                   .on_time_until_us = time_of (cases[_i].until_ms),
+                                   .others_away = cases[_i].others_away };
+  DyKnowledge knowledge = dy_knowledge_judge (&evidence, NOW_MS * MS);
+  ck_assert_msg (knowledge == cases[_i].knowledge, "%s: %d", cases[_i].name, knowledge);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tcase = tcase_create ("knowledge");
+  tcase_add_loop_test (tcase, old_knowledge_is_acted_on_only_while_the_store_is_known_to_be_away, 0,
+                       G_N_ELEMENTS (cases));
+  return suite_run ("knowledge", tcase);
+}
