Send nothing to an endpoint for as long as it has asked this router to wait

Callers' requests went into endpoints that had no room and had said so: nothing read the Retry-After of an endpoint's 503. A full endpoint was passed over for 50 ms only.

The wait is a notice, too, between the endpoint and the one router. Placement and the check before the send pass over the endpoint until it is over. If all endpoints of a service wait, callers are refused at once and are told when the first of them takes requests again.

--- a/src/core/notices.c
+++ b/src/core/notices.c
@@ -39,6 +39,7 @@
   notice->endpoint = g_strdup (endpoint);
   notice->start_ms = start_ms;
   notice->said_us = INT64_MIN / 2;
+  notice->wait_until_us = INT64_MIN / 2;
   notice->from_peer = from_peer;
   g_hash_table_replace (notices->by_endpoint, notice->endpoint, notice);
   return notice;
@@ -57,6 +58,24 @@
   return is_new;
 }
 
+void
+dy_notices_take_wait (
+    DyNotices *notices, const char *endpoint, int64_t start_ms, int64_t said_us, int64_t until_us)
+{
+  DyNotice *notice = get (notices, endpoint, start_ms, false);
+  if (!notice)
+    return;
+  notice->wait_until_us = MAX (notice->wait_until_us, until_us);
+  notice->said_us = MAX (notice->said_us, said_us);
+}
+
+int64_t
+dy_notices_wait_until_us (const DyNotices *notices, const char *endpoint, int64_t start_ms)
+{
+  const DyNotice *notice = g_hash_table_lookup (notices->by_endpoint, endpoint);
+  return notice && notice->start_ms == start_ms ? notice->wait_until_us : INT64_MIN / 2;
+}
+
 bool
 dy_notices_is_leaving (const DyNotices *notices, const char *endpoint, int64_t start_ms)
 {
@@ -70,6 +89,13 @@
   return g_hash_table_lookup (notices->by_endpoint, endpoint);
 }
 
+static bool
+has_ended (const DyNotice *notice, int64_t now_us)
+{
+  return now_us >= notice->wait_until_us
+         && (!notice->leaving || now_us - notice->said_us > RETENTION_US);
+}
+
 DyNotice *
 dy_notices_take_ended (DyNotices *notices, int64_t now_us)
 {
@@ -77,7 +103,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, notices->by_endpoint);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_us - ((const DyNotice *) value)->said_us > RETENTION_US)
+    if (has_ended (value, now_us))
       {
         g_hash_table_iter_steal (&iter);
         return value;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -67,6 +67,7 @@
   endpoint->open_until_us = 0;
   endpoint->is_silent = false;
   endpoint->other_requests = 0;
+  endpoint->wait_until_us = INT64_MIN / 2;
 }
 
 static char *
@@ -116,6 +117,34 @@
     endpoint->leaving = leaving;
 }
 
+void
+dy_placement_set_wait (DyPlacement *placement, const char *id, int64_t until_us)
+{
+  DyPlacementEndpoint *endpoint = g_hash_table_lookup (placement->by_id, id);
+  if (endpoint)
+    endpoint->wait_until_us = until_us;
+}
+
+bool
+dy_placement_endpoint_waits (const DyPlacementEndpoint *endpoint, int64_t now_us)
+{
+  return now_us < endpoint->wait_until_us;
+}
+
+int64_t
+dy_placement_wait_us (const DyPlacement *placement, const char *service, int64_t now_us)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, service);
+  int64_t first_us = INT64_MAX;
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
+      if (!endpoint->leaving)
+        first_us = MIN (first_us, endpoint->wait_until_us);
+    }
+  return first_us == INT64_MAX ? 0 : MAX (first_us - now_us, 0);
+}
+
 void
 dy_placement_remove (DyPlacement *placement, const char *id)
 {
@@ -265,8 +294,8 @@
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->leaving || !is_allowed_by (query, endpoint)
-          || !is_allowed (placement, endpoint, now_us))
+      if (endpoint->leaving || dy_placement_endpoint_waits (endpoint, now_us)
+          || !is_allowed_by (query, endpoint) || !is_allowed (placement, endpoint, now_us))
         continue;
       int64_t us = retry_us (endpoint, now_us);
       bool is_better = best && us == best_us && endpoint->in_flight < best->in_flight;
@@ -284,7 +313,8 @@
            const DyPlacementEndpoint *endpoint,
            int64_t now_us)
 {
-  return !endpoint->leaving && now_us >= endpoint->open_until_us && is_allowed_by (query, endpoint)
+  return !endpoint->leaving && now_us >= endpoint->open_until_us
+         && !dy_placement_endpoint_waits (endpoint, now_us) && is_allowed_by (query, endpoint)
          && is_allowed (placement, endpoint, now_us);
 }
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -109,6 +109,14 @@
 /* Sets whether the endpoint ID, if there is one, is leaving. dy_placement_put() sets it, too. */
 void dy_placement_set_leaving (DyPlacement *placement, const char *id, bool leaving);
 
+/* Sets the time before which the endpoint ID, if there is one, gets nothing, as it has asked for. A
+ * new start ends that. */
+void dy_placement_set_wait (DyPlacement *placement, const char *id, int64_t until_us);
+
+/* Returns the time until the first endpoint of SERVICE may get a request, if all that are not
+ * leaving have asked for a wait; 0 if not. */
+int64_t dy_placement_wait_us (const DyPlacement *placement, const char *service, int64_t now_us);
+
 /* Removes the endpoint ID, if there is one. Requests in flight keep their DyPlacementEndpoint. */
 void dy_placement_remove (DyPlacement *placement, const char *id);
 
@@ -165,6 +173,9 @@
 /* Returns whether ENDPOINT is leaving or was removed, possibly after it was chosen. */
 bool dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint);
 
+/* Returns whether ENDPOINT has asked for a wait that is not over, possibly after it was chosen. */
+bool dy_placement_endpoint_waits (const DyPlacementEndpoint *endpoint, int64_t now_us);
+
 /* Returns the endpoint ID, or NULL if there is none. */
 const DyPlacementEndpoint *dy_placement_find (const DyPlacement *placement, const char *id);
 
--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -31,6 +31,7 @@
   uint32_t other_requests; /* requests of other routers, by its latest load report */
   int64_t reported_us;     /* time of its latest load report; 0: none */
   uint32_t n_failures;     /* consecutive */
+  int64_t wait_until_us;   /* it wants no request of this router before */
   int64_t open_until_us;   /* its circuit breaker is open until then */
   bool is_silent;          /* it was opened because the endpoint was silent, and may go on */
   GHashTable *cached;      /* prefix hash to the time of its latest use */
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -74,6 +74,9 @@
   /* Requests in a thousand seconds that the endpoint accepts from all routers; 0: not limited. */
   int64_t limit_per_1000_s;
   bool leaving; /* the endpoint states that it leaves */
+  /* Time for which an endpoint that turns a request away wants no other from this router; 0: not
+   * stated. */
+  int64_t wait_ms;
   /* Name of a header field of these that cannot be read; its value counts as not stated. NULL:
    * none. */
   const char *unreadable;
--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -217,6 +217,8 @@
   else
     dy_departures_remove (&directory->departures, id);
   dy_placement_put (&directory->placement, &record);
+  dy_placement_set_wait (&directory->placement, id,
+                         dy_notices_wait_until_us (&directory->notices, id, record.start_ms));
   json_decref (document);
 }
 
@@ -615,6 +617,17 @@
   return true;
 }
 
+void
+dy_directory_take_wait (
+    DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, int64_t until_us)
+{
+  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
+  dy_notices_take_wait (&directory->notices, id, start_ms, said_us, until_us);
+  if (state && state->start_ms == start_ms)
+    dy_placement_set_wait (&directory->placement, id,
+                           dy_notices_wait_until_us (&directory->notices, id, start_ms));
+}
+
 void
 dy_directory_end_leaving (DyDirectory *directory, const char *id)
 {
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -92,6 +92,11 @@
 bool dy_directory_take_leaving (
     DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, bool from_peer);
 
+/* Records that the endpoint ID, started at START_MS, said at SAID_US that it wants nothing from
+ * this router before UNTIL_US. */
+void dy_directory_take_wait (
+    DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, int64_t until_us);
+
 /* The notice that the endpoint ID leaves has ended: what its record says holds again. */
 void dy_directory_end_leaving (DyDirectory *directory, const char *id);
 
--- a/src/services/endpoint_notices.c
+++ b/src/services/endpoint_notices.c
@@ -88,6 +88,22 @@
     send_notice (notices, NULL, dy_notices_find (table (notices), endpoint));
 }
 
+void
+dy_endpoint_notices_take_wait (DyEndpointNotices *notices,
+                               const char *endpoint,
+                               int64_t start_ms,
+                               const DyAnswerHead *answer)
+{
+  if (answer->wait_ms == 0)
+    return;
+  int64_t now = now_us (notices);
+  dy_directory_take_wait (notices->directory, endpoint, start_ms, now,
+                          now + answer->wait_ms * 1000);
+  count_notices (notices);
+  dy_log (DY_EVENT_NOTICE_KNOWN, "endpoint=%s notice=wait source=own ms=%" G_GINT64_FORMAT,
+          endpoint, answer->wait_ms);
+}
+
 static void
 on_message (void *ctx, uint64_t link, const DyMessage *message)
 {
@@ -119,7 +135,8 @@
   gpointer value;
   g_hash_table_iter_init (&iter, table (notices)->by_endpoint);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    send_notice (notices, name, value);
+    if (((const DyNotice *) value)->leaving)
+      send_notice (notices, name, value);
 }
 
 static const DyPeersWatcher peers_watcher = { .message = on_message, .up = on_peer_up };
@@ -175,10 +192,12 @@
     {
       const DyNotice *notice = value;
       json_array_append_new (
-          list, json_pack ("{s:s, s:I, s:b, s:I, s:s}", "endpoint", notice->endpoint, "start_ms",
-                           (json_int_t) notice->start_ms, "leaving", notice->leaving, "age_ms",
-                           (json_int_t) ((now_us (notices) - notice->said_us) / 1000), "source",
-                           notice->from_peer ? "peer" : "own"));
+          list,
+          json_pack ("{s:s, s:I, s:b, s:I, s:I, s:s}", "endpoint", notice->endpoint, "start_ms",
+                     (json_int_t) notice->start_ms, "leaving", notice->leaving, "wait_ms",
+                     (json_int_t) (MAX (notice->wait_until_us - now_us (notices), 0) / 1000),
+                     "age_ms", (json_int_t) ((now_us (notices) - notice->said_us) / 1000), "source",
+                     notice->from_peer ? "peer" : "own"));
     }
   return json_pack ("{s:o}", "notices", list);
 }
--- a/src/services/endpoint_notices.h
+++ b/src/services/endpoint_notices.h
@@ -7,8 +7,9 @@
  *
  * DESCRIPTION
  *   Feeds the notices of the directory (core/notices.h) with what answers say. Placement passes
- * over an endpoint that has said that it leaves, as over one whose record says it. Routers tell
- * each other as objects that dy_peers_send_object() sends:
+ *   over an endpoint that has said that it leaves, as over one whose record says it, and over one
+ *   that has asked this router to wait. That an endpoint leaves, routers tell each other as objects
+ *   that dy_peers_send_object() sends:
  *
  *     notices/ENDPOINT  {"start_ms": n, "leaving": true, "age_ms": n}
  *       The fields of DyNotice; age_ms is the time since it was last said.
@@ -42,4 +43,11 @@
                                int64_t start_ms,
                                const DyAnswerHead *answer);
 
+/* Takes the wait that ANSWER, with which ENDPOINT has turned away a request of this router, asks
+ * for. */
+void dy_endpoint_notices_take_wait (DyEndpointNotices *notices,
+                                    const char *endpoint,
+                                    int64_t start_ms,
+                                    const DyAnswerHead *answer);
+
 #endif
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway_attempt.c
@@ -55,6 +55,7 @@
   DyGatewayAttempt *attempt = ctx;
   /* It may have left without the knowledge of a router that is late. */
   attempt->endpoint_left = dy_placement_endpoint_has_left (attempt->endpoint)
+                           || dy_placement_endpoint_waits (attempt->endpoint, now_us (attempt))
                            || !dy_gateway_may_send (attempt->gateway, attempt->request_id, "send");
   if (!attempt->endpoint_left && attempt->watcher->ready)
     attempt->watcher->ready (attempt->ctx);
@@ -100,6 +101,9 @@
     {
       take_limit (attempt, success);
       dy_endpoint_notices_take (gateway->notices, attempt->endpoint_id, attempt->start_ms, answer);
+      if (status == DY_HTTP_UNAVAILABLE)
+        dy_endpoint_notices_take_wait (gateway->notices, attempt->endpoint_id, attempt->start_ms,
+                                       answer);
     }
   if (answer->max_idle_s > 0 && answer->max_idle_s != max_idle_s (attempt))
     g_hash_table_insert (gateway->max_idle_by_service, g_strdup (attempt->service),
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway_attempt.h
@@ -22,11 +22,12 @@
 
 typedef struct
 {
-  bool complete;            /* the endpoint's answer is complete */
-  bool endpoint_error;      /* its status, 500 or above, reports a failure of the endpoint */
-  bool is_new_connection;   /* opened for the attempt */
-  bool crashed;             /* the connection broke before the answer was complete */
-  bool endpoint_left;       /* not sent, as the endpoint left after it was chosen, or may have */
+  bool complete;          /* the endpoint's answer is complete */
+  bool endpoint_error;    /* its status, 500 or above, reports a failure of the endpoint */
+  bool is_new_connection; /* opened for the attempt */
+  bool crashed;           /* the connection broke before the answer was complete */
+  /* Not sent: after it was chosen the endpoint left, or may have, or asked for a wait. */
+  bool endpoint_left;
   DyAttemptOutcome outcome; /* of an attempt without a complete answer */
 } DyGatewayAttemptResult;
 
--- a/src/services/gateway_refusal.c
+++ b/src/services/gateway_refusal.c
@@ -32,9 +32,17 @@
 
 void
 dy_gateway_refuse (DyGateway *gateway, DyHttpCall *call, int error)
+{
+  dy_gateway_refuse_for (gateway, call, error, 0);
+}
+
+void
+dy_gateway_refuse_for (DyGateway *gateway, DyHttpCall *call, int error, int64_t min_wait_ms)
 {
   const DyErrorInfo *info = dy_error_info (error);
   int64_t wait_ms = retry_wait_ms (gateway, error);
+  if (wait_ms > 0)
+    wait_ms += min_wait_ms;
   char *body = g_strdup_printf ("{\"error\":{\"kind\":\"%s\",\"message\":\"%s\",\"run\":\"%s\"}}",
                                 info->kind, info->text, dy_run_status_name (info->run));
   if (wait_ms > 0)
--- a/src/services/gateway_refusal.h
+++ b/src/services/gateway_refusal.h
@@ -17,4 +17,7 @@
 /* Answers CALL with ERROR. */
 void dy_gateway_refuse (DyGateway *gateway, DyHttpCall *call, int error);
 
+/* The same, where a retry does not help before MIN_WAIT_MS have passed. */
+void dy_gateway_refuse_for (DyGateway *gateway, DyHttpCall *call, int error, int64_t min_wait_ms);
+
 #endif
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -81,6 +81,17 @@
           request->plan.routes_version);
 }
 
+/* Returns for how long the endpoints of the service want no request, if that is why none was
+ * chosen. */
+static int64_t
+wait_ms (const DyGatewayRequest *request, int error)
+{
+  const DyPlacement *placement = &request->gateway->directory->placement;
+  return error == DY_NO_ENDPOINT
+             ? dy_placement_wait_us (placement, request->plan.service, now_us (request)) / 1000
+             : 0;
+}
+
 /* Answers with the error, or ends a stream that was begun so that it does not look complete. */
 static void
 fail_request (DyGatewayRequest *request, const DyCourseStep *step)
@@ -96,7 +107,7 @@
       dy_http_call_abort (request->call);
     }
   else
-    dy_gateway_refuse (request->gateway, request->call, error);
+    dy_gateway_refuse_for (request->gateway, request->call, error, wait_ms (request, error));
   end_request (request, false);
 }
 
--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -34,6 +34,8 @@
  * null ends that. POST /admin/say takes {header: value, ...}, fields that all answers then have,
  * refusals too; {} ends that.
  *
+ * POST /admin/refuse takes {"n": 1}: all requests are refused as by the path "full"; 0 ends that.
+ *
  * POST /admin/silence takes {"ms": n}: for n milliseconds requests are read, but no byte of an
  * answer is sent, except to /admin. Then all answers go on where they were.
  * POST /admin/resumes takes {"status": n}: requests with Last-Event-Id are answered with that
@@ -91,6 +93,7 @@
 static char *limit;         /* value of Server-Limit; NULL: none */
 static json_t *said;        /* header fields of all answers; NULL: none */
 static char *label;         /* end of each event's data; NULL: none */
+static bool refuses_all;
 static ev_tstamp down_until;
 static ev_tstamp silent_until;
 static unsigned resumed_status; /* of answers to requests with Last-Event-Id; 0: none is set */
@@ -449,8 +452,8 @@
   if ((worker->instance && expected && strcmp (worker->instance, expected) != 0)
       || (resumed && resumed_status == 421))
     return refuse_misdirected;
-  if (!dy_http_call_header (call, "X-Request-Id") || is_behaviour (dy_http_call_path (call), "full")
-      || (resumed && resumed_status == 503))
+  if (refuses_all || !dy_http_call_header (call, "X-Request-Id")
+      || is_behaviour (dy_http_call_path (call), "full") || (resumed && resumed_status == 503))
     return refuse_full;
   return NULL;
 }
@@ -560,6 +563,8 @@
     set_said (worker, call);
   else if (strcmp (path, "/admin/silence") == 0)
     silent_until = ev_now (main_loop) + (double) take_integer (call, "ms") / 1e3;
+  else if (strcmp (path, "/admin/refuse") == 0)
+    refuses_all = take_integer (call, "n") != 0;
   else if (strcmp (path, "/admin/resumes") == 0)
     resumed_status = (unsigned) take_integer (call, "status");
   else
