Send callers elsewhere only where another router may know more

The short Retry-After of a late router also went with its other refusals, such as those for want of budget, which every router would repeat.

--- a/src/services/gateway_refusal.c
+++ b/src/services/gateway_refusal.c
@@ -20,7 +20,9 @@
   if (info->run != DY_RUN_NOT_RUN || info->retry_after_s == 0)
     return 0;
   const DyPlatform *platform = gateway->budgets->platform;
-  bool late = dy_directory_check_age (gateway->directory) != DY_OK;
+  /* While the store is away, no other router knows later routes, either. */
+  bool late = error == DY_ENDPOINTS_STALE
+              || (error == DY_ROUTES_STALE && dy_directory_check_age (gateway->directory));
   bool elsewhere = error == DY_DRAINING || error == DY_OVERLOADED || late;
   int64_t wait_ms = elsewhere ? ELSEWHERE_WAIT_MS : RETRY_WAIT_MS;
   /* The platform outage is assumed to last as long again as it has lasted so far. */
