--- a/src/core/knowledge.h
+++ b/src/core/knowledge.h
@@ -7,20 +7,20 @@
  *
  * DESCRIPTION
  *   A router may act on what was confirmed less than a bound ago. What is older may have changed
- *   long since, for two reasons that call for the opposite: the store does not answer, and requests
- *   are to be served all the same, or this router is late. What comes to it waits behind other
- * bytes on its link, or its event loop has stood still, so that the answer to a call is on its way,
- * or not even the call.
+ *   long since, for two reasons that call for the opposite: the store does not answer, and
+ *   requests are to be served all the same, or this router is late. What comes to it waits
+ *   behind other bytes on its link, or its event loop has stood still, so that the answer to a
+ *   call is on its way, or not even the call.
  *
- *   So an unanswered call shows that the store is away only if the router was on time for a while
- * as it waited: other things that it asked for meanwhile came back soon. An answer that refuses the
- *   call shows by itself that the store does not serve this router. It may serve others, who tell
- *   what they confirm; so the router must have been on time for long enough to hear that, and must
- *   not have heard of a later change.
+ *   So an unanswered call shows that the store is away only if the router was on time for a
+ *   while as it waited: other things that it asked for meanwhile came back soon. An answer that
+ *   refuses the call shows by itself that the store does not serve this router. It may serve
+ *   others, who tell what they confirm; so the router must have been on time for long enough to
+ *   hear that, and must not have heard of a later change.
  *
  * UNITS
  *   Times are microseconds, INT64_MIN / 2 where nothing happened yet. The module reads no clock;
- * the time is passed in as NOW_US.
+ *   the time is passed in as NOW_US.
  */
 
 #include <stdbool.h>
@@ -49,9 +49,8 @@
 
 DyKnowledge dy_knowledge_judge (const DyKnowledgeEvidence *evidence, int64_t now_us);
 
-/* Returns whether a call sent at ASKED_US that is unanswered at NOW_US shows that the store is
- * away.
- */
+/* Returns whether a call that was sent at ASKED_US and has no answer at NOW_US shows that the store
+ * is away. */
 bool
 dy_knowledge_is_unanswered (const DyKnowledgeEvidence *evidence, int64_t asked_us, int64_t now_us);
 
--- a/src/core/transit.h
+++ b/src/core/transit.h
@@ -7,12 +7,12 @@
  *
  * DESCRIPTION
  *   A message that says how old something is grows older on its way, by seconds where a link is
- *   full or the routers that pass it on are crowded. The clocks of routers are not comparable, but
- *   run at nearly the same rate. So routers ask each other for their clocks: what the other one
- * read was read after the question was sent, so its clock is behind this one's by no less than the
- *   difference of the two readings. A message is taken to have been on its way for the longest time
- *   that agrees with that. Of the exchanges of the last minute or two, the one counts that bounds
- *   this most closely; without one, the time is not known.
+ *   full or the routers that pass it on are crowded. The clocks of routers are not comparable,
+ *   but run at nearly the same rate. So routers ask each other for their clocks: what the other
+ *   one read was read after the question was sent, so its clock is behind this one's by no less
+ *   than the difference of the two readings. A message is taken to have been on its way for the
+ *   longest time that agrees with that. Of the exchanges of the last minute or two, the one
+ *   counts that bounds this most closely; without one, the time is not known.
  *
  * UNITS
  *   Times are microseconds; the module reads no clock.
--- a/src/services/clocks.h
+++ b/src/services/clocks.h
@@ -7,16 +7,16 @@
  *
  * DESCRIPTION
  *   Each router asks the others for their clocks, when the connection comes up and from time to
- * time, by objects that dy_peers_send_object() sends:
+ *   time, by objects that dy_peers_send_object() sends:
  *
  *     clock/ask   {"asked_us": t}
  *     clock/tell  {"asked_us": t, "incarnation": I, "clock_us": c}
  *       The reply: T as in the question, the incarnation that replies and its clock.
  *
- *   From that core/transit knows how long messages were on their way. A reply that comes soon also
- *   shows that this router is on time: neither its event loop nor its link holds up what comes. So
- *   does a new connection to an endpoint. Routers of builds that don't know the question are of an
- *   unknown clock.
+ *   From that core/transit knows how long messages were on their way. A reply that comes soon
+ *   also shows that this router is on time: neither its event loop nor its link holds up what
+ *   comes. So does a new connection to an endpoint. Routers of builds that don't know the
+ *   question are of an unknown clock.
  *
  *   The clock is dy_kernel_boot_us(), as VMs may be suspended.
  */
--- a/src/services/endpoint_notices.h
+++ b/src/services/endpoint_notices.h
@@ -43,8 +43,8 @@
                                int64_t start_ms,
                                const DyAnswerHead *answer);
 
-/* Takes the wait that ANSWER, with which ENDPOINT has turned away a request of this router, asks
- * for. */
+/* Takes the wait that ENDPOINT asks for in ANSWER, with which it turned away a request of this
+ * router. */
 void dy_endpoint_notices_take_wait (DyEndpointNotices *notices,
                                     const char *endpoint,
                                     int64_t start_ms,
--- a/src/services/spread.h
+++ b/src/services/spread.h
@@ -9,7 +9,7 @@
  *   core/spread.h describes the tree. The object is JSON text; its field
  *     "spread": {"root": name, "incarnation": I, "number": n, "sent_us": t}
  *   says who began it, and when, by the root's clock (services/clocks.h). A router passes each
- * message on once. Routers of builds that don't know the field don't pass it on.
+ *   message on once. Routers of builds that don't know the field don't pass it on.
  *
  *   Delivery is not certain: what is sent must be of use only, or be repeated.
  */
