--- a/src/services/directory.c
+++ b/src/services/directory.c
@@ -1,4 +1,4 @@
-#include "services/directory.h"
+#include "services/directory_private.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
@@ -23,14 +23,9 @@
   /* A restored store may lack the records of endpoints that serve; they write them again within two
    * seconds. */
   RESTORED_GRACE_US = 1900 * 1000,
-  /* Part of the bound of the endpoint records that the sending of a request may take. */
-  SEND_MARGIN_US = 100 * 1000,
-  TEST_PART = 3, /* this part of a bound is the age from which the router tests if it is on time */
-  US_PER_MS = 1000,
 };
 
 static const double EXPIRY_CHECK_S = 0.1;
-static const double PROBE_TIMEOUT_S = 0.3;
 
 /* Of a CONFIG_GET: the reply may be packed. Of a CONFIG: it is. */
 static const char PACKED_PREFIX[] = "packed/";
@@ -266,117 +261,6 @@
   g_ptr_array_unref (due);
 }
 
-static DyKnowledgeEvidence
-evidence_of_time (const DyDirectory *directory)
-{
-  return (DyKnowledgeEvidence){ .on_time_since_us = directory->clocks.on_time_since_us,
-                                .on_time_until_us = directory->clocks.on_time_until_us };
-}
-
-static DyKnowledge
-judge (const DyDirectory *directory, const DyObjectWatch *watch, int64_t bound_us)
-{
-  const DyPlatform *platform = directory->platform;
-  DyKnowledgeEvidence evidence = evidence_of_time (directory);
-  int64_t boot_us = dy_kernel_boot_us ();
-  evidence.confirmed_us = watch->age.confirmed_us;
-  evidence.bound_us = bound_us;
-  evidence.behind = watch->age.behind_us != 0;
-  if (boot_us - evidence.confirmed_us <= bound_us)
-    return DY_KNOWLEDGE_CURRENT;
-  evidence.away_us = platform->away_us;
-  evidence.asked_us = dy_platform_asked_us (platform);
-  evidence.others_away
-      = !dy_platform_answers (platform)
-        && dy_members_lack_platform (&directory->peers->members, now_us (directory));
-  return dy_knowledge_judge (&evidence, boot_us);
-}
-
-DyKnowledge
-dy_directory_routes_knowledge (const DyDirectory *directory)
-{
-  return judge (directory, &directory->routes_watch,
-                directory->kernel->settings->routes_bound_ms * US_PER_MS);
-}
-
-DyKnowledge
-dy_directory_endpoints_knowledge (const DyDirectory *directory)
-{
-  return judge (directory, &directory->endpoints_watch,
-                directory->kernel->settings->endpoints_bound_ms * US_PER_MS - SEND_MARGIN_US);
-}
-
-int
-dy_directory_check_age (const DyDirectory *directory)
-{
-  if (dy_directory_routes_knowledge (directory) == DY_KNOWLEDGE_LATE)
-    return DY_ROUTES_STALE;
-  if (dy_directory_endpoints_knowledge (directory) == DY_KNOWLEDGE_LATE)
-    return DY_ENDPOINTS_STALE;
-  return DY_OK;
-}
-
-static bool
-is_unanswered (void *ctx, int64_t sent_us)
-{
-  DyKnowledgeEvidence evidence = evidence_of_time (ctx);
-  return dy_knowledge_is_unanswered (&evidence, sent_us, dy_kernel_boot_us ());
-}
-
-static void
-on_time_probed (void *ctx, DyLinkProbeResult result, int64_t started_us)
-{
-  DyDirectory *directory = ctx;
-  (void) started_us;
-  if (result == DY_LINK_PROBE_WORKS)
-    dy_clocks_record_round_trip (&directory->clocks, directory->probed_us);
-}
-
-static bool
-has_not_failed (const void *ctx, const char *id)
-{
-  (void) ctx;
-  (void) id;
-  return false;
-}
-
-/* Asks whether this router is on time, if what it knows has not been confirmed for a while: that
- * may be needed soon. */
-static void
-check_time (DyDirectory *directory)
-{
-  const DySettings *settings = directory->kernel->settings;
-  if (!dy_directory_ready (directory)
-      || (dy_directory_routes_age_ms (directory) < settings->routes_bound_ms / TEST_PART
-          && dy_directory_endpoints_age_ms (directory) < settings->endpoints_bound_ms / TEST_PART))
-    return;
-  dy_clocks_test (&directory->clocks);
-  const DyPlacementEndpoint *endpoint
-      = dy_placement_choose_for_probe (&directory->placement, has_not_failed, NULL);
-  if (endpoint
-      && dy_link_probe_start (&directory->time_probe, dy_placement_endpoint_address (endpoint),
-                              NULL, settings->connect_from))
-    directory->probed_us = dy_kernel_boot_us ();
-}
-
-static void
-log_lateness (DyDirectory *directory)
-{
-  int error = dy_directory_ready (directory) ? dy_directory_check_age (directory) : DY_OK;
-  bool is_late = error != DY_OK;
-  dy_counters_set (&directory->kernel->counters, DY_COUNTER_LATE, is_late);
-  if (is_late == directory->is_late)
-    return;
-  directory->is_late = is_late;
-  dy_log (is_late ? DY_EVENT_KNOWLEDGE_LATE : DY_EVENT_KNOWLEDGE_IN_TIME,
-          "kind=%s routes_age_ms=%" G_GINT64_FORMAT " list_age_ms=%" G_GINT64_FORMAT
-          " on_time_ms=%" G_GINT64_FORMAT " away_ms=%" G_GINT64_FORMAT,
-          dy_error_info (error)->kind, dy_directory_routes_age_ms (directory),
-          dy_directory_endpoints_age_ms (directory),
-          (dy_kernel_boot_us () - directory->clocks.on_time_until_us) / US_PER_MS,
-          (dy_kernel_boot_us () - directory->platform->away_us) / US_PER_MS);
-}
-
 static void
 remove_expired (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -399,8 +283,7 @@
     remove_endpoint (directory, g_ptr_array_index (expired, i), "lapsed");
   g_ptr_array_unref (expired);
   apply_held (directory);
-  check_time (directory);
-  log_lateness (directory);
+  dy_directory_update_knowledge (directory);
   dy_departures_evict (&directory->departures, now);
 }
 
@@ -511,12 +394,8 @@
   ev_set_priority (&directory->expiry_timer, DY_PRIORITY_TIMEOUT);
   directory->expiry_timer.data = directory;
   ev_timer_start (kernel->loop, &directory->expiry_timer);
-  dy_clocks_init (&directory->clocks, kernel, directory->peers);
+  dy_directory_start_knowledge (directory);
   dy_spread_init (&directory->spread, kernel, directory->peers, &directory->clocks);
-  directory->platform->is_unanswered = is_unanswered;
-  directory->platform->is_unanswered_ctx = directory;
-  dy_link_probe_init (&directory->time_probe, kernel->loop, PROBE_TIMEOUT_S, on_time_probed,
-                      directory);
   const DyObjectWatchSpec routes = { .prefix = directory->dialect->routes_prefix,
                                      .batch_delay_ms = ROUTES_BATCH_DELAY_MS,
                                      .bound_ms = kernel->settings->routes_bound_ms,
@@ -540,9 +419,7 @@
   dy_object_watch_stop (&directory->routes_watch);
   dy_object_watch_stop (&directory->endpoints_watch);
   dy_spread_finish (&directory->spread);
-  dy_clocks_finish (&directory->clocks);
-  dy_link_probe_finish (&directory->time_probe);
-  directory->platform->is_unanswered = NULL;
+  dy_directory_finish_knowledge (directory);
   dy_placement_finish (&directory->placement);
   dy_route_table_finish (&directory->routes);
   g_hash_table_unref (directory->endpoints);
