Test of resumed streams: take the endpoint away once it has the request

Change: the timer looks each millisecond whether the endpoint has got the request, and takes the endpoint away then. The test also checks that it was taken away, so it is stricter than before.

--- a/test/test_failed_resumes.c
+++ b/test/test_failed_resumes.c
@@ -115,6 +115,7 @@
 {
   ev_timer timer;
   Fixture *fixture;
+  const CannedServer *server; /* the one that breaks off */
   int i;
   bool taken;
 } Lack;
@@ -129,8 +130,11 @@
       lacks[lack->i].give (lack->fixture);
       return;
     }
+  if (lack->server->n_requests == 0)
+    return;
   lacks[lack->i].take (lack->fixture);
   lack->taken = true;
+  ev_timer_stop (loop, w);
   ev_timer_set (w, give_after_s, 0.0);
   ev_timer_start (loop, w);
 }
@@ -138,14 +142,14 @@
 /* A stream that broke was aborted with seconds left, as it could not be resumed at that moment. */
 START_TEST (begun_stream_waits_until_it_can_be_resumed)
 {
-  static const double take_after_s = 0.02; /* the endpoint breaks off after 0.05 s */
+  static const double look_every_s = 0.001; /* the endpoint breaks off 0.05 s after the request */
   Fixture fixture;
   FixtureAnswer answer;
   CannedServer servers[FIXTURE_N_ENDPOINTS];
   const char *name = lacks[_i].name;
   const char *texts[FIXTURE_N_ENDPOINTS]
       = { SIGNED "\r\n" EVENT_1, SIGNED "\r\n" EVENT_2, SIGNED "\r\n" EVENT_2 };
-  Lack lack = { .fixture = &fixture, .i = _i };
+  Lack lack = { .fixture = &fixture, .server = &servers[0], .i = _i };
   fixture_init (&fixture);
   for (int i = 0; i < FIXTURE_N_ENDPOINTS; i++)
     {
@@ -154,10 +158,11 @@
                               texts[i], i == 0));
     }
   fixture_put_endpoint (&fixture, 0, false);
-  ev_timer_init (&lack.timer, on_lack, take_after_s, 0.0);
+  ev_timer_init (&lack.timer, on_lack, look_every_s, look_every_s);
   lack.timer.data = &lack;
   ev_timer_start (fixture.kernel.loop, &lack.timer);
   fixture_send (&fixture, "/r3/x", &answer, 1);
+  ck_assert_msg (lack.taken, "%s: not taken", name);
   ck_assert_msg (answer.result.error == DY_OK, "%s: error %d", name, answer.result.error);
   ck_assert_msg (strcmp (answer.body->str, EVENT_1 EVENT_2) == 0, "%s: body \"%s\"", name,
                  answer.body->str);
