Hold requests for a moment at a router that has just found that it is late

Cause: a router that stood still for 1.6 s reads requests before it has heard from the others in the same turn of the loop. For 2.6 ms what it knows is older than the bound, and since it refused these requests.

Change: the HTTP server asks its handler whether requests are to wait; they do for a tenth of a second at most from when the router finds that it is late, in the order of their arrival, and are refused then. The loop does not spin meanwhile: it looks every 5 ms.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -19,6 +19,7 @@
   SEND_TIMEOUT_S = 120,
   /* Connections beyond the limit that may wait for their refusal at a time. */
   CROWDED_CONNECTIONS = 64,
+  HOLD_CHECK_MS = 5, /* interval at which the handler is asked whether requests still wait */
 };
 
 static const double SWEEP_INTERVAL_S = 0.2;
@@ -206,8 +207,15 @@
   server->turn_spent_us += g_get_monotonic_time () - started_us;
 }
 
-/* Passes the request to the handler, or to the queue if the time of this turn is used up. On a
- * connection that was shut down, libmicrohttpd takes no answer later than in this turn. */
+static bool
+holds (const DyHttpServer *server)
+{
+  return server->handler->holds && server->handler->holds (server->ctx);
+}
+
+/* Passes the request to the handler, or to the queue if the time of this turn is used up or the
+ * handler wants it to wait. On a connection that was shut down, libmicrohttpd takes no answer later
+ * than in this turn. */
 static void
 take_request (DyHttpCall *call)
 {
@@ -216,7 +224,7 @@
   call->record->busy = true;
   call->ready_us = server->turn_started_us;
   bool has_time = server->pending.length == 0 && server->turn_spent_us < TURN_BUDGET_US;
-  if (has_time || server->stopping || call->record->shut)
+  if (server->stopping || call->record->shut || (has_time && !holds (server)))
     {
       run_handler (call);
       return;
@@ -229,6 +237,9 @@
 static void
 run_pending (DyHttpServer *server)
 {
+  server->holding = server->pending.length > 0 && holds (server);
+  if (server->holding)
+    return;
   while (server->pending.length > 0 && server->turn_spent_us < TURN_BUDGET_US)
     {
       DyHttpCall *call = g_queue_peek_head (&server->pending);
@@ -427,9 +438,16 @@
       MHD_run (server->daemon);
     }
   MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+  bool is_due = server->pending.length > 0 && !server->holding;
   ev_timer_stop (loop, &server->timer);
-  if (server->pending.length == 0 && MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
-    return;
+  if (!is_due && MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
+    {
+      if (!server->holding)
+        return;
+      timeout_ms = HOLD_CHECK_MS;
+    }
+  if (server->holding)
+    timeout_ms = MIN (timeout_ms, HOLD_CHECK_MS);
   ev_timer_set (&server->timer, (double) timeout_ms / 1000.0, 0.0);
   ev_timer_start (loop, &server->timer);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -56,6 +56,10 @@
   /* Called instead when the server has too many connections or stops; must answer with
    * dy_http_call_reply(). The connection is closed then. NULL: an empty 503. */
   void (*overloaded) (void *ctx, DyHttpCall *call);
+  /* Returns whether requests are to wait for now. Asked again in each turn of the loop and after a
+   * few milliseconds; those that wait are passed on in the order of their arrival. The handler
+   * bounds the time. Not asked when the server stops. May be NULL. */
+  bool (*holds) (void *ctx);
   /* Returns the caller's own id of the request for the log, or NULL. May be NULL. */
   const char *(*request_id) (void *ctx, DyHttpCall *call);
 } DyHttpServerHandler;
@@ -86,6 +90,7 @@
   GQueue pending;          /* complete requests that wait for the handler */
   int64_t turn_started_us; /* monotonic time at which this turn of the loop began */
   int64_t turn_spent_us;   /* time spent in the handler in this turn */
+  bool holding;            /* the requests of the queue wait as the handler wants it */
   DyCounters *counters;    /* NULL: calls are not counted */
   DyHttpConnections connections;
   uint32_t idle_timeout_s; /* 0: no timeout */
--- a/src/services/directory.h
+++ b/src/services/directory.h
@@ -69,6 +69,7 @@
   DyLinkProbe time_probe; /* connects to an endpoint, to learn whether this router is on time */
   int64_t probed_us;      /* by dy_kernel_boot_us(): start of the latest one */
   bool is_late;           /* as last logged */
+  int64_t late_since_us;  /* by dy_kernel_boot_us(): when it was found late; 0: it is not */
   ev_timer expiry_timer;
   DyRoutesWatcher watcher;
   void *watcher_ctx;
@@ -124,6 +125,11 @@
  * refused: DY_ROUTES_STALE or DY_ENDPOINTS_STALE. To be asked at each decision. */
 int dy_directory_check_age (const DyDirectory *directory);
 
+/* Returns whether requests should wait, as what is known is too old only since a moment ago and may
+ * be confirmed within the next: a router that stood still reads requests before it has heard from
+ * the others. True for a tenth of a second from when that was found at most. */
+bool dy_directory_is_catching_up (DyDirectory *directory);
+
 /* Returns whether a route or a key that is not known here may have been declared longer ago than
  * declarations may take to come into force: a later change is known to exist, or it is too long ago
  * that there was none. */
--- a/src/services/directory_knowledge.c
+++ b/src/services/directory_knowledge.c
@@ -7,6 +7,9 @@
 {
   /* Part of the bound of the endpoint records that the sending of a request may take. */
   SEND_MARGIN_US = 100 * 1000,
+  /* Time for which requests wait for what the others confirm, from when the router is late. A
+   * router that stood still has that within a round trip. */
+  CATCH_UP_US = 100 * 1000,
   TEST_PART = 3, /* this part of a bound is the age from which the router tests if it is on time */
   US_PER_MS = 1000,
 };
@@ -63,6 +66,17 @@
   return DY_OK;
 }
 
+bool
+dy_directory_is_catching_up (DyDirectory *directory)
+{
+  int64_t boot_us = dy_kernel_boot_us ();
+  if (!dy_directory_ready (directory) || dy_directory_check_age (directory) == DY_OK)
+    directory->late_since_us = 0;
+  else if (directory->late_since_us == 0)
+    directory->late_since_us = boot_us;
+  return directory->late_since_us != 0 && boot_us - directory->late_since_us < CATCH_UP_US;
+}
+
 static bool
 is_unanswered (void *ctx, int64_t sent_us)
 {
@@ -128,6 +142,7 @@
 dy_directory_update_knowledge (DyDirectory *directory)
 {
   check_time (directory);
+  dy_directory_is_catching_up (directory);
   log_lateness (directory);
 }
 
--- a/src/services/gateway.c
+++ b/src/services/gateway.c
@@ -86,9 +86,17 @@
   return head.request_id;
 }
 
+static bool
+holds (void *ctx)
+{
+  DyGateway *gateway = ctx;
+  return dy_directory_is_catching_up (gateway->directory);
+}
+
 static const DyHttpServerHandler handler = { .handle = handle,
                                              .too_large = refuse_too_large,
                                              .overloaded = refuse_overloaded,
+                                             .holds = holds,
                                              .request_id = request_id };
 
 static void
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -741,6 +741,94 @@
 }
 END_TEST
 
+typedef struct
+{
+  DyHttpServer server;
+  GString *order; /* last byte of the target of each request */
+  bool holding;
+} HoldingReceiver;
+
+static void
+note_order (void *ctx, DyHttpCall *call)
+{
+  HoldingReceiver *receiver = ctx;
+  const char *target = dy_http_call_target (call);
+  g_string_append_c (receiver->order, target[strlen (target) - 1]);
+  dy_http_call_reply (call, 200, "text/plain", "ok", 2);
+}
+
+static bool
+is_holding (void *ctx)
+{
+  const HoldingReceiver *receiver = ctx;
+  return receiver->holding;
+}
+
+static const DyHttpServerHandler holding_handler
+    = { .handle = note_order, .too_large = note_order, .holds = is_holding };
+
+static const struct
+{
+  const char *name;
+  bool stops; /* the server stops meanwhile, and does not go on */
+} hold_cases[] = { { "the hold ends", false }, { "the server stops", true } };
+
+/* Held requests neither get lost nor keep the loop busy. */
+START_TEST (held_requests_are_passed_on_in_their_order)
+{
+  enum
+  {
+    N_REQUESTS = 3,
+    HOLD_MS = 200,
+    MAX_TURNS = 100,
+  };
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  HoldingReceiver receiver = { .order = g_string_new (NULL), .holding = true };
+  int fds[N_REQUESTS];
+  int n_turns = 0;
+  const char *name = hold_cases[_i].name;
+  ck_assert_int_eq (dy_http_server_init (&receiver.server, loop, address, MAX_BODY_BYTES,
+                                         MAX_HEADER_BYTES, MAX_BODY_BYTES, &holding_handler,
+                                         &receiver),
+                    DY_OK);
+  int64_t start_us = g_get_monotonic_time ();
+  for (int i = 0; i < N_REQUESTS; i++)
+    {
+      char *request = g_strdup_printf ("GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i);
+      fds[i] = open_socket (address, false);
+      ev_run (loop, EVRUN_ONCE);
+      ck_assert_int_eq (send (fds[i], request, strlen (request), MSG_NOSIGNAL),
+                        (ssize_t) strlen (request));
+      while (receiver.server.pending.length <= (guint) i)
+        ev_run (loop, EVRUN_ONCE);
+      g_free (request);
+    }
+  for (; g_get_monotonic_time () - start_us < HOLD_MS * 1000; n_turns++)
+    ev_run (loop, EVRUN_ONCE);
+  ck_assert_msg (n_turns <= MAX_TURNS, "%s: %d turns", name, n_turns);
+  ck_assert_msg (receiver.order->len == 0, "%s: passed on: %s", name, receiver.order->str);
+  if (hold_cases[_i].stops)
+    dy_http_server_finish (&receiver.server);
+  receiver.holding = false;
+  while (receiver.order->len < N_REQUESTS && !hold_cases[_i].stops)
+    ev_run (loop, EVRUN_ONCE);
+  ck_assert_msg (strcmp (receiver.order->str, hold_cases[_i].stops ? "" : "012") == 0,
+                 "%s: passed on: %s", name, receiver.order->str);
+  for (int i = 0; i < N_REQUESTS; i++)
+    {
+      while (!hold_cases[_i].stops && !has_bytes (fds[i]))
+        ev_run (loop, EVRUN_ONCE);
+      ck_assert_msg (has_bytes (fds[i]), "%s: no answer", name);
+      close (fds[i]);
+    }
+  if (!hold_cases[_i].stops)
+    dy_http_server_finish (&receiver.server);
+  g_string_free (receiver.order, TRUE);
+  g_free (address);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -761,5 +849,7 @@
   tcase_add_loop_test (tcase, answer_that_never_ends_is_cut_off, 0,
                        (int) G_N_ELEMENTS (endless_cases));
   tcase_add_test (tcase, a_burst_of_requests_does_not_hold_up_the_loop);
+  tcase_add_loop_test (tcase, held_requests_are_passed_on_in_their_order, 0,
+                       (int) G_N_ELEMENTS (hold_cases));
   return suite_run ("net", tcase);
 }
