A router that is late waits longer for the store's answers

Its link is full; each call to the store was given up after platform_timeout_ms, 700 ms, a little before its answer came, so it learned nothing, call after call.

Change: a call that times out at a router that is late raises the limit of the next ones, up to three times the usual one (core/patience). It falls back once answers come soon, or a call times out though the router is on time.

--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -43,6 +43,7 @@
   FAILURES_TO_OPEN = 2, /* a single failure may be a lost reply */
   DEFAULT_PROBE_INTERVAL_US = 500 * 1000,
   SLOW_CALL_US = 250 * 1000,
+  US_PER_MS = 1000,
 };
 
 /* Returns whether ERROR is no answer of the platform to the call itself. */
@@ -109,15 +110,27 @@
           dy_error_info (error)->kind, rejected, rejected ? 0 : time_us / 1000);
 }
 
-/* Records whether the end of CALL shows that the platform does not answer this router. A call may
- * time out because the router is late. */
+/* Returns whether CALL may have timed out because the router is late. */
+static bool
+is_late (const DyPlatform *platform, const Call *call)
+{
+  return platform->is_unanswered
+         && !platform->is_unanswered (platform->is_unanswered_ctx, call->sent_boot_us);
+}
+
+/* Records whether the end of CALL shows that the platform does not answer this router, and how long
+ * the next calls may take. */
 static void
-record_away (DyPlatform *platform, const Call *call, int error)
+record_end (DyPlatform *platform, const Call *call, int error)
 {
-  if (!is_failure (error) || is_watch (call))
+  int64_t took_us = g_get_monotonic_time () - call->sent_us;
+  if (is_watch (call))
     return;
-  if (error != DY_TIMEOUT || !platform->is_unanswered
-      || platform->is_unanswered (platform->is_unanswered_ctx, call->sent_boot_us))
+  if (error == DY_TIMEOUT)
+    dy_patience_record_timeout (&platform->patience, took_us, is_late (platform, call));
+  else if (!is_failure (error))
+    dy_patience_record_answer (&platform->patience, took_us);
+  if (is_failure (error) && (error != DY_TIMEOUT || !is_late (platform, call)))
     platform->away_us = dy_kernel_boot_us ();
 }
 
@@ -128,7 +141,7 @@
   DyPlatform *platform = call->platform;
   g_hash_table_steal (platform->calls, call);
   log_slow_call (call, reply->error, false);
-  record_away (platform, call, reply->error);
+  record_end (platform, call, reply->error);
   update_reachability (platform, reply->error);
   update_era (platform, reply->era);
   if (!is_watch (call))
@@ -146,6 +159,8 @@
   dy_counters_add (platform->counters, DY_COUNTER_PLATFORM_CALLS, 1);
   call->sent_us = g_get_monotonic_time ();
   call->sent_boot_us = dy_kernel_boot_us ();
+  if (ops->set_timeout && platform->patience.limit_us > 0)
+    ops->set_timeout (platform->impl, platform->patience.limit_us);
   switch (call->kind)
     {
     case CALL_GET:
@@ -393,6 +408,12 @@
   return g_get_monotonic_time () - platform->restored_us < time_us;
 }
 
+void
+dy_platform_set_timeout (DyPlatform *platform, int64_t timeout_us)
+{
+  dy_patience_init (&platform->patience, timeout_us);
+}
+
 void
 dy_platform_set_probe_interval (DyPlatform *platform, int64_t interval_us)
 {
@@ -412,6 +433,7 @@
                                                  settings->watch_timeout_ms);
   dy_platform_init (self, kernel->loop, &kernel->counters, settings->platform_calls_per_s,
                     in_memory ? &dy_platform_memory_ops : &dy_platform_http_ops, impl);
+  dy_platform_set_timeout (self, settings->platform_timeout_ms * US_PER_MS);
   return DY_OK;
 }
 
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -21,6 +21,9 @@
  *   without being sent, except for one list and one other call in each probe interval, until a call
  *   succeeds. An outage thus costs few calls and is reported to the calling code at once.
  *
+ *   A router that is late, as its link is full, waits longer for answers than others: see
+ *   core/patience.h.
+ *
  * ERRORS
  *   DY_NOT_FOUND     the object does not exist
  *   DY_CONFLICT      the object has another version than the expected one; the reply states it.
@@ -32,6 +35,7 @@
  *   DY_UNAVAILABLE, DY_TIMEOUT, DY_PROTOCOL  no usable reply; a write may have taken effect
  */
 
+#include "core/patience.h"
 #include "kernel/kernel.h"
 
 #include <ev.h>
@@ -89,6 +93,8 @@
   /* Reads the VM list. The reply's value is
    * {"vms": [{"name": text, "address": "ip:port", "data_centre": text, "leaving": bool}]}. */
   void (*vms) (void *impl, DyPlatformDone done, void *ctx);
+  /* Sets the time limit of calls that are made from then on. NULL: there is none. */
+  void (*set_timeout) (void *impl, int64_t timeout_us);
   /* Cancels all calls in progress, without callbacks, and frees IMPL. */
   void (*free) (void *impl);
 } DyPlatformOps;
@@ -130,6 +136,7 @@
    * shows that the platform does not answer; it does not if this router is late. NULL: it does. */
   bool (*is_unanswered) (void *ctx, int64_t sent_us);
   void *is_unanswered_ctx;
+  DyPatience patience;
   int64_t away_us; /* by dy_kernel_boot_us(): time of the latest call that failed though this router
                       was on time, or that was refused; INT64_MIN / 2: none */
   bool down;       /* the platform is unreachable */
@@ -177,6 +184,9 @@
 /* Returns whether the store was restored less than TIME_US ago, as far as this router knows. */
 bool dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us);
 
+/* Sets the usual time limit of calls. A router that is late waits longer. */
+void dy_platform_set_timeout (DyPlatform *platform, int64_t timeout_us);
+
 /* Sets the interval between probes while the breaker is open; 500 ms unless set. */
 void dy_platform_set_probe_interval (DyPlatform *platform, int64_t interval_us);
 
--- a/src/services/platform_http.c
+++ b/src/services/platform_http.c
@@ -217,6 +217,13 @@
   g_free (url);
 }
 
+static void
+http_set_timeout (void *self, int64_t timeout_us)
+{
+  PlatformHttp *impl = self;
+  impl->timeout_ms = timeout_us / 1000;
+}
+
 static void
 http_free (void *self)
 {
@@ -241,6 +248,7 @@
                                              .list = http_list,
                                              .changes = http_changes,
                                              .vms = http_vms,
+                                             .set_timeout = http_set_timeout,
                                              .free = http_free };
 
 void *
--- a/test/test_knowledge.c
+++ b/test/test_knowledge.c
@@ -3,6 +3,7 @@
 #include "support/suite.h"
 
 #include "core/knowledge.h"
+#include "core/patience.h"
 
 #include <glib.h>
 
@@ -86,10 +87,74 @@
 }
 END_TEST
 
+enum
+{
+  USUAL_MS = 700,
+  MAX_ENDS = 4,
+};
+
+typedef struct
+{
+  int64_t ms;
+  enum
+  {
+    END_NONE,
+    END_ANSWER,
+    END_TIMEOUT,
+    END_TIMEOUT_WHEN_LATE,
+  } end;
+} CallEnd;
+
+static const struct
+{
+  const char *name;
+  CallEnd ends[MAX_ENDS];
+  int64_t limit_ms;
+} patience_cases[] = {
+  { "no call", { { 0 } }, 700 },
+  { "the store is away", { { 700, END_TIMEOUT }, { 700, END_TIMEOUT } }, 700 },
+  { "late", { { 701, END_TIMEOUT_WHEN_LATE } }, 1400 },
+  { "late, calls beside each other",
+    { { 701, END_TIMEOUT_WHEN_LATE },
+      { 701, END_TIMEOUT_WHEN_LATE },
+      { 702, END_TIMEOUT_WHEN_LATE } },
+    1400 },
+  { "very late",
+    { { 701, END_TIMEOUT_WHEN_LATE },
+      { 1400, END_TIMEOUT_WHEN_LATE },
+      { 2100, END_TIMEOUT_WHEN_LATE } },
+    2100 },
+  { "late, answered", { { 701, END_TIMEOUT_WHEN_LATE }, { 900, END_ANSWER } }, 1400 },
+  { "late no more", { { 701, END_TIMEOUT_WHEN_LATE }, { 340, END_ANSWER } }, 700 },
+  { "late, then the store is away",
+    { { 701, END_TIMEOUT_WHEN_LATE }, { 1400, END_TIMEOUT } },
+    700 },
+};
+
+/* A router whose answers took a little longer than the time limit learned nothing for 20 s. */
+START_TEST (a_late_router_waits_longer_for_answers)
+{
+  DyPatience patience;
+  dy_patience_init (&patience, USUAL_MS * MS);
+  for (int i = 0; i < MAX_ENDS; i++)
+    {
+      const CallEnd *end = &patience_cases[_i].ends[i];
+      if (end->end == END_ANSWER)
+        dy_patience_record_answer (&patience, end->ms * MS);
+      else if (end->end != END_NONE)
+        dy_patience_record_timeout (&patience, end->ms * MS, end->end == END_TIMEOUT_WHEN_LATE);
+    }
+  ck_assert_msg (patience.limit_us == patience_cases[_i].limit_ms * MS, "%s: %d ms",
+                 patience_cases[_i].name, (int) (patience.limit_us / MS));
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tcase = tcase_create ("knowledge");
+  tcase_add_loop_test (tcase, a_late_router_waits_longer_for_answers, 0,
+                       G_N_ELEMENTS (patience_cases));
   tcase_add_loop_test (tcase, old_knowledge_is_acted_on_only_while_the_store_is_known_to_be_away, 0,
                        G_N_ELEMENTS (cases));
   return suite_run ("knowledge", tcase);
