Pass on what a list shows to have changed; the daemon's store keeps the longer limit, too

Cause: after a failed check a router lists all objects. It told the others that there was a later change, and not which, as only the answers of watches were passed on.

Change: a list is compared with what was known, and the difference is passed on with its base, as changes are. The daemon's store client takes the limit.

--- a/src/services/object_changes.c
+++ b/src/services/object_changes.c
@@ -52,6 +52,36 @@
   return NULL;
 }
 
+json_t *
+dy_object_changes_of_list (GHashTable *keys,
+                           uint64_t base,
+                           const DyPlatformReply *list,
+                           size_t max_bytes)
+{
+  GArray *objects = g_array_new (FALSE, FALSE, sizeof (DyObject));
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer key;
+  for (uint32_t i = 0; i < list->n_objects; i++)
+    {
+      g_hash_table_add (listed, (gpointer) list->objects[i].key);
+      if (list->objects[i].version > base)
+        g_array_append_val (objects, list->objects[i]);
+    }
+  g_hash_table_iter_init (&iter, keys);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (!g_hash_table_contains (listed, key))
+      {
+        DyObject removal = { .key = key, .version = list->version };
+        g_array_append_val (objects, removal);
+      }
+  json_t *changes
+      = dy_object_changes_encode ((const DyObject *) objects->data, objects->len, max_bytes);
+  g_hash_table_unref (listed);
+  g_array_unref (objects);
+  return changes;
+}
+
 static bool
 is_valid (const json_t *change, const char *prefix)
 {
--- a/src/services/object_changes.h
+++ b/src/services/object_changes.h
@@ -20,6 +20,14 @@
  * if the text would be longer than MAX_BYTES. */
 json_t *dy_object_changes_encode (const DyObject *objects, uint32_t n, size_t max_bytes);
 
+/* Returns the changes after the version BASE that LIST, all objects, shows, as a new reference.
+ * KEYS is the set of the keys of the objects that existed then: the others of them were removed.
+ * NULL if the text would be longer than MAX_BYTES. */
+json_t *dy_object_changes_of_list (GHashTable *keys,
+                                   uint64_t base,
+                                   const DyPlatformReply *list,
+                                   size_t max_bytes);
+
 /* Returns whether CHANGES has the format above and all its keys begin with PREFIX. */
 bool dy_object_changes_are_valid (const json_t *changes, const char *prefix);
 
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -162,23 +162,37 @@
   return changes ? changes : json_null ();
 }
 
-/* Tells all routers up to which change this one has confirmed what it knows, and how long ago. With
- * REPLY, the answer to CALL, its changes are passed on. */
+/* Returns the changes in REPLY, the answer to CALL that is about to be applied, for other routers;
+ * NULL if there are none, or too many. */
+static json_t *
+changes_for_others (const DyObjectWatch *watch,
+                    DyObjectWatchCall *call,
+                    const DyPlatformReply *reply)
+{
+  if (!call->lists)
+    return dy_object_changes_encode (reply->objects, reply->n_objects, MAX_CHANGES_BYTES);
+  /* A list is compared with what is known now, which may be more than when it was asked for. */
+  call->base = watch->age.version;
+  call->changed = watch->age.changed_version;
+  return call->base && dy_store_version_era (call->base) == dy_store_version_era (reply->version)
+             ? dy_object_changes_of_list (watch->keys, call->base, reply, MAX_CHANGES_BYTES)
+             : NULL;
+}
+
+/* Tells all routers up to which change this one has confirmed what it knows, and how long ago.
+ * CHANGES of CALL's answer up to VERSION, of which it takes the reference, are passed on; may be
+ * NULL. */
 static void
-spread_age (DyObjectWatch *watch, const DyObjectWatchCall *call, const DyPlatformReply *reply)
+spread_age (DyObjectWatch *watch, const DyObjectWatchCall *call, json_t *changes, uint64_t version)
 {
   int64_t age_ms = (dy_kernel_boot_us () - watch->age.confirmed_us) / US_PER_MS;
   json_t *root = json_pack ("{s:I, s:I, s:b}", "changed", (json_int_t) watch->age.changed_version,
                             "age_ms", (json_int_t) age_ms, "by_list", call->lists);
-  json_t *changes
-      = reply && !call->lists
-            ? dy_object_changes_encode (reply->objects, reply->n_objects, MAX_CHANGES_BYTES)
-            : NULL;
   if (changes && add_changes (root, changes))
     {
       json_object_set_new (root, "base", json_integer ((json_int_t) call->base));
       json_object_set_new (root, "base_changed", json_integer ((json_int_t) call->changed));
-      json_object_set_new (root, "version", json_integer ((json_int_t) reply->version));
+      json_object_set_new (root, "version", json_integer ((json_int_t) version));
     }
   char *key = g_strconcat (AGE_PREFIX, watch->prefix, NULL);
   dy_spread_send (watch->spread, key, root);
@@ -251,7 +265,7 @@
       apply_reply (watch, reply, call->lists);
       /* A router that no longer watches may have a call left from before. */
       if (!call->lists && reply->n_objects > 0 && is_watcher (watch))
-        spread_age (watch, call, reply);
+        spread_age (watch, call, changes_for_others (watch, call, reply), reply->version);
     }
   continue_watch (watch, reply->n_objects > 0);
 }
@@ -304,15 +318,19 @@
     }
   uint64_t changed = latest_change (watch, reply, call->lists);
   bool has_changes = changed > watch->age.version;
+  json_t *changes = has_changes && !call->told ? changes_for_others (watch, call, reply) : NULL;
   record_success (watch);
   if (!dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1), changed, call->sent_us))
-    return;
+    {
+      json_decref (changes);
+      return;
+    }
   apply_reply (watch, reply, call->lists);
   if (has_changes || watch->suspect)
     replace_call (watch, has_changes ? "late" : "outage");
   /* A change that another router has announced is sent to all by that one. */
   if (!call->told)
-    spread_age (watch, call, has_changes ? reply : NULL);
+    spread_age (watch, call, changes, reply->version);
 }
 
 static void
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -408,12 +408,6 @@
   return g_get_monotonic_time () - platform->restored_us < time_us;
 }
 
-void
-dy_platform_set_timeout (DyPlatform *platform, int64_t timeout_us)
-{
-  dy_patience_init (&platform->patience, timeout_us);
-}
-
 void
 dy_platform_set_probe_interval (DyPlatform *platform, int64_t interval_us)
 {
@@ -424,16 +418,16 @@
 service_start (void *self, DyKernel *kernel)
 {
   const DySettings *settings = kernel->settings;
-  if (((const DyPlatform *) self)->ops)
-    return DY_OK;
+  DyPlatform *platform = self;
   bool in_memory = strcmp (settings->platform_kind, "memory") == 0;
-  void *impl = in_memory ? dy_platform_memory_new (kernel->loop)
-                         : dy_platform_http_new (kernel->loop, settings->platform_url,
-                                                 settings->platform_timeout_ms,
-                                                 settings->watch_timeout_ms);
-  dy_platform_init (self, kernel->loop, &kernel->counters, settings->platform_calls_per_s,
-                    in_memory ? &dy_platform_memory_ops : &dy_platform_http_ops, impl);
-  dy_platform_set_timeout (self, settings->platform_timeout_ms * US_PER_MS);
+  if (!platform->ops)
+    dy_platform_init (platform, kernel->loop, &kernel->counters, settings->platform_calls_per_s,
+                      in_memory ? &dy_platform_memory_ops : &dy_platform_http_ops,
+                      in_memory ? dy_platform_memory_new (kernel->loop)
+                                : dy_platform_http_new (kernel->loop, settings->platform_url,
+                                                        settings->platform_timeout_ms,
+                                                        settings->watch_timeout_ms));
+  dy_patience_init (&platform->patience, settings->platform_timeout_ms * US_PER_MS);
   return DY_OK;
 }
 
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -184,9 +184,6 @@
 /* Returns whether the store was restored less than TIME_US ago, as far as this router knows. */
 bool dy_platform_was_restored_within (const DyPlatform *platform, int64_t time_us);
 
-/* Sets the usual time limit of calls. A router that is late waits longer. */
-void dy_platform_set_timeout (DyPlatform *platform, int64_t timeout_us);
-
 /* Sets the interval between probes while the breaker is open; 500 ms unless set. */
 void dy_platform_set_probe_interval (DyPlatform *platform, int64_t interval_us);
 
--- a/test/test_object_changes.c
+++ b/test/test_object_changes.c
@@ -59,6 +59,42 @@
 }
 END_TEST
 
+/* Known at version 7: k/a and k/b. */
+static const struct
+{
+  const char *name;
+  DyObject objects[MAX_OBJECTS];
+  uint32_t n;
+  const char *text;
+} lists[] = {
+  { "nothing changed", { OBJECT ("k/a", 3, "x"), OBJECT ("k/b", 7, "y") }, 2, "[]" },
+  { "changed",
+    { OBJECT ("k/a", 8, "z"), OBJECT ("k/b", 7, "y") },
+    2,
+    "[{\"key\":\"k/a\",\"version\":8,\"value\":\"z\"}]" },
+  { "new",
+    { OBJECT ("k/a", 3, "x"), OBJECT ("k/b", 7, "y"), OBJECT ("k/c", 9, "z") },
+    3,
+    "[{\"key\":\"k/c\",\"version\":9,\"value\":\"z\"}]" },
+  { "removed", { OBJECT ("k/b", 7, "y") }, 1, "[{\"key\":\"k/a\",\"version\":9,\"value\":null}]" },
+};
+
+START_TEST (a_list_shows_what_has_changed)
+{
+  static const char *const known[] = { "k/a", "k/b" };
+  GHashTable *keys = g_hash_table_new (g_str_hash, g_str_equal);
+  for (size_t i = 0; i < G_N_ELEMENTS (known); i++)
+    g_hash_table_add (keys, (gpointer) known[i]);
+  DyPlatformReply list = { .version = 9, .objects = lists[_i].objects, .n_objects = lists[_i].n };
+  json_t *changes = dy_object_changes_of_list (keys, 7, &list, MAX_BYTES);
+  char *text = json_dumps (changes, JSON_COMPACT);
+  ck_assert_msg (strcmp (text, lists[_i].text) == 0, "%s: %s", lists[_i].name, text);
+  free (text);
+  json_decref (changes);
+  g_hash_table_unref (keys);
+}
+END_TEST
+
 static const struct
 {
   const char *text;
@@ -90,6 +126,7 @@
 main (void)
 {
   TCase *tcase = tcase_create ("object_changes");
+  tcase_add_loop_test (tcase, a_list_shows_what_has_changed, 0, (int) G_N_ELEMENTS (lists));
   tcase_add_loop_test (tcase, of_each_object_the_latest_state_is_passed_on, 0,
                        G_N_ELEMENTS (encodings));
   tcase_add_loop_test (tcase, changes_of_another_format_are_not_valid, 0, G_N_ELEMENTS (inputs));
