Take changes from routers whose list was older; calls given up early show that the store is away

Routers now also say up to which version they know that there were no others, and who knows all changes takes that version over. - Calls that are given up before 400 ms, by platform_timeout_ms, never showed that the store is away, so routers served only while all said so. - Any call given up by a router on time raised the limit of the next one if it had waited for less than 400 ms.

--- a/src/core/knowledge.c
+++ b/src/core/knowledge.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  /* Time without an answer after which a router that is on time takes the store to be away. */
+  /* Time without an answer after which a router that is on time takes the store to be away, unless
+   * it gives calls up before. */
   UNANSWERED_US = 400 * 1000,
   /* Time in which a router that is on time hears of what another one has confirmed, if one has. */
   HEAR_US = 1000 * 1000,
@@ -24,8 +25,10 @@
 bool
 dy_knowledge_is_unanswered (const DyKnowledgeEvidence *evidence, int64_t asked_us, int64_t now_us)
 {
+  int64_t limit_us = evidence->call_limit_us;
+  int64_t unanswered_us = limit_us > 0 ? MIN (UNANSWERED_US, limit_us) : UNANSWERED_US;
   return is_on_time (evidence, now_us)
-         && now_us - MAX (asked_us, evidence->on_time_since_us) >= UNANSWERED_US;
+         && now_us - MAX (asked_us, evidence->on_time_since_us) >= unanswered_us;
 }
 
 DyKnowledge
--- a/src/core/knowledge.h
+++ b/src/core/knowledge.h
@@ -41,6 +41,7 @@
   int64_t away_us;  /* latest time at which a call to the store had failed though this router was on
                        time, or was refused */
   int64_t asked_us; /* sending of the oldest call to the store in progress */
+  int64_t call_limit_us;    /* usual time limit of calls to the store; 0: none */
   int64_t on_time_since_us; /* this router was on time from here */
   int64_t on_time_until_us; /* to here */
   bool others_away; /* all other routers that are heard from say that they don't reach the store,
--- a/src/core/watch_age.c
+++ b/src/core/watch_age.c
@@ -92,6 +92,14 @@
   age->check_fails = by_list;
 }
 
+void
+dy_watch_age_record_peer_version (DyWatchAge *age, uint64_t changed_version, uint64_t version)
+{
+  if (age->version != 0 && !age->behind_us && changed_version <= age->version
+      && dy_store_version_era (version) == dy_store_version_era (age->version))
+    age->version = MAX (age->version, version);
+}
+
 /* Returns how much longer than the routers before them those of RANK wait. */
 static int64_t
 spread_us (const DyWatchAgePolicy *policy, uint32_t rank)
--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -96,6 +96,10 @@
 void dy_watch_age_record_peer (
     DyWatchAge *age, uint64_t changed_version, int64_t confirmed_us, bool by_list, int64_t now_us);
 
+/* Records that another router knows all changes up to VERSION, the latest of them at or before
+ * CHANGED_VERSION. A router that knows that one knows as much. */
+void dy_watch_age_record_peer_version (DyWatchAge *age, uint64_t changed_version, uint64_t version);
+
 /* Returns whether the router may take changes from another one: all those after the version BASE up
  * to VERSION. CHANGED_VERSION is at or after the latest change up to BASE. If not, changes would be
  * missed, or applied a second time in another order. */
--- a/src/services/directory_knowledge.c
+++ b/src/services/directory_knowledge.c
@@ -19,7 +19,9 @@
 static DyKnowledgeEvidence
 evidence_of_time (const DyDirectory *directory)
 {
-  return (DyKnowledgeEvidence){ .on_time_since_us = directory->clocks.on_time_since_us,
+  return (DyKnowledgeEvidence){ .call_limit_us
+                                = directory->kernel->settings->platform_timeout_ms * US_PER_MS,
+                                .on_time_since_us = directory->clocks.on_time_since_us,
                                 .on_time_until_us = directory->clocks.on_time_until_us };
 }
 
--- a/src/services/object_watch.c
+++ b/src/services/object_watch.c
@@ -186,8 +186,9 @@
 spread_age (DyObjectWatch *watch, const DyObjectWatchCall *call, json_t *changes, uint64_t version)
 {
   int64_t age_ms = (dy_kernel_boot_us () - watch->age.confirmed_us) / US_PER_MS;
-  json_t *root = json_pack ("{s:I, s:I, s:b}", "changed", (json_int_t) watch->age.changed_version,
-                            "age_ms", (json_int_t) age_ms, "by_list", call->lists);
+  json_t *root = json_pack (
+      "{s:I, s:I, s:I, s:b}", "changed", (json_int_t) watch->age.changed_version, "at",
+      (json_int_t) watch->age.version, "age_ms", (json_int_t) age_ms, "by_list", call->lists);
   if (changes && add_changes (root, changes))
     {
       json_object_set_new (root, "base", json_integer ((json_int_t) call->base));
@@ -459,6 +460,8 @@
       dy_watch_age_record_peer (&watch->age, version, confirmed_us,
                                 json_is_true (json_object_get (root, "by_list")),
                                 dy_kernel_boot_us ());
+      dy_watch_age_record_peer_version (
+          &watch->age, version, (uint64_t) json_integer_value (json_object_get (root, "at")));
     }
   json_decref (root);
 }
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -90,6 +90,9 @@
     platform->era_watchers[i].watcher (platform->era_watchers[i].ctx, era, restored);
 }
 
+/* Time of sending of a call that has been unanswered for long enough, if the router is on time. */
+static const int64_t LONG_AGO_US = INT64_MIN / 2;
+
 static bool
 is_watch (const Call *call)
 {
@@ -110,12 +113,11 @@
           dy_error_info (error)->kind, rejected, rejected ? 0 : time_us / 1000);
 }
 
-/* Returns whether CALL may have timed out because the router is late. */
+/* Returns whether a call that was sent at SENT_US may have timed out because the router is late. */
 static bool
-is_late (const DyPlatform *platform, const Call *call)
+is_late (const DyPlatform *platform, int64_t sent_us)
 {
-  return platform->is_unanswered
-         && !platform->is_unanswered (platform->is_unanswered_ctx, call->sent_boot_us);
+  return platform->is_unanswered && !platform->is_unanswered (platform->is_unanswered_ctx, sent_us);
 }
 
 /* Records whether the end of CALL shows that the platform does not answer this router, and how long
@@ -127,10 +129,10 @@
   if (is_watch (call))
     return;
   if (error == DY_TIMEOUT)
-    dy_patience_record_timeout (&platform->patience, took_us, is_late (platform, call));
+    dy_patience_record_timeout (&platform->patience, took_us, is_late (platform, LONG_AGO_US));
   else if (!is_failure (error))
     dy_patience_record_answer (&platform->patience, took_us);
-  if (is_failure (error) && (error != DY_TIMEOUT || !is_late (platform, call)))
+  if (is_failure (error) && (error != DY_TIMEOUT || !is_late (platform, call->sent_boot_us)))
     platform->away_us = dy_kernel_boot_us ();
 }
 
--- a/test/test_knowledge.c
+++ b/test/test_knowledge.c
@@ -87,6 +87,26 @@
 }
 END_TEST
 
+/* With a time limit of calls below the time in which the store is else taken to be away, no call
+ * ever showed that it is. */
+static const struct
+{
+  int64_t limit_ms; /* 0: not known */
+  int64_t waited_ms;
+  bool unanswered;
+} limits[] = { { 0, 399, false },  { 0, 400, true },    { 700, 399, false },
+               { 700, 400, true }, { 300, 299, false }, { 300, 300, true } };
+
+START_TEST (a_call_that_is_given_up_shows_that_the_store_is_away)
+{
+  DyKnowledgeEvidence evidence = { .call_limit_us = limits[_i].limit_ms * MS,
+                                   .on_time_since_us = time_of (5000),
+                                   .on_time_until_us = time_of (10) };
+  ck_assert (dy_knowledge_is_unanswered (&evidence, time_of (limits[_i].waited_ms), NOW_MS * MS)
+             == limits[_i].unanswered);
+}
+END_TEST
+
 enum
 {
   USUAL_MS = 700,
@@ -153,6 +173,8 @@
 main (void)
 {
   TCase *tcase = tcase_create ("knowledge");
+  tcase_add_loop_test (tcase, a_call_that_is_given_up_shows_that_the_store_is_away, 0,
+                       G_N_ELEMENTS (limits));
   tcase_add_loop_test (tcase, a_late_router_waits_longer_for_answers, 0,
                        G_N_ELEMENTS (patience_cases));
   tcase_add_loop_test (tcase, old_knowledge_is_acted_on_only_while_the_store_is_known_to_be_away, 0,
--- a/test/test_watch_age.c
+++ b/test/test_watch_age.c
@@ -223,6 +223,38 @@
 }
 END_TEST
 
+/* A router knows all changes up to KNOWN, the latest of them at or before CHANGED. Another one,
+ * which knows all up to AT, the latest at or before PEER_CHANGED, sends the changes from AT to 40.
+ */
+static const struct
+{
+  const char *name;
+  uint64_t known;
+  uint64_t changed;
+  uint64_t peer_changed;
+  uint64_t at;
+  bool takes;
+} peers[] = {
+  { "no change since", 20, 20, 15, 30, true },
+  { "the same change", 20, 20, 20, 30, true },
+  { "a change that is not known", 20, 20, 25, 30, false },
+  { "the other one knows less", 30, 25, 15, 20, false },
+  { "nothing is known", 0, 0, 15, 30, false },
+};
+
+/* A router whose own list was later than what another one knew could not take its changes. */
+START_TEST (a_router_that_missed_no_change_takes_the_next_ones)
+{
+  DyWatchAge age;
+  dy_watch_age_init (&age, &dy_watch_age_policy);
+  if (peers[_i].known)
+    dy_watch_age_record_answer (&age, peers[_i].known, peers[_i].changed, 0);
+  dy_watch_age_record_peer_version (&age, peers[_i].peer_changed, peers[_i].at);
+  bool takes = dy_watch_age_may_take (&age, peers[_i].at, peers[_i].peer_changed, 40);
+  ck_assert_msg (takes == peers[_i].takes, "%s: %d", peers[_i].name, takes);
+}
+END_TEST
+
 /* The time between the checks of the first router, by the time within which changes must be known,
  * and the age at which the last routers check. */
 static const struct
@@ -307,6 +339,8 @@
 main (void)
 {
   TCase *tcase = tcase_create ("watch_age");
+  tcase_add_loop_test (tcase, a_router_that_missed_no_change_takes_the_next_ones, 0,
+                       G_N_ELEMENTS (peers));
   tcase_add_loop_test (tcase, a_router_checks_when_its_knowledge_is_old_or_behind, 0,
                        G_N_ELEMENTS (decisions));
   tcase_add_loop_test (tcase, a_list_may_hide_a_later_change_than_it_shows, 0,
