--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -14,6 +14,7 @@
  *   tear-once as stream; without Last-Event-Id the connection is closed in the middle of the third
  *             event
  *   later     as stream, but the answer begins after ANSWER_DELAY_S
+ *   long      as stream, but the answer begins after LONG_ANSWER_S
  *   paced     a stream of N_PACED_EVENTS events, one each PACED_EVENT_S; with Last-Event-Id, of
  *             those after it
  * Any other path is answered as ok.
@@ -26,7 +27,7 @@
  * remains when the process ends.
  *
  * GET /admin/stats returns {"runs": {request id: n}, "last": {header: value}, "cancelled": n,
- * "crashing": requests that came with the part "bad0",
+ * "crashing": requests that came with the part "bad0", "falls": n,
  * "limited_ms": [time of each request since the limit or the fields were set]}.
  * POST /admin/label takes {"label": text}, which each event then ends with.
  * POST /admin/set takes {"instance": id}; requests whose X-Expect-Instance differs are answered
@@ -34,6 +35,11 @@
  * null ends that. POST /admin/say takes {header: value, ...}, fields that all answers then have,
  * refusals too; {} ends that.
  *
+ * POST /admin/brittle takes {"n": N}: from now on all answers say Server-Brittle: N. From
+ * BRITTLE_AFTER_S later at most N_PLACES requests are in progress, those beyond are refused, and
+ * the endpoint falls over for FALL_S when it refuses more than N of them in a second; the stats
+ * have the falls as "falls".
+ *
  * POST /admin/refuse takes {"n": 1}: all requests are refused as by the path "full"; 0 ends that.
  *
  * POST /admin/silence takes {"ms": n}: for n milliseconds requests are read, but no byte of an
@@ -55,6 +61,8 @@
   N_EVENTS = 5,
   N_EVENTS_BEFORE_CLOSE = 2,
   N_PACED_EVENTS = 12,
+  N_PLACES = 6, /* of a brittle endpoint */
+  MAX_REFUSALS = 64,
 };
 
 typedef struct
@@ -86,6 +94,9 @@
 static const double ANSWER_DELAY_S = 0.04;
 static const double RESTART_S = 0.3;
 static const double PACED_EVENT_S = 0.03;
+static const double LONG_ANSWER_S = 0.4;
+static const double BRITTLE_AFTER_S = 3.0;
+static const double FALL_S = 2.0;
 
 static int64_t n_cancelled; /* silent requests whose connection was closed */
 static int64_t n_crashing;  /* requests that came with the crashing part */
@@ -94,6 +105,12 @@
 static json_t *said;        /* header fields of all answers; NULL: none */
 static char *label;         /* end of each event's data; NULL: none */
 static bool refuses_all;
+/* A brittle endpoint: when it began, the refusals in a second that it stands, the times of its
+ * latest refusals, the oldest first, and its falls. */
+static ev_tstamp brittle_at;
+static int64_t brittle_n;
+static ev_tstamp refused_at[MAX_REFUSALS];
+static int64_t n_falls;
 static ev_tstamp down_until;
 static ev_tstamp silent_until;
 static unsigned resumed_status; /* of answers to requests with Last-Event-Id; 0: none is set */
@@ -138,6 +155,12 @@
   {
     dy_http_call_add_header (call, name, json_string_value (value));
   }
+  if (brittle_at > 0.0)
+    {
+      char *text = g_strdup_printf ("%d", (int) brittle_n);
+      dy_http_call_add_header (call, "Server-Brittle", text);
+      g_free (text);
+    }
 }
 
 static void
@@ -277,7 +300,7 @@
 }
 
 static void
-crash (void)
+crash (double restart_s)
 {
   GPtrArray *calls = g_ptr_array_new ();
   GHashTableIter iter;
@@ -291,7 +314,7 @@
   for (guint i = 0; i < calls->len; i++)
     dy_http_call_abort (g_ptr_array_index (calls, i));
   g_ptr_array_unref (calls);
-  down_until = ev_now (main_loop) + RESTART_S;
+  down_until = ev_now (main_loop) + restart_s;
 }
 
 static void
@@ -321,7 +344,7 @@
   (void) events;
   if (!entry->answer)
     {
-      crash ();
+      crash (RESTART_S);
       return;
     }
   if (ev_now (main_loop) < silent_until)
@@ -362,6 +385,12 @@
   add_pending (call, id, answer_stream, ANSWER_DELAY_S);
 }
 
+static void
+answer_long (DyHttpCall *call, const char *id)
+{
+  add_pending (call, id, answer_stream, LONG_ANSWER_S);
+}
+
 static void
 answer_paced (DyHttpCall *call, const char *id)
 {
@@ -383,7 +412,7 @@
   { "ok", answer_ok },         { "error", answer_error },     { "reset", answer_reset },
   { "torn", answer_torn },     { "foreign", answer_foreign }, { "unsigned", answer_unsigned },
   { "silent", answer_silent }, { "stream", answer_stream },   { "tear-once", answer_tear_once },
-  { "later", answer_later },   { "paced", answer_paced },
+  { "later", answer_later },   { "paced", answer_paced },     { "long", answer_long },
 };
 
 static bool
@@ -443,6 +472,25 @@
   return answer_ok;
 }
 
+/* Returns whether the endpoint is brittle and has no place left, and falls over if it has had to
+ * say so too often. */
+static bool
+lacks_places (void)
+{
+  ev_tstamp now = ev_now (main_loop);
+  if (brittle_at == 0.0 || now < brittle_at + BRITTLE_AFTER_S
+      || g_hash_table_size (pending) < N_PLACES)
+    return false;
+  memmove (refused_at, refused_at + 1, sizeof refused_at - sizeof refused_at[0]);
+  refused_at[MAX_REFUSALS - 1] = now;
+  if (now - refused_at[MAX_REFUSALS - 1 - CLAMP (brittle_n, 0, MAX_REFUSALS - 1)] >= 1.0)
+    return true;
+  n_falls++;
+  memset (refused_at, 0, sizeof refused_at);
+  crash (FALL_S);
+  return true;
+}
+
 /* Returns the refusal of the request, or NULL if it is run. */
 static Answer
 choose_refusal (const Worker *worker, DyHttpCall *call)
@@ -453,7 +501,8 @@
       || (resumed && resumed_status == 421))
     return refuse_misdirected;
   if (refuses_all || !dy_http_call_header (call, "X-Request-Id")
-      || is_behaviour (dy_http_call_path (call), "full") || (resumed && resumed_status == 503))
+      || is_behaviour (dy_http_call_path (call), "full") || (resumed && resumed_status == 503)
+      || (ev_now (main_loop) >= down_until && lacks_places ()))
     return refuse_full;
   return NULL;
 }
@@ -500,6 +549,13 @@
   return value;
 }
 
+static void
+set_brittle (DyHttpCall *call)
+{
+  brittle_n = take_integer (call, "n");
+  brittle_at = ev_now (main_loop);
+}
+
 static void
 set_label (DyHttpCall *call)
 {
@@ -550,9 +606,10 @@
   Worker *worker = ctx;
   const char *path = dy_http_call_path (call);
   if (strcmp (path, "/admin/stats") == 0)
-    reply_json (call, json_pack ("{s:O, s:O, s:I, s:I, s:O}", "runs", worker->runs, "last",
+    reply_json (call, json_pack ("{s:O, s:O, s:I, s:I, s:I, s:O}", "runs", worker->runs, "last",
                                  worker->last, "cancelled", (json_int_t) n_cancelled, "crashing",
-                                 (json_int_t) n_crashing, "limited_ms", worker->limited_ms));
+                                 (json_int_t) n_crashing, "falls", (json_int_t) n_falls,
+                                 "limited_ms", worker->limited_ms));
   else if (strcmp (path, "/admin/label") == 0)
     set_label (call);
   else if (strcmp (path, "/admin/set") == 0)
@@ -563,6 +620,8 @@
     set_said (worker, call);
   else if (strcmp (path, "/admin/silence") == 0)
     silent_until = ev_now (main_loop) + (double) take_integer (call, "ms") / 1e3;
+  else if (strcmp (path, "/admin/brittle") == 0)
+    set_brittle (call);
   else if (strcmp (path, "/admin/refuse") == 0)
     refuses_all = take_integer (call, "n") != 0;
   else if (strcmp (path, "/admin/resumes") == 0)
