Share the places of endpoints that say they may fall over

Cause: nothing read Server-Brittle. Each router sent what it had, endpoints turned away what they had no places for, and fell over.

The places of each endpoint are shared among the routers that rank first for it, and placement, resends and relays pass over an endpoint at which this router's places are taken. A request for which there is no place waits, as long as its answer should take, if no more wait than can run; the others are refused at once.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -77,6 +77,16 @@
                          : g_strdup_printf ("?%s:%" G_GINT64_FORMAT, record->id, record->start_ms);
 }
 
+static bool
+has_shares (const DyPlacement *placement, const char *service)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, service);
+  for (guint i = 0; list && i < list->len; i++)
+    if (((const DyPlacementEndpoint *) g_ptr_array_index (list, i))->share != UINT32_MAX)
+      return true;
+  return false;
+}
+
 void
 dy_placement_put (DyPlacement *placement, const DyEndpointRecord *record)
 {
@@ -96,6 +106,7 @@
       endpoint->address = g_strdup (record->address);
       endpoint->data_centre = g_strdup (record->data_centre);
       endpoint->n_references = 1;
+      endpoint->share = has_shares (placement, record->service) ? 0 : UINT32_MAX;
       endpoint->cached = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
       g_hash_table_insert (placement->by_id, endpoint->id, endpoint);
       g_ptr_array_add (get_list (placement, record->service), endpoint);
@@ -145,6 +156,34 @@
   return first_us == INT64_MAX ? 0 : MAX (first_us - now_us, 0);
 }
 
+void
+dy_placement_set_shares (DyPlacement *placement,
+                         const char *service,
+                         DyPlacementShare share,
+                         void *ctx)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, service);
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
+      endpoint->share = share ? share (ctx, endpoint->id, endpoint->slots) : UINT32_MAX;
+    }
+}
+
+uint32_t
+dy_placement_places (const DyPlacement *placement, const char *service)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, service);
+  uint32_t n = 0;
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
+      if (!endpoint->leaving && endpoint->share != UINT32_MAX)
+        n += endpoint->share;
+    }
+  return n;
+}
+
 void
 dy_placement_remove (DyPlacement *placement, const char *id)
 {
@@ -295,7 +334,8 @@
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
       if (endpoint->leaving || dy_placement_endpoint_waits (endpoint, now_us)
-          || !is_allowed_by (query, endpoint) || !is_allowed (placement, endpoint, now_us))
+          || endpoint->in_flight >= endpoint->share || !is_allowed_by (query, endpoint)
+          || !is_allowed (placement, endpoint, now_us))
         continue;
       int64_t us = retry_us (endpoint, now_us);
       bool is_better = best && us == best_us && endpoint->in_flight < best->in_flight;
@@ -314,8 +354,8 @@
            int64_t now_us)
 {
   return !endpoint->leaving && now_us >= endpoint->open_until_us
-         && !dy_placement_endpoint_waits (endpoint, now_us) && is_allowed_by (query, endpoint)
-         && is_allowed (placement, endpoint, now_us);
+         && !dy_placement_endpoint_waits (endpoint, now_us) && endpoint->in_flight < endpoint->share
+         && is_allowed_by (query, endpoint) && is_allowed (placement, endpoint, now_us);
 }
 
 bool
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -117,6 +117,21 @@
  * leaving have asked for a wait; 0 if not. */
 int64_t dy_placement_wait_us (const DyPlacement *placement, const char *service, int64_t now_us);
 
+/* Returns how many requests this router may have in progress at the endpoint ID, which has SLOTS;
+ * UINT32_MAX: any number. */
+typedef uint32_t (*DyPlacementShare) (void *ctx, const char *id, uint32_t slots);
+
+/* Limits the requests that this router has in progress at each endpoint of SERVICE to its SHARE;
+ * NULL: not any longer. An endpoint that is new gets none until the next call. */
+void dy_placement_set_shares (DyPlacement *placement,
+                              const char *service,
+                              DyPlacementShare share,
+                              void *ctx);
+
+/* Returns how many requests to SERVICE this router may have in progress by its shares; 0: none, or
+ * it has no shares. */
+uint32_t dy_placement_places (const DyPlacement *placement, const char *service);
+
 /* Removes the endpoint ID, if there is one. Requests in flight keep their DyPlacementEndpoint. */
 void dy_placement_remove (DyPlacement *placement, const char *id);
 
--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -27,6 +27,7 @@
   bool removed;
   uint32_t n_references;   /* one of the table by_id and one of each request in flight */
   uint32_t in_flight;      /* requests of this router */
+  uint32_t share;          /* most of them at a time; UINT32_MAX: not limited */
   int64_t pending_tokens;  /* own_tokens of the prompts in flight that it has not processed */
   uint32_t other_requests; /* requests of other routers, by its latest load report */
   int64_t reported_us;     /* time of its latest load report; 0: none */
--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -277,9 +277,9 @@
 }
 
 static DyCourseStep
-go_without_endpoint (DyCourse *course)
+go_without_endpoint (DyCourse *course, const DyCourseSituation *situation)
 {
-  if (persists (course))
+  if (persists (course) || (situation->has_place_soon && !is_begun (course)))
     return pause_before_attempt (course);
   int error = course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT;
   return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
@@ -335,7 +335,7 @@
     case DENY:
       return end_with_error (course, situation->error);
     case NO_ENDPOINT:
-      return go_without_endpoint (course);
+      return go_without_endpoint (course, situation);
     case EXPIRE:
       return expire (course, situation);
     case DROP:
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -26,6 +26,9 @@
  *   the request is not ended because none may be sent now: it is sent again after a pause. The same
  *   holds for a begun stream with a deadline, whose caller can be given no other answer any more.
  *
+ *   A request that has not begun to be answered waits for a short time for a place at an endpoint
+ *   that takes no more at a time than it has places for.
+ *
  * ERRORS
  *   Those of core/resend, and those with which an event states that the request was denied.
  *   DY_ORIGIN_UNKNOWN      the time limit was reached before the stream's origin was known
@@ -111,6 +114,7 @@
   bool within_budget;   /* the retry budget allows another attempt */
   bool blocked;         /* the request must not be sent again */
   bool has_other;       /* an endpoint that was not tried yet can take it now */
+  bool has_place_soon;  /* of NO_ENDPOINT: one will have a place for it, for which it may wait */
   int64_t time_left_ms; /* until the request's deadline */
 } DyCourseSituation;
 
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -59,6 +59,9 @@
   X (LIMITED_ENDPOINTS, gauge, "dogwoodyoke_limited_endpoints", "endpoints that name a limit")     \
   X (LIMIT_SKIPS, counter, "dogwoodyoke_limit_skips_total",                                        \
      "requests that passed over an endpoint for its limit")                                        \
+  X (BRITTLE, gauge, "dogwoodyoke_brittle_services", "services whose endpoints may fall over")     \
+  X (ROOM_WAITS, counter, "dogwoodyoke_room_waits_total",                                          \
+     "requests that waited for a place at an endpoint that may fall over")                         \
   X (NOTICES, gauge, "dogwoodyoke_endpoint_notices",                                               \
      "endpoints that said something of themselves in answers")                                     \
   X (RESUMES, counter, "dogwoodyoke_resumes_total", "streams that callers resumed")                \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -77,6 +77,8 @@
   X (NOTICE_KNOWN, 6019, MESSAGE, "endpoint says something of itself")                             \
   X (NOTICE_ENDED, 6020, MESSAGE, "notice of an endpoint ended")                                   \
   X (NOTICE_UNREADABLE, 6021, WARNING, "notice of an endpoint unreadable")                         \
+  X (SERVICE_BRITTLE, 6022, MESSAGE, "endpoints of a service may fall over")                       \
+  X (SERVICE_BRITTLE_ENDED, 6023, MESSAGE, "endpoints of a service may no longer fall over")       \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -77,6 +77,9 @@
   /* Time for which an endpoint that turns a request away wants no other from this router; 0: not
    * stated. */
   int64_t wait_ms;
+  bool brittle; /* the endpoint states that it may fall over */
+  /* Refusals in a second beyond which it does. */
+  int64_t refusals_per_s;
   /* Name of a header field of these that cannot be read; its value counts as not stated. NULL:
    * none. */
   const char *unreadable;
--- a/src/services/endpoint_notices.h
+++ b/src/services/endpoint_notices.h
@@ -14,6 +14,12 @@
  *     notices/ENDPOINT  {"start_ms": n, "leaving": true, "age_ms": n}
  *       The fields of DyNotice; age_ms is the time since it was last said.
  *
+ *   Endpoints that fall over when they turn many requests away get no more requests at a time than
+ *   they have places for (core/brittle.h), of which each service is told of as
+ *
+ *     brittle/SERVICE  {"refusals_per_s": n, "age_ms": n}
+ *       The fields of DyBrittleService; age_ms is the time since it was last said.
+ *
  *   The router that receives a notice from the endpoint sends it to all others, unless one of them
  *   has already, and sends all its notices to each router that connects, as that may have
  * restarted.
@@ -23,6 +29,7 @@
  *   nothing. Likewise an object of another router.
  */
 
+#include "core/brittle.h"
 #include "services/directory.h"
 
 #define DY_SERVICE_ENDPOINT_NOTICES "endpoint_notices"
@@ -32,7 +39,9 @@
   DyKernel *kernel;
   DyDirectory *directory;
   GHashTable *reported; /* set of "ENDPOINT FIELD", the unreadable fields that were logged */
+  DyBrittle brittle;
   ev_timer sweep;       /* ends notices by their age */
+  ev_timer share_timer; /* sets the shares of the places of brittle endpoints */
 } DyEndpointNotices;
 
 /* Adds the service "endpoint_notices", whose interface is a DyEndpointNotices. */
--- a/src/services/gateway.h
+++ b/src/services/gateway.h
@@ -53,6 +53,7 @@
   char *crash_probed_id; /* endpoint of the probe in progress; else NULL */
   ev_timer crash_timer;  /* decides on failures; runs while there are any */
   GHashTable *requests;  /* set of the requests in progress */
+  uint32_t n_room_waits; /* of them, those that wait for a place at an endpoint */
   /* Service name to the seconds for which its endpoints keep an idle connection. */
   GHashTable *max_idle_by_service;
   GRand *rng;
--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -13,6 +13,7 @@
   MAX_ANSWER_BYTES = 4 * 1024 * 1024,
   MAX_EVENT_BYTES = 256 * 1024,
   RESEND_PAUSE_MS = 150,
+  ROOM_PAUSE_MS = 10, /* between looks for a place at an endpoint */
   AT_ONCE_MS = 1,
 };
 
@@ -46,10 +47,23 @@
 }
 
 /* Settles and ends the request, which is freed once its call is closed, too. */
+static void
+set_room_wait (DyGatewayRequest *request, bool waits)
+{
+  DyGateway *gateway = request->gateway;
+  if (waits == request->waits_for_room)
+    return;
+  request->waits_for_room = waits;
+  gateway->n_room_waits += waits ? 1 : -1;
+  if (waits)
+    dy_counters_add (&gateway->kernel->counters, DY_COUNTER_ROOM_WAITS, 1);
+}
+
 static void
 end_request (DyGatewayRequest *request, bool complete)
 {
   stop_timers (request);
+  set_room_wait (request, false);
   dy_gateway_cancel_lookup (request);
   dy_gateway_end_replacement (request);
   dy_gateway_settle (request, complete);
@@ -357,6 +371,7 @@
       dy_gateway_take_event (request, DY_COURSE_NO_ENDPOINT, DY_OK);
       return;
     }
+  set_room_wait (request, false);
   dy_gateway_take_event (request, DY_COURSE_STARTED, DY_OK);
   arm_read_timer (request);
 }
@@ -373,11 +388,12 @@
           request->plan.max_attempts, left_ms (request));
 }
 
-/* The endpoints may have recovered after the pause. */
+/* The endpoints may have recovered after the pause, or one may have a place. */
 static void
 pause_before_attempt (DyGatewayRequest *request)
 {
-  ev_timer_set (&request->resend_timer, (double) RESEND_PAUSE_MS / 1000.0, 0.0);
+  int64_t pause_ms = request->waits_for_room ? ROOM_PAUSE_MS : RESEND_PAUSE_MS;
+  ev_timer_set (&request->resend_timer, (double) pause_ms / 1000.0, 0.0);
   ev_timer_start (request->gateway->kernel->loop, &request->resend_timer);
 }
 
@@ -394,7 +410,8 @@
       dy_gateway_attempt_cancel (request->attempt,
                                  failed ? DY_PLACEMENT_FAILED : DY_PLACEMENT_CANCELLED);
     }
-  if (step.action == DY_COURSE_SEND && dy_gateway_may_resend_after (request, event))
+  if (step.action == DY_COURSE_SEND && dy_gateway_may_resend_after (request, event)
+      && !request->waits_for_room)
     dy_gateway_record_resend (request, request->attempt);
   switch (step.action)
     {
@@ -413,6 +430,7 @@
       dy_gateway_switch_attempt (request);
       break;
     case DY_COURSE_PAUSE:
+      set_room_wait (request, situation.has_place_soon || request->waits_for_room);
       pause_before_attempt (request);
       break;
     case DY_COURSE_PASS_ON:
--- a/src/services/gateway_request_private.h
+++ b/src/services/gateway_request_private.h
@@ -31,6 +31,7 @@
   bool replacing;              /* the other one is open, too, and may take its place */
   int64_t replacement_sent_us; /* monotonic time; 0: the other one is not open, or not sent */
   int64_t resend_us[2];        /* when each was recorded as a resend; 0: it was not, or was sent */
+  bool waits_for_room;         /* for a place at an endpoint; counted in the gateway */
   GPtrArray *tried;            /* ids of the endpoints tried, NULL at the end */
   bool stream_started;
   char *version;          /* of the endpoint that began the stream; NULL: not begun */
@@ -67,6 +68,9 @@
                               DyGatewayAttempt *attempt,
                               const DyGatewayAttemptWatcher *watcher);
 
+/* Returns whether the request, for which no endpoint has a place, may wait for one. */
+bool dy_gateway_may_wait_for_room (const DyGatewayRequest *request);
+
 /* Records an endpoint that an attempt of the request CTX was placed at. */
 void dy_gateway_take_placement (void *ctx, const char *endpoint_id);
 
--- a/src/services/gateway_send.c
+++ b/src/services/gateway_send.c
@@ -8,6 +8,10 @@
    * others the time after the limit, as clocks are read at different places. */
   UNLIMITED_RESUME_US = 60 * 1000 * 1000,
   RESUME_MARGIN_US = 2 * 1000 * 1000,
+  /* Time for which a request waits for a place at an endpoint: that in which its answer should
+   * come, within these limits. */
+  MIN_ROOM_WAIT_MS = 300,
+  MAX_ROOM_WAIT_MS = 1000,
 };
 
 static int64_t
@@ -227,6 +231,17 @@
   return dy_placement_has_choice (&gateway->directory->placement, &query, now_us (request));
 }
 
+/* As many requests may wait as can run: more would not be served in time. */
+bool
+dy_gateway_may_wait_for_room (const DyGatewayRequest *request)
+{
+  const DyGateway *gateway = request->gateway;
+  uint32_t n_places = dy_placement_places (&gateway->directory->placement, request->plan.service);
+  int64_t limit_ms = CLAMP (request->plan.target_ms, MIN_ROOM_WAIT_MS, MAX_ROOM_WAIT_MS);
+  return now_us (request) - request->plan.arrived_us < limit_ms * 1000
+         && (request->waits_for_room ? n_places > 0 : gateway->n_room_waits < n_places);
+}
+
 int64_t
 dy_gateway_read_timeout_ms (const DyGatewayRequest *request)
 {
@@ -310,9 +325,11 @@
   situation.sent
       = dy_course_has_attempt (&request->course) && dy_gateway_attempt_was_sent (request->attempt);
   situation.other_sent = dy_gateway_replacement_was_sent (request);
+  situation.has_place_soon
+      = event == DY_COURSE_NO_ENDPOINT && dy_gateway_may_wait_for_room (request);
   if (!dy_gateway_may_resend_after (request, event))
     return situation;
-  situation.within_budget = resend_allowed (request);
+  situation.within_budget = request->waits_for_room || resend_allowed (request);
   situation.blocked = dy_gateway_is_blocked (request->gateway, &request->plan, false);
   situation.has_other = event == DY_COURSE_SILENT && has_other_endpoint (request);
   situation.time_left_ms = (request->plan.end_us - now_us (request)) / 1000;
