--- a/src/services/gateway_request.c
+++ b/src/services/gateway_request.c
@@ -46,7 +46,7 @@
   ev_timer_stop (request->gateway->kernel->loop, &request->resend_timer);
 }
 
-/* Settles and ends the request, which is freed once its call is closed, too. */
+/* Counts the request among those that wait for a place at an endpoint, or no longer. */
 static void
 set_room_wait (DyGatewayRequest *request, bool waits)
 {
@@ -59,6 +59,7 @@
     dy_counters_add (&gateway->kernel->counters, DY_COUNTER_ROOM_WAITS, 1);
 }
 
+/* Settles and ends the request, which is freed once its call is closed, too. */
 static void
 end_request (DyGatewayRequest *request, bool complete)
 {
