--- a/test/test_brittle.c
+++ b/test/test_brittle.c
@@ -126,13 +126,13 @@
   uint32_t share = 2;
   DyPlacement placement;
   DyPlacementQuery query = { .service = "llm" };
-  DyPlacementEndpoint *taken[2];
+  DyPlacementEndpoint *taken[] = { NULL, NULL };
   dy_placement_init (&placement, &dy_placement_policy, "dc-a", 1);
   put_endpoint (&placement, "i-1");
   ck_assert_uint_eq (dy_placement_places (&placement, "llm"), 0);
   dy_placement_set_shares (&placement, "llm", share_of_slots, &share);
   ck_assert_uint_eq (dy_placement_places (&placement, "llm"), 2);
-  for (uint32_t i = 0; i < share; i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (taken); i++)
     {
       taken[i] = dy_placement_choose (&placement, &query, 0, NULL);
       ck_assert_ptr_nonnull (taken[i]);
