Read the platform's kind only where it chooses the platform

Since the kind was compared before it was known that it is needed; the optimized program of the plain run left that out.

--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -416,20 +416,26 @@
   platform->probe_interval_us = interval_us;
 }
 
+static void
+init_by_settings (DyPlatform *platform, DyKernel *kernel)
+{
+  const DySettings *settings = kernel->settings;
+  bool in_memory = strcmp (settings->platform_kind, "memory") == 0;
+  void *impl = in_memory ? dy_platform_memory_new (kernel->loop)
+                         : dy_platform_http_new (kernel->loop, settings->platform_url,
+                                                 settings->platform_timeout_ms,
+                                                 settings->watch_timeout_ms);
+  dy_platform_init (platform, kernel->loop, &kernel->counters, settings->platform_calls_per_s,
+                    in_memory ? &dy_platform_memory_ops : &dy_platform_http_ops, impl);
+}
+
 static int
 service_start (void *self, DyKernel *kernel)
 {
-  const DySettings *settings = kernel->settings;
   DyPlatform *platform = self;
-  bool in_memory = strcmp (settings->platform_kind, "memory") == 0;
   if (!platform->ops)
-    dy_platform_init (platform, kernel->loop, &kernel->counters, settings->platform_calls_per_s,
-                      in_memory ? &dy_platform_memory_ops : &dy_platform_http_ops,
-                      in_memory ? dy_platform_memory_new (kernel->loop)
-                                : dy_platform_http_new (kernel->loop, settings->platform_url,
-                                                        settings->platform_timeout_ms,
-                                                        settings->watch_timeout_ms));
-  dy_patience_init (&platform->patience, settings->platform_timeout_ms * US_PER_MS);
+    init_by_settings (platform, kernel);
+  dy_patience_init (&platform->patience, kernel->settings->platform_timeout_ms * US_PER_MS);
   return DY_OK;
 }
 
