Read through: comments say what holds; test_transit checks as many messages as before

Comments: those that told how a fault came about, or repeated the users' words, now say what the code does or what a test demands.

Tests: the table of test_transit had two messages where the one before had four (a clock that runs faster, over three minutes) and three (a quick exchange long ago). Both have them again. The other sender's clock is exchanged before each of its messages, as it is rightly unknown after two minutes.

--- a/src/core/brittle.h
+++ b/src/core/brittle.h
@@ -6,14 +6,14 @@
  *   brittle - services whose endpoints may fall over, and this router's share of their places
  *
  * DESCRIPTION
- *   At times the endpoints of a service say in all their answers that they fall over if they have
- *   to turn away more than a few requests in a second. They are to get no more requests at a time
- *   than they have places for, by all routers together. So the places of each endpoint are shared
- *   among the routers that rank first for it, in an order that all compute alike, and each router
- *   sends only as many requests at a time as it has places there.
+ *   A brittle endpoint stops for a while when it refuses more requests in a second than a number
+ *   that it states. To avoid refusals, all routers together send it no more requests at a time than
+ *   it has slots. The slots are divided among the routers that rank first for the endpoint, in an
+ *   order that all compute alike, and each router keeps to its part.
  *
- *   What one endpoint says counts for all of its service, as one that has fallen over has said
- *   nothing since it started again. It ends some time after the latest answer that says it.
+ *   One endpoint's statement counts for its whole service: an endpoint that has just restarted has
+ *   given no answer yet, and must not be flooded. It lapses some time after the latest answer with
+ *   it.
  *
  * UNITS
  *   Times are microseconds. The module reads no clock; the time is passed in as NOW_US.
--- a/src/services/endpoint_notices.c
+++ b/src/services/endpoint_notices.c
@@ -117,7 +117,7 @@
               (now_us (notices) - said_us) / 1000);
       dy_placement_set_shares (&notices->directory->placement, service, share_of, notices);
     }
-  /* A router that reports it has told all others. */
+  /* What another router reports went to all, and is not sent on. */
   if (dy_brittle_announce (brittle, service, now_us (notices)) && !from_peer)
     send_brittle (notices, NULL, dy_brittle_find (brittle, service));
 }
--- a/src/services/endpoint_notices.h
+++ b/src/services/endpoint_notices.h
@@ -14,8 +14,8 @@
  *     notices/ENDPOINT  {"start_ms": n, "leaving": true, "age_ms": n}
  *       The fields of DyNotice; age_ms is the time since it was last said.
  *
- *   Endpoints that fall over when they turn many requests away get no more requests at a time than
- *   they have places for (core/brittle.h), of which each service is told of as
+ *   Services whose endpoints are brittle (core/brittle.h) are reported likewise, at most once a
+ *   second:
  *
  *     brittle/SERVICE  {"refusals_per_s": n, "age_ms": n}
  *       The fields of DyBrittleService; age_ms is the time since it was last said.
--- a/test/test_brittle_endpoints.c
+++ b/test/test_brittle_endpoints.c
@@ -82,14 +82,14 @@
   site_finish (&site);
 }
 
-/* Nothing read that endpoints are brittle: all fell over, one after the other. */
+/* Refusals must stay below the number at which an endpoint falls over, however many routers. */
 START_TEST (brittle_endpoints_get_no_more_than_they_have_places_for)
 {
   check_load (&loads[_i]);
 }
 END_TEST
 
-/* Requests were refused at routers whose places were taken while others had free ones. */
+/* A free place serves requests of any router. */
 START_TEST (places_of_brittle_endpoints_are_not_left_unused)
 {
   check_load (&scattered_loads[_i]);
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -439,7 +439,7 @@
     continue;
 }
 
-/* Such a router stayed the one that watches the store for the fleet. */
+/* It must not be the one that watches the store for the fleet. */
 START_TEST (a_router_whose_calls_are_turned_away_does_not_count_as_one_that_reaches_the_store)
 {
   const DyPlatformReply refused = { .error = DY_RATE_LIMITED };
--- a/test/test_knowledge.c
+++ b/test/test_knowledge.c
@@ -87,8 +87,7 @@
 }
 END_TEST
 
-/* With a time limit of calls below the time in which the store is else taken to be away, no call
- * ever showed that it is. */
+/* A call that reaches its own limit counts, also if that is shorter than the general one. */
 static const struct
 {
   int64_t limit_ms; /* 0: not known */
@@ -151,7 +150,7 @@
     700 },
 };
 
-/* A router whose answers took a little longer than the time limit learned nothing for 20 s. */
+/* Answers that take a little longer than the usual limit must still arrive. */
 START_TEST (a_late_router_waits_longer_for_answers)
 {
   DyPatience patience;
--- a/test/test_partial_outage.c
+++ b/test/test_partial_outage.c
@@ -42,8 +42,7 @@
     ck_assert (site_put_routes (site, 2, extra_route, NOT_PREPAID));
 }
 
-/* The router that reached the store first told the others that there were changes, and not which,
- * so these refused requests until they reached it, too. */
+/* The changes themselves must reach routers that cannot read them from the store. */
 START_TEST (routers_that_do_not_reach_the_store_serve_by_what_another_one_tells)
 {
   const TrafficStream all = { "/ok/x/ok", "", INTERVAL_MS, 0, 0 };
--- a/test/test_transit.c
+++ b/test/test_transit.c
@@ -73,11 +73,16 @@
     { { 5000, 0 }, { 65000, 60030 } },
     2,
     { { 60040, 65010, 0 }, { 100050, 105000, 0 } } },
+  { "such a clock over three minutes",
+    3,
+    { { 5000, 0 }, { 65030, 60000 }, { 125060, 120000 } },
+    4,
+    { { 0, 5000, 0 }, { 60000, 65030, 0 }, { 120000, 125060, 0 }, { 180000, 185090, 30 } } },
   { "the quick exchange was two minutes ago",
     3,
     { { 5000, 0 }, { 65000, 61000 }, { 125000, 121000 } },
-    2,
-    { { 122000, 127000, 1000 }, { 123000, 130500, 3500 } } },
+    3,
+    { { 122000, 127000, 1000 }, { 123000, 130500, 3500 }, { 124000, 128000, 0 } } },
   { "the last exchange was two minutes ago", 1, { { 5000, 0 } }, 1, { { 120100, 125100, -1 } } },
   { "the last exchange was nearly two minutes ago",
     1,
@@ -94,9 +99,6 @@
     dy_transit_record_exchange (&transit, SENDER, cases[_i].exchanges[i].asked_ms * MS,
                                 cases[_i].exchanges[i].clock_ms * MS);
   ck_assert_int_eq (dy_transit_delay_us (&transit, OTHER_SENDER, 0, 0), DY_TRANSIT_UNKNOWN);
-  int64_t first_ms = cases[_i].messages[0].received_ms;
-  dy_transit_record_exchange (&transit, OTHER_SENDER, first_ms * MS,
-                              (first_ms + OTHER_AHEAD_MS) * MS);
   for (uint32_t i = 0; i < cases[_i].n; i++)
     {
       int64_t received_us = cases[_i].messages[i].received_ms * MS;
@@ -106,6 +108,8 @@
       ck_assert_msg (delay_us == (delay_ms < 0 ? DY_TRANSIT_UNKNOWN : delay_ms * MS),
                      "%s: message %u, %d us", cases[_i].name, i, (int) delay_us);
       /* Another sender's clock is another one. */
+      dy_transit_record_exchange (&transit, OTHER_SENDER, received_us,
+                                  received_us + OTHER_AHEAD_MS * MS);
       int64_t other_us = received_us + (OTHER_AHEAD_MS - OTHER_DELAY_MS) * MS;
       ck_assert_int_eq (dy_transit_delay_us (&transit, OTHER_SENDER, other_us, received_us),
                         OTHER_DELAY_MS * MS);
--- a/test/test_watch_age.c
+++ b/test/test_watch_age.c
@@ -242,7 +242,7 @@
   { "nothing is known", 0, 0, 15, 30, false },
 };
 
-/* A router whose own list was later than what another one knew could not take its changes. */
+/* Having listed at a later version than the sender of changes is not the same as missing one. */
 START_TEST (a_router_that_missed_no_change_takes_the_next_ones)
 {
   DyWatchAge age;
