Services of the gateway, the peers and the endpoints in folders of their own

src/services was one folder of 82 files. The files of the request path, of the messages between routers and of what is known of routes and endpoints move to gateway/, peers/ and endpoints/, as the parts for hard load touch many of them. Only moves, include paths and include guards; the library is built from both levels.

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -54,7 +54,7 @@
   DY_MESSAGE_KEY_STATE,  /* reply to DY_MESSAGE_KEY_QUERY */
   /* An endpoint failed while it ran a request, or a request had a complete answer. */
   DY_MESSAGE_CRASH,
-  DY_MESSAGE_RELAY, /* part of a relayed request or answer, see services/relays.h */
+  DY_MESSAGE_RELAY, /* part of a relayed request or answer, see services/gateway/relays.h */
 } DyMessageType;
 
 /* Parts of a relay: to the router that makes the attempt, and from it. */
--- a/src/services/budgets.h
+++ b/src/services/budgets.h
@@ -20,7 +20,7 @@
 
 #include "core/reservations.h"
 #include "kernel/kernel.h"
-#include "services/peers.h"
+#include "services/peers/peers.h"
 #include "services/platform.h"
 #include "services/shared_entries.h"
 
--- a/src/services/callers.h
+++ b/src/services/callers.h
@@ -31,7 +31,7 @@
 #include "net/http_server.h"
 #include "services/budgets.h"
 #include "services/config.h"
-#include "services/endpoints.h"
+#include "services/endpoints/endpoints.h"
 
 #define DY_SERVICE_CALLERS "callers"
 
--- a/src/services/config.h
+++ b/src/services/config.h
@@ -24,8 +24,8 @@
 
 #include "core/declarations.h"
 #include "kernel/kernel.h"
-#include "services/endpoints.h"
-#include "services/peers.h"
+#include "services/endpoints/endpoints.h"
+#include "services/peers/peers.h"
 #include "services/platform.h"
 
 #define DY_SERVICE_CONFIG "config"
--- a/src/services/directory.c
+++ b/src/services/endpoints/directory.c
@@ -1,9 +1,9 @@
-#include "services/directory_private.h"
+#include "services/endpoints/directory_private.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/priority.h"
-#include "services/packed_text.h"
+#include "services/peers/packed_text.h"
 
 #include <string.h>
 
--- a/src/services/directory.h
+++ b/src/services/endpoints/directory.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_DIRECTORY_H
-#define DY_SERVICES_DIRECTORY_H
+#ifndef DY_SERVICES_ENDPOINTS_DIRECTORY_H
+#define DY_SERVICES_ENDPOINTS_DIRECTORY_H
 
 /**
  * NAME
@@ -32,9 +32,9 @@
 #include "core/placement.h"
 #include "kernel/kernel.h"
 #include "services/dialect.h"
-#include "services/link_probe.h"
-#include "services/object_watch.h"
-#include "services/peers.h"
+#include "services/endpoints/link_probe.h"
+#include "services/peers/object_watch.h"
+#include "services/peers/peers.h"
 #include "services/platform.h"
 
 #define DY_SERVICE_DIRECTORY "directory"
--- a/src/services/directory_knowledge.c
+++ b/src/services/endpoints/directory_knowledge.c
@@ -1,4 +1,4 @@
-#include "services/directory_private.h"
+#include "services/endpoints/directory_private.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
--- a/src/services/directory_private.h
+++ b/src/services/endpoints/directory_private.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_DIRECTORY_PRIVATE_H
-#define DY_SERVICES_DIRECTORY_PRIVATE_H
+#ifndef DY_SERVICES_ENDPOINTS_DIRECTORY_PRIVATE_H
+#define DY_SERVICES_ENDPOINTS_DIRECTORY_PRIVATE_H
 
 /**
  * NAME
@@ -10,7 +10,7 @@
  *   directory_knowledge.c  whether what is known of them may be acted on
  */
 
-#include "services/directory.h"
+#include "services/endpoints/directory.h"
 
 /* Starts and finishes the clocks and the probe that tell whether this router is on time. */
 void dy_directory_start_knowledge (DyDirectory *directory);
--- a/src/services/endpoint_limits.c
+++ b/src/services/endpoints/endpoint_limits.c
@@ -1,4 +1,4 @@
-#include "services/endpoint_limits.h"
+#include "services/endpoints/endpoint_limits.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
--- a/src/services/endpoint_limits.h
+++ b/src/services/endpoints/endpoint_limits.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_ENDPOINT_LIMITS_H
-#define DY_SERVICES_ENDPOINT_LIMITS_H
+#ifndef DY_SERVICES_ENDPOINTS_ENDPOINT_LIMITS_H
+#define DY_SERVICES_ENDPOINTS_ENDPOINT_LIMITS_H
 
 /**
  * NAME
@@ -18,7 +18,7 @@
  */
 
 #include "core/limit_shares.h"
-#include "services/directory.h"
+#include "services/endpoints/directory.h"
 
 #define DY_SERVICE_ENDPOINT_LIMITS "endpoint_limits"
 
--- a/src/services/endpoint_notices.c
+++ b/src/services/endpoints/endpoint_notices.c
@@ -1,4 +1,4 @@
-#include "services/endpoint_notices.h"
+#include "services/endpoints/endpoint_notices.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
--- a/src/services/endpoint_notices.h
+++ b/src/services/endpoints/endpoint_notices.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_ENDPOINT_NOTICES_H
-#define DY_SERVICES_ENDPOINT_NOTICES_H
+#ifndef DY_SERVICES_ENDPOINTS_ENDPOINT_NOTICES_H
+#define DY_SERVICES_ENDPOINTS_ENDPOINT_NOTICES_H
 
 /**
  * NAME
@@ -30,7 +30,7 @@
  */
 
 #include "core/brittle.h"
-#include "services/directory.h"
+#include "services/endpoints/directory.h"
 
 #define DY_SERVICE_ENDPOINT_NOTICES "endpoint_notices"
 
--- a/src/services/endpoints.c
+++ b/src/services/endpoints/endpoints.c
@@ -1,4 +1,4 @@
-#include "services/endpoints.h"
+#include "services/endpoints/endpoints.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
--- a/src/services/link_probe.c
+++ b/src/services/endpoints/link_probe.c
@@ -1,4 +1,4 @@
-#include "services/link_probe.h"
+#include "services/endpoints/link_probe.h"
 
 #include "kernel/priority.h"
 #include "net/address.h"
--- a/src/services/reachability.c
+++ b/src/services/endpoints/reachability.c
@@ -1,4 +1,4 @@
-#include "services/reachability.h"
+#include "services/endpoints/reachability.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
--- a/src/services/reachability.h
+++ b/src/services/endpoints/reachability.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_REACHABILITY_H
-#define DY_SERVICES_REACHABILITY_H
+#ifndef DY_SERVICES_ENDPOINTS_REACHABILITY_H
+#define DY_SERVICES_ENDPOINTS_REACHABILITY_H
 
 /**
  * NAME
@@ -17,8 +17,8 @@
  */
 
 #include "core/reach.h"
-#include "services/directory.h"
-#include "services/link_probe.h"
+#include "services/endpoints/directory.h"
+#include "services/endpoints/link_probe.h"
 
 #define DY_SERVICE_REACHABILITY "reachability"
 
--- a/src/services/gateway.c
+++ b/src/services/gateway/gateway.c
@@ -1,11 +1,11 @@
-#include "services/gateway.h"
+#include "services/gateway/gateway.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "services/gateway_crashes.h"
-#include "services/gateway_refusal.h"
-#include "services/gateway_request.h"
-#include "services/relays.h"
+#include "services/gateway/gateway_crashes.h"
+#include "services/gateway/gateway_refusal.h"
+#include "services/gateway/gateway_request.h"
+#include "services/gateway/relays.h"
 
 #include <string.h>
 
--- a/src/services/gateway.h
+++ b/src/services/gateway/gateway.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_GATEWAY_H
-#define DY_SERVICES_GATEWAY_H
+#ifndef DY_SERVICES_GATEWAY_GATEWAY_H
+#define DY_SERVICES_GATEWAY_GATEWAY_H
 
 /**
  * NAME
@@ -21,13 +21,13 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "services/budgets.h"
-#include "services/directory.h"
-#include "services/endpoint_limits.h"
-#include "services/endpoint_notices.h"
-#include "services/link_probe.h"
+#include "services/endpoints/directory.h"
+#include "services/endpoints/endpoint_limits.h"
+#include "services/endpoints/endpoint_notices.h"
+#include "services/endpoints/link_probe.h"
+#include "services/endpoints/reachability.h"
 #include "services/origins.h"
 #include "services/part_blocks.h"
-#include "services/reachability.h"
 #include "services/registration.h"
 
 #define DY_SERVICE_GATEWAY "gateway"
--- a/src/services/gateway_admit.c
+++ b/src/services/gateway/gateway_admit.c
@@ -1,6 +1,6 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "services/gateway_request_private.h"
+#include "services/gateway/gateway_request_private.h"
 
 static int64_t
 now_us (const DyGatewayRequest *request)
--- a/src/services/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -1,10 +1,10 @@
-#include "services/gateway_attempt.h"
+#include "services/gateway/gateway_attempt.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "net/http_status.h"
-#include "services/gateway_crashes.h"
-#include "services/relays.h"
+#include "services/gateway/gateway_crashes.h"
+#include "services/gateway/relays.h"
 
 #include <string.h>
 
--- a/src/services/gateway_attempt.h
+++ b/src/services/gateway/gateway_attempt.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_GATEWAY_ATTEMPT_H
-#define DY_SERVICES_GATEWAY_ATTEMPT_H
+#ifndef DY_SERVICES_GATEWAY_GATEWAY_ATTEMPT_H
+#define DY_SERVICES_GATEWAY_GATEWAY_ATTEMPT_H
 
 /**
  * NAME
@@ -19,7 +19,7 @@
  *   without sending it. Likewise if what is known has grown too old by then.
  */
 
-#include "services/gateway.h"
+#include "services/gateway/gateway.h"
 
 typedef struct
 {
--- a/src/services/gateway_crashes.c
+++ b/src/services/gateway/gateway_crashes.c
@@ -1,4 +1,4 @@
-#include "services/gateway_crashes.h"
+#include "services/gateway/gateway_crashes.h"
 
 #include "kernel/log.h"
 
--- a/src/services/gateway_crashes.h
+++ b/src/services/gateway/gateway_crashes.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_GATEWAY_CRASHES_H
-#define DY_SERVICES_GATEWAY_CRASHES_H
+#ifndef DY_SERVICES_GATEWAY_GATEWAY_CRASHES_H
+#define DY_SERVICES_GATEWAY_GATEWAY_CRASHES_H
 
 /**
  * NAME
@@ -11,7 +11,7 @@
  *   the endpoint once there is evidence of that (core/crash_evidence).
  */
 
-#include "services/gateway_plan.h"
+#include "services/gateway/gateway_plan.h"
 
 void dy_gateway_crashes_init (DyGateway *gateway);
 void dy_gateway_crashes_finish (DyGateway *gateway);
--- a/src/services/gateway_plan.c
+++ b/src/services/gateway/gateway_plan.c
@@ -1,4 +1,4 @@
-#include "services/gateway_plan.h"
+#include "services/gateway/gateway_plan.h"
 
 #include "kernel/error.h"
 
--- a/src/services/gateway_plan.h
+++ b/src/services/gateway/gateway_plan.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_GATEWAY_PLAN_H
-#define DY_SERVICES_GATEWAY_PLAN_H
+#ifndef DY_SERVICES_GATEWAY_GATEWAY_PLAN_H
+#define DY_SERVICES_GATEWAY_GATEWAY_PLAN_H
 
 /**
  * NAME
@@ -17,7 +17,7 @@
  *   DY_NO_ENDPOINT   the route has no service
  */
 
-#include "services/gateway.h"
+#include "services/gateway/gateway.h"
 
 typedef struct DyGatewayPlan
 {
--- a/src/services/gateway_refusal.c
+++ b/src/services/gateway/gateway_refusal.c
@@ -1,4 +1,4 @@
-#include "services/gateway_refusal.h"
+#include "services/gateway/gateway_refusal.h"
 
 #include "kernel/error.h"
 
--- a/src/services/gateway_refusal.h
+++ b/src/services/gateway/gateway_refusal.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_GATEWAY_REFUSAL_H
-#define DY_SERVICES_GATEWAY_REFUSAL_H
+#ifndef DY_SERVICES_GATEWAY_GATEWAY_REFUSAL_H
+#define DY_SERVICES_GATEWAY_GATEWAY_REFUSAL_H
 
 /**
  * NAME
@@ -12,7 +12,7 @@
  *   callers do not retry at the same time.
  */
 
-#include "services/gateway.h"
+#include "services/gateway/gateway.h"
 
 /* Answers CALL with ERROR. */
 void dy_gateway_refuse (DyGateway *gateway, DyHttpCall *call, int error);
--- a/src/services/gateway_replacement.c
+++ b/src/services/gateway/gateway_replacement.c
@@ -1,7 +1,7 @@
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/priority.h"
-#include "services/gateway_request_private.h"
+#include "services/gateway/gateway_request_private.h"
 
 enum
 {
--- a/src/services/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -1,11 +1,11 @@
-#include "services/gateway_request.h"
+#include "services/gateway/gateway_request.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/priority.h"
-#include "services/gateway_crashes.h"
-#include "services/gateway_refusal.h"
-#include "services/gateway_request_private.h"
+#include "services/gateway/gateway_crashes.h"
+#include "services/gateway/gateway_refusal.h"
+#include "services/gateway/gateway_request_private.h"
 
 enum
 {
--- a/src/services/gateway_request.h
+++ b/src/services/gateway/gateway_request.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_GATEWAY_REQUEST_H
-#define DY_SERVICES_GATEWAY_REQUEST_H
+#ifndef DY_SERVICES_GATEWAY_GATEWAY_REQUEST_H
+#define DY_SERVICES_GATEWAY_GATEWAY_REQUEST_H
 
 /**
  * NAME
@@ -16,7 +16,7 @@
  *   only if none of them can have run. A stream that was begun is aborted instead.
  */
 
-#include "services/gateway.h"
+#include "services/gateway/gateway.h"
 
 /* Starts the request in CALL, whose body is complete. */
 void dy_gateway_request_start (DyGateway *gateway, DyHttpCall *call);
--- a/src/services/gateway_request_private.h
+++ b/src/services/gateway/gateway_request_private.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_GATEWAY_REQUEST_PRIVATE_H
-#define DY_SERVICES_GATEWAY_REQUEST_PRIVATE_H
+#ifndef DY_SERVICES_GATEWAY_GATEWAY_REQUEST_PRIVATE_H
+#define DY_SERVICES_GATEWAY_GATEWAY_REQUEST_PRIVATE_H
 
 /**
  * NAME
@@ -14,8 +14,8 @@
 
 #include "core/event_stream.h"
 #include "core/request_course.h"
-#include "services/gateway_attempt.h"
-#include "services/gateway_plan.h"
+#include "services/gateway/gateway_attempt.h"
+#include "services/gateway/gateway_plan.h"
 
 typedef struct
 {
--- a/src/services/gateway_send.c
+++ b/src/services/gateway/gateway_send.c
@@ -1,6 +1,6 @@
 #include "kernel/log.h"
-#include "services/gateway_crashes.h"
-#include "services/gateway_request_private.h"
+#include "services/gateway/gateway_crashes.h"
+#include "services/gateway/gateway_request_private.h"
 
 enum
 {
--- a/src/services/relay_server.c
+++ b/src/services/gateway/relay_server.c
@@ -1,7 +1,7 @@
-#include "services/relays.h"
+#include "services/gateway/relays.h"
 
 #include "kernel/log.h"
-#include "services/gateway_crashes.h"
+#include "services/gateway/gateway_crashes.h"
 
 #include <string.h>
 
--- a/src/services/relays.c
+++ b/src/services/gateway/relays.c
@@ -1,4 +1,4 @@
-#include "services/relays.h"
+#include "services/gateway/relays.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
--- a/src/services/relays.h
+++ b/src/services/gateway/relays.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_RELAYS_H
-#define DY_SERVICES_RELAYS_H
+#ifndef DY_SERVICES_GATEWAY_RELAYS_H
+#define DY_SERVICES_GATEWAY_RELAYS_H
 
 /**
  * NAME
@@ -37,8 +37,8 @@
  *   router has no endpoint for it, it did not.
  */
 
-#include "services/gateway_attempt.h"
-#include "services/gateway_plan.h"
+#include "services/gateway/gateway_attempt.h"
+#include "services/gateway/gateway_plan.h"
 
 #define DY_SERVICE_RELAYS "relays"
 
--- a/src/services/operators.h
+++ b/src/services/operators.h
@@ -21,7 +21,7 @@
 
 #include "kernel/kernel.h"
 #include "net/http_server.h"
-#include "services/peers.h"
+#include "services/peers/peers.h"
 
 #define DY_SERVICE_OPERATORS "operators"
 
--- a/src/services/origins.h
+++ b/src/services/origins.h
@@ -21,7 +21,7 @@
  */
 
 #include "core/stream_origins.h"
-#include "services/directory.h"
+#include "services/endpoints/directory.h"
 
 #define DY_SERVICE_ORIGINS "origins"
 
--- a/src/services/part_blocks.h
+++ b/src/services/part_blocks.h
@@ -28,7 +28,7 @@
 
 #include "core/crash_cause.h"
 #include "kernel/kernel.h"
-#include "services/peers.h"
+#include "services/peers/peers.h"
 #include "services/platform.h"
 
 #define DY_SERVICE_PART_BLOCKS "part_blocks"
--- a/src/services/clocks.c
+++ b/src/services/peers/clocks.c
@@ -1,4 +1,4 @@
-#include "services/clocks.h"
+#include "services/peers/clocks.h"
 
 #include <jansson.h>
 #include <string.h>
--- a/src/services/clocks.h
+++ b/src/services/peers/clocks.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_CLOCKS_H
-#define DY_SERVICES_CLOCKS_H
+#ifndef DY_SERVICES_PEERS_CLOCKS_H
+#define DY_SERVICES_PEERS_CLOCKS_H
 
 /**
  * NAME
@@ -22,7 +22,7 @@
  */
 
 #include "core/transit.h"
-#include "services/peers.h"
+#include "services/peers/peers.h"
 
 typedef struct
 {
--- a/src/services/object_changes.c
+++ b/src/services/peers/object_changes.c
@@ -1,4 +1,4 @@
-#include "services/object_changes.h"
+#include "services/peers/object_changes.h"
 
 #include <string.h>
 
--- a/src/services/object_watch.c
+++ b/src/services/peers/object_watch.c
@@ -1,11 +1,11 @@
-#include "services/object_watch.h"
+#include "services/peers/object_watch.h"
 
 #include "core/store_version.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "services/object_changes.h"
-#include "services/packed_text.h"
-#include "services/wire.h"
+#include "services/peers/object_changes.h"
+#include "services/peers/packed_text.h"
+#include "services/peers/wire.h"
 
 #include <jansson.h>
 #include <string.h>
--- a/src/services/object_watch.h
+++ b/src/services/peers/object_watch.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_OBJECT_WATCH_H
-#define DY_SERVICES_OBJECT_WATCH_H
+#ifndef DY_SERVICES_PEERS_OBJECT_WATCH_H
+#define DY_SERVICES_PEERS_OBJECT_WATCH_H
 
 /**
  * NAME
@@ -7,10 +7,10 @@
  *
  * DESCRIPTION
  *   Each router lists the objects. One of them, the watcher, then waits for changes, call after
- *   call, and passes them on to the others (services/spread.h). As an unanswered call looks like
- *   the absence of changes, the age of what is known is bounded by checks, which the routers share;
- *   see core/watch_age.h. A check that returns changes shows that the call which waits for them is
- *   dead or late: its answer no longer counts, and another one is sent. Its changes, too, are
+ *   call, and passes them on to the others (services/peers/spread.h). As an unanswered call looks
+ * like the absence of changes, the age of what is known is bounded by checks, which the routers
+ * share; see core/watch_age.h. A check that returns changes shows that the call which waits for
+ * them is dead or late: its answer no longer counts, and another one is sent. Its changes, too, are
  *   passed on, unless another router had announced them.
  *
  *   The watcher is the first live router that reaches the store, in an order for the prefix that
@@ -22,9 +22,9 @@
  */
 
 #include "core/watch_age.h"
-#include "services/peers.h"
+#include "services/peers/peers.h"
+#include "services/peers/spread.h"
 #include "services/platform.h"
-#include "services/spread.h"
 
 struct DyObjectWatch;
 
--- a/src/services/packed_text.c
+++ b/src/services/peers/packed_text.c
@@ -1,4 +1,4 @@
-#include "services/packed_text.h"
+#include "services/peers/packed_text.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/services/peers.c
+++ b/src/services/peers/peers.c
@@ -1,4 +1,4 @@
-#include "services/peers_private.h"
+#include "services/peers/peers_private.h"
 
 #include "core/vm_list_pace.h"
 #include "kernel/priority.h"
--- a/src/services/peers_link.c
+++ b/src/services/peers/peers_link.c
@@ -1,4 +1,4 @@
-#include "services/peers_private.h"
+#include "services/peers/peers_private.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
--- a/src/services/peers_private.h
+++ b/src/services/peers/peers_private.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_PEERS_PRIVATE_H
-#define DY_SERVICES_PEERS_PRIVATE_H
+#ifndef DY_SERVICES_PEERS_PEERS_PRIVATE_H
+#define DY_SERVICES_PEERS_PEERS_PRIVATE_H
 
 /**
  * NAME
@@ -13,8 +13,8 @@
 #include "core/backoff.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
-#include "services/peers.h"
-#include "services/wire.h"
+#include "services/peers/peers.h"
+#include "services/peers/wire.h"
 
 /* Calls CALLBACK of each watcher that has one. */
 #define NOTIFY_WATCHERS(peers, callback, ...)                                                      \
--- a/src/services/spread.c
+++ b/src/services/peers/spread.c
@@ -1,4 +1,4 @@
-#include "services/spread.h"
+#include "services/peers/spread.h"
 
 #include "core/spread.h"
 
--- a/src/services/spread.h
+++ b/src/services/peers/spread.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_SPREAD_H
-#define DY_SERVICES_SPREAD_H
+#ifndef DY_SERVICES_PEERS_SPREAD_H
+#define DY_SERVICES_PEERS_SPREAD_H
 
 /**
  * NAME
@@ -8,13 +8,13 @@
  * DESCRIPTION
  *   core/spread.h describes the tree. The object is JSON text; its field
  *     "spread": {"root": name, "incarnation": I, "number": n, "sent_us": t}
- *   says who began it, and when, by the root's clock (services/clocks.h). A router passes each
- *   message on once. Routers of builds that don't know the field don't pass it on.
+ *   says who began it, and when, by the root's clock (services/peers/clocks.h). A router passes
+ * each message on once. Routers of builds that don't know the field don't pass it on.
  *
  *   Delivery is not certain: what is sent must be of use only, or be repeated.
  */
 
-#include "services/clocks.h"
+#include "services/peers/clocks.h"
 
 #include <jansson.h>
 
--- a/src/services/wire.c
+++ b/src/services/peers/wire.c
@@ -1,4 +1,4 @@
-#include "services/wire.h"
+#include "services/peers/wire.h"
 
 #include "kernel/error.h"
 
--- a/src/services/wire.h
+++ b/src/services/peers/wire.h
@@ -1,5 +1,5 @@
-#ifndef DY_SERVICES_WIRE_H
-#define DY_SERVICES_WIRE_H
+#ifndef DY_SERVICES_PEERS_WIRE_H
+#define DY_SERVICES_PEERS_WIRE_H
 
 /**
  * NAME
--- a/src/services/shared_entries.h
+++ b/src/services/shared_entries.h
@@ -28,7 +28,7 @@
  */
 
 #include "core/reservations.h"
-#include "services/peers.h"
+#include "services/peers/peers.h"
 
 enum
 {
--- a/test/bench/bench_core.c
+++ b/test/bench/bench_core.c
@@ -8,7 +8,7 @@
 #include "core/members.h"
 #include "core/routing.h"
 #include "kernel/error.h"
-#include "services/wire.h"
+#include "services/peers/wire.h"
 
 #include <inttypes.h>
 #include <jansson.h>
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -2,8 +2,8 @@
 
 #include "kernel/error.h"
 #include "platform/dialect.h"
-#include "services/gateway_crashes.h"
-#include "services/gateway_request.h"
+#include "services/gateway/gateway_crashes.h"
+#include "services/gateway/gateway_request.h"
 #include "support/fleet.h"
 #include "support/suite.h"
 
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -15,7 +15,7 @@
  *     /r1/   streaming, resumable, one attempt; /r2/ two, /r3/ three attempts
  */
 
-#include "services/gateway.h"
+#include "services/gateway/gateway.h"
 #include "services/origins.h"
 
 enum
--- a/test/support/replay_world.c
+++ b/test/support/replay_world.c
@@ -403,7 +403,7 @@
   replay_set_connected (node, peer, true, now_us);
 }
 
-/* Ends joining as services/peers.c does, except that the VM list is known from the start. */
+/* Ends joining as services/peers/peers.c does, except that the VM list is known from the start. */
 static void
 end_joining (const Replay *replay, Node *node)
 {
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -10,7 +10,7 @@
 #include "core/retry.h"
 #include "core/routing.h"
 #include "kernel/error.h"
-#include "services/wire.h"
+#include "services/peers/wire.h"
 #include "support/suite.h"
 
 #include <malloc.h>
--- a/test/test_object_changes.c
+++ b/test/test_object_changes.c
@@ -2,7 +2,7 @@
 
 #include "support/suite.h"
 
-#include "services/object_changes.h"
+#include "services/peers/object_changes.h"
 
 #include <string.h>
 
--- a/test/test_packed_text.c
+++ b/test/test_packed_text.c
@@ -2,7 +2,7 @@
 
 #include "support/suite.h"
 
-#include "services/packed_text.h"
+#include "services/peers/packed_text.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -7,7 +7,7 @@
 #include "core/reach.h"
 #include "kernel/error.h"
 #include "net/http_client.h"
-#include "services/link_probe.h"
+#include "services/endpoints/link_probe.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
--- a/test/test_relays.c
+++ b/test/test_relays.c
@@ -1,7 +1,7 @@
 /* Attempts that one router makes for another, in the test's own process. */
 
-#include "services/peers_private.h"
-#include "services/relays.h"
+#include "services/gateway/relays.h"
+#include "services/peers/peers_private.h"
 #include "support/gateway_fixture.h"
 #include "support/scripted.h"
 #include "support/suite.h"
--- a/test/test_resend_share.c
+++ b/test/test_resend_share.c
@@ -102,7 +102,7 @@
   bool is_registered;
   bool is_cut; /* from the store */
   int64_t next_read_ms;
-  uint32_t within_of; /* as in services/peers.h */
+  uint32_t within_of; /* as in services/peers/peers.h */
   DyMembers members;
   DyResendShare share;
   DyResendBudget budget;
