An answer without a length that may have been cut off is not passed on as whole

Cause: an endpoint answered an upload at once with a 200 without a length, sent a part and reset the connection while the upload was being written. Change: such an answer is complete only if its connection was not reset and the whole request had been written. A status above 599 ends the attempt as a protocol error.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -2,6 +2,7 @@
 
 #include "kernel/error.h"
 #include "kernel/priority.h"
+#include "net/http_framing.h"
 #include "net/http_sockets.h"
 #include "net/http_status.h"
 
@@ -35,19 +36,23 @@
   uint64_t max_body_bytes; /* 0: no limit */
   uint64_t n_head_bytes;
   uint64_t n_body_bytes;
+  uint64_t n_request_bytes; /* of the request's body */
   int64_t sent_us;
   int64_t idle_us;         /* of the connection, before the request was sent */
   unsigned earlier_status; /* on the connection */
   uint32_t tag;
   bool connected;
-  bool reused;            /* its connection had been used before */
-  bool stale;             /* the reused connection was not fit for a request */
-  bool on_new_connection; /* is to use one, or was restarted on one */
-  bool resend_prevented;  /* libcurl was about to send the request a second time */
-  bool rejected;          /* the data callback rejected the answer */
-  bool withheld;          /* the before_send callback returned false */
-  GList cancelled_link;   /* in the client's queue; its data is NULL while it is not there */
-  GPtrArray *head;        /* header fields of the answer: name, value, name, value ... */
+  bool reused;               /* its connection had been used before */
+  bool stale;                /* the reused connection was not fit for a request */
+  bool on_new_connection;    /* is to use one, or was restarted on one */
+  bool resend_prevented;     /* libcurl was about to send the request a second time */
+  bool rejected;             /* the data callback rejected the answer */
+  bool withheld;             /* the before_send callback returned false */
+  bool allows_body;          /* the answer to the request's method may have a body */
+  bool ends_with_connection; /* the answer has no length */
+  bool was_reset;            /* its connection was */
+  GList cancelled_link;      /* in the client's queue; its data is NULL while it is not there */
+  GPtrArray *head;           /* header fields of the answer: name, value, name, value ... */
   ev_timer limit_timer; /* limits the time until the request is sent, then the time of the answer */
   ev_timer read_timer;  /* runs while bytes of the answer are awaited */
 };
@@ -89,10 +94,22 @@
     }
 }
 
+/* Returns whether the answer, which has ended with its connection, may lack its end. */
+static bool
+may_be_cut (const DyHttpTransfer *transfer)
+{
+  curl_off_t n_written = 0;
+  if (!transfer->ends_with_connection)
+    return false;
+  curl_easy_getinfo (transfer->easy, CURLINFO_SIZE_UPLOAD_T, &n_written);
+  return transfer->was_reset || (uint64_t) n_written < transfer->n_request_bytes;
+}
+
 static void
 finish_transfer (DyHttpTransfer *transfer, int error)
 {
-  bool aborted = transfer->resend_prevented || transfer->withheld;
+  bool aborted = transfer->resend_prevented || transfer->withheld
+                 || (error == DY_OK && may_be_cut (transfer));
   DyHttpResult result = { .error = aborted ? DY_UNAVAILABLE : error,
                           .connected = transfer->connected,
                           .etag = transfer->etag,
@@ -252,12 +269,13 @@
       return true;
     }
   unsigned status = dy_http_transfer_status (transfer);
-  enum
-  {
-    FIRST_FINAL_STATUS = 200
-  };
-  if (n > 2 || status < FIRST_FINAL_STATUS)
+  if (n > 2 || status < DY_HTTP_FIRST_FINAL)
     return true;
+  if (status > DY_HTTP_LAST_VALID)
+    return false;
+  transfer->ends_with_connection
+      = dy_http_ends_with_connection (status, (const DyHttpHeader *) transfer->head->pdata,
+                                      transfer->head->len / 2, transfer->allows_body);
   if (transfer->sock)
     transfer->sock->status = status;
   if (may_be_copied (status))
@@ -334,6 +352,10 @@
 static int
 close_socket (void *ctx, curl_socket_t fd)
 {
+  const DyHttpClient *client = ctx;
+  const DyHttpSocket *sock = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
+  if (sock && sock->user)
+    *sock->was_reset = dy_http_was_reset (fd);
   dy_http_socket_remove (ctx, fd);
   return close (fd);
 }
@@ -360,6 +382,7 @@
   if (sock->user)
     *sock->user = NULL;
   sock->user = &transfer->sock;
+  sock->was_reset = &transfer->was_reset;
   if (transfer->max_silence_ms)
     dy_http_socket_limit_silence (sock, transfer->max_silence_ms);
 }
@@ -536,6 +559,8 @@
   transfer->max_silence_ms = spec->max_silence_ms;
   transfer->max_body_bytes = spec->max_body_bytes;
   transfer->tag = spec->tag;
+  transfer->n_request_bytes = spec->body ? spec->n_body : 0;
+  transfer->allows_body = strcmp (spec->method, "HEAD") != 0;
   ev_init (&transfer->limit_timer, on_timeout);
   ev_init (&transfer->read_timer, on_timeout);
   ev_set_priority (&transfer->limit_timer, DY_PRIORITY_TIMEOUT);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -71,7 +71,9 @@
 
 typedef struct
 {
-  int error;       /* DY_OK: the answer is complete; DY_UNAVAILABLE, DY_TIMEOUT or DY_PROTOCOL */
+  /* DY_OK: the answer is complete; DY_UNAVAILABLE, DY_TIMEOUT or DY_PROTOCOL. An answer without a
+   * length that may have been cut off is DY_UNAVAILABLE. */
+  int error;
   bool connected;  /* false: no byte of the request can have reached the server */
   unsigned status; /* HTTP status code, 0 when no answer began */
   uint64_t etag;   /* ETag of the answer, a decimal number; 0 when absent */
--- a/src/net/http_sockets.h
+++ b/src/net/http_sockets.h
@@ -24,6 +24,7 @@
   /* The pointer to this socket of the transfer whose request was sent, which is cleared when the
    * socket is removed; NULL: idle, or the request is not sent yet. */
   struct DyHttpSocket **user;
+  bool *was_reset;       /* of the same transfer, set when the socket is closed after a reset */
   int64_t idle_since_us; /* monotonic time at which its latest transfer ended; 0: none has */
   uint32_t tag;          /* of the latest request */
   unsigned status;       /* of the latest answer; 0: none has begun */
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -8,8 +8,11 @@
 
 enum
 {
+  DY_HTTP_FIRST_FINAL = 200, /* start of the range of answers that are not interim */
   DY_HTTP_OK = 200,
+  DY_HTTP_NO_CONTENT = 204,
   DY_HTTP_LAST_SUCCESS = 299, /* end of the range of successes */
+  DY_HTTP_NOT_MODIFIED = 304,
   DY_HTTP_FORBIDDEN = 403,
   DY_HTTP_NOT_FOUND = 404,
   DY_HTTP_REQUEST_TIMEOUT = 408,
@@ -20,6 +23,7 @@
   DY_HTTP_TOO_MANY_REQUESTS = 429,
   DY_HTTP_SERVER_ERROR = 500, /* start of the range of server errors */
   DY_HTTP_UNAVAILABLE = 503,
+  DY_HTTP_LAST_VALID = 599, /* end of the range of status codes */
 };
 
 #endif
