Endpoints are probed for the time only if other routers don't reply

Change: a connection is opened only after 250 ms without a reply, early enough for the 600 ms for which a reply counts.

--- a/src/core/knowledge.c
+++ b/src/core/knowledge.c
@@ -11,6 +11,9 @@
   HEAR_US = 1000 * 1000,
   /* Age at which the last round trip no longer tells whether the router is on time. */
   ON_TIME_US = 600 * 1000,
+  /* Time without a reply of other routers after which an endpoint is asked; the answer comes before
+   * ON_TIME_US is over. */
+  PROBE_AFTER_US = 250 * 1000,
   /* Time for which the store is then held to be away: longer than from one probe of it to the next.
    */
   AWAY_US = 3000 * 1000,
@@ -22,6 +25,12 @@
   return now_us - evidence->on_time_until_us <= ON_TIME_US;
 }
 
+bool
+dy_knowledge_is_probe_due (int64_t on_time_until_us, int64_t asking_since_us, int64_t now_us)
+{
+  return now_us - MAX (on_time_until_us, asking_since_us) >= PROBE_AFTER_US;
+}
+
 bool
 dy_knowledge_is_unanswered (const DyKnowledgeEvidence *evidence, int64_t asked_us, int64_t now_us)
 {
--- a/src/core/knowledge.h
+++ b/src/core/knowledge.h
@@ -50,6 +50,11 @@
 
 DyKnowledge dy_knowledge_judge (const DyKnowledgeEvidence *evidence, int64_t now_us);
 
+/* Returns whether the router is to open a connection to an endpoint to learn whether it is on time.
+ * It asks other routers first, since ASKING_SINCE_US, as a connection costs the endpoint; they
+ * don't reply where this router is cut off from them, too. */
+bool dy_knowledge_is_probe_due (int64_t on_time_until_us, int64_t asking_since_us, int64_t now_us);
+
 /* Returns whether a call that was sent at ASKED_US and has no answer at NOW_US shows that the store
  * is away. */
 bool
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -66,10 +66,11 @@
   DyObjectWatch endpoints_watch;
   int64_t asked_us; /* monotonic time of the latest request to a peer */
   int64_t newer_us; /* monotonic time since when a peer has a later route table; 0: none has */
-  DyLinkProbe time_probe; /* connects to an endpoint, to learn whether this router is on time */
-  int64_t probed_us;      /* by dy_kernel_boot_us(): start of the latest one */
-  bool is_late;           /* as last logged */
-  int64_t late_since_us;  /* by dy_kernel_boot_us(): when it was found late; 0: it is not */
+  DyLinkProbe time_probe;   /* connects to an endpoint, to learn whether this router is on time */
+  int64_t probed_us;        /* by dy_kernel_boot_us(): start of the latest one */
+  int64_t testing_since_us; /* the same: since when it learns that from others; 0: it does not */
+  bool is_late;             /* as last logged */
+  int64_t late_since_us;    /* by dy_kernel_boot_us(): when it was found late; 0: it is not */
   ev_timer expiry_timer;
   DyRoutesWatcher watcher;
   void *watcher_ctx;
--- a/src/services/endpoints/directory_knowledge.c
+++ b/src/services/endpoints/directory_knowledge.c
@@ -112,8 +112,16 @@
   if (!dy_directory_ready (directory)
       || (dy_directory_routes_age_ms (directory) < settings->routes_bound_ms / TEST_PART
           && dy_directory_endpoints_age_ms (directory) < settings->endpoints_bound_ms / TEST_PART))
-    return;
+    {
+      directory->testing_since_us = 0;
+      return;
+    }
+  if (directory->testing_since_us == 0)
+    directory->testing_since_us = dy_kernel_boot_us ();
   dy_clocks_test (&directory->clocks);
+  if (!dy_knowledge_is_probe_due (directory->clocks.on_time_until_us, directory->testing_since_us,
+                                  dy_kernel_boot_us ()))
+    return;
   const DyPlacementEndpoint *endpoint
       = dy_placement_choose_for_probe (&directory->placement, has_not_failed, NULL);
   if (endpoint
--- a/test/test_knowledge.c
+++ b/test/test_knowledge.c
@@ -168,6 +168,30 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  int64_t on_time_until_ms;
+  int64_t asking_since_ms;
+  bool due;
+} probe_cases[] = {
+  { "has just begun to ask others", -5000, -10, false },
+  { "others have not replied", -5000, -250, true },
+  { "others reply", -100, -8000, false },
+  { "others no longer reply", -250, -8000, true },
+};
+
+/* While the store was away, each router opened ten connections a second to endpoints though the
+ * other routers replied. */
+START_TEST (endpoint_is_probed_only_if_other_routers_do_not_reply)
+{
+  const int64_t now_us = 10000 * MS;
+  bool due = dy_knowledge_is_probe_due (now_us + probe_cases[_i].on_time_until_ms * MS,
+                                        now_us + probe_cases[_i].asking_since_ms * MS, now_us);
+  ck_assert_msg (due == probe_cases[_i].due, "%s", probe_cases[_i].name);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -178,5 +202,7 @@
                        G_N_ELEMENTS (patience_cases));
   tcase_add_loop_test (tcase, old_knowledge_is_acted_on_only_while_the_store_is_known_to_be_away, 0,
                        G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tcase, endpoint_is_probed_only_if_other_routers_do_not_reply, 0,
+                       G_N_ELEMENTS (probe_cases));
   return suite_run ("knowledge", tcase);
 }
