--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -4,6 +4,11 @@
 /**
  * NAME
  *   placement_private - what the files of core/placement share
+ *
+ * DESCRIPTION
+ *   placement.c         endpoints and what is set of them
+ *   placement_choice.c  prediction of the wait at an endpoint, and choice by it
+ *   placement_end.c     requests in flight, load reports and circuit breakers
  */
 
 #include "core/placement.h"
