Fourth figure of X-Worker-Load: how slow an endpoint is at the moment

Cause: endpoints that share machines state in a fourth field how long work takes there now (100: as usual). The third field and further ones were never read, and a header with other fields was taken in part. Change: DyAnswerHead.slowness_percent. Not used yet.

--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -71,6 +71,9 @@
   bool has_load;          /* the endpoint's running and waiting requests are stated */
   uint32_t n_running;
   uint32_t n_waiting;
+  /* How long work takes at the endpoint at this moment, as it shares its machine with others; 100:
+   * as long as usual; 0: not stated. */
+  uint32_t slowness_percent;
   /* Requests in a thousand seconds that the endpoint accepts from all routers; 0: not limited. */
   int64_t limit_per_1000_s;
   bool leaving; /* the endpoint states that it leaves */
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -155,7 +155,20 @@
   { { "X-Server-Seal", "1" }, { .sealed = true } },
   { { "x-not-run", "1" }, { .not_run = true } },
   { { "X-Worker-Load", "3, 1,8" }, { .has_load = true, .n_running = 3, .n_waiting = 1 } },
-  { { "X-Worker-Load", "odd" }, { .has_load = false } },
+  { { "X-Worker-Load", "3,1,8,250" },
+    { .has_load = true, .n_running = 3, .n_waiting = 1, .slowness_percent = 250 } },
+  /* Guards against a load or a slowness that is taken from a header with other fields. */
+  { { "X-Worker-Load", "odd" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "3,1" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "3,1,8,100,5" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "3,,8" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "-3,1,8" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "99999999999,1,8" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "3,1,8,0" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "3,1,8,-100" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "3,1,8,nan" }, { .unreadable = "X-Worker-Load" } },
+  { { "X-Worker-Load", "3,1,8,1000000" }, { .unreadable = "X-Worker-Load" } },
   { { "Content-Encoding", "gzip" }, { .encoded = true } },
   { { "Connection", "close" }, { .closes = true } },
   { { "Keep-Alive", "timeout=5" }, { .max_idle_s = 5 } },
@@ -172,6 +185,8 @@
   ck_assert_int_eq (head.has_load, answer_cases[_i].head.has_load);
   ck_assert_uint_eq (head.n_running, answer_cases[_i].head.n_running);
   ck_assert_uint_eq (head.n_waiting, answer_cases[_i].head.n_waiting);
+  ck_assert_uint_eq (head.slowness_percent, answer_cases[_i].head.slowness_percent);
+  ck_assert_pstr_eq (head.unreadable, answer_cases[_i].head.unreadable);
   ck_assert_int_eq (head.max_idle_s, answer_cases[_i].head.max_idle_s);
 }
 END_TEST
