Placement passes over the endpoints of evacuated data centres

Placement asks one predicate in every choice; an endpoint that was chosen before counts as one that has left. Records, breakers, cached prefixes and open requests stay.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -32,6 +32,8 @@
   placement->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dy_placement_endpoint_unref);
   placement->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
+  dy_evacuations_init (&placement->evacuations);
+  placement->ramp_until_us = INT64_MIN / 2;
 }
 
 void
@@ -41,6 +43,7 @@
     return;
   g_hash_table_unref (placement->by_service);
   g_hash_table_unref (placement->by_id);
+  dy_evacuations_finish (&placement->evacuations);
   g_rand_free (placement->rng);
   g_free (placement->data_centre);
   memset (placement, 0, sizeof *placement);
@@ -118,6 +121,12 @@
   endpoint->version = version_of (record);
   endpoint->slots = record->slots;
   endpoint->leaving = record->leaving;
+  if (strcmp (endpoint->data_centre, record->data_centre) != 0)
+    {
+      g_free (endpoint->data_centre);
+      endpoint->data_centre = g_strdup (record->data_centre);
+    }
+  dy_placement_apply_evacuation (placement, endpoint);
 }
 
 void
@@ -150,7 +159,7 @@
   for (guint i = 0; list && i < list->len; i++)
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (!endpoint->leaving)
+      if (!dy_placement_is_closed (endpoint))
         first_us = MIN (first_us, endpoint->wait_until_us);
     }
   return first_us == INT64_MAX ? 0 : MAX (first_us - now_us, 0);
@@ -178,7 +187,7 @@
   for (guint i = 0; list && i < list->len; i++)
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (!endpoint->leaving && endpoint->share != UINT32_MAX)
+      if (!dy_placement_is_closed (endpoint) && endpoint->share != UINT32_MAX)
         n += endpoint->share;
     }
   return n;
@@ -198,7 +207,7 @@
 bool
 dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint)
 {
-  return endpoint->leaving || endpoint->removed;
+  return endpoint->leaving || endpoint->evacuated || endpoint->removed;
 }
 
 uint32_t
@@ -207,7 +216,7 @@
   const GPtrArray *list = g_hash_table_lookup (placement->by_service, service);
   uint32_t n = 0;
   for (guint i = 0; list && i < list->len; i++)
-    n += ((const DyPlacementEndpoint *) g_ptr_array_index (list, i))->leaving ? 0 : 1;
+    n += dy_placement_is_closed (g_ptr_array_index (list, i)) ? 0 : 1;
   return n;
 }
 
@@ -247,7 +256,7 @@
 }
 
 /* Returns the affinity endpoint of the prefix: the one with the highest rendezvous hash among those
- * that are not leaving, whose breakers are closed and, if GATED, that the gate allows. Returns NULL
+ * that may be chosen, whose breakers are closed and, if GATED, that the gate allows. Returns NULL
  * without a prefix. */
 static const DyPlacementEndpoint *
 find_affinity_endpoint (const DyPlacement *placement,
@@ -262,8 +271,8 @@
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
       uint64_t hash = rendezvous_hash (endpoint, prefix_hash);
-      if (endpoint->leaving || now_us < endpoint->open_until_us || (best && hash <= best_hash)
-          || (gated && !is_allowed (placement, endpoint, now_us)))
+      if (dy_placement_is_closed (endpoint) || now_us < endpoint->open_until_us
+          || (best && hash <= best_hash) || (gated && !is_allowed (placement, endpoint, now_us)))
         continue;
       best = endpoint;
       best_hash = hash;
@@ -333,7 +342,7 @@
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->leaving || dy_placement_endpoint_waits (endpoint, now_us)
+      if (dy_placement_is_closed (endpoint) || dy_placement_endpoint_waits (endpoint, now_us)
           || endpoint->in_flight >= endpoint->share || !is_allowed_by (query, endpoint)
           || !is_allowed (placement, endpoint, now_us))
         continue;
@@ -353,7 +362,7 @@
            const DyPlacementEndpoint *endpoint,
            int64_t now_us)
 {
-  return !endpoint->leaving && now_us >= endpoint->open_until_us
+  return !dy_placement_is_closed (endpoint) && now_us >= endpoint->open_until_us
          && !dy_placement_endpoint_waits (endpoint, now_us) && endpoint->in_flight < endpoint->share
          && is_allowed_by (query, endpoint) && is_allowed (placement, endpoint, now_us);
 }
@@ -381,6 +390,7 @@
   int64_t best_us = 0;
   if (!list || list->len == 0)
     return NULL;
+  dy_placement_hold_back (placement, query, now_us);
   const DyPlacementEndpoint *affinity
       = find_affinity_endpoint (placement, list, query->work.prefix_hash, true, now_us);
   guint first = (guint) g_rand_int_range (placement->rng, 0, (gint32) list->len);
@@ -405,6 +415,7 @@
     }
   if (!best)
     best = first_to_retry (placement, list, query, now_us);
+  dy_placement_end_hold_back (placement, query);
   if (predicted_us)
     *predicted_us = best_us;
   return best;
@@ -428,7 +439,7 @@
   for (guint i = 0; i < list->len; i++)
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->leaving)
+      if (dy_placement_is_closed (endpoint))
         continue;
       if (is_allowed (placement, endpoint, now_us))
         n_open++;
@@ -464,7 +475,7 @@
   g_hash_table_iter_init (&iter, placement->by_id);
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
-      bool failed = has_failed (ctx, id);
+      bool failed = has_failed (ctx, id) || ((const DyPlacementEndpoint *) value)->evacuated;
       if (chosen && failed && !chosen_failed)
         continue;
       n_alike = failed == chosen_failed ? n_alike + 1 : 1;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -21,12 +21,17 @@
  *   endpoint whose breaker closes first is chosen. An endpoint that is leaving or was removed is
  *   never chosen.
  *
+ *   Nor is one whose data centre is evacuated (core/evacuations.h), which keeps its requests, its
+ *   breaker and its cached prefixes. When the evacuation ends, requests that other endpoints can
+ *   take use it in a ramp only.
+ *
  * UNITS
  *   Microseconds where a name ends in _us. The module reads no clock; the time is passed in
  *   as NOW_US.
  */
 
 #include "core/endpoint_record.h"
+#include "core/evacuations.h"
 
 #include <glib.h>
 
@@ -66,6 +71,8 @@
   GRand *rng;
   GHashTable *by_id;      /* endpoint id to its DyPlacementEndpoint, owned */
   GHashTable *by_service; /* service name to a GPtrArray of DyPlacementEndpoint */
+  DyEvacuations evacuations;
+  int64_t ramp_until_us; /* endpoints of a data centre may be returning until then */
 } DyPlacement;
 
 /* The prompt of one request, as far as an endpoint has to process it. */
@@ -113,8 +120,8 @@
  * new start ends that. */
 void dy_placement_set_wait (DyPlacement *placement, const char *id, int64_t until_us);
 
-/* Returns the time until the first endpoint of SERVICE may get a request, if all that are not
- * leaving have asked for a wait; 0 if not. */
+/* Returns the time until the first endpoint of SERVICE may get a request, if all that are neither
+ * leaving nor evacuated have asked for a wait; 0 if not. */
 int64_t dy_placement_wait_us (const DyPlacement *placement, const char *service, int64_t now_us);
 
 /* Returns how many requests this router may have in progress at the endpoint ID, which has SLOTS;
@@ -135,7 +142,26 @@
 /* Removes the endpoint ID, if there is one. Requests in flight keep their DyPlacementEndpoint. */
 void dy_placement_remove (DyPlacement *placement, const char *id);
 
-/* Returns the number of endpoints of SERVICE that are not leaving, whatever their breakers. */
+/* Sets whether DATA_CENTRE is evacuated, for endpoints that are known and those that follow.
+ * Returns whether that changes anything. */
+bool dy_placement_set_evacuated (DyPlacement *placement,
+                                 const char *data_centre,
+                                 bool evacuated,
+                                 int64_t now_us);
+
+/* Returns the number of endpoints of SERVICE (NULL: of all) in DATA_CENTRE, leaving ones included.
+ */
+uint32_t
+dy_placement_count_in (const DyPlacement *placement, const char *service, const char *data_centre);
+
+/* Returns the number of endpoints of SERVICE that are evacuated and not leaving. */
+uint32_t dy_placement_count_evacuated (const DyPlacement *placement, const char *service);
+
+/* Returns whether SERVICE has endpoints and all that are not leaving are evacuated. */
+bool dy_placement_is_evacuated (const DyPlacement *placement, const char *service);
+
+/* Returns the number of endpoints of SERVICE that are neither leaving nor evacuated, whatever their
+ * breakers. */
 uint32_t dy_placement_count (const DyPlacement *placement, const char *service);
 
 /* Sets the limits that dy_placement_choose() keeps; GATE NULL: none. */
@@ -185,17 +211,21 @@
                        DyPlacementOutcome outcome,
                        int64_t now_us);
 
-/* Returns whether ENDPOINT is leaving or was removed, possibly after it was chosen. */
+/* Returns whether ENDPOINT is leaving, was removed or is evacuated, possibly after it was chosen:
+ * it gets no request. */
 bool dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint);
 
+/* Returns whether the data centre of ENDPOINT is evacuated. */
+bool dy_placement_endpoint_is_evacuated (const DyPlacementEndpoint *endpoint);
+
 /* Returns whether ENDPOINT has asked for a wait that is not over, possibly after it was chosen. */
 bool dy_placement_endpoint_waits (const DyPlacementEndpoint *endpoint, int64_t now_us);
 
 /* Returns the endpoint ID, or NULL if there is none. */
 const DyPlacementEndpoint *dy_placement_find (const DyPlacement *placement, const char *id);
 
-/* Returns any endpoint, for a probe of the link: if possible one for which HAS_FAILED returns
- * false. Returns NULL if there is none. */
+/* Returns any endpoint, for a probe of the link: if possible one that is not evacuated and for
+ * which HAS_FAILED returns false. Returns NULL if there is none. */
 const DyPlacementEndpoint *dy_placement_choose_for_probe (const DyPlacement *placement,
                                                           bool (*has_failed) (const void *ctx,
                                                                               const char *id),
--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -4,6 +4,11 @@
 /**
  * NAME
  *   placement_private - what the files of core/placement share
+ *
+ * DESCRIPTION
+ *   placement.c             endpoints and the choice among them
+ *   placement_end.c         how requests at endpoints begin and end
+ *   placement_evacuation.c  endpoints of data centres that are evacuated, or return
  */
 
 #include "core/placement.h"
@@ -25,6 +30,9 @@
   int64_t start_ms;
   bool leaving;
   bool removed;
+  bool evacuated;          /* its data centre is */
+  int64_t returned_us;     /* end of the evacuation of its data centre; INT64_MIN / 2: none */
+  bool held_back;          /* returning, and not for the request that is being placed */
   uint32_t n_references;   /* one of the table by_id and one of each request in flight */
   uint32_t in_flight;      /* requests of this router */
   uint32_t share;          /* most of them at a time; UINT32_MAX: not limited */
@@ -41,4 +49,19 @@
 /* Drops a reference of ENDPOINT, a DyPlacementEndpoint, and frees it with the last one. */
 void dy_placement_endpoint_unref (gpointer endpoint);
 
+/* Returns whether ENDPOINT may not be chosen, whatever the request and its breaker. */
+static inline bool
+dy_placement_is_closed (const DyPlacementEndpoint *endpoint)
+{
+  return endpoint->leaving || endpoint->evacuated || endpoint->held_back;
+}
+
+/* Sets what the evacuation of its data centre, if there is one, means for ENDPOINT. */
+void dy_placement_apply_evacuation (const DyPlacement *placement, DyPlacementEndpoint *endpoint);
+
+/* Decides whether QUERY may use endpoints that return after an evacuation, and closes them if not
+ * until dy_placement_end_hold_back(). */
+void dy_placement_hold_back (DyPlacement *placement, const DyPlacementQuery *query, int64_t now_us);
+void dy_placement_end_hold_back (DyPlacement *placement, const DyPlacementQuery *query);
+
 #endif
