Evacuations are watched in the store, refused for, logged and documented

Cause: placement can pass over an evacuated data centre, and no router learned of one. A router is ready only with the evacuations read, and refuses as evacuations_stale beyond the bound unless the store is away. Requests for a service that is evacuated as a whole are refused when they are planned, with a Retry-After of 2.3 to 4.6 s; those that need another attempt end at once too. Health checks of link probes are left out at evacuated endpoints, as they are requests.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -71,9 +71,9 @@
 }
 
 /* Fields that lines of other routers about the same matter share with those of the request: the
- * ticket of its reservation, the blocked part of its prompt, and the endpoint whose limit it met.
- */
-static const char *const linking_fields[] = { "ticket", "part", "limited" };
+ * ticket of its reservation, the blocked part of its prompt, the endpoint whose limit it met, and
+ * the data centre whose evacuation it met. */
+static const char *const linking_fields[] = { "ticket", "part", "limited", "evacuation" };
 
 /* Returns "FIELD=VALUE" of the linking field INDEX of LINE, to be freed with g_free(); NULL: none.
  */
--- a/src/cli/sendings.c
+++ b/src/cli/sendings.c
@@ -125,6 +125,8 @@
 static const char *
 describe_end (const json_t *end)
 {
+  if (number_of (end, "left", 0) == 1 && number_of (end, "evacuated", 0) == 1)
+    return "not sent, as its data centre is evacuated";
   if (number_of (end, "left", 0) == 1)
     return "not sent, as the endpoint left or wants nothing";
   if (number_of (end, "sent", 1) == 0)
@@ -179,6 +181,9 @@
   const char *endpoint = text_of (sending->line, "endpoint");
   printf ("%u to %s%s", index + 1, endpoint ? endpoint : "?",
           event_of (sending->line) == EVENT_RELAY_PLACED ? " by another router" : "");
+  int n_evacuated = number_of (sending->line, "evacuated", 0);
+  if (n_evacuated > 0)
+    printf (", %d passed over for an evacuation", n_evacuated);
   print_fields (sending->line);
   if (sending->silent)
     {
--- a/src/core/request_course.c
+++ b/src/core/request_course.c
@@ -279,7 +279,8 @@
 static DyCourseStep
 go_without_endpoint (DyCourse *course, const DyCourseSituation *situation)
 {
-  if (persists (course) || (situation->has_place_soon && !is_begun (course)))
+  bool may_wait = persists (course) || (situation->has_place_soon && !is_begun (course));
+  if (may_wait && !situation->evacuated)
     return pause_before_attempt (course);
   int error = course->may_have_run ? DY_OUTCOME_UNKNOWN : DY_NO_ENDPOINT;
   return end_with_error (course, is_begun (course) ? DY_STREAM_BROKEN : error);
--- a/src/core/request_course.h
+++ b/src/core/request_course.h
@@ -26,6 +26,8 @@
  *   the request is not ended because none may be sent now: it is sent again after a pause. The same
  *   holds for a begun stream with a deadline, whose caller can be given no other answer any more.
  *
+ *   If all endpoints are evacuated, a request that needs another attempt ends at once.
+ *
  *   A request that has not begun to be answered waits for a short time for a place at an endpoint
  *   that takes no more at a time than it has places for.
  *
@@ -115,6 +117,7 @@
   bool blocked;         /* the request must not be sent again */
   bool has_other;       /* an endpoint that was not tried yet can take it now */
   bool has_place_soon;  /* of NO_ENDPOINT: one will have a place for it, for which it may wait */
+  bool evacuated;       /* of NO_ENDPOINT: all endpoints are, for seconds at least */
   bool waited_out;      /* of PAUSE_OVER: it has waited for a place as long as it may */
   int64_t time_left_ms; /* until the request's deadline */
 } DyCourseSituation;
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -70,6 +70,7 @@
      "requests that waited for a place at an endpoint that may fall over")                         \
   X (NOTICES, gauge, "dogwoodyoke_endpoint_notices",                                               \
      "endpoints that said something of themselves in answers")                                     \
+  X (EVACUATED, gauge, "dogwoodyoke_evacuated_data_centres", "data centres that are evacuated")    \
   X (RESUMES, counter, "dogwoodyoke_resumes_total", "streams that callers resumed")                \
   X (RESUMES_REFUSED, counter, "dogwoodyoke_resumes_refused_total",                                \
      "resumed streams whose origin was not known")                                                 \
--- a/src/kernel/error.h
+++ b/src/kernel/error.h
@@ -86,7 +86,9 @@
   X (ROUTES_STALE, -39, "routes_stale", 503, 7, NOT_RUN, 1,                                        \
      "this router may not know the latest declarations")                                           \
   X (ENDPOINTS_STALE, -40, "endpoints_stale", 503, 7, NOT_RUN, 1,                                  \
-     "this router may not know which endpoints have left")
+     "this router may not know which endpoints have left")                                         \
+  X (EVACUATIONS_STALE, -41, "evacuations_stale", 503, 7, NOT_RUN, 1,                              \
+     "this router may not know which data centres are evacuated")
 
 typedef enum
 {
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -284,6 +284,13 @@
            10,
            60000,
            "interval between reads of a load report, of one endpoint at a time"),
+  INTEGER ("endpoints",
+           evacuations_bound_ms,
+           "0",
+           0,
+           60000,
+           "time within which an evacuated data centre must get no new requests, kind objects "
+           "only; 0: evacuations are not watched"),
   CHOICE ("log", "format", log_format, "text|json", "text", "format of log lines"),
   INTEGER ("log",
            log_lines_per_s,
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -73,6 +73,7 @@
   int64_t max_attempts;
   int64_t retry_percent;
   int64_t load_poll_ms;
+  int64_t evacuations_bound_ms;
   int64_t drain_timeout_ms;
   int64_t drain_notice_ms;
   int64_t grace_ms;
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -91,7 +91,9 @@
   const char *routes_key;       /* key of the object that holds the route table */
   const char *routes_prefix;    /* key prefix to watch for changes of that object */
   const char *endpoints_prefix; /* key prefix of the endpoint records */
-  const char *ready_path;       /* path of the router's readiness check */
+  /* Key prefix of the evacuations, each named after its data centre. */
+  const char *evacuations_prefix;
+  const char *ready_path; /* path of the router's readiness check */
 
   /* Decode a text of N bytes. Return DY_OK, or DY_PROTOCOL with nothing to free. */
   int (*decode_routes) (const char *text, size_t n, DyRouteTable *table);
--- a/src/services/endpoints/directory.c
+++ b/src/services/endpoints/directory.c
@@ -283,6 +283,7 @@
     remove_endpoint (directory, g_ptr_array_index (expired, i), "lapsed");
   g_ptr_array_unref (expired);
   apply_held (directory);
+  dy_evacuation_watch_update (&directory->evacuations, directory->endpoints_watch.age.version != 0);
   dy_directory_update_knowledge (directory);
   dy_departures_evict (&directory->departures, now);
 }
@@ -348,6 +349,7 @@
   DyDirectory *directory = ctx;
   dy_object_watch_take (&directory->routes_watch, message);
   dy_object_watch_take (&directory->endpoints_watch, message);
+  dy_evacuation_watch_take (&directory->evacuations, message);
   if (message->type == DY_MESSAGE_CONFIG_GET)
     reply_to_peer (directory, link, message);
   else if (message->type == DY_MESSAGE_CONFIG && message->u.config.text)
@@ -408,6 +410,8 @@
                                         .ctx = directory };
   dy_object_watch_start (&directory->routes_watch, kernel, &directory->spread, &routes);
   dy_object_watch_start (&directory->endpoints_watch, kernel, &directory->spread, &endpoints);
+  dy_evacuation_watch_start (&directory->evacuations, kernel, &directory->placement,
+                             &directory->spread);
   return DY_OK;
 }
 
@@ -418,6 +422,7 @@
   ev_timer_stop (directory->kernel->loop, &directory->expiry_timer);
   dy_object_watch_stop (&directory->routes_watch);
   dy_object_watch_stop (&directory->endpoints_watch);
+  dy_evacuation_watch_stop (&directory->evacuations);
   dy_spread_finish (&directory->spread);
   dy_directory_finish_knowledge (directory);
   dy_placement_finish (&directory->placement);
@@ -444,12 +449,14 @@
   const DyDirectory *directory = self;
   json_t *endpoints = json_array ();
   dy_placement_visit (&directory->placement, dump_endpoint, endpoints, now_us (directory));
-  return json_pack ("{s:b, s:I, s:I, s:b, s:I, s:I, s:o}", "has_routes", directory->has_routes,
-                    "version", (json_int_t) directory->routes.version, "revision",
-                    (json_int_t) directory->routes_revision, "store_failing",
+  return json_pack ("{s:b, s:I, s:I, s:b, s:I, s:I, s:I, s:o, s:o}", "has_routes",
+                    directory->has_routes, "version", (json_int_t) directory->routes.version,
+                    "revision", (json_int_t) directory->routes_revision, "store_failing",
                     directory->routes_watch.failing, "routes_age_ms",
                     (json_int_t) dy_directory_routes_age_ms (directory), "endpoints_age_ms",
-                    (json_int_t) dy_directory_endpoints_age_ms (directory), "endpoints", endpoints);
+                    (json_int_t) dy_directory_endpoints_age_ms (directory), "evacuations_age_ms",
+                    (json_int_t) dy_directory_evacuations_age_ms (directory), "evacuated",
+                    dy_evacuation_watch_dump (&directory->evacuations), "endpoints", endpoints);
 }
 
 void
@@ -527,13 +534,16 @@
 {
   const DyRouteService *service
       = dy_route_table_service (&directory->routes, dy_placement_endpoint_service (endpoint));
+  if (dy_placement_endpoint_is_evacuated (endpoint))
+    return NULL;
   return service ? service->health_path : NULL;
 }
 
 bool
 dy_directory_ready (const DyDirectory *directory)
 {
-  return directory->has_routes && g_hash_table_size (directory->endpoints) > 0;
+  return directory->has_routes && g_hash_table_size (directory->endpoints) > 0
+         && dy_evacuation_watch_ready (&directory->evacuations);
 }
 
 int64_t
@@ -548,6 +558,12 @@
   return dy_object_watch_age_ms (&directory->endpoints_watch);
 }
 
+int64_t
+dy_directory_evacuations_age_ms (const DyDirectory *directory)
+{
+  return dy_evacuation_watch_age_ms (&directory->evacuations);
+}
+
 bool
 dy_directory_may_lack_routes (const DyDirectory *directory)
 {
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -18,6 +18,9 @@
  *   therefore stays in use for a grace period and is removed only if the record does not return.
  *   Calls that fail for a shorter time than a record lives are no outage in this sense.
  *
+ *   A third watch, where the settings enable it, is that of evacuated data centres; see
+ *   services/endpoints/evacuations.h.
+ *
  *   What is known may be acted on while its age is below the bound of the settings, and beyond that
  *   while the store is away; see core/knowledge.h.
  *
@@ -32,6 +35,7 @@
 #include "core/placement.h"
 #include "kernel/kernel.h"
 #include "services/dialect.h"
+#include "services/endpoints/evacuations.h"
 #include "services/endpoints/link_probe.h"
 #include "services/peers/object_watch.h"
 #include "services/peers/peers.h"
@@ -64,6 +68,7 @@
   DySpread spread;
   DyObjectWatch routes_watch;
   DyObjectWatch endpoints_watch;
+  DyEvacuationWatch evacuations;
   int64_t asked_us; /* monotonic time of the latest request to a peer */
   int64_t newer_us; /* monotonic time since when a peer has a later route table; 0: none has */
   DyLinkProbe time_probe; /* connects to an endpoint, to learn whether this router is on time */
@@ -104,25 +109,30 @@
 /* Returns the start time of the endpoint ID by its record; 0 if it is not known. */
 int64_t dy_directory_start_ms (const DyDirectory *directory, const char *id);
 
-/* Returns the path of the health check of ENDPOINT, or NULL if it is not known. */
+/* Returns the path of the health check of ENDPOINT, or NULL if it is not known or ENDPOINT is
+ * evacuated and must get no request. */
 const char *dy_directory_health_path (const DyDirectory *directory,
                                       const DyPlacementEndpoint *endpoint);
 
 /* Returns whether requests can be routed, that is whether there are a route table and at least one
- * endpoint. */
+ * endpoint, and the evacuations are known. */
 bool dy_directory_ready (const DyDirectory *directory);
 
-/* Returns the age in milliseconds of what is known of the routes, or of the endpoint records. */
+/* Returns the age in milliseconds of what is known of the routes, of the endpoint records, or of
+ * the evacuations (0 if they are not watched). */
 int64_t dy_directory_routes_age_ms (const DyDirectory *directory);
 int64_t dy_directory_endpoints_age_ms (const DyDirectory *directory);
+int64_t dy_directory_evacuations_age_ms (const DyDirectory *directory);
 
-/* Returns what this router may do by what it knows of the routes, or of the endpoint records, now.
- */
+/* Returns what this router may do by what it knows of the routes, of the endpoint records, or of
+ * the evacuations, now. */
 DyKnowledge dy_directory_routes_knowledge (const DyDirectory *directory);
 DyKnowledge dy_directory_endpoints_knowledge (const DyDirectory *directory);
+DyKnowledge dy_directory_evacuations_knowledge (const DyDirectory *directory);
 
 /* Returns DY_OK if requests may be sent by what is known now, or the error with which they are
- * refused: DY_ROUTES_STALE or DY_ENDPOINTS_STALE. To be asked at each decision. */
+ * refused: DY_ROUTES_STALE, DY_ENDPOINTS_STALE or DY_EVACUATIONS_STALE. To be asked at each
+ * decision. */
 int dy_directory_check_age (const DyDirectory *directory);
 
 /* Returns whether requests should wait, as what is known is too old only since a moment ago and may
--- a/src/services/endpoints/directory_knowledge.c
+++ b/src/services/endpoints/directory_knowledge.c
@@ -5,7 +5,8 @@
 
 enum
 {
-  /* Part of the bound of the endpoint records that the sending of a request may take. */
+  /* Part of the bound of the endpoint records, and of the evacuations, that the sending of a
+     request may take. */
   SEND_MARGIN_US = 100 * 1000,
   /* Time for which requests wait for what the others confirm, from when the router is late. A
    * router that stood still has that within a round trip. */
@@ -58,6 +59,16 @@
                 directory->kernel->settings->endpoints_bound_ms * US_PER_MS - SEND_MARGIN_US);
 }
 
+DyKnowledge
+dy_directory_evacuations_knowledge (const DyDirectory *directory)
+{
+  const DyEvacuationWatch *evacuations = &directory->evacuations;
+  if (!evacuations->enabled)
+    return DY_KNOWLEDGE_CURRENT;
+  return judge (directory, &evacuations->watch,
+                directory->kernel->settings->evacuations_bound_ms * US_PER_MS - SEND_MARGIN_US);
+}
+
 int
 dy_directory_check_age (const DyDirectory *directory)
 {
@@ -65,6 +76,8 @@
     return DY_ROUTES_STALE;
   if (dy_directory_endpoints_knowledge (directory) == DY_KNOWLEDGE_LATE)
     return DY_ENDPOINTS_STALE;
+  if (dy_directory_evacuations_knowledge (directory) == DY_KNOWLEDGE_LATE)
+    return DY_EVACUATIONS_STALE;
   return DY_OK;
 }
 
@@ -103,6 +116,15 @@
   return false;
 }
 
+/* Returns whether what is known of one kind of objects has not been confirmed for part of its
+ * bound.
+ */
+static bool
+is_ageing (int64_t age_ms, int64_t bound_ms)
+{
+  return bound_ms > 0 && age_ms >= bound_ms / TEST_PART;
+}
+
 /* Asks whether this router is on time, if what it knows has not been confirmed for a while: that
  * may be needed soon. */
 static void
@@ -110,8 +132,10 @@
 {
   const DySettings *settings = directory->kernel->settings;
   if (!dy_directory_ready (directory)
-      || (dy_directory_routes_age_ms (directory) < settings->routes_bound_ms / TEST_PART
-          && dy_directory_endpoints_age_ms (directory) < settings->endpoints_bound_ms / TEST_PART))
+      || !(is_ageing (dy_directory_routes_age_ms (directory), settings->routes_bound_ms)
+           || is_ageing (dy_directory_endpoints_age_ms (directory), settings->endpoints_bound_ms)
+           || is_ageing (dy_directory_evacuations_age_ms (directory),
+                         settings->evacuations_bound_ms)))
     return;
   dy_clocks_test (&directory->clocks);
   const DyPlacementEndpoint *endpoint
@@ -133,9 +157,10 @@
   directory->is_late = is_late;
   dy_log (is_late ? DY_EVENT_KNOWLEDGE_LATE : DY_EVENT_KNOWLEDGE_IN_TIME,
           "kind=%s routes_age_ms=%" G_GINT64_FORMAT " list_age_ms=%" G_GINT64_FORMAT
-          " on_time_ms=%" G_GINT64_FORMAT " away_ms=%" G_GINT64_FORMAT,
+          " evacuations_age_ms=%" G_GINT64_FORMAT " on_time_ms=%" G_GINT64_FORMAT
+          " away_ms=%" G_GINT64_FORMAT,
           dy_error_info (error)->kind, dy_directory_routes_age_ms (directory),
-          dy_directory_endpoints_age_ms (directory),
+          dy_directory_endpoints_age_ms (directory), dy_directory_evacuations_age_ms (directory),
           (dy_kernel_boot_us () - directory->clocks.on_time_until_us) / US_PER_MS,
           (dy_kernel_boot_us () - directory->platform->away_us) / US_PER_MS);
 }
--- a/src/services/gateway/gateway_plan.c
+++ b/src/services/gateway/gateway_plan.c
@@ -1,6 +1,7 @@
 #include "services/gateway/gateway_plan.h"
 
 #include "kernel/error.h"
+#include "services/gateway/gateway_refusal.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -138,6 +139,9 @@
   if (!error)
     fill_plan (plan, gateway, call, &head, route, account);
   g_free (head.key);
+  /* Before anything is reserved, as that may take a while. */
+  if (!error && dy_gateway_is_evacuated (gateway, plan->service))
+    error = DY_NO_ENDPOINT;
   return error;
 }
 
--- a/src/services/gateway/gateway_plan.h
+++ b/src/services/gateway/gateway_plan.h
@@ -14,7 +14,7 @@
  *   DY_STARTING      no route table or no endpoints are known yet
  *   DY_NOT_FOUND     no route matches the host and path
  *   DY_UNAUTHORIZED  the route is not public and the bearer key belongs to none of the accounts
- *   DY_NO_ENDPOINT   the route has no service
+ *   DY_NO_ENDPOINT   the route has no service, or all endpoints of the service are evacuated
  */
 
 #include "services/gateway/gateway.h"
--- a/src/services/gateway/gateway_refusal.c
+++ b/src/services/gateway/gateway_refusal.c
@@ -1,6 +1,7 @@
 #include "services/gateway/gateway_refusal.h"
 
 #include "kernel/error.h"
+#include "kernel/log.h"
 
 #include <string.h>
 
@@ -9,6 +10,9 @@
   RETRY_WAIT_MS = 300,      /* shortest Retry-After; up to the same again is added as jitter */
   ELSEWHERE_WAIT_MS = 20,   /* the same when another router can serve the request */
   MAX_RETRY_WAIT_MS = 4000, /* callers wait at most a third of their time limit */
+  /* Added while a service is evacuated, and up to the same again as jitter: operators end
+   * evacuations within seconds, not milliseconds. */
+  EVACUATED_WAIT_MS = 2000,
 };
 
 /* Returns the milliseconds after which a refused caller may retry, with jitter; 0 if a retry does
@@ -21,7 +25,7 @@
     return 0;
   const DyPlatform *platform = gateway->budgets->platform;
   /* While the store is away, no other router knows later routes, either. */
-  bool late = error == DY_ENDPOINTS_STALE
+  bool late = error == DY_ENDPOINTS_STALE || error == DY_EVACUATIONS_STALE
               || (error == DY_ROUTES_STALE && dy_directory_check_age (gateway->directory));
   bool elsewhere = error == DY_DRAINING || error == DY_OVERLOADED || late;
   int64_t wait_ms = elsewhere ? ELSEWHERE_WAIT_MS : RETRY_WAIT_MS;
@@ -32,6 +36,37 @@
   return wait_ms + g_rand_int_range (gateway->rng, 0, (gint32) wait_ms);
 }
 
+bool
+dy_gateway_is_evacuated (const DyGateway *gateway, const char *service)
+{
+  return dy_placement_is_evacuated (&gateway->directory->placement, service);
+}
+
+/* Logs what REQUEST_ID met, a line for each data centre. */
+static void
+log_evacuated (const DyGateway *gateway, const char *request_id, const char *service)
+{
+  const DyPlacement *placement = &gateway->directory->placement;
+  char **names = dy_evacuations_list (&placement->evacuations);
+  for (char **name = names; *name; name++)
+    {
+      uint32_t n = dy_placement_count_in (placement, service, *name);
+      if (n > 0)
+        dy_log (DY_EVENT_ENDPOINTS_EVACUATED, "request=%s service=%s evacuation=%s endpoints=%u",
+                request_id, service, *name, n);
+    }
+  g_strfreev (names);
+}
+
+int64_t
+dy_gateway_take_evacuated (DyGateway *gateway, const char *request_id, const char *service)
+{
+  if (!dy_gateway_is_evacuated (gateway, service))
+    return 0;
+  log_evacuated (gateway, request_id, service);
+  return EVACUATED_WAIT_MS + g_rand_int_range (gateway->rng, 0, EVACUATED_WAIT_MS);
+}
+
 void
 dy_gateway_refuse (DyGateway *gateway, DyHttpCall *call, int error)
 {
--- a/src/services/gateway/gateway_refusal.h
+++ b/src/services/gateway/gateway_refusal.h
@@ -20,4 +20,11 @@
 /* The same, where a retry does not help before MIN_WAIT_MS have passed. */
 void dy_gateway_refuse_for (DyGateway *gateway, DyHttpCall *call, int error, int64_t min_wait_ms);
 
+/* Returns whether all endpoints of SERVICE are in evacuated data centres. */
+bool dy_gateway_is_evacuated (const DyGateway *gateway, const char *service);
+
+/* Returns the time for which callers are to wait in addition as SERVICE is evacuated, and logs that
+ * REQUEST_ID met this; 0 if it is not. */
+int64_t dy_gateway_take_evacuated (DyGateway *gateway, const char *request_id, const char *service);
+
 #endif
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -96,15 +96,18 @@
           request->plan.routes_version);
 }
 
-/* Returns for how long the endpoints of the service want no request, if that is why none was
- * chosen. */
+/* Returns for how long the endpoints of the service want no request, or are evacuated, if that is
+ * why none was chosen. */
 static int64_t
 wait_ms (const DyGatewayRequest *request, int error)
 {
   const DyPlacement *placement = &request->gateway->directory->placement;
-  return error == DY_NO_ENDPOINT
-             ? dy_placement_wait_us (placement, request->plan.service, now_us (request)) / 1000
-             : 0;
+  if (error != DY_NO_ENDPOINT)
+    return 0;
+  int64_t evacuated_ms
+      = dy_gateway_take_evacuated (request->gateway, request->plan.id, request->plan.service);
+  return MAX (evacuated_ms,
+              dy_placement_wait_us (placement, request->plan.service, now_us (request)) / 1000);
 }
 
 /* Answers with the error, or ends a stream that was begun so that it does not look complete. */
@@ -575,7 +578,10 @@
               " routes_age_ms=%" G_GINT64_FORMAT,
               plan.id[0] ? plan.id : "-", dy_error_info (error)->kind,
               gateway->directory->routes.version, dy_directory_routes_age_ms (gateway->directory));
-      dy_gateway_refuse (gateway, call, error);
+      int64_t evacuated_ms = error == DY_NO_ENDPOINT && plan.service
+                                 ? dy_gateway_take_evacuated (gateway, plan.id, plan.service)
+                                 : 0;
+      dy_gateway_refuse_for (gateway, call, error, evacuated_ms);
       dy_gateway_plan_finish (&plan);
       return;
     }
--- a/src/services/gateway/gateway_send.c
+++ b/src/services/gateway/gateway_send.c
@@ -1,5 +1,6 @@
 #include "kernel/log.h"
 #include "services/gateway/gateway_crashes.h"
+#include "services/gateway/gateway_refusal.h"
 #include "services/gateway/gateway_request_private.h"
 
 enum
@@ -170,14 +171,15 @@
     return false;
   spec->head.endpoint_id = dy_placement_endpoint_id (endpoint);
   dy_gateway_take_placement (request, spec->head.endpoint_id);
-  dy_log (DY_EVENT_REQUEST_PLACED,
-          "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
-          " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT " bridged=%d",
-          request->plan.id, spec->head.endpoint_id, predicted_us, attempt_number (request, attempt),
-          spec->head.resume_from ? spec->head.resume_from : "-",
-          dy_placement_endpoint_version (endpoint),
-          dy_directory_endpoints_age_ms (gateway->directory),
-          dy_directory_endpoints_knowledge (gateway->directory) == DY_KNOWLEDGE_BRIDGED);
+  dy_log (
+      DY_EVENT_REQUEST_PLACED,
+      "request=%s endpoint=%s predicted_us=%" G_GINT64_FORMAT
+      " attempt=%u resume=%s version=%s list_age_ms=%" G_GINT64_FORMAT " bridged=%d evacuated=%u",
+      request->plan.id, spec->head.endpoint_id, predicted_us, attempt_number (request, attempt),
+      spec->head.resume_from ? spec->head.resume_from : "-",
+      dy_placement_endpoint_version (endpoint), dy_directory_endpoints_age_ms (gateway->directory),
+      dy_directory_endpoints_knowledge (gateway->directory) == DY_KNOWLEDGE_BRIDGED,
+      dy_placement_count_evacuated (&gateway->directory->placement, query.service));
   dy_gateway_attempt_init (attempt, gateway, endpoint, spec, watcher, request);
   return true;
 }
@@ -349,6 +351,8 @@
   situation.sent
       = dy_course_has_attempt (&request->course) && dy_gateway_attempt_was_sent (request->attempt);
   situation.other_sent = dy_gateway_replacement_was_sent (request);
+  situation.evacuated = event == DY_COURSE_NO_ENDPOINT
+                        && dy_gateway_is_evacuated (request->gateway, request->plan.service);
   situation.has_place_soon
       = event == DY_COURSE_NO_ENDPOINT && dy_gateway_may_wait_for_room (request);
   situation.waited_out = event == DY_COURSE_PAUSE_OVER && request->waits_for_room
--- a/src/services/gateway/relay_server.c
+++ b/src/services/gateway/relay_server.c
@@ -287,8 +287,9 @@
               .time_left_ms = integer_of (served, "time_left_ms"),
               .priority = (uint32_t) integer_of (served, "priority"),
               .has_priority = json_is_true (json_object_get (served->open, "has_priority")) } };
-  dy_log (DY_EVENT_RELAY_PLACED, "request=%s endpoint=%s version=%s stops=%d", spec.request_id, id,
-          dy_placement_endpoint_version (endpoint), relays->kernel->draining);
+  dy_log (DY_EVENT_RELAY_PLACED, "request=%s endpoint=%s version=%s stops=%d evacuated=%u",
+          spec.request_id, id, dy_placement_endpoint_version (endpoint), relays->kernel->draining,
+          dy_placement_count_evacuated (&relays->gateway->directory->placement, spec.service));
   dy_counters_add (&relays->kernel->counters, DY_COUNTER_RELAYS_SERVED, 1);
   start_deadline (served, spec.head.time_left_ms);
   served->attempt_open = true;
--- a/test/test_request_course.c
+++ b/test/test_request_course.c
@@ -267,6 +267,32 @@
 }
 END_TEST
 
+/* Requests that persist waited until their time limit for the end of an evacuation, which takes
+ * seconds. */
+START_TEST (a_request_does_not_wait_for_the_end_of_an_evacuation)
+{
+  static const struct
+  {
+    DyCourseState state;
+    DyCourseAction action;
+    int error;
+  } states[] = { { DY_COURSE_PLACING, DY_COURSE_REFUSE, DY_OUTCOME_UNKNOWN },
+                 { DY_COURSE_RESUMING, DY_COURSE_ABORT, DY_STREAM_BROKEN } };
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      DyCourse course = course_in (states[i].state);
+      DyCourseSituation situation = all_allowed;
+      course.persists = true;
+      course.may_have_run = true;
+      situation.has_place_soon = true;
+      situation.evacuated = true;
+      DyCourseStep step = dy_course_step (&course, DY_COURSE_NO_ENDPOINT, &situation);
+      ck_assert_int_eq (step.action, states[i].action);
+      ck_assert_int_eq (step.error, states[i].error);
+    }
+}
+END_TEST
+
 /* A resend that waits for a place. */
 static const struct
 {
@@ -451,6 +477,7 @@
                        (int) G_N_ELEMENTS (persistent_cases));
   tcase_add_loop_test (tcase, wait_for_a_place_ends_without_budget, 0,
                        G_N_ELEMENTS (place_wait_cases));
+  tcase_add_test (tcase, a_request_does_not_wait_for_the_end_of_an_evacuation);
   tcase_add_test (tcase, begun_stream_without_a_deadline_ends_when_it_cannot_be_resumed);
   tcase_add_loop_test (tcase, refusals_beside_a_silent_attempt_do_not_end_the_request, 0, 3);
   tcase_add_test (tcase, any_sequence_of_events_has_exactly_one_end);
