--- a/test/support/site.c
+++ b/test/support/site.c
@@ -15,6 +15,8 @@
   SOURCE_SIZE = 16, /* bytes, of an IP address as text */
 };
 
+const char *const site_data_centres[2] = { "dc-a", "dc-b" };
+
 static const char *
 service_of (uint32_t i)
 {
@@ -75,26 +77,48 @@
 site_put_worker (Site *site, uint32_t i, const char *state, const char *spec)
 {
   char *name = g_strdup_printf ("i-%u", i);
-  char *text = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"dc-a\","
-                                "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"}",
-                                service_of (i),
-                                site->relayed ? site->worker_relays[i] : site->workers[i], state);
+  char *text
+      = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+                         "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"}",
+                         service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
+                         site_data_centres[site->evacuates ? i % 2 : 0], state);
   bool ok = put_object (site, "servers", name, spec ? spec : text);
   g_free (text);
   g_free (name);
   return ok;
 }
 
-bool
-site_remove_worker (Site *site, uint32_t i)
+static bool
+remove_object (Site *site, const char *kind, const char *name)
 {
-  char *path = g_strdup_printf ("/objects/servers/i-%u", i);
+  char *path = g_strdup_printf ("/objects/%s/%s", kind, name);
   FleetRequest request = { .method = "DELETE", .address = site->store, .path = path };
   unsigned status = fleet_request (&site->fleet, &request, NULL);
   g_free (path);
   return status == 200;
 }
 
+bool
+site_remove_worker (Site *site, uint32_t i)
+{
+  char *name = g_strdup_printf ("i-%u", i);
+  bool ok = remove_object (site, "servers", name);
+  g_free (name);
+  return ok;
+}
+
+bool
+site_evacuate (Site *site, const char *data_centre, const char *spec)
+{
+  return put_object (site, "evacuations", data_centre, spec);
+}
+
+bool
+site_end_evacuation (Site *site, const char *data_centre)
+{
+  return remove_object (site, "evacuations", data_centre);
+}
+
 int64_t
 site_worker_runs (Site *site, uint32_t i)
 {
@@ -228,6 +252,9 @@
   /* Earlier builds, which tests of mixed fleets run, do not know the key. */
   char *connect_from
       = site->has_sources ? g_strdup_printf ("connect_from = %s\n", source) : g_strdup ("");
+  char *bound = site->evacuates ? g_strdup_printf ("[endpoints]\nevacuations_bound_ms = %d\n",
+                                                   SITE_EVACUATION_MS)
+                                : g_strdup ("");
   char *text = g_strdup_printf (
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
       "%soperator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = "
@@ -237,15 +264,16 @@
       "[peers]\nsecret = test%s\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
       "store_copy_age_ms = 4000\n"
-      "[log]\nlevel = info\n%s",
+      "%s[log]\nlevel = info\n%s",
       i, site->callers[i], site->ready[i], connect_from, site->operators[i], site->peers[i],
       site->ran_before ? "first_start = no\n" : "",
       site->relayed ? site->store_relays[i] : site->store, site->vm_list_interval_ms,
-      site->separate ? site->peers[i] : "",
+      site->separate ? site->peers[i] : "", bound,
       site->logs_json ? "format = json\nlog_lines_per_s = 100000\n" : "");
   bool ok = g_file_set_contents (path, text, -1, NULL);
   g_free (text);
   g_free (connect_from);
+  g_free (bound);
   g_free (path);
   return ok;
 }
@@ -405,6 +433,7 @@
   PEERS_DIRECT,
   PEERS_RELAYED,
   PEERS_SEPARATE,
+  PEERS_EVACUATING, /* as PEERS_RELAYED */
 } Peers;
 
 static bool
@@ -420,8 +449,9 @@
   site->relayed = relayed;
   site->vm_list_interval_ms = vm_list_interval_ms;
   site->separate = peers == PEERS_SEPARATE;
-  site->peers_relayed = peers == PEERS_RELAYED;
-  site->logs_json = peers == PEERS_RELAYED;
+  site->evacuates = peers == PEERS_EVACUATING;
+  site->peers_relayed = peers == PEERS_RELAYED || peers == PEERS_EVACUATING;
+  site->logs_json = site->peers_relayed;
   signal (SIGPIPE, SIG_IGN);
   site->fleet.loop = ev_default_loop (EVFLAG_AUTO);
   site->dir = g_dir_make_tmp ("site-XXXXXX", NULL);
@@ -483,6 +513,12 @@
   return init (site, n_routers, n_workers, true, PEERS_RELAYED, prepaid, VM_LIST_INTERVAL_MS);
 }
 
+bool
+site_init_evacuating (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
+{
+  return init (site, n_routers, n_workers, true, PEERS_EVACUATING, prepaid, VM_LIST_INTERVAL_MS);
+}
+
 void
 site_finish (Site *site)
 {
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -25,8 +25,12 @@
   SITE_MAX_ROUTERS = 24,
   SITE_N_WORKERS = 4, /* unless said otherwise; the first two serve "app", the others "llm" */
   SITE_MAX_WORKERS = 10,
+  SITE_EVACUATION_MS = 5000,
 };
 
+/* "dc-a", which is also that of the routers, and "dc-b". */
+extern const char *const site_data_centres[2];
+
 typedef struct
 {
   Fleet fleet; /* only its loop is set; for the functions of support/fleet.h */
@@ -52,6 +56,7 @@
   bool peers_relayed;  /* routers connect to each other through relays */
   bool ran_before;     /* routers start with first_start = no */
   bool separate;       /* routers reject each other's connections */
+  bool evacuates;      /* routers watch evacuations; workers are in two data centres in turn */
   bool logs_json;      /* routers log all lines, as JSON */
   FleetProcess store_process;
   FleetProcess router_process[SITE_MAX_ROUTERS];
@@ -103,6 +108,10 @@
 /* As site_init_large(), with relays in front of the addresses where routers accept each other. The
  * routers log all lines, as JSON. */
 bool site_init_peers_relayed (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
+
+/* The same, with routers that watch evacuations with a bound of SITE_EVACUATION_MS. Worker I is in
+ * the data centre site_data_centres[I % 2], so each service has workers in both. */
+bool site_init_evacuating (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
 void site_finish (Site *site);
 
 /* Starts router I or worker I; one that runs already is killed first. */
@@ -136,6 +145,11 @@
 /* Returns the number of requests that worker I ran. */
 int64_t site_worker_runs (Site *site, uint32_t i);
 
+/* Writes or removes the object that evacuates DATA_CENTRE. SPEC is its contents (JSON text).
+ * Returns whether the store acknowledged that. */
+bool site_evacuate (Site *site, const char *data_centre, const char *spec);
+bool site_end_evacuation (Site *site, const char *data_centre);
+
 /* Sends FAULTS (JSON text) to the store's /admin/set; fake_store.c lists the fields. */
 void site_set_store (Site *site, const char *faults);
 
