--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -31,6 +31,8 @@
   placement->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dy_placement_endpoint_unref);
   placement->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
+  dy_evacuations_init (&placement->evacuations);
+  placement->ramp_until_us = INT64_MIN / 2;
 }
 
 void
@@ -40,6 +42,7 @@
     return;
   g_hash_table_unref (placement->by_service);
   g_hash_table_unref (placement->by_id);
+  dy_evacuations_finish (&placement->evacuations);
   g_rand_free (placement->rng);
   g_free (placement->data_centre);
   memset (placement, 0, sizeof *placement);
@@ -117,6 +120,12 @@
   endpoint->version = version_of (record);
   endpoint->slots = record->slots;
   endpoint->leaving = record->leaving;
+  if (strcmp (endpoint->data_centre, record->data_centre) != 0)
+    {
+      g_free (endpoint->data_centre);
+      endpoint->data_centre = g_strdup (record->data_centre);
+    }
+  dy_placement_apply_evacuation (placement, endpoint);
 }
 
 void
@@ -149,7 +158,7 @@
   for (guint i = 0; list && i < list->len; i++)
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (!endpoint->leaving)
+      if (!dy_placement_is_closed (endpoint))
         first_us = MIN (first_us, endpoint->wait_until_us);
     }
   return first_us == INT64_MAX ? 0 : MAX (first_us - now_us, 0);
@@ -177,7 +186,7 @@
   for (guint i = 0; list && i < list->len; i++)
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (!endpoint->leaving && endpoint->share != UINT32_MAX)
+      if (!dy_placement_is_closed (endpoint) && endpoint->share != UINT32_MAX)
         n += endpoint->share;
     }
   return n;
@@ -197,7 +206,7 @@
 bool
 dy_placement_endpoint_has_left (const DyPlacementEndpoint *endpoint)
 {
-  return endpoint->leaving || endpoint->removed;
+  return endpoint->leaving || endpoint->evacuated || endpoint->removed;
 }
 
 uint32_t
@@ -206,7 +215,7 @@
   const GPtrArray *list = g_hash_table_lookup (placement->by_service, service);
   uint32_t n = 0;
   for (guint i = 0; list && i < list->len; i++)
-    n += ((const DyPlacementEndpoint *) g_ptr_array_index (list, i))->leaving ? 0 : 1;
+    n += dy_placement_is_closed (g_ptr_array_index (list, i)) ? 0 : 1;
   return n;
 }
 
@@ -237,7 +246,7 @@
   g_hash_table_iter_init (&iter, placement->by_id);
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
-      bool failed = has_failed (ctx, id);
+      bool failed = has_failed (ctx, id) || ((const DyPlacementEndpoint *) value)->evacuated;
       if (chosen && failed && !chosen_failed)
         continue;
       n_alike = failed == chosen_failed ? n_alike + 1 : 1;
--- a/src/core/placement_choice.c
+++ b/src/core/placement_choice.c
@@ -41,7 +41,7 @@
 }
 
 /* Returns the affinity endpoint of the prefix: the one with the highest rendezvous hash among those
- * that are not leaving, whose breakers are closed and, if GATED, that the gate allows. Returns NULL
+ * that may be chosen, whose breakers are closed and, if GATED, that the gate allows. Returns NULL
  * without a prefix. */
 static const DyPlacementEndpoint *
 find_affinity_endpoint (const DyPlacement *placement,
@@ -56,8 +56,8 @@
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
       uint64_t hash = rendezvous_hash (endpoint, prefix_hash);
-      if (endpoint->leaving || now_us < endpoint->open_until_us || (best && hash <= best_hash)
-          || (gated && !is_allowed (placement, endpoint, now_us)))
+      if (dy_placement_is_closed (endpoint) || now_us < endpoint->open_until_us
+          || (best && hash <= best_hash) || (gated && !is_allowed (placement, endpoint, now_us)))
         continue;
       best = endpoint;
       best_hash = hash;
@@ -127,7 +127,7 @@
   for (guint i = 0; i < list->len; i++)
     {
       DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->leaving || dy_placement_endpoint_waits (endpoint, now_us)
+      if (dy_placement_is_closed (endpoint) || dy_placement_endpoint_waits (endpoint, now_us)
           || endpoint->in_flight >= endpoint->share || !is_allowed_by (query, endpoint)
           || !is_allowed (placement, endpoint, now_us))
         continue;
@@ -147,7 +147,7 @@
            const DyPlacementEndpoint *endpoint,
            int64_t now_us)
 {
-  return !endpoint->leaving && now_us >= endpoint->open_until_us
+  return !dy_placement_is_closed (endpoint) && now_us >= endpoint->open_until_us
          && !dy_placement_endpoint_waits (endpoint, now_us) && endpoint->in_flight < endpoint->share
          && is_allowed_by (query, endpoint) && is_allowed (placement, endpoint, now_us);
 }
@@ -175,6 +175,7 @@
   int64_t best_us = 0;
   if (!list || list->len == 0)
     return NULL;
+  dy_placement_hold_back (placement, query, now_us);
   const DyPlacementEndpoint *affinity
       = find_affinity_endpoint (placement, list, query->work.prefix_hash, true, now_us);
   guint first = (guint) g_rand_int_range (placement->rng, 0, (gint32) list->len);
@@ -199,6 +200,7 @@
     }
   if (!best)
     best = first_to_retry (placement, list, query, now_us);
+  dy_placement_end_hold_back (placement, query);
   if (predicted_us)
     *predicted_us = best_us;
   return best;
@@ -215,7 +217,7 @@
   for (guint i = 0; i < list->len; i++)
     {
       const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->leaving)
+      if (dy_placement_is_closed (endpoint))
         continue;
       if (is_allowed (placement, endpoint, now_us))
         n_open++;
