Shares of what cold endpoints tolerate, for all routers that may run

Cause: an endpoint that has just started, or has become cold again, crashes if the fleet sends it more than it tolerates, and each router sees only its own requests. core/cold_share gives the routers that rank first for the endpoint one share each of the whole bound, at least two requests in a second; the others send nothing. Whether a router has a share is decided by core/resend_share, with a window of its own. A router that is no longer listed counts until its own list is too old to give it a share (dy_members_present).

--- a/src/core/members.c
+++ b/src/core/members.c
@@ -72,6 +72,7 @@
   members->timeout_us = timeout_us;
   members->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_member);
   members->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  members->absent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   members->self_leaving = false;
   members->self_has_platform = true;
   members->listed = false;
@@ -84,6 +85,7 @@
   g_free (members->self_name);
   g_hash_table_unref (members->by_name);
   g_hash_table_unref (members->seen);
+  g_hash_table_unref (members->absent);
   memset (members, 0, sizeof *members);
 }
 
@@ -99,6 +101,7 @@
   if (strcmp (name, members->self_name) == 0)
     return;
   dy_members_record_seen (members, name);
+  g_hash_table_remove (members->absent, name);
   if (!member)
     {
       member = g_new0 (DyMember, 1);
@@ -114,16 +117,28 @@
 }
 
 void
-dy_members_remove (DyMembers *members, const char *name)
+dy_members_remove (DyMembers *members, const char *name, int64_t now_us)
 {
+  if (g_hash_table_contains (members->by_name, name))
+    g_hash_table_insert (members->absent, g_strdup (name), g_memdup2 (&now_us, sizeof now_us));
   g_hash_table_remove (members->by_name, name);
 }
 
+/* A router that is no longer listed and still heard from may run. */
+static void
+refresh_absent (DyMembers *members, const char *name, int64_t now_us)
+{
+  int64_t *absent_us = g_hash_table_lookup (members->absent, name);
+  if (absent_us)
+    *absent_us = now_us;
+}
+
 void
 dy_members_record_heartbeat (
     DyMembers *members, const char *name, uint64_t incarnation_id, bool leaving, int64_t now_us)
 {
   DyMember *member = g_hash_table_lookup (members->by_name, name);
+  refresh_absent (members, name, now_us);
   if (!member)
     return;
   member->incarnation_id = incarnation_id;
@@ -136,6 +151,7 @@
 dy_members_record_contact (DyMembers *members, const char *name, int64_t now_us)
 {
   DyMember *member = g_hash_table_lookup (members->by_name, name);
+  refresh_absent (members, name, now_us);
   if (member)
     member->last_heard_us = now_us;
 }
@@ -390,3 +406,24 @@
 {
   return 1 + g_hash_table_size (members->seen);
 }
+
+uint32_t
+dy_members_present (const DyMembers *members, const char *key, int64_t since_us, uint32_t *rank)
+{
+  uint64_t key_hash = hash_string (key);
+  uint64_t self = combine_hashes (key_hash, hash_string (members->self_name));
+  uint32_t n = 1;
+  GHashTableIter iter;
+  gpointer name;
+  *rank = 0;
+  g_hash_table_iter_init (&iter, members->seen);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      const int64_t *absent_us = g_hash_table_lookup (members->absent, name);
+      if (absent_us && *absent_us <= since_us)
+        continue;
+      n++;
+      *rank += combine_hashes (key_hash, hash_string (name)) > self;
+    }
+  return n;
+}
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -42,7 +42,8 @@
   char *self_name;
   int64_t timeout_us;  /* silence after which a member is no longer live */
   GHashTable *by_name; /* name to DyMember, of all routers but this one */
-  GHashTable *seen; /* set of the names of all other routers that were ever listed or connected */
+  GHashTable *seen;   /* set of the names of all other routers that were ever listed or connected */
+  GHashTable *absent; /* those of SEEN that are no longer listed to the time they were heard last */
   bool self_leaving;
   bool self_has_platform;
   bool listed;  /* at least one member was listed */
@@ -60,7 +61,7 @@
                      bool leaving);
 
 /* Removes NAME, which the platform no longer lists. */
-void dy_members_remove (DyMembers *members, const char *name);
+void dy_members_remove (DyMembers *members, const char *name, int64_t now_us);
 
 /* Records a heartbeat of the member NAME, which connects it; LEAVING is whether it drains. Ignored
  * if NAME is not listed. */
@@ -147,4 +148,10 @@
  * to it, be they silent, draining or no longer listed. It never decreases. */
 uint32_t dy_members_possible_count (const DyMembers *members);
 
+/* Returns the number of routers of dy_members_possible_count() that were listed or heard from after
+ * SINCE_US, this one included, and stores in RANK how many of them precede this one in the order of
+ * dy_members_rank() for KEY. */
+uint32_t
+dy_members_present (const DyMembers *members, const char *key, int64_t since_us, uint32_t *rank);
+
 #endif
--- a/src/core/resend_share.c
+++ b/src/core/resend_share.c
@@ -31,6 +31,14 @@
   memset (share, 0, sizeof *share);
 }
 
+void
+dy_resend_share_restart (DyResendShare *share)
+{
+  share->listed = false;
+  share->begun = false;
+  g_hash_table_remove_all (share->heard);
+}
+
 void
 dy_resend_share_record_list (DyResendShare *share, bool lists_self, int64_t asked_us)
 {
--- a/src/core/resend_share.h
+++ b/src/core/resend_share.h
@@ -53,6 +53,10 @@
                            int64_t now_us);
 void dy_resend_share_finish (DyResendShare *share);
 
+/* Records that this router was removed from the list: it has no part until the conditions hold
+ * again by a later list. */
+void dy_resend_share_restart (DyResendShare *share);
+
 /* Records a read list that was asked for at ASKED_US; LISTS_SELF is whether this router is on it.
  * The others on it are recorded in the members before. */
 void dy_resend_share_record_list (DyResendShare *share, bool lists_self, int64_t asked_us);
--- a/src/services/peers/peers.c
+++ b/src/services/peers/peers.c
@@ -160,7 +160,7 @@
   DyPeerLink *link = g_hash_table_lookup (peers->dialed, name);
   if (link)
     dy_peers_give_up_link (link, "not_listed");
-  dy_members_remove (&peers->members, name);
+  dy_members_remove (&peers->members, name, dy_peers_now_us (peers));
 }
 
 /* Returns whether the record of NAME, which is not listed, may be missing only because the store
@@ -213,6 +213,10 @@
   }
   peers->vm_list_has_self = peers->vm_list_has_self || lists_self;
   dy_resend_share_record_list (&peers->resend_share, lists_self, peers->vm_list_asked_us);
+  /* The other routers forget one that is not listed, see dy_members_present(). */
+  if (!lists_self)
+    dy_resend_share_restart (&peers->cold_parts);
+  dy_resend_share_record_list (&peers->cold_parts, lists_self, peers->vm_list_asked_us);
   guint n_members = g_hash_table_size (peers->members.by_name);
   remove_unlisted (peers, listed);
   if (changed || g_hash_table_size (peers->members.by_name) != n_members)
@@ -342,7 +346,7 @@
 }
 
 static void
-init_resend_share (DyPeers *peers)
+init_shares (DyPeers *peers)
 {
   const DySettings *settings = peers->kernel->settings;
   int64_t list_wait_ms = MAX (settings->vm_list_idle_ms, settings->vm_list_interval_ms)
@@ -350,6 +354,9 @@
   dy_resend_share_init (&peers->resend_share, &peers->members, settings->resend_window_ms * 1000,
                         list_wait_ms * 1000 + VM_LIST_MARGIN_US, dy_peers_now_us (peers));
   peers->resend_share.is_alone = settings->peer_secret[0] == '\0';
+  dy_resend_share_init (&peers->cold_parts, &peers->members, DY_COLD_PARTS_WINDOW_US,
+                        peers->resend_share.list_limit_us, dy_peers_now_us (peers));
+  peers->cold_parts.is_alone = peers->resend_share.is_alone;
 }
 
 static int
@@ -362,7 +369,7 @@
   peers->listen_fd = -1;
   dy_members_init (&peers->members, settings->node_name, settings->peer_timeout_ms * 1000);
   peers->members.joining = settings->peer_secret[0] != '\0';
-  init_resend_share (peers);
+  init_shares (peers);
   peers->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dy_peers_free_link);
   peers->dialed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   peers->dial_states = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -407,6 +414,7 @@
   g_hash_table_unref (peers->dial_states);
   g_hash_table_unref (peers->incarnations);
   dy_resend_share_finish (&peers->resend_share);
+  dy_resend_share_finish (&peers->cold_parts);
   dy_members_finish (&peers->members);
   g_rand_free (peers->rng);
 }
--- a/src/services/peers/peers.h
+++ b/src/services/peers/peers.h
@@ -32,6 +32,7 @@
  *   A member whose connection was closed or set aside is dialled again with exponential backoff.
  */
 
+#include "core/cold_share.h"
 #include "core/members.h"
 #include "core/message.h"
 #include "core/resend_share.h"
@@ -72,6 +73,7 @@
   DyPlatform *platform;
   DyMembers members;
   DyResendShare resend_share;
+  DyResendShare cold_parts; /* whether this router has a share of what cold endpoints tolerate */
   /* Returns whether the resends of this router keep within the part of one of N_ROUTERS; NULL: it
    * makes none. */
   bool (*is_within_share) (void *ctx, uint32_t n_routers);
--- a/src/services/peers/peers_link.c
+++ b/src/services/peers/peers_link.c
@@ -261,6 +261,7 @@
                                message->u.heartbeat.leaving, dy_peers_now_us (peers));
   dy_resend_share_record_heartbeat (&peers->resend_share, link->node,
                                     message->u.heartbeat.within_share, dy_peers_now_us (peers));
+  dy_resend_share_record_heartbeat (&peers->cold_parts, link->node, false, dy_peers_now_us (peers));
   if (link->set_aside)
     take_back (link);
   if (message->type == DY_MESSAGE_PING)
--- a/test/support/replay.c
+++ b/test/support/replay.c
@@ -81,7 +81,7 @@
       if (!node->up || node == dead)
         continue;
       replay_set_connected (node, dead, false, replay->now_us);
-      dy_members_remove (&node->members, dead->name);
+      dy_members_remove (&node->members, dead->name, 0);
       if (node->peer_incarnation_id[dead->index])
         dy_reservations_on_router_dead (&node->res, dead->name,
                                         node->peer_incarnation_id[dead->index], replay->now_us);
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -238,7 +238,7 @@
   dy_members_record_seen (&members, "r3");
   ck_assert_uint_eq (dy_members_possible_count (&members), 4);
   dy_members_record_heartbeat (&members, "r1", 101, true, 0);
-  dy_members_remove (&members, "r2");
+  dy_members_remove (&members, "r2", 0);
   ck_assert_uint_eq (dy_members_possible_count (&members), 4);
   ck_assert_uint_eq (dy_members_count (&members, 2 * SECOND), 1);
   dy_members_finish (&members);
@@ -283,7 +283,7 @@
   uint32_t rank = dy_members_rank (&members, "e", 0);
   ck_assert_uint_eq (dy_members_possible_rank (&members, "e"), rank);
   dy_members_disconnected (&members, "r1");
-  dy_members_remove (&members, "r2");
+  dy_members_remove (&members, "r2", 0);
   members.self_leaving = true;
   ck_assert_uint_eq (dy_members_possible_rank (&members, "e"), rank);
   dy_members_finish (&members);
