Cold endpoints: settings, records, the service, several gates, every path that sends

Cause: routers sent endpoints that had just started their whole share of the load, and they crash above a rate of the fleet. services/endpoints/cold_endpoints feeds core/cold_share with coldRemainingMs of the records and X-Cold-Ms of answers. Placement checks several gates (dy_placement_add_gate), those of named limits and of cold endpoints. gateway_attempt reserves a place for each attempt, also a second one or one for another router, counts it right before the sending, and sends nothing to an endpoint that has become cold since without a place. If only cold endpoints are left, requests wait for up to an eighth of their target if a place comes free by then, and are refused at once otherwise.

Not run yet: real processes with cold endpoints.

--- a/src/core/cold_share.c
+++ b/src/core/cold_share.c
@@ -7,7 +7,8 @@
 {
   /* With fewer requests in a second, the demand of one router often leaves its share unused. */
   MIN_SHARE = 2,
-  MAX_SHARE = 10000, /* bounds the memory of a window */
+  MAX_SHARE = 10000,               /* bounds the memory of a window */
+  MAX_COLD_US = 600 * 1000 * 1000, /* longest cold time of a service */
   RAMP_SLICE_US = 10 * 1000,
   THOUSANDTHS = 1000,
 };
@@ -83,7 +84,7 @@
 static void
 take_place (DyColdEndpoint *endpoint, const DyColdPlace *place, int64_t now_us)
 {
-  bool had_none = endpoint->share == 0;
+  bool was_limited = endpoint->share > 0;
   endpoint->shared_us = now_us;
   if (!endpoint->stated && place->cold_us > 0)
     endpoint->cold_until_us = endpoint->known_us + place->cold_us;
@@ -91,7 +92,7 @@
   if (place->bound >= 0)
     endpoint->share
         = place->n_routers > 0 ? dy_cold_share_of (place->bound, place->rank, place->n_routers) : 0;
-  if (had_none && endpoint->share != 0)
+  if (!was_limited && endpoint->share > 0)
     endpoint->fill_us = MAX (endpoint->fill_us, now_us);
 }
 
@@ -99,7 +100,10 @@
 update (DyColdShares *shares, DyColdEndpoint *endpoint, int64_t now_us)
 {
   guint n_old = 0;
-  if (endpoint->shared_us == INT64_MIN || now_us - endpoint->shared_us >= DY_COLD_SHARE_TTL_US)
+  bool may_be_cold = endpoint->stated ? now_us < endpoint->cold_until_us
+                                      : now_us - endpoint->known_us < MAX_COLD_US;
+  if (endpoint->shared_us == INT64_MIN
+      || (may_be_cold && now_us - endpoint->shared_us >= DY_COLD_SHARE_TTL_US))
     {
       DyColdPlace place = shares->place_of (shares->ctx, endpoint->id, now_us);
       take_place (endpoint, &place, now_us);
@@ -149,7 +153,7 @@
 hold_until (const DyColdShares *shares, const char *id, int64_t cold_us, int64_t now_us)
 {
   DyColdPlace place = shares->place_of (shares->ctx, id, now_us);
-  int64_t elapsed_us = MAX (place.cold_us - cold_us, 0);
+  int64_t elapsed_us = cold_us >= 0 ? MAX (place.cold_us - cold_us, 0) : 0;
   return now_us + MAX (shares->learn_us - elapsed_us, 0);
 }
 
@@ -186,8 +190,7 @@
   update (shares, endpoint, now_us);
   if (!is_cold (endpoint, now_us) || (was_cold && !is_new))
     return false;
-  endpoint->hold_until_us
-      = was_known && cold_us >= 0 ? hold_until (shares, id, cold_us, now_us) : 0;
+  endpoint->hold_until_us = was_known ? hold_until (shares, id, cold_us, now_us) : 0;
   endpoint->fill_us = MAX (MAX (endpoint->hold_until_us, now_us), endpoint->fill_us);
   return true;
 }
--- a/src/core/endpoint_record.h
+++ b/src/core/endpoint_record.h
@@ -12,6 +12,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* In place of a cold time in milliseconds. */
+typedef enum
+{
+  DY_COLD_TIME_NOT_STATED = -1,
+  DY_COLD_TIME_INVALID = -2, /* negative, huge or not a number */
+} DyColdTime;
+
 typedef struct
 {
   const char *id; /* usually new after a restart */
@@ -22,6 +29,7 @@
   uint32_t slots;      /* requests that it can run at the same time; 0: not limited */
   int64_t start_ms;    /* start time, Unix time; 0: not stated */
   bool leaving;        /* it finishes its requests and takes no new ones */
+  int64_t cold_ms;     /* how much longer it stays cold, as of the write; or as of DyColdTime */
 } DyEndpointRecord;
 
 #endif
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -231,13 +231,22 @@
 static bool
 is_allowed (const DyPlacement *placement, const DyPlacementEndpoint *endpoint, int64_t now_us)
 {
-  return !placement->gate || placement->gate->allows (placement->gate_ctx, endpoint->id, now_us);
+  for (uint32_t i = 0; i < placement->n_gates; i++)
+    if (!placement->gates[i].gate->allows (placement->gates[i].ctx, endpoint->id, now_us))
+      return false;
+  return true;
 }
 
 static bool
 is_due (const DyPlacement *placement, const DyPlacementEndpoint *endpoint, int64_t now_us)
 {
-  return placement->gate && placement->gate->is_due (placement->gate_ctx, endpoint->id, now_us);
+  for (uint32_t i = 0; i < placement->n_gates; i++)
+    {
+      const DyPlacementGate *gate = placement->gates[i].gate;
+      if (gate->is_due && gate->is_due (placement->gates[i].ctx, endpoint->id, now_us))
+        return true;
+    }
+  return false;
 }
 
 static uint64_t
@@ -247,7 +256,7 @@
 }
 
 /* Returns the affinity endpoint of the prefix: the one with the highest rendezvous hash among those
- * that are not leaving, whose breakers are closed and, if GATED, that the gate allows. Returns NULL
+ * that are not leaving, whose breakers are closed and, if GATED, that the gates allow. Returns NULL
  * without a prefix. */
 static const DyPlacementEndpoint *
 find_affinity_endpoint (const DyPlacement *placement,
@@ -411,10 +420,24 @@
 }
 
 void
-dy_placement_set_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx)
+dy_placement_add_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx)
+{
+  dy_placement_remove_gate (placement, gate);
+  g_assert (placement->n_gates < DY_PLACEMENT_MAX_GATES);
+  placement->gates[placement->n_gates].gate = gate;
+  placement->gates[placement->n_gates].ctx = ctx;
+  placement->n_gates++;
+}
+
+void
+dy_placement_remove_gate (DyPlacement *placement, const DyPlacementGate *gate)
 {
-  placement->gate = gate;
-  placement->gate_ctx = ctx;
+  for (uint32_t i = 0; i < placement->n_gates; i++)
+    if (placement->gates[i].gate == gate)
+      {
+        placement->gates[i] = placement->gates[--placement->n_gates];
+        return;
+      }
 }
 
 const char *
@@ -423,7 +446,7 @@
   const GPtrArray *list = g_hash_table_lookup (placement->by_service, query->service);
   const DyPlacementEndpoint *gated = NULL;
   uint32_t n_open = 0;
-  if (!list || !placement->gate)
+  if (!list || placement->n_gates == 0)
     return NULL;
   for (guint i = 0; i < list->len; i++)
     {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -51,17 +51,27 @@
 {
   /* Returns whether a request may be sent now. */
   bool (*allows) (void *ctx, const char *id, int64_t now_us);
-  /* Returns whether the endpoint is to get the next request. */
+  /* Returns whether the endpoint is to get the next request. May be NULL. */
   bool (*is_due) (void *ctx, const char *id, int64_t now_us);
-  /* A request is sent. */
+  /* A request is sent. May be NULL. */
   void (*record_sent) (void *ctx, const char *id, int64_t now_us);
 } DyPlacementGate;
 
+enum
+{
+  DY_PLACEMENT_MAX_GATES = 4,
+};
+
 typedef struct
 {
   DyPlacementPolicy policy;
-  const DyPlacementGate *gate; /* NULL: none */
-  void *gate_ctx;
+  /* A request is sent only if all gates allow it. */
+  struct
+  {
+    const DyPlacementGate *gate;
+    void *ctx;
+  } gates[DY_PLACEMENT_MAX_GATES];
+  uint32_t n_gates;
   char *data_centre;
   GRand *rng;
   GHashTable *by_id;      /* endpoint id to its DyPlacementEndpoint, owned */
@@ -138,10 +148,14 @@
 /* Returns the number of endpoints of SERVICE that are not leaving, whatever their breakers. */
 uint32_t dy_placement_count (const DyPlacement *placement, const char *service);
 
-/* Sets the limits that dy_placement_choose() keeps; GATE NULL: none. */
-void dy_placement_set_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx);
+/* Adds limits that dy_placement_choose() keeps beside those of other gates, unless GATE is there
+ * already. */
+void dy_placement_add_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx);
+
+/* Removes GATE, if it is there. */
+void dy_placement_remove_gate (DyPlacement *placement, const DyPlacementGate *gate);
 
-/* Returns the id of an endpoint that dy_placement_choose() has just passed over because of the
+/* Returns the id of an endpoint that dy_placement_choose() has just passed over because of a
  * gate: the affinity endpoint of QUERY, or any if there was no other. Returns NULL if there is
  * none. */
 const char *
--- a/src/core/placement_end.c
+++ b/src/core/placement_end.c
@@ -52,8 +52,9 @@
 {
   endpoint->n_references++;
   endpoint->in_flight++;
-  if (placement->gate)
-    placement->gate->record_sent (placement->gate_ctx, endpoint->id, now_us);
+  for (uint32_t i = 0; i < placement->n_gates; i++)
+    if (placement->gates[i].gate->record_sent)
+      placement->gates[i].gate->record_sent (placement->gates[i].ctx, endpoint->id, now_us);
   endpoint->pending_tokens += work->own_tokens;
   record_prefix (placement, endpoint, work->prefix_hash, now_us);
 }
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -59,6 +59,10 @@
   char *name;
   char *health_path;     /* of the endpoints' health check; NULL: not stated */
   uint32_t event_tokens; /* output tokens per event of a stream */
+  int64_t cold_ms;       /* time for which an endpoint is cold after its start; 0: none */
+  /* Requests in a thousand seconds that a cold endpoint tolerates; 0: not limited. */
+  int64_t cold_per_1000_s;
+  bool cold_invalid; /* one of the two is stated and cannot be used, and counts as not stated */
 } DyRouteService;
 
 typedef struct
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -7,6 +7,7 @@
 #include "services/budgets.h"
 #include "services/callers.h"
 #include "services/config.h"
+#include "services/endpoints/cold_endpoints.h"
 #include "services/endpoints/directory.h"
 #include "services/endpoints/endpoints.h"
 #include "services/endpoints/reachability.h"
@@ -49,6 +50,7 @@
   DyRegistration registration;
   DyDirectory directory;
   DyEndpointLimits limits;
+  DyColdEndpoints cold;
   DyEndpointNotices notices;
   DyPartBlocks part_blocks;
   DyRestores restores;
@@ -282,6 +284,7 @@
   dy_restores_add_service (kernel, &daemon->restores);
   dy_directory_add_service (kernel, &daemon->directory);
   dy_endpoint_limits_add_service (kernel, &daemon->limits);
+  dy_cold_endpoints_add_service (kernel, &daemon->cold);
   dy_endpoint_notices_add_service (kernel, &daemon->notices);
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
   dy_origins_add_service (kernel, &daemon->origins);
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -65,6 +65,11 @@
   X (LIMITED_ENDPOINTS, gauge, "dogwoodyoke_limited_endpoints", "endpoints that name a limit")     \
   X (LIMIT_SKIPS, counter, "dogwoodyoke_limit_skips_total",                                        \
      "requests that passed over an endpoint for its limit")                                        \
+  X (COLD_ENDPOINTS, gauge, "dogwoodyoke_cold_endpoints", "endpoints that are cold")               \
+  X (COLD_SKIPS, counter, "dogwoodyoke_cold_skips_total",                                          \
+     "requests that passed over an endpoint as it is cold")                                        \
+  X (COLD_WITHHELD, counter, "dogwoodyoke_cold_withheld_total",                                    \
+     "requests not sent to the endpoint chosen for them as it had become cold")                    \
   X (BRITTLE, gauge, "dogwoodyoke_brittle_services", "services whose endpoints may fall over")     \
   X (ROOM_WAITS, counter, "dogwoodyoke_room_waits_total",                                          \
      "requests that waited for a place at an endpoint that may fall over")                         \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -79,6 +79,9 @@
   X (NOTICE_UNREADABLE, 6021, WARNING, "notice of an endpoint unreadable")                         \
   X (SERVICE_BRITTLE, 6022, MESSAGE, "endpoints of a service may fall over")                       \
   X (SERVICE_BRITTLE_ENDED, 6023, MESSAGE, "endpoints of a service may no longer fall over")       \
+  X (ENDPOINT_COLD, 6030, MESSAGE, "endpoint cold")                                                \
+  X (ENDPOINT_WARM, 6031, MESSAGE, "endpoint warm")                                                \
+  X (COLD_TIME_INVALID, 6032, WARNING, "cold time invalid")                                        \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
@@ -97,6 +100,7 @@
   X (RELAY_REFUSED, 7016, INFO, "relay refused")                                                   \
   X (REQUEST_HELD, 7017, INFO, "request not sent by old knowledge")                                \
   X (RESEND_DENIED, 7018, INFO, "resend not allowed by the resend budget")                         \
+  X (COLD_SHARE_APPLIED, 7030, INFO, "endpoint passed over as it is cold")                         \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
   X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")                          \
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -79,6 +79,8 @@
   int64_t resend_ratio_thousandths;
   int64_t resend_slack_thousandths;
   int64_t resend_window_ms;
+  int64_t cold_overage_thousandths;
+  int64_t cold_slack_thousandths;
 } DySettings;
 
 typedef enum
--- a/src/services/dialect.h
+++ b/src/services/dialect.h
@@ -84,6 +84,7 @@
    * none. */
   const char *unreadable;
   int64_t max_idle_s; /* time after which the endpoint closes an idle connection; 0: not stated */
+  int64_t cold_ms;    /* how much longer the endpoint stays cold; -1: not stated */
 } DyAnswerHead;
 
 typedef struct
--- a/src/services/endpoints/directory.c
+++ b/src/services/endpoints/directory.c
@@ -214,6 +214,8 @@
   dy_placement_put (&directory->placement, &record);
   dy_placement_set_wait (&directory->placement, id,
                          dy_notices_wait_until_us (&directory->notices, id, record.start_ms));
+  if (directory->record_watcher)
+    directory->record_watcher (directory->record_watcher_ctx, &record);
   json_decref (document);
 }
 
@@ -479,6 +481,13 @@
   directory->end_watcher_ctx = ctx;
 }
 
+void
+dy_directory_watch_records (DyDirectory *directory, DyEndpointRecordWatcher watcher, void *ctx)
+{
+  directory->record_watcher = watcher;
+  directory->record_watcher_ctx = ctx;
+}
+
 bool
 dy_directory_take_leaving (
     DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, bool from_peer)
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -44,6 +44,9 @@
 /* The endpoint ID has started again, or its record was removed. */
 typedef void (*DyEndpointEndWatcher) (void *ctx, const char *id);
 
+/* The endpoint's record was read, again or for the first time. */
+typedef void (*DyEndpointRecordWatcher) (void *ctx, const DyEndpointRecord *record);
+
 typedef struct
 {
   DyKernel *kernel;
@@ -75,6 +78,8 @@
   void *watcher_ctx;
   DyEndpointEndWatcher end_watcher;
   void *end_watcher_ctx;
+  DyEndpointRecordWatcher record_watcher;
+  void *record_watcher_ctx;
 } DyDirectory;
 
 /* Adds the service "directory", whose interface is a DyDirectory. */
@@ -88,6 +93,10 @@
  * watcher. */
 void dy_directory_watch_ends (DyDirectory *directory, DyEndpointEndWatcher watcher, void *ctx);
 
+/* Calls WATCHER with each record that placement has taken. A directory has one such watcher. */
+void
+dy_directory_watch_records (DyDirectory *directory, DyEndpointRecordWatcher watcher, void *ctx);
+
 /* Records that the endpoint ID, started at START_MS, said at SAID_US in an answer that it leaves;
  * FROM_PEER is whether another router reported it. Returns whether that was not known. */
 bool dy_directory_take_leaving (
--- a/src/services/endpoints/endpoint_limits.c
+++ b/src/services/endpoints/endpoint_limits.c
@@ -56,7 +56,10 @@
 update_gate (DyEndpointLimits *limits)
 {
   guint n = g_hash_table_size (limits->shares.limits);
-  dy_placement_set_gate (&limits->directory->placement, n > 0 ? &gate : NULL, limits);
+  if (n > 0)
+    dy_placement_add_gate (&limits->directory->placement, &gate, limits);
+  else
+    dy_placement_remove_gate (&limits->directory->placement, &gate);
   dy_counters_set (&limits->kernel->counters, DY_COUNTER_LIMITED_ENDPOINTS, n);
 }
 
--- a/src/services/gateway/gateway.c
+++ b/src/services/gateway/gateway.c
@@ -270,6 +270,7 @@
   gateway->directory = dy_kernel_find (kernel, DY_SERVICE_DIRECTORY);
   gateway->budgets = dy_kernel_find (kernel, DY_SERVICE_BUDGETS);
   gateway->limits = dy_kernel_find (kernel, DY_SERVICE_ENDPOINT_LIMITS);
+  gateway->cold = dy_kernel_find (kernel, DY_SERVICE_COLD_ENDPOINTS);
   gateway->notices = dy_kernel_find (kernel, DY_SERVICE_ENDPOINT_NOTICES);
   gateway->origins = dy_kernel_find (kernel, DY_SERVICE_ORIGINS);
   gateway->reachability = dy_kernel_find (kernel, DY_SERVICE_REACHABILITY);
--- a/src/services/gateway/gateway.h
+++ b/src/services/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "services/budgets.h"
+#include "services/endpoints/cold_endpoints.h"
 #include "services/endpoints/directory.h"
 #include "services/endpoints/endpoint_limits.h"
 #include "services/endpoints/endpoint_notices.h"
@@ -40,6 +41,7 @@
   DyBudgets *budgets;
   DyPartBlocks *part_blocks;
   DyEndpointLimits *limits;
+  DyColdEndpoints *cold;
   DyEndpointNotices *notices;
   DyOrigins *origins;
   DyReachability *reachability;
--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -49,6 +49,17 @@
   return kept_ms - MIN (IDLE_MARGIN_MS, kept_ms / 2);
 }
 
+/* Returns whether the request may be sent by this router's share of its endpoint, if that is cold,
+ * and if so counts it. */
+static bool
+take_cold_place (DyGatewayAttempt *attempt)
+{
+  bool reserved = attempt->cold_reserved;
+  attempt->cold_reserved = false;
+  return dy_cold_endpoints_send (attempt->gateway->cold, attempt->endpoint_id, attempt->start_ms,
+                                 reserved);
+}
+
 static bool
 on_before_send (void *ctx)
 {
@@ -56,7 +67,8 @@
   /* A late router may not have learned yet that the endpoint left. */
   attempt->endpoint_left = dy_placement_endpoint_has_left (attempt->endpoint)
                            || dy_placement_endpoint_waits (attempt->endpoint, now_us (attempt))
-                           || !dy_gateway_may_send (attempt->gateway, attempt->request_id, "send");
+                           || !dy_gateway_may_send (attempt->gateway, attempt->request_id, "send")
+                           || !take_cold_place (attempt);
   if (!attempt->endpoint_left && attempt->watcher->ready)
     attempt->watcher->ready (attempt->ctx);
   return !attempt->endpoint_left;
@@ -112,6 +124,8 @@
   if (!attempt->foreign && status != DY_HTTP_MISDIRECTED)
     {
       take_limit (attempt, success);
+      dy_cold_endpoints_take_answer (gateway->cold, attempt->endpoint_id, attempt->start_ms,
+                                     answer->cold_ms);
       dy_endpoint_notices_take (gateway->notices, attempt->endpoint_id, attempt->start_ms, answer);
       if (status == DY_HTTP_UNAVAILABLE)
         dy_endpoint_notices_take_wait (gateway->notices, attempt->endpoint_id, attempt->start_ms,
@@ -189,6 +203,9 @@
 static void
 release (DyGatewayAttempt *attempt, DyPlacementOutcome outcome)
 {
+  if (attempt->cold_reserved)
+    dy_cold_endpoints_cancel (attempt->gateway->cold, attempt->endpoint_id, attempt->start_ms);
+  attempt->cold_reserved = false;
   if (attempt->endpoint)
     dy_placement_end (&attempt->gateway->directory->placement, attempt->endpoint, &attempt->work,
                       attempt->prompt_read, outcome, now_us (attempt));
@@ -364,6 +381,8 @@
   attempt->version = g_strdup (dy_placement_endpoint_version (endpoint));
   attempt->start_ms = dy_placement_endpoint_start_ms (endpoint);
   build_lines (attempt, spec);
+  attempt->cold_reserved
+      = dy_cold_endpoints_reserve (gateway->cold, attempt->endpoint_id, attempt->start_ms);
   dy_placement_begin (&gateway->directory->placement, endpoint, &attempt->work, attempt->placed_us);
   start (attempt, spec);
 }
--- a/src/services/gateway/gateway_attempt.h
+++ b/src/services/gateway/gateway_attempt.h
@@ -16,7 +16,8 @@
  *   connection that has carried no other request. Nothing that a rejected answer states is used.
  *
  *   If the endpoint leaves after it was chosen and before the request is sent, the attempt ends
- *   without sending it. Likewise if what is known has grown too old by then.
+ *   without sending it. Likewise if what is known has grown too old by then, or if the endpoint has
+ *   become cold and this router has no share left.
  */
 
 #include "services/gateway/gateway.h"
@@ -27,7 +28,7 @@
   bool endpoint_error;    /* its status, 500 or above, reports a failure of the endpoint */
   bool is_new_connection; /* opened for the attempt */
   bool crashed;           /* the connection broke before the answer was complete */
-  /* Not sent: after it was chosen the endpoint left, or may have, or asked for a wait. */
+  /* Not sent: after it was chosen the endpoint left, or may have, asked for a wait, or is cold. */
   bool endpoint_left;
   DyAttemptOutcome outcome; /* of an attempt without a complete answer */
 } DyGatewayAttemptResult;
@@ -91,6 +92,7 @@
   unsigned status;
   DyAnswerHead answer; /* its texts are invalid once the header has been handled */
   bool sent;           /* bytes may have reached the endpoint; set when the attempt ends */
+  bool cold_reserved;  /* it has a place in this router's share of a cold endpoint */
   bool endpoint_left;  /* nothing was sent, as the endpoint has left, or may have */
   bool paused;
   bool head_received; /* the answer's header has been received */
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -96,15 +96,20 @@
           request->plan.routes_version);
 }
 
-/* Returns for how long the endpoints of the service want no request, if that is why none was
- * chosen. */
+/* Returns for how long the endpoints of the service want no request, or none of this router as they
+ * are cold, if that is why none was chosen. */
 static int64_t
 wait_ms (const DyGatewayRequest *request, int error)
 {
-  const DyPlacement *placement = &request->gateway->directory->placement;
-  return error == DY_NO_ENDPOINT
-             ? dy_placement_wait_us (placement, request->plan.service, now_us (request)) / 1000
-             : 0;
+  const DyGateway *gateway = request->gateway;
+  const DyPlacement *placement = &gateway->directory->placement;
+  if (error != DY_NO_ENDPOINT)
+    return 0;
+  int64_t wait_us = dy_placement_wait_us (placement, request->plan.service, now_us (request));
+  int64_t cold_us
+      = dy_cold_endpoints_room_us (gateway->cold, request->plan.service, gateway->n_room_waits);
+  /* If this router has no share, others have one. */
+  return MAX (wait_us, cold_us == INT64_MAX ? 0 : cold_us) / 1000;
 }
 
 /* Answers with the error, or ends a stream that was begun so that it does not look complete. */
--- a/src/services/gateway/gateway_send.c
+++ b/src/services/gateway/gateway_send.c
@@ -165,7 +165,10 @@
                                       : choose_beside (request, &query, &predicted_us);
   const char *gated = dy_placement_gated (&gateway->directory->placement, &query, now_us (request));
   if (gated)
-    dy_endpoint_limits_log_skip (gateway->limits, request->plan.id, gated);
+    {
+      dy_endpoint_limits_log_skip (gateway->limits, request->plan.id, gated);
+      dy_cold_endpoints_log_skip (gateway->cold, request->plan.id, gated);
+    }
   if (!endpoint)
     return false;
   spec->head.endpoint_id = dy_placement_endpoint_id (endpoint);
@@ -262,6 +265,25 @@
   return dy_placement_has_choice (&gateway->directory->placement, &query, now_us (request));
 }
 
+/* Returns whether this router may send to a cold endpoint so soon that waiting costs less than a
+ * refusal: a request that is held for over an eighth of its target and then refused costs more. */
+static bool
+has_cold_room_soon (const DyGatewayRequest *request, int64_t limit_ms)
+{
+  enum
+  {
+    WAITS_PER_TARGET = 8,
+  };
+  const DyGateway *gateway = request->gateway;
+  int64_t waited_us = now_us (request) - request->plan.arrived_us;
+  int64_t left_us = limit_ms * 1000 / WAITS_PER_TARGET - waited_us;
+  if (left_us <= 0)
+    return false;
+  return dy_cold_endpoints_room_us (gateway->cold, request->plan.service,
+                                    gateway->n_room_waits - request->waits_for_room)
+         <= left_us;
+}
+
 /* As many requests may wait as can run: more would not be served in time. */
 bool
 dy_gateway_may_wait_for_room (const DyGatewayRequest *request)
@@ -269,6 +291,8 @@
   const DyGateway *gateway = request->gateway;
   uint32_t n_places = dy_placement_places (&gateway->directory->placement, request->plan.service);
   int64_t limit_ms = CLAMP (request->plan.target_ms, MIN_ROOM_WAIT_MS, MAX_ROOM_WAIT_MS);
+  if (has_cold_room_soon (request, limit_ms))
+    return true;
   return now_us (request) - request->plan.arrived_us < limit_ms * 1000
          && (request->waits_for_room ? n_places > 0 : gateway->n_room_waits < n_places);
 }
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -119,6 +119,7 @@
   gateway->part_blocks = &fixture->part_blocks;
   fixture->part_blocks.loaded = true;
   gateway->limits = &fixture->limits;
+  gateway->cold = &fixture->cold;
   gateway->notices = &fixture->notices;
   dy_limit_shares_init (&fixture->limits.shares, &dy_limit_policy, NULL, NULL);
   dy_crash_cause_init (&fixture->part_blocks.cause, &dy_crash_cause_policy, NULL, NULL);
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -43,6 +43,7 @@
   DyDirectory directory;
   DyPartBlocks part_blocks;  /* knows of no crash */
   DyEndpointLimits limits;   /* knows of no limit */
+  DyColdEndpoints cold;      /* is not in force */
   DyEndpointNotices notices; /* is given none */
   DyOrigins origins;         /* all endpoints have one software version */
   DyReachability reachability;
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -766,6 +766,24 @@
 static const DyPlacementGate test_gate
     = { .allows = gate_allows, .is_due = gate_is_due, .record_sent = gate_record_sent };
 
+static bool
+allows_all (void *ctx, const char *id, int64_t now_us)
+{
+  (void) ctx;
+  (void) id;
+  (void) now_us;
+  return true;
+}
+
+static bool
+allows_none (void *ctx, const char *id, int64_t now_us)
+{
+  return !allows_all (ctx, id, now_us);
+}
+
+static const DyPlacementGate open_gate = { .allows = allows_all };
+static const DyPlacementGate closed_gate = { .allows = allows_none };
+
 /* PREFIX 0: none. */
 static const struct
 {
@@ -795,7 +813,10 @@
          && choose (&placement, query.work.prefix_hash, 0)
                 == g_hash_table_lookup (placement.by_id, "e2"))
     query.work.prefix_hash++;
-  dy_placement_set_gate (&placement, &test_gate, &state);
+  /* Another gate must not replace this one, or the other way round. */
+  dy_placement_add_gate (&placement, &test_gate, &state);
+  dy_placement_add_gate (&placement, &open_gate, NULL);
+  dy_placement_add_gate (&placement, &test_gate, &state);
   DyPlacementEndpoint *placed = dy_placement_choose (&placement, &query, 0, NULL);
   const char *id = placed ? dy_placement_endpoint_id (placed) : NULL;
   ck_assert_msg (g_strcmp0 (id, gate_cases[_i].chosen) == 0, "%s: %s", name, id ? id : "none");
@@ -807,7 +828,10 @@
       dy_placement_end (&placement, placed, &query.work, false, DY_PLACEMENT_ANSWERED, 0);
     }
   ck_assert_int_eq (state.n_sent, placed ? 1 : 0);
-  dy_placement_set_gate (&placement, NULL, NULL);
+  dy_placement_add_gate (&placement, &closed_gate, NULL);
+  ck_assert_ptr_null (choose (&placement, 0, 0));
+  dy_placement_remove_gate (&placement, &closed_gate);
+  dy_placement_remove_gate (&placement, &test_gate);
   ck_assert_ptr_nonnull (choose (&placement, 0, 0));
   dy_placement_finish (&placement);
 }
--- a/test/test_silent_attempts.c
+++ b/test/test_silent_attempts.c
@@ -717,7 +717,7 @@
                           FULL_AND_CLOSE, false));
   fixture_put_endpoint (fixture, 0, false);
   dy_placement_set_shares (&fixture->directory.placement, "app", one_place, NULL);
-  dy_placement_set_gate (&fixture->directory.placement, &gate, &closing);
+  dy_placement_add_gate (&fixture->directory.placement, &gate, &closing);
   ev_now_update (fixture->kernel.loop);
   ev_timer_init (&timers[0], open_gate, 0.2, 0.0);
   ev_timer_init (&timers[1], spend_budget, 0.1, 0.0);
