Real routers with an endpoint that becomes cold

The fake endpoint is cold from POST /admin/cold on and falls over above a rate; sites may have cold endpoints (site_init_cold).

--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -42,6 +42,11 @@
  * the endpoint falls over for FALL_S when it refuses more than N of them in a second; the stats
  * have the falls as "falls".
  *
+ * POST /admin/cold takes {"ms": n, "limit": L}: for n milliseconds the endpoint is cold, and falls
+ * over for FALL_S when more than L requests come in a second, without those answered 421. The stats
+ * have the falls as "falls", and the times of requests since as "limited_ms". GET of the health
+ * path says X-Cold-Ms then.
+ *
  * POST /admin/refuse takes {"percent": p}: so many of the requests, chosen at random, are refused
  * as by the path "full"; 0 ends that.
  *
@@ -66,6 +71,7 @@
   N_PACED_EVENTS = 12,
   N_PLACES = 6, /* of a brittle endpoint */
   MAX_REFUSALS = 64,
+  MAX_ARRIVALS = 256,
 };
 
 typedef struct
@@ -117,6 +123,11 @@
 static ev_tstamp refused_at[MAX_REFUSALS];
 static int64_t n_falls;
 static ev_tstamp down_until;
+/* A cold endpoint: until when, the requests in a second that it stands, and the times of the latest
+ * ones, the oldest first. */
+static ev_tstamp cold_until;
+static int64_t cold_limit;
+static ev_tstamp arrived_at[MAX_ARRIVALS];
 static ev_tstamp silent_until;
 static unsigned resumed_status; /* of answers to requests with Last-Event-Id; 0: none is set */
 static struct ev_loop *main_loop;
@@ -506,6 +517,21 @@
   return true;
 }
 
+/* Counts a request, and falls over if the endpoint is cold and too many come. */
+static void
+count_arrival (void)
+{
+  ev_tstamp now = ev_now (main_loop);
+  memmove (arrived_at, arrived_at + 1, sizeof arrived_at - sizeof arrived_at[0]);
+  arrived_at[MAX_ARRIVALS - 1] = now;
+  if (now >= cold_until || now < down_until
+      || now - arrived_at[MAX_ARRIVALS - 1 - CLAMP (cold_limit, 0, MAX_ARRIVALS - 1)] >= 1.0)
+    return;
+  n_falls++;
+  memset (arrived_at, 0, sizeof arrived_at);
+  crash (FALL_S);
+}
+
 /* Returns the refusal of the request, or NULL if it is run. */
 static Answer
 choose_refusal (const Worker *worker, DyHttpCall *call)
@@ -532,6 +558,8 @@
   bool crashes = !refusal && parts && strstr (parts, CRASHING_PART);
   if (crashes)
     n_crashing++;
+  if (refusal != refuse_misdirected)
+    count_arrival ();
   if (ev_now (main_loop) < down_until)
     {
       dy_http_call_abort (call);
@@ -573,6 +601,29 @@
   brittle_at = ev_now (main_loop);
 }
 
+static void
+set_cold (Worker *worker, DyHttpCall *call)
+{
+  json_t *body = json_loadb (dy_http_call_body (call)->str, dy_http_call_body (call)->len, 0, NULL);
+  ev_tstamp now = ev_now (main_loop);
+  cold_until = now + (double) json_integer_value (json_object_get (body, "ms")) / 1e3;
+  cold_limit = json_integer_value (json_object_get (body, "limit"));
+  json_array_clear (worker->limited_ms);
+  worker->limit_set_at = now;
+  json_decref (body);
+  reply_json (call, json_object ());
+}
+
+static void
+answer_health (DyHttpCall *call)
+{
+  double left_s = cold_until - ev_now (main_loop);
+  char *text = g_strdup_printf ("%d", (int) (MAX (left_s, 0.0) * 1e3));
+  dy_http_call_add_header (call, "X-Cold-Ms", text);
+  g_free (text);
+  reply_json (call, json_object ());
+}
+
 static void
 set_label (DyHttpCall *call)
 {
@@ -639,6 +690,10 @@
     silent_until = ev_now (main_loop) + (double) take_integer (call, "ms") / 1e3;
   else if (strcmp (path, "/admin/brittle") == 0)
     set_brittle (call);
+  else if (strcmp (path, "/admin/cold") == 0)
+    set_cold (worker, call);
+  else if (strcmp (path, "/health") == 0 && cold_until > 0.0 && ev_now (main_loop) >= down_until)
+    answer_health (call);
   else if (strcmp (path, "/admin/refuse") == 0)
     refused_percent = take_integer (call, "percent");
   else if (strcmp (path, "/admin/resumes") == 0)
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -35,8 +35,11 @@
 
 /* Returns the route table as JSON text, to be freed with g_free(). */
 static char *
-format_routes (int version, const char *extra, int64_t prepaid)
+format_routes (const Site *site, int version, const char *extra, int64_t prepaid)
 {
+  char *cold = site->cold ? g_strdup_printf ("\"coldStartS\":%d,\"coldPerS\":%d,",
+                                             SITE_COLD_MS / 1000, SITE_COLD_PER_S)
+                          : g_strdup ("");
   static const char *const routes
       = "{\"name\":\"ok\",\"host\":\"h.example\",\"pathPrefix\":\"/ok/\",\"routeType\":"
         "\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,\"service\":"
@@ -52,20 +55,22 @@
         "\"streaming\",\"timeoutMs\":5000,\"targetLatencyMs\":400,\"gapTargetMs\":400,"
         "\"priority\":0,\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1}],"
         "\"maxAttempts\":2,\"sticky\":true,\"resumable\":false}";
-  return g_strdup_printf (
+  char *text = g_strdup_printf (
       "{\"version\":%d,\"routes\":[%s%s%s],\"services\":[{\"name\":\"app\",\"healthPath\":\"/"
       "health\"},{\"name\":\"llm\",\"healthPath\":\"/health\","
-      "\"runtime\":{\"slots\":8,\"kvCapacity\":10000,\"stride\":1}}],\"limits\":{"
+      "%s\"runtime\":{\"slots\":8,\"kvCapacity\":10000,\"stride\":1}}],\"limits\":{"
       "\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
       "\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"acct\",\"apiKeys\":[\"k1\"],"
       "\"prepaid\":%" G_GINT64_FORMAT "}]}",
-      version, routes, extra ? "," : "", extra ? extra : "", prepaid);
+      version, routes, extra ? "," : "", extra ? extra : "", cold, prepaid);
+  g_free (cold);
+  return text;
 }
 
 bool
 site_put_routes (Site *site, int version, const char *extra, int64_t prepaid)
 {
-  char *spec = format_routes (version, extra, prepaid);
+  char *spec = format_routes (site, version, extra, prepaid);
   bool ok = put_object (site, "config", "main", spec);
   g_free (spec);
   return ok;
@@ -75,16 +80,29 @@
 site_put_worker (Site *site, uint32_t i, const char *state, const char *spec)
 {
   char *name = g_strdup_printf ("i-%u", i);
-  char *text = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"dc-a\","
-                                "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"}",
-                                service_of (i),
-                                site->relayed ? site->worker_relays[i] : site->workers[i], state);
+  char *text
+      = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"dc-a\","
+                         "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"%s}",
+                         service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
+                         state, site->cold ? ",\"coldRemainingMs\":0" : "");
   bool ok = put_object (site, "servers", name, spec ? spec : text);
   g_free (text);
   g_free (name);
   return ok;
 }
 
+bool
+site_put_cold (Site *site, uint32_t i, int64_t cold_ms)
+{
+  char *spec = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"dc-a\",\"slots\":6,\"state\":\"ready\","
+      "\"sequence\":2,\"version\":\"v1\",\"coldRemainingMs\":%" G_GINT64_FORMAT "}",
+      service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i], cold_ms);
+  bool ok = site_put_worker (site, i, "ready", spec);
+  g_free (spec);
+  return ok;
+}
+
 bool
 site_remove_worker (Site *site, uint32_t i)
 {
@@ -157,7 +175,7 @@
 site_restore_store (Site *site, const SiteRestore *restore)
 {
   char *routes = restore->version
-                     ? format_routes (restore->version, restore->extra, restore->prepaid)
+                     ? format_routes (site, restore->version, restore->extra, restore->prepaid)
                      : g_strdup ("null");
   char *put = restore->version
                   ? g_strdup_printf (",\"put\":{\"key\":\"config/main\",\"spec\":%s}", routes)
@@ -237,11 +255,12 @@
       "[peers]\nsecret = test%s\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
       "store_copy_age_ms = 4000\n"
-      "[log]\nlevel = info\n%s",
+      "%s[log]\nlevel = info\n%s",
       i, site->callers[i], site->ready[i], connect_from, site->operators[i], site->peers[i],
       site->ran_before ? "first_start = no\n" : "",
       site->relayed ? site->store_relays[i] : site->store, site->vm_list_interval_ms,
       site->separate ? site->peers[i] : "",
+      site->cold ? "[endpoints]\ncold_overage = 1.5\ncold_slack = 5\n" : "",
       site->logs_json ? "format = json\nlog_lines_per_s = 100000\n" : "");
   bool ok = g_file_set_contents (path, text, -1, NULL);
   g_free (text);
@@ -407,6 +426,9 @@
   PEERS_SEPARATE,
 } Peers;
 
+/* Whether the sites that are started have cold endpoints. */
+static bool starts_cold;
+
 static bool
 init (Site *site,
       uint32_t n_routers,
@@ -418,6 +440,7 @@
 {
   memset (site, 0, sizeof *site);
   site->relayed = relayed;
+  site->cold = starts_cold;
   site->vm_list_interval_ms = vm_list_interval_ms;
   site->separate = peers == PEERS_SEPARATE;
   site->peers_relayed = peers == PEERS_RELAYED;
@@ -453,6 +476,16 @@
   return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, PREPAID, VM_LIST_INTERVAL_MS);
 }
 
+bool
+site_init_cold (Site *site, uint32_t n_routers, bool separate)
+{
+  starts_cold = true;
+  bool ok = init (site, n_routers, SITE_N_WORKERS, false, separate ? PEERS_SEPARATE : PEERS_DIRECT,
+                  PREPAID, VM_LIST_INTERVAL_MS);
+  starts_cold = false;
+  return ok;
+}
+
 bool
 site_init_listing (Site *site, uint32_t n_routers, int vm_list_interval_ms)
 {
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -25,6 +25,9 @@
   SITE_MAX_ROUTERS = 24,
   SITE_N_WORKERS = 4, /* unless said otherwise; the first two serve "app", the others "llm" */
   SITE_MAX_WORKERS = 10,
+  SITE_COLD_MS = 15000, /* cold time of the endpoints of "llm", if the site has cold ones */
+  SITE_COLD_PER_S = 12, /* requests that they tolerate in a second */
+  SITE_COLD_BOUND = 23, /* and those that all routers together may send */
 };
 
 typedef struct
@@ -53,6 +56,7 @@
   bool ran_before;     /* routers start with first_start = no */
   bool separate;       /* routers reject each other's connections */
   bool logs_json;      /* routers log all lines, as JSON */
+  bool cold;           /* endpoints of "llm" are cold for SITE_COLD_MS after their start */
   FleetProcess store_process;
   FleetProcess router_process[SITE_MAX_ROUTERS];
   FleetProcess worker_process[SITE_MAX_WORKERS];
@@ -103,6 +107,13 @@
 /* As site_init_large(), with relays in front of the addresses where routers accept each other. The
  * routers log all lines, as JSON. */
 bool site_init_peers_relayed (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
+
+/* As site_init() or, if SEPARATE, site_init_separate(), with endpoints of "llm" that are cold for a
+ * time, but not at first, and routers that regard that. */
+bool site_init_cold (Site *site, uint32_t n_routers, bool separate);
+
+/* Writes the record of worker I, which stays cold for COLD_MS. */
+bool site_put_cold (Site *site, uint32_t i, int64_t cold_ms);
 void site_finish (Site *site);
 
 /* Starts router I or worker I; one that runs already is killed first. */
