The soak has cold endpoints; records that are read again; no ramp where nothing else can serve

Cause: the soak did not cover cold endpoints. A record that is listed again, as after a restore of the store, would have begun its cold time anew. If all endpoints of a service were in their ramps, or cold, requests would have been refused for a second although an endpoint was warm.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -71,9 +71,10 @@
 }
 
 /* Fields that lines of other routers about the same matter share with those of the request: the
- * ticket of its reservation, the blocked part of its prompt, and the endpoint whose limit it met.
+ * ticket of its reservation, the blocked part of its prompt, and the endpoint that is limited or
+ * cold and was passed over.
  */
-static const char *const linking_fields[] = { "ticket", "part", "limited" };
+static const char *const linking_fields[] = { "ticket", "part", "limited", "cold" };
 
 /* Returns "FIELD=VALUE" of the linking field INDEX of LINE, to be freed with g_free(); NULL: none.
  */
--- a/src/core/cold_share.c
+++ b/src/core/cold_share.c
@@ -162,14 +162,16 @@
                     const char *id,
                     int64_t start_ms,
                     int64_t cold_us,
-                    bool final,
+                    uint64_t version,
                     int64_t now_us)
 {
   DyColdEndpoint *endpoint = find (shares, id, now_us);
   bool was_known = endpoint || now_us - shares->started_us < shares->learn_us;
   bool is_new = !endpoint || endpoint->start_ms != start_ms;
   bool was_cold = endpoint && is_cold (endpoint, now_us);
-  if (!is_new && cold_us < 0)
+  bool is_read_again
+      = version > 0 && !is_new && endpoint->version == version && endpoint->record_us == cold_us;
+  if ((!is_new && cold_us < 0) || is_read_again)
     return false;
   if (!endpoint)
     endpoint = add_endpoint (shares, id);
@@ -181,9 +183,14 @@
       endpoint->cold_until_us = INT64_MIN;
       endpoint->n_reserved = 0;
     }
-  if (cold_us > 0 && (final || now_us + cold_us > endpoint->cold_until_us))
+  if (version > 0)
+    {
+      endpoint->version = version;
+      endpoint->record_us = cold_us;
+    }
+  if (cold_us > 0 && (version > 0 || now_us + cold_us > endpoint->cold_until_us))
     endpoint->cold_until_us = now_us + cold_us;
-  else if (cold_us == 0 && final && was_cold)
+  else if (cold_us == 0 && version > 0 && was_cold)
     endpoint->cold_until_us = now_us;
   endpoint->stated = endpoint->stated || cold_us >= 0;
   endpoint->shared_us = INT64_MIN;
@@ -244,6 +251,13 @@
   return (double) XXH3_64bits (words, sizeof words) < part * (double) UINT64_MAX;
 }
 
+bool
+dy_cold_shares_is_in_ramp (const DyColdShares *shares, const char *id, int64_t now_us)
+{
+  const DyColdEndpoint *endpoint = g_hash_table_lookup (shares->endpoints, id);
+  return endpoint && is_in_ramp (endpoint, now_us);
+}
+
 bool
 dy_cold_shares_allow (DyColdShares *shares, const char *id, int64_t now_us)
 {
--- a/src/core/cold_share.h
+++ b/src/core/cold_share.h
@@ -66,6 +66,8 @@
 {
   char *id;
   int64_t start_ms;
+  uint64_t version;      /* of the record that was taken last */
+  int64_t record_us;     /* cold time that it states */
   bool stated;           /* the endpoint has stated its cold time */
   int64_t known_us;      /* when this start was first known */
   int64_t cold_until_us; /* the ramp begins then; INT64_MIN: it has not been cold */
@@ -112,13 +114,14 @@
                        int64_t now_us);
 
 /* Records that ENDPOINT, started at START_MS, states that it stays cold for COLD_US more, or
- * DY_COLD_NOT_STATED. FINAL: it is the endpoint's record, which may also say that it is warm.
- * Returns whether it is cold now and was not before. */
+ * DY_COLD_NOT_STATED. VERSION is that of the endpoint's record, 0 of an answer, which can't say
+ * that it is warm. A record that is read again says nothing new. Returns whether the endpoint is
+ * cold now and was not before. */
 bool dy_cold_shares_put (DyColdShares *shares,
                          const char *endpoint,
                          int64_t start_ms,
                          int64_t cold_us,
-                         bool final,
+                         uint64_t version,
                          int64_t now_us);
 
 /* Forgets ENDPOINT, if there is one, unless requests to it are not sent yet. */
@@ -126,6 +129,9 @@
 
 bool dy_cold_shares_is_cold (DyColdShares *shares, const char *endpoint, int64_t now_us);
 
+/* Returns whether the share of ENDPOINT in the load rises, as it has been cold. */
+bool dy_cold_shares_is_in_ramp (const DyColdShares *shares, const char *endpoint, int64_t now_us);
+
 /* Returns whether this router may choose ENDPOINT now. */
 bool dy_cold_shares_allow (DyColdShares *shares, const char *endpoint, int64_t now_us);
 
--- a/src/services/endpoints/cold_endpoints.c
+++ b/src/services/endpoints/cold_endpoints.c
@@ -58,7 +58,12 @@
 allows (void *ctx, const char *id, int64_t now)
 {
   DyColdEndpoints *cold = ctx;
-  return !is_enabled (cold) || dy_cold_shares_allow (&cold->shares, id, now);
+  if (!is_enabled (cold) || dy_cold_shares_allow (&cold->shares, id, now))
+    return true;
+  /* If no endpoint can take the load while this one's rises, requests would be refused. */
+  const DyPlacementEndpoint *endpoint = dy_placement_find (&cold->directory->placement, id);
+  return endpoint && dy_cold_shares_is_in_ramp (&cold->shares, id, now)
+         && !g_hash_table_contains (cold->settled, dy_placement_endpoint_service (endpoint));
 }
 
 static const DyPlacementGate gate = { .allows = allows };
@@ -109,7 +114,7 @@
 }
 
 static void
-on_record (void *ctx, const DyEndpointRecord *record)
+on_record (void *ctx, const DyEndpointRecord *record, uint64_t version)
 {
   DyColdEndpoints *cold = ctx;
   const DyRouteService *service = service_of (cold, record->id);
@@ -125,7 +130,8 @@
     cold_ms = report_invalid (cold, "endpoint", record->id) && service ? service->cold_ms
                                                                        : DY_COLD_TIME_NOT_STATED;
   if (dy_cold_shares_put (&cold->shares, record->id, record->start_ms,
-                          cold_ms < 0 ? DY_COLD_NOT_STATED : cold_ms * 1000, true, now_us (cold)))
+                          cold_ms < 0 ? DY_COLD_NOT_STATED : cold_ms * 1000, version,
+                          now_us (cold)))
     take_begin (cold, record->id, record->cold_ms >= 0 ? "record" : "service");
 }
 
@@ -140,8 +146,7 @@
   const DyColdEndpoint *known = g_hash_table_lookup (cold->shares.endpoints, endpoint);
   /* An answer may come from an earlier start than that of the record. */
   if (known && known->start_ms == start_ms
-      && dy_cold_shares_put (&cold->shares, endpoint, start_ms, cold_ms * 1000, false,
-                             now_us (cold)))
+      && dy_cold_shares_put (&cold->shares, endpoint, start_ms, cold_ms * 1000, 0, now_us (cold)))
     take_begin (cold, endpoint, "answer");
 }
 
@@ -220,6 +225,19 @@
   return TRUE;
 }
 
+static void
+add_settled (void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
+{
+  DyColdEndpoints *cold = ctx;
+  const DyPlacementEndpoint *endpoint = dy_placement_find (&cold->directory->placement, id);
+  (void) in_flight;
+  if (!breaker_open && endpoint && !dy_placement_endpoint_has_left (endpoint)
+      && !dy_placement_endpoint_waits (endpoint, now_us (cold))
+      && !g_hash_table_contains (cold->cold, id)
+      && !dy_cold_shares_is_in_ramp (&cold->shares, id, now_us (cold)))
+    g_hash_table_add (cold->settled, g_strdup (service));
+}
+
 static void
 on_sweep (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -233,6 +251,9 @@
   g_list_free (ids);
   g_hash_table_foreach_remove (cold->cold, end_if_warm, cold);
   count_cold (cold);
+  g_hash_table_remove_all (cold->settled);
+  if (is_enabled (cold))
+    dy_placement_visit (&cold->directory->placement, add_settled, cold, now_us (cold));
 }
 
 static int
@@ -242,6 +263,7 @@
   cold->kernel = kernel;
   cold->directory = dy_kernel_find (kernel, DY_SERVICE_DIRECTORY);
   cold->cold = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cold->settled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cold->reported = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dy_cold_shares_init (&cold->shares, place_of, cold, kernel->settings->node_name,
                        kernel->settings->endpoints_bound_ms * 1000, now_us (cold));
@@ -260,6 +282,7 @@
   ev_timer_stop (cold->kernel->loop, &cold->sweep);
   dy_cold_shares_finish (&cold->shares);
   g_hash_table_unref (cold->cold);
+  g_hash_table_unref (cold->settled);
   g_hash_table_unref (cold->reported);
 }
 
--- a/src/services/endpoints/cold_endpoints.h
+++ b/src/services/endpoints/cold_endpoints.h
@@ -31,7 +31,9 @@
   DyKernel *kernel;
   DyDirectory *directory;
   DyColdShares shares;
-  GHashTable *cold;     /* set of the ids of the cold endpoints, as last logged */
+  GHashTable *cold; /* set of the ids of the cold endpoints, as last logged */
+  GHashTable
+      *settled; /* set of the services that have an endpoint which is neither cold nor in ramp */
   GHashTable *reported; /* set of "KIND=NAME" whose cold time cannot be used, which was logged */
   ev_timer sweep;       /* finds endpoints that are warm and forgets removed ones */
 } DyColdEndpoints;
--- a/src/services/endpoints/directory.c
+++ b/src/services/endpoints/directory.c
@@ -215,7 +215,7 @@
   dy_placement_set_wait (&directory->placement, id,
                          dy_notices_wait_until_us (&directory->notices, id, record.start_ms));
   if (directory->record_watcher)
-    directory->record_watcher (directory->record_watcher_ctx, &record);
+    directory->record_watcher (directory->record_watcher_ctx, &record, object->version);
   json_decref (document);
 }
 
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -44,8 +44,10 @@
 /* The endpoint ID has started again, or its record was removed. */
 typedef void (*DyEndpointEndWatcher) (void *ctx, const char *id);
 
-/* The endpoint's record was read, again or for the first time. */
-typedef void (*DyEndpointRecordWatcher) (void *ctx, const DyEndpointRecord *record);
+/* The endpoint's record, VERSION of it, was read, again or for the first time. */
+typedef void (*DyEndpointRecordWatcher) (void *ctx,
+                                         const DyEndpointRecord *record,
+                                         uint64_t version);
 
 typedef struct
 {
--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -42,10 +42,11 @@
  * the endpoint falls over for FALL_S when it refuses more than N of them in a second; the stats
  * have the falls as "falls".
  *
- * POST /admin/cold takes {"ms": n, "limit": L}: for n milliseconds the endpoint is cold, and falls
- * over for FALL_S when more than L requests come in a second, without those answered 421. The stats
- * have the falls as "falls", and the times of requests since as "limited_ms". GET of the health
- * path says X-Cold-Ms then.
+ * POST /admin/cold takes {"ms": n, "limit": L, "learn_ms": m}: for n milliseconds the endpoint is
+ * cold, and falls over for FALL_S when more than L requests come in a second, without those
+ * answered 421. The stats have the falls as "falls", the times of requests since as "limited_ms",
+ * and as "cold_worst" the most requests that came in a second of any cold time from m milliseconds
+ * after its start on. GET of the health path says X-Cold-Ms.
  *
  * POST /admin/refuse takes {"percent": p}: so many of the requests, chosen at random, are refused
  * as by the path "full"; 0 ends that.
@@ -127,6 +128,8 @@
  * ones, the oldest first. */
 static ev_tstamp cold_until;
 static int64_t cold_limit;
+static ev_tstamp cold_counted_from;
+static int64_t cold_worst;
 static ev_tstamp arrived_at[MAX_ARRIVALS];
 static ev_tstamp silent_until;
 static unsigned resumed_status; /* of answers to requests with Last-Event-Id; 0: none is set */
@@ -524,6 +527,10 @@
   ev_tstamp now = ev_now (main_loop);
   memmove (arrived_at, arrived_at + 1, sizeof arrived_at - sizeof arrived_at[0]);
   arrived_at[MAX_ARRIVALS - 1] = now;
+  int64_t n = 0;
+  for (int i = MAX_ARRIVALS; i > 0 && now < cold_until; i--)
+    n += arrived_at[i - 1] >= MAX (now - 1.0, cold_counted_from);
+  cold_worst = MAX (cold_worst, n);
   if (now >= cold_until || now < down_until
       || now - arrived_at[MAX_ARRIVALS - 1 - CLAMP (cold_limit, 0, MAX_ARRIVALS - 1)] >= 1.0)
     return;
@@ -608,6 +615,7 @@
   ev_tstamp now = ev_now (main_loop);
   cold_until = now + (double) json_integer_value (json_object_get (body, "ms")) / 1e3;
   cold_limit = json_integer_value (json_object_get (body, "limit"));
+  cold_counted_from = now + (double) json_integer_value (json_object_get (body, "learn_ms")) / 1e3;
   json_array_clear (worker->limited_ms);
   worker->limit_set_at = now;
   json_decref (body);
@@ -674,10 +682,11 @@
   Worker *worker = ctx;
   const char *path = dy_http_call_path (call);
   if (strcmp (path, "/admin/stats") == 0)
-    reply_json (call, json_pack ("{s:O, s:O, s:I, s:I, s:I, s:O}", "runs", worker->runs, "last",
-                                 worker->last, "cancelled", (json_int_t) n_cancelled, "crashing",
-                                 (json_int_t) n_crashing, "falls", (json_int_t) n_falls,
-                                 "limited_ms", worker->limited_ms));
+    reply_json (call,
+                json_pack ("{s:O, s:O, s:I, s:I, s:I, s:I, s:O}", "runs", worker->runs, "last",
+                           worker->last, "cancelled", (json_int_t) n_cancelled, "crashing",
+                           (json_int_t) n_crashing, "falls", (json_int_t) n_falls, "cold_worst",
+                           (json_int_t) cold_worst, "limited_ms", worker->limited_ms));
   else if (strcmp (path, "/admin/label") == 0)
     set_label (call);
   else if (strcmp (path, "/admin/set") == 0)
--- a/test/soak.c
+++ b/test/soak.c
@@ -4,9 +4,13 @@
  * the routes and reloads. Afterwards the invariants that callers rely on are checked for each
  * request, and the bound on resends for each service.
  *
- * Usage: soak [FIRST_SEED [N_SEEDS [SECONDS [ROUTERS [ENDPOINTS]]]]]. The seed initializes the
- * random choice of faults and requests; since the processes run in real time, a failure may not
- * repeat with it. The ids of requests are "soak-SEED-NUMBER". */
+ * Endpoints of one service become cold at times. While endpoints only fall silent, what all routers
+ * send to a cold one in a second is checked against its bound.
+ *
+ * Usage: soak [FIRST_SEED [N_SEEDS [SECONDS [ROUTERS [ENDPOINTS [COLD]]]]]]. COLD 0: no endpoint
+ * becomes cold, for routers of earlier versions, which do not know the settings. The seed
+ * initializes the random choice of faults and requests; since the processes run in real time, a
+ * failure may not repeat with it. The ids of requests are "soak-SEED-NUMBER". */
 
 #include "soak.h"
 
@@ -231,6 +235,7 @@
   double seconds;
   uint32_t n_routers;
   uint32_t n_workers;
+  bool cold;
 } SoakSize;
 
 static int
@@ -249,7 +254,7 @@
   soak.repairs = g_ptr_array_new_with_free_func (soak_free_repair);
   printf ("seed %u: ", seed);
   fflush (stdout);
-  if (!site_init_peers_relayed (&soak.site, size->n_routers, size->n_workers, PAID_TOKENS))
+  if (!site_init_soak (&soak.site, size->n_routers, size->n_workers, size->cold, PAID_TOKENS))
     soak.n_violations++;
   dy_http_client_init (&soak.client, soak.site.fleet.loop);
   run_load (&soak, size->seconds);
@@ -286,7 +291,8 @@
   uint32_t n = read_number (argc, argv, 2, 1);
   SoakSize size = { .seconds = argc > 3 ? strtod (argv[3], NULL) : 5.0,
                     .n_routers = read_number (argc, argv, 4, N_ROUTERS),
-                    .n_workers = read_number (argc, argv, 5, SITE_N_WORKERS) };
+                    .n_workers = read_number (argc, argv, 5, SITE_N_WORKERS),
+                    .cold = read_number (argc, argv, 6, 1) != 0 };
   int n_failed = 0;
   if (size.n_routers < 1 || size.n_routers > SITE_MAX_ROUTERS || size.n_workers < SITE_N_WORKERS
       || size.n_workers > SITE_MAX_WORKERS)
--- a/test/soak.h
+++ b/test/soak.h
@@ -76,6 +76,7 @@
   bool sound; /* endpoints only fall silent */
   int64_t paid_tokens;
   int64_t silent_until_ms[SITE_MAX_WORKERS];
+  int64_t cold_until_ms[SITE_MAX_WORKERS];
   int version; /* version of the route table */
   ev_timer faults;
   ev_timer refusals;
--- a/test/soak_checks.c
+++ b/test/soak_checks.c
@@ -135,6 +135,27 @@
   return n_most;
 }
 
+/* Checks what the routers sent to cold endpoints, and returns the most in a second. */
+static int64_t
+check_cold (Soak *soak)
+{
+  int64_t most = 0;
+  for (uint32_t i = 0; i < soak->site.n_workers; i++)
+    {
+      json_t *stats
+          = fleet_call (&soak->site.fleet, "GET", soak->site.workers[i], "/admin/stats", NULL);
+      most = MAX (most, json_integer_value (json_object_get (stats, "cold_worst")));
+      json_decref (stats);
+    }
+  if (most > SITE_COLD_BOUND)
+    {
+      soak->n_violations++;
+      fprintf (stderr, "%d requests to a cold endpoint in a second, allowed %d\n", (int) most,
+               SITE_COLD_BOUND);
+    }
+  return most;
+}
+
 void
 soak_check_invariants (Soak *soak)
 {
@@ -154,6 +175,7 @@
       n_reused += record->reused;
     }
   uint32_t n_resends = check_resends (soak);
+  int64_t n_cold = check_cold (soak);
   for (uint32_t i = 0; i < soak->site.n_workers; i++)
     {
       n_copies += soak->site.worker_relay[i].n_copies;
@@ -169,11 +191,11 @@
       soak->n_violations++;
       fprintf (stderr, "nothing was answered\n");
     }
-  printf ("requests %u on open connections %d answered %d copies %u of %u resends %u tokens %d of "
-          "%d broken "
-          "%d\n",
-          soak->records->len, n_reused, n_answered, n_copies, n_to_copy, n_resends, (int) tokens,
-          (int) soak->paid_tokens, soak->n_violations);
+  printf (
+      "requests %u on open connections %d answered %d copies %u of %u resends %u cold %d tokens %d "
+      "of %d broken %d\n",
+      soak->records->len, n_reused, n_answered, n_copies, n_to_copy, n_resends, (int) n_cold,
+      (int) tokens, (int) soak->paid_tokens, soak->n_violations);
 }
 
 void
--- a/test/soak_faults.c
+++ b/test/soak_faults.c
@@ -9,6 +9,12 @@
   MIN_HEARD_MS = 1000, /* between two silences of an endpoint */
   MAX_COPY_MS = 40,    /* from a refusal to its copy */
   N_CHANGES = 3,       /* of the routes in a row */
+  /* Cold times, of which an endpoint's first LEARN_MS are not checked: routers know of it after
+   * endpoints_bound_ms, and what they sent before is out of the second. */
+  MIN_COLD_MS = 3000,
+  MAX_COLD_MS = 8000,
+  LEARN_MS = 3500,
+  NO_CRASH = 100000, /* requests in a second */
 };
 
 static const double FAULT_INTERVAL_S = 0.25;
@@ -238,6 +244,22 @@
   g_free (body);
 }
 
+/* Has an endpoint of the service with cold ones become cold, unless it is. */
+static void
+cool_worker (Soak *soak, uint32_t i)
+{
+  int ms = g_rand_int_range (soak->rng, MIN_COLD_MS, MAX_COLD_MS);
+  i = MAX (i, SITE_N_WORKERS / 2);
+  if (!soak->site.cold || soak_now_ms () < soak->cold_until_ms[i])
+    return;
+  soak->cold_until_ms[i] = soak_now_ms () + ms;
+  char *body = g_strdup_printf ("{\"ms\":%d,\"limit\":%d,\"learn_ms\":%d}", ms, NO_CRASH,
+                                soak->sound ? LEARN_MS : ms);
+  json_decref (fleet_call (&soak->site.fleet, "POST", soak->site.workers[i], "/admin/cold", body));
+  g_free (body);
+  site_put_cold (&soak->site, i, ms);
+}
+
 static void
 silence_all_workers (Soak *soak, uint32_t i)
 {
@@ -429,13 +451,13 @@
   { disturb_worker, TARGET_WORKER },     { reset_worker, TARGET_WORKER },
   { kill_worker, TARGET_WORKER },        { change_instance, TARGET_WORKER },
   { soak_change_routes, TARGET_NONE },   { silence_worker, TARGET_WORKER },
-  { silence_all_workers, TARGET_NONE },
+  { silence_all_workers, TARGET_NONE },  { cool_worker, TARGET_WORKER },
 };
 
 static const Fault silences[] = {
   { silence_worker, TARGET_WORKER },   { silence_all_workers, TARGET_NONE },
   { reload_router, TARGET_ROUTER },    { silence_beside_change, TARGET_ROUTER },
-  { soak_change_routes, TARGET_NONE },
+  { soak_change_routes, TARGET_NONE }, { cool_worker, TARGET_WORKER },
 };
 
 static uint32_t
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -426,21 +426,19 @@
   PEERS_SEPARATE,
 } Peers;
 
-/* Whether the sites that are started have cold endpoints. */
-static bool starts_cold;
-
 static bool
 init (Site *site,
       uint32_t n_routers,
       uint32_t n_workers,
       bool relayed,
       Peers peers,
+      bool cold,
       int64_t prepaid,
       int vm_list_interval_ms)
 {
   memset (site, 0, sizeof *site);
   site->relayed = relayed;
-  site->cold = starts_cold;
+  site->cold = cold;
   site->vm_list_interval_ms = vm_list_interval_ms;
   site->separate = peers == PEERS_SEPARATE;
   site->peers_relayed = peers == PEERS_RELAYED;
@@ -473,47 +471,54 @@
 bool
 site_init (Site *site, uint32_t n_routers)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, PREPAID, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, false, PREPAID,
+               VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_cold (Site *site, uint32_t n_routers, bool separate)
 {
-  starts_cold = true;
-  bool ok = init (site, n_routers, SITE_N_WORKERS, false, separate ? PEERS_SEPARATE : PEERS_DIRECT,
-                  PREPAID, VM_LIST_INTERVAL_MS);
-  starts_cold = false;
-  return ok;
+  return init (site, n_routers, SITE_N_WORKERS, false, separate ? PEERS_SEPARATE : PEERS_DIRECT,
+               true, PREPAID, VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_listing (Site *site, uint32_t n_routers, int vm_list_interval_ms)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, PREPAID, vm_list_interval_ms);
+  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, false, PREPAID,
+               vm_list_interval_ms);
 }
 
 bool
 site_init_relayed (Site *site, uint32_t n_routers, int64_t prepaid)
 {
-  return init (site, n_routers, SITE_N_WORKERS, true, PEERS_DIRECT, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, SITE_N_WORKERS, true, PEERS_DIRECT, false, prepaid,
+               VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_DIRECT, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, n_workers, true, PEERS_DIRECT, false, prepaid, VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_separate (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_SEPARATE, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, n_workers, true, PEERS_SEPARATE, false, prepaid,
+               VM_LIST_INTERVAL_MS);
+}
+
+bool
+site_init_soak (Site *site, uint32_t n_routers, uint32_t n_workers, bool cold, int64_t prepaid)
+{
+  return init (site, n_routers, n_workers, true, PEERS_RELAYED, cold, prepaid, VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_peers_relayed (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_RELAYED, prepaid, VM_LIST_INTERVAL_MS);
+  return site_init_soak (site, n_routers, n_workers, false, prepaid);
 }
 
 void
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -108,6 +108,10 @@
  * routers log all lines, as JSON. */
 bool site_init_peers_relayed (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
 
+/* The same, with endpoints of "llm" as of site_init_cold() if COLD. */
+bool
+site_init_soak (Site *site, uint32_t n_routers, uint32_t n_workers, bool cold, int64_t prepaid);
+
 /* As site_init() or, if SEPARATE, site_init_separate(), with endpoints of "llm" that are cold for a
  * time, but not at first, and routers that regard that. */
 bool site_init_cold (Site *site, uint32_t n_routers, bool separate);
--- a/test/test_cold_endpoints.c
+++ b/test/test_cold_endpoints.c
@@ -20,6 +20,8 @@
   ALONE_RUN_MS = 4000,
   RESTARTED_RUN_MS = 5500, /* until a separate router has a share, and the window is free */
   WARM_RUN_MS = 2500,
+  IN_RAMP_MS = SITE_COLD_MS + 900, /* all routers know since that it is warm */
+  RAMP_RUN_MS = 600,
   LONGEST_REFUSAL_MS = 400,
   N_TRIED = 30,
 };
@@ -139,6 +141,12 @@
   ck_assert_msg (used >= USED_FRACTION, "%.2f", used);
   ck_assert_int_eq (site_worker_stat (&site, "falls"), 0);
   check_refusals (&site);
+  /* No other endpoint can take what this one does not get while its share rises. */
+  site_run_for (&site, cold_ms + IN_RAMP_MS - g_get_monotonic_time () / 1000);
+  traffic_run (&site, streams, results, G_N_ELEMENTS (streams), RAMP_RUN_MS);
+  for (size_t i = 0; i < G_N_ELEMENTS (streams); i++)
+    ck_assert_msg (results[i].n_served == results[i].n_sent, "%u of %u served when warm",
+                   results[i].n_served, results[i].n_sent);
   site_finish (&site);
 }
 END_TEST
--- a/test/test_cold_share.c
+++ b/test/test_cold_share.c
@@ -22,6 +22,7 @@
   SERVICE_COLD_US = 60 * SECOND,
   MAX_ROUTERS = 300,
   START_MS = 1000, /* start time of the endpoint */
+  VERSION = 7,     /* of its record */
   PER_1000_S = 12000,
   OVERAGE = 1500,
   SLACK = 5000,
@@ -103,7 +104,7 @@
 {
   One one;
   one_init (&one);
-  ck_assert (dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SERVICE_COLD_US, true, 0));
+  ck_assert (dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SERVICE_COLD_US, VERSION, 0));
   ck_assert_int_eq (send_all (&one, 0), 0);
   ck_assert_int_eq (send_all (&one, DY_COLD_WINDOW_US / 2), 2);
   ck_assert_int_eq (send_all (&one, DY_COLD_WINDOW_US), 2);
@@ -128,9 +129,10 @@
 {
   One one;
   one_init (&one);
-  ck_assert (!dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, true, 0));
+  ck_assert (!dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, VERSION, 0));
   ck_assert (!dy_cold_shares_reserve (&one.shares, ENDPOINT, START_MS, 0));
-  ck_assert (dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SERVICE_COLD_US, true, SECOND));
+  ck_assert (
+      dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SERVICE_COLD_US, VERSION, SECOND));
   ck_assert (!dy_cold_shares_send (&one.shares, ENDPOINT, START_MS, false, SECOND + 1));
   /* The others learn of it within LEARN_US. */
   ck_assert (!dy_cold_shares_allow (&one.shares, ENDPOINT, SECOND + LEARN_US - 1));
@@ -158,19 +160,21 @@
   One one;
   one_init (&one);
   one.place.cold_us = cold_cases[_i].service_us;
-  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, cold_cases[_i].stated_us, true, 0);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, cold_cases[_i].stated_us, VERSION, 0);
+  /* The record is listed again. */
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, cold_cases[_i].stated_us, VERSION, SECOND);
   int64_t at_us = cold_cases[_i].cold_at_us;
   ck_assert_msg (at_us < 0 || dy_cold_shares_is_cold (&one.shares, ENDPOINT, at_us), "%s",
                  cold_cases[_i].name);
   ck_assert_msg (!dy_cold_shares_is_cold (&one.shares, ENDPOINT, at_us + 1), "%s",
                  cold_cases[_i].name);
   /* An answer may come late: it does not end or shorten the cold time. */
-  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SECOND, true, at_us + 1);
-  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, false, at_us + 1);
-  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 10, false, at_us + 1);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SECOND, VERSION + 1, at_us + 1);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, 0, at_us + 1);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 10, 0, at_us + 1);
   ck_assert (dy_cold_shares_is_cold (&one.shares, ENDPOINT, at_us + SECOND));
   /* Its record ends it. */
-  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, true, at_us + SECOND);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, VERSION + 2, at_us + SECOND);
   ck_assert (!dy_cold_shares_is_cold (&one.shares, ENDPOINT, at_us + SECOND));
   dy_cold_shares_finish (&one.shares);
 }
@@ -191,7 +195,7 @@
       DyColdShares shares;
       g_snprintf (name, sizeof name, "r%d", r);
       dy_cold_shares_init (&shares, fixed_place, &place, name, LEARN_US, -10 * SECOND);
-      dy_cold_shares_put (&shares, ENDPOINT, START_MS, SECOND, true, 0);
+      dy_cold_shares_put (&shares, ENDPOINT, START_MS, SECOND, VERSION, 0);
       for (int64_t t = 0; t < DY_COLD_RAMP_US * (N_PARTS + 1) / N_PARTS; t += STEP_US)
         n_open[t * N_PARTS / DY_COLD_RAMP_US]
             += dy_cold_shares_allow (&shares, ENDPOINT, SECOND + t);
@@ -318,7 +322,8 @@
   router->next_heartbeat_us = now_us + g_rand_int_range (fleet->rng, 0, HEARTBEAT_US);
   router->learns_us = INT64_MAX;
   dy_cold_shares_put (&router->shares, ENDPOINT, START_MS,
-                      warm ? 0 : SERVICE_COLD_US - MIN (now_us, SERVICE_COLD_US - 1), true, now_us);
+                      warm ? 0 : SERVICE_COLD_US - MIN (now_us, SERVICE_COLD_US - 1), VERSION,
+                      now_us);
 }
 
 static void
@@ -406,7 +411,7 @@
       if (now_us >= router->learns_us)
         {
           dy_cold_shares_put (&router->shares, ENDPOINT, START_MS, SERVICE_COLD_US - SECOND / 2,
-                              true, now_us);
+                              VERSION + 1, now_us);
           router->learns_us = INT64_MAX;
         }
       choose (router, now_us);
