--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -220,10 +220,24 @@
 }
 
 void
-dy_placement_set_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx)
+dy_placement_add_gate (DyPlacement *placement, const DyPlacementGate *gate, void *ctx)
 {
-  placement->gate = gate;
-  placement->gate_ctx = ctx;
+  dy_placement_remove_gate (placement, gate);
+  g_assert (placement->n_gates < DY_PLACEMENT_MAX_GATES);
+  placement->gates[placement->n_gates].gate = gate;
+  placement->gates[placement->n_gates].ctx = ctx;
+  placement->n_gates++;
+}
+
+void
+dy_placement_remove_gate (DyPlacement *placement, const DyPlacementGate *gate)
+{
+  for (uint32_t i = 0; i < placement->n_gates; i++)
+    if (placement->gates[i].gate == gate)
+      {
+        placement->gates[i] = placement->gates[--placement->n_gates];
+        return;
+      }
 }
 
 const DyPlacementEndpoint *
--- a/src/core/placement_choice.c
+++ b/src/core/placement_choice.c
@@ -25,13 +25,22 @@
 static bool
 is_allowed (const DyPlacement *placement, const DyPlacementEndpoint *endpoint, int64_t now_us)
 {
-  return !placement->gate || placement->gate->allows (placement->gate_ctx, endpoint->id, now_us);
+  for (uint32_t i = 0; i < placement->n_gates; i++)
+    if (!placement->gates[i].gate->allows (placement->gates[i].ctx, endpoint->id, now_us))
+      return false;
+  return true;
 }
 
 static bool
 is_due (const DyPlacement *placement, const DyPlacementEndpoint *endpoint, int64_t now_us)
 {
-  return placement->gate && placement->gate->is_due (placement->gate_ctx, endpoint->id, now_us);
+  for (uint32_t i = 0; i < placement->n_gates; i++)
+    {
+      const DyPlacementGate *gate = placement->gates[i].gate;
+      if (gate->is_due && gate->is_due (placement->gates[i].ctx, endpoint->id, now_us))
+        return true;
+    }
+  return false;
 }
 
 static uint64_t
@@ -41,7 +50,7 @@
 }
 
 /* Returns the affinity endpoint of the prefix: the one with the highest rendezvous hash among those
- * that may be chosen, whose breakers are closed and, if GATED, that the gate allows. Returns NULL
+ * that may be chosen, whose breakers are closed and, if GATED, that the gates allow. Returns NULL
  * without a prefix. */
 static const DyPlacementEndpoint *
 find_affinity_endpoint (const DyPlacement *placement,
@@ -212,7 +221,7 @@
   const GPtrArray *list = g_hash_table_lookup (placement->by_service, query->service);
   const DyPlacementEndpoint *gated = NULL;
   uint32_t n_open = 0;
-  if (!list || !placement->gate)
+  if (!list || placement->n_gates == 0)
     return NULL;
   for (guint i = 0; i < list->len; i++)
     {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -82,6 +82,9 @@
   X (EVACUATED, 6024, MESSAGE, "data centre evacuated")                                            \
   X (EVACUATION_ENDED, 6025, MESSAGE, "evacuation of a data centre ended")                         \
   X (EVACUATION_UNKNOWN, 6026, WARNING, "evacuation of an unknown data centre")                    \
+  X (ENDPOINT_COLD, 6030, MESSAGE, "endpoint cold")                                                \
+  X (ENDPOINT_WARM, 6031, MESSAGE, "endpoint warm")                                                \
+  X (COLD_TIME_INVALID, 6032, WARNING, "cold time invalid")                                        \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
@@ -101,6 +104,7 @@
   X (REQUEST_HELD, 7017, INFO, "request not sent by old knowledge")                                \
   X (RESEND_DENIED, 7018, INFO, "resend not allowed by the resend budget")                         \
   X (ENDPOINTS_EVACUATED, 7019, INFO, "endpoints passed over for an evacuation")                   \
+  X (COLD_SHARE_APPLIED, 7030, INFO, "endpoint passed over as it is cold")                         \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
   X (ANSWER_HEAD_TOO_LARGE, 8003, WARNING, "head of an answer too large")                          \
--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -42,6 +42,12 @@
  * the endpoint falls over for FALL_S when it refuses more than N of them in a second; the stats
  * have the falls as "falls".
  *
+ * POST /admin/cold takes {"ms": n, "limit": L, "learn_ms": m}: for n milliseconds the endpoint is
+ * cold, and falls over for FALL_S when more than L requests come in a second, without those
+ * answered 421. The stats have the falls as "falls", the times of requests since as "limited_ms",
+ * and as "cold_worst" the most requests that came in a second of any cold time from m milliseconds
+ * after its start on. GET of the health path says X-Cold-Ms.
+ *
  * POST /admin/refuse takes {"percent": p}: so many of the requests, chosen at random, are refused
  * as by the path "full"; 0 ends that.
  *
@@ -66,6 +72,7 @@
   N_PACED_EVENTS = 12,
   N_PLACES = 6, /* of a brittle endpoint */
   MAX_REFUSALS = 64,
+  MAX_ARRIVALS = 256,
 };
 
 typedef struct
@@ -117,6 +124,13 @@
 static ev_tstamp refused_at[MAX_REFUSALS];
 static int64_t n_falls;
 static ev_tstamp down_until;
+/* A cold endpoint: until when, the requests in a second that it stands, and the times of the latest
+ * ones, the oldest first. */
+static ev_tstamp cold_until;
+static int64_t cold_limit;
+static ev_tstamp cold_counted_from;
+static int64_t cold_worst;
+static ev_tstamp arrived_at[MAX_ARRIVALS];
 static ev_tstamp silent_until;
 static unsigned resumed_status; /* of answers to requests with Last-Event-Id; 0: none is set */
 static struct ev_loop *main_loop;
@@ -506,6 +520,25 @@
   return true;
 }
 
+/* Counts a request, and falls over if the endpoint is cold and too many come. */
+static void
+count_arrival (void)
+{
+  ev_tstamp now = ev_now (main_loop);
+  memmove (arrived_at, arrived_at + 1, sizeof arrived_at - sizeof arrived_at[0]);
+  arrived_at[MAX_ARRIVALS - 1] = now;
+  int64_t n = 0;
+  for (int i = MAX_ARRIVALS; i > 0 && now < cold_until; i--)
+    n += arrived_at[i - 1] >= MAX (now - 1.0, cold_counted_from);
+  cold_worst = MAX (cold_worst, n);
+  if (now >= cold_until || now < down_until
+      || now - arrived_at[MAX_ARRIVALS - 1 - CLAMP (cold_limit, 0, MAX_ARRIVALS - 1)] >= 1.0)
+    return;
+  n_falls++;
+  memset (arrived_at, 0, sizeof arrived_at);
+  crash (FALL_S);
+}
+
 /* Returns the refusal of the request, or NULL if it is run. */
 static Answer
 choose_refusal (const Worker *worker, DyHttpCall *call)
@@ -532,6 +565,8 @@
   bool crashes = !refusal && parts && strstr (parts, CRASHING_PART);
   if (crashes)
     n_crashing++;
+  if (refusal != refuse_misdirected)
+    count_arrival ();
   if (ev_now (main_loop) < down_until)
     {
       dy_http_call_abort (call);
@@ -573,6 +608,30 @@
   brittle_at = ev_now (main_loop);
 }
 
+static void
+set_cold (Worker *worker, DyHttpCall *call)
+{
+  json_t *body = json_loadb (dy_http_call_body (call)->str, dy_http_call_body (call)->len, 0, NULL);
+  ev_tstamp now = ev_now (main_loop);
+  cold_until = now + (double) json_integer_value (json_object_get (body, "ms")) / 1e3;
+  cold_limit = json_integer_value (json_object_get (body, "limit"));
+  cold_counted_from = now + (double) json_integer_value (json_object_get (body, "learn_ms")) / 1e3;
+  json_array_clear (worker->limited_ms);
+  worker->limit_set_at = now;
+  json_decref (body);
+  reply_json (call, json_object ());
+}
+
+static void
+answer_health (DyHttpCall *call)
+{
+  double left_s = cold_until - ev_now (main_loop);
+  char *text = g_strdup_printf ("%d", (int) (MAX (left_s, 0.0) * 1e3));
+  dy_http_call_add_header (call, "X-Cold-Ms", text);
+  g_free (text);
+  reply_json (call, json_object ());
+}
+
 static void
 set_label (DyHttpCall *call)
 {
@@ -623,10 +682,11 @@
   Worker *worker = ctx;
   const char *path = dy_http_call_path (call);
   if (strcmp (path, "/admin/stats") == 0)
-    reply_json (call, json_pack ("{s:O, s:O, s:I, s:I, s:I, s:O}", "runs", worker->runs, "last",
-                                 worker->last, "cancelled", (json_int_t) n_cancelled, "crashing",
-                                 (json_int_t) n_crashing, "falls", (json_int_t) n_falls,
-                                 "limited_ms", worker->limited_ms));
+    reply_json (call,
+                json_pack ("{s:O, s:O, s:I, s:I, s:I, s:I, s:O}", "runs", worker->runs, "last",
+                           worker->last, "cancelled", (json_int_t) n_cancelled, "crashing",
+                           (json_int_t) n_crashing, "falls", (json_int_t) n_falls, "cold_worst",
+                           (json_int_t) cold_worst, "limited_ms", worker->limited_ms));
   else if (strcmp (path, "/admin/label") == 0)
     set_label (call);
   else if (strcmp (path, "/admin/set") == 0)
@@ -639,6 +699,10 @@
     silent_until = ev_now (main_loop) + (double) take_integer (call, "ms") / 1e3;
   else if (strcmp (path, "/admin/brittle") == 0)
     set_brittle (call);
+  else if (strcmp (path, "/admin/cold") == 0)
+    set_cold (worker, call);
+  else if (strcmp (path, "/health") == 0 && cold_until > 0.0 && ev_now (main_loop) >= down_until)
+    answer_health (call);
   else if (strcmp (path, "/admin/refuse") == 0)
     refused_percent = take_integer (call, "percent");
   else if (strcmp (path, "/admin/resumes") == 0)
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -37,8 +37,11 @@
 
 /* Returns the route table as JSON text, to be freed with g_free(). */
 static char *
-format_routes (int version, const char *extra, int64_t prepaid)
+format_routes (const Site *site, int version, const char *extra, int64_t prepaid)
 {
+  char *cold = site->cold ? g_strdup_printf ("\"coldStartS\":%d,\"coldPerS\":%d,",
+                                             SITE_COLD_MS / 1000, SITE_COLD_PER_S)
+                          : g_strdup ("");
   static const char *const routes
       = "{\"name\":\"ok\",\"host\":\"h.example\",\"pathPrefix\":\"/ok/\",\"routeType\":"
         "\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,\"service\":"
@@ -54,20 +57,22 @@
         "\"streaming\",\"timeoutMs\":5000,\"targetLatencyMs\":400,\"gapTargetMs\":400,"
         "\"priority\":0,\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1}],"
         "\"maxAttempts\":2,\"sticky\":true,\"resumable\":false}";
-  return g_strdup_printf (
+  char *text = g_strdup_printf (
       "{\"version\":%d,\"routes\":[%s%s%s],\"services\":[{\"name\":\"app\",\"healthPath\":\"/"
       "health\"},{\"name\":\"llm\",\"healthPath\":\"/health\","
-      "\"runtime\":{\"slots\":8,\"kvCapacity\":10000,\"stride\":1}}],\"limits\":{"
+      "%s\"runtime\":{\"slots\":8,\"kvCapacity\":10000,\"stride\":1}}],\"limits\":{"
       "\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
       "\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"acct\",\"apiKeys\":[\"k1\"],"
       "\"prepaid\":%" G_GINT64_FORMAT "}]}",
-      version, routes, extra ? "," : "", extra ? extra : "", prepaid);
+      version, routes, extra ? "," : "", extra ? extra : "", cold, prepaid);
+  g_free (cold);
+  return text;
 }
 
 bool
 site_put_routes (Site *site, int version, const char *extra, int64_t prepaid)
 {
-  char *spec = format_routes (version, extra, prepaid);
+  char *spec = format_routes (site, version, extra, prepaid);
   bool ok = put_object (site, "config", "main", spec);
   g_free (spec);
   return ok;
@@ -79,15 +84,28 @@
   char *name = g_strdup_printf ("i-%u", i);
   char *text
       = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-                         "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"}",
+                         "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"%s}",
                          service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
-                         site_data_centres[site->evacuates ? i % 2 : 0], state);
+                         site_data_centres[site->evacuates ? i % 2 : 0], state,
+                         site->cold ? ",\"coldRemainingMs\":0" : "");
   bool ok = put_object (site, "servers", name, spec ? spec : text);
   g_free (text);
   g_free (name);
   return ok;
 }
 
+bool
+site_put_cold (Site *site, uint32_t i, int64_t cold_ms)
+{
+  char *spec = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"dc-a\",\"slots\":6,\"state\":\"ready\","
+      "\"sequence\":2,\"version\":\"v1\",\"coldRemainingMs\":%" G_GINT64_FORMAT "}",
+      service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i], cold_ms);
+  bool ok = site_put_worker (site, i, "ready", spec);
+  g_free (spec);
+  return ok;
+}
+
 static bool
 remove_object (Site *site, const char *kind, const char *name)
 {
@@ -181,7 +199,7 @@
 site_restore_store (Site *site, const SiteRestore *restore)
 {
   char *routes = restore->version
-                     ? format_routes (restore->version, restore->extra, restore->prepaid)
+                     ? format_routes (site, restore->version, restore->extra, restore->prepaid)
                      : g_strdup ("null");
   char *put = restore->version
                   ? g_strdup_printf (",\"put\":{\"key\":\"config/main\",\"spec\":%s}", routes)
@@ -252,9 +270,9 @@
   /* Earlier builds, which tests of mixed fleets run, do not know the key. */
   char *connect_from
       = site->has_sources ? g_strdup_printf ("connect_from = %s\n", source) : g_strdup ("");
-  char *bound = site->evacuates ? g_strdup_printf ("[endpoints]\nevacuations_bound_ms = %d\n",
-                                                   SITE_EVACUATION_MS)
-                                : g_strdup ("");
+  char *bound = site->evacuates
+                    ? g_strdup_printf ("evacuations_bound_ms = %d\n", SITE_EVACUATION_MS)
+                    : g_strdup ("");
   char *text = g_strdup_printf (
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
       "%soperator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = "
@@ -264,11 +282,12 @@
       "[peers]\nsecret = test%s\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
       "[budget]\nreserve_wait_ms = 600\nrecovery_delay_ms = 500\ngrant_minimum_tokens = 100\n"
       "store_copy_age_ms = 4000\n"
-      "%s[log]\nlevel = info\n%s",
+      "[endpoints]\n%s%s[log]\nlevel = info\n%s",
       i, site->callers[i], site->ready[i], connect_from, site->operators[i], site->peers[i],
       site->ran_before ? "first_start = no\n" : "",
       site->relayed ? site->store_relays[i] : site->store, site->vm_list_interval_ms,
       site->separate ? site->peers[i] : "", bound,
+      site->cold ? "cold_overage = 1.5\ncold_slack = 5\n" : "",
       site->logs_json ? "format = json\nlog_lines_per_s = 100000\n" : "");
   bool ok = g_file_set_contents (path, text, -1, NULL);
   g_free (text);
@@ -442,11 +461,13 @@
       uint32_t n_workers,
       bool relayed,
       Peers peers,
+      bool cold,
       int64_t prepaid,
       int vm_list_interval_ms)
 {
   memset (site, 0, sizeof *site);
   site->relayed = relayed;
+  site->cold = cold;
   site->vm_list_interval_ms = vm_list_interval_ms;
   site->separate = peers == PEERS_SEPARATE;
   site->evacuates = peers == PEERS_EVACUATING;
@@ -480,43 +501,61 @@
 bool
 site_init (Site *site, uint32_t n_routers)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, PREPAID, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, false, PREPAID,
+               VM_LIST_INTERVAL_MS);
+}
+
+bool
+site_init_cold (Site *site, uint32_t n_routers, bool separate)
+{
+  return init (site, n_routers, SITE_N_WORKERS, false, separate ? PEERS_SEPARATE : PEERS_DIRECT,
+               true, PREPAID, VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_listing (Site *site, uint32_t n_routers, int vm_list_interval_ms)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, PREPAID, vm_list_interval_ms);
+  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, false, PREPAID,
+               vm_list_interval_ms);
 }
 
 bool
 site_init_relayed (Site *site, uint32_t n_routers, int64_t prepaid)
 {
-  return init (site, n_routers, SITE_N_WORKERS, true, PEERS_DIRECT, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, SITE_N_WORKERS, true, PEERS_DIRECT, false, prepaid,
+               VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_DIRECT, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, n_workers, true, PEERS_DIRECT, false, prepaid, VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_separate (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_SEPARATE, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, n_workers, true, PEERS_SEPARATE, false, prepaid,
+               VM_LIST_INTERVAL_MS);
+}
+
+bool
+site_init_soak (Site *site, uint32_t n_routers, uint32_t n_workers, bool cold, int64_t prepaid)
+{
+  return init (site, n_routers, n_workers, true, PEERS_RELAYED, cold, prepaid, VM_LIST_INTERVAL_MS);
 }
 
 bool
 site_init_peers_relayed (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_RELAYED, prepaid, VM_LIST_INTERVAL_MS);
+  return site_init_soak (site, n_routers, n_workers, false, prepaid);
 }
 
 bool
 site_init_evacuating (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_EVACUATING, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, n_routers, n_workers, true, PEERS_EVACUATING, false, prepaid,
+               VM_LIST_INTERVAL_MS);
 }
 
 void
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -26,6 +26,9 @@
   SITE_N_WORKERS = 4, /* unless said otherwise; the first two serve "app", the others "llm" */
   SITE_MAX_WORKERS = 10,
   SITE_EVACUATION_MS = 5000,
+  SITE_COLD_MS = 15000, /* cold time of the endpoints of "llm", if the site has cold ones */
+  SITE_COLD_PER_S = 12, /* requests that they tolerate in a second */
+  SITE_COLD_BOUND = 23, /* and those that all routers together may send */
 };
 
 /* "dc-a", which is also that of the routers, and "dc-b". */
@@ -58,6 +61,7 @@
   bool separate;       /* routers reject each other's connections */
   bool evacuates;      /* routers watch evacuations; workers are in two data centres in turn */
   bool logs_json;      /* routers log all lines, as JSON */
+  bool cold;           /* endpoints of "llm" are cold for SITE_COLD_MS after their start */
   FleetProcess store_process;
   FleetProcess router_process[SITE_MAX_ROUTERS];
   FleetProcess worker_process[SITE_MAX_WORKERS];
@@ -112,6 +116,17 @@
 /* The same, with routers that watch evacuations with a bound of SITE_EVACUATION_MS. Worker I is in
  * the data centre site_data_centres[I % 2], so each service has workers in both. */
 bool site_init_evacuating (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid);
+
+/* The same, with endpoints of "llm" as of site_init_cold() if COLD. */
+bool
+site_init_soak (Site *site, uint32_t n_routers, uint32_t n_workers, bool cold, int64_t prepaid);
+
+/* As site_init() or, if SEPARATE, site_init_separate(), with endpoints of "llm" that are cold for a
+ * time, but not at first, and routers that regard that. */
+bool site_init_cold (Site *site, uint32_t n_routers, bool separate);
+
+/* Writes the record of worker I, which stays cold for COLD_MS. */
+bool site_put_cold (Site *site, uint32_t i, int64_t cold_ms);
 void site_finish (Site *site);
 
 /* Starts router I or worker I; one that runs already is killed first. */
--- a/test/test_evacuations.c
+++ b/test/test_evacuations.c
@@ -113,7 +113,7 @@
   for (uint64_t prefix = 1; kind == DRAWN_BY_PREFIX && prefix <= 20; prefix++)
     use (placement, (DyPlacementEndpoint *) dy_placement_find (placement, "e0"), prefix);
   if (kind == DRAWN_BY_DUE)
-    dy_placement_set_gate (placement, &due_gate, NULL);
+    dy_placement_add_gate (placement, &due_gate, NULL);
   for (uint32_t i = 0; i < N_ENDPOINTS; i++)
     {
       char id[8];
