--- a/test/soak.h
+++ b/test/soak.h
@@ -19,6 +19,7 @@
   OUTPUT_TOKENS = 5, /* one in each event of a stream of fakes/fake_worker.c */
   MAX_ATTEMPTS = 2,  /* set in the routes of support/site.c */
   N_BEHAVIOURS = 6,
+  EVACUATION_MS = 2000, /* bound of the routers, shorter than a run */
   /* While endpoints only fall silent: */
   SOUND_DEADLINE_MS = 5000, /* also the timeout of the routes */
   SOUND_EVENTS = 12,        /* of the path "paced" of fakes/fake_worker.c */
@@ -73,7 +74,8 @@
   int64_t pause_ms; /* most that a caller waits between two requests */
   uint32_t n_open;  /* requests that have not ended */
   bool sending;
-  bool sound; /* endpoints only fall silent */
+  bool sound;            /* endpoints only fall silent */
+  const char *evacuated; /* data centre that is evacuated meanwhile */
   int64_t paid_tokens;
   int64_t silent_until_ms[SITE_MAX_WORKERS];
   int version; /* version of the route table */
@@ -96,6 +98,12 @@
 /* Writes the next version of the route table. */
 void soak_change_routes (Soak *soak, uint32_t i);
 
+/* Ends all evacuations, also those whose writes were delayed; to be called after the delay. */
+void soak_end_evacuations (Soak *soak);
+
+/* Evacuates one data centre, for the time in which endpoints only fall silent. */
+void soak_begin_evacuation (Soak *soak);
+
 /* Injects faults at random times until soak_stop_faults(). Those that are in force then end later:
  * soak.repairs is empty once they have. */
 void soak_start_faults (Soak *soak);
@@ -110,6 +118,9 @@
 /* Checks that all routers become ready again once all faults have ended. */
 void soak_check_recovery (Soak *soak);
 
+/* Checks that the evacuated data centre got no requests after the bound. */
+void soak_check_evacuation (Soak *soak);
+
 /* Checks that no router has ended while endpoints were silent. */
 void soak_check_alive (Soak *soak);
 
--- a/test/soak_checks.c
+++ b/test/soak_checks.c
@@ -193,6 +193,17 @@
     }
 }
 
+void
+soak_check_evacuation (Soak *soak)
+{
+  uint32_t n = site_count_after (&soak->site, soak->evacuated, EVACUATION_MS);
+  if (n == 0)
+    return;
+  soak->n_violations++;
+  fprintf (stderr, "%u requests in the evacuated data centre %s after the bound\n", n,
+           soak->evacuated);
+}
+
 void
 soak_check_alive (Soak *soak)
 {
