--- a/test/support/site.c
+++ b/test/support/site.c
@@ -17,6 +17,12 @@
 
 const char *const site_data_centres[2] = { "dc-a", "dc-b" };
 
+static const char *
+data_centre_of (const Site *site, uint32_t i)
+{
+  return site_data_centres[site->evacuation_ms ? i % 2 : 0];
+}
+
 static const char *
 service_of (uint32_t i)
 {
@@ -82,12 +88,11 @@
 site_put_worker (Site *site, uint32_t i, const char *state, const char *spec)
 {
   char *name = g_strdup_printf ("i-%u", i);
-  char *text
-      = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-                         "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"%s}",
-                         service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
-                         site_data_centres[site->evacuates ? i % 2 : 0], state,
-                         site->cold ? ",\"coldRemainingMs\":0" : "");
+  char *text = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+      "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"%s}",
+      service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
+      data_centre_of (site, i), state, site->cold ? ",\"coldRemainingMs\":0" : "");
   bool ok = put_object (site, "servers", name, spec ? spec : text);
   g_free (text);
   g_free (name);
@@ -98,9 +103,10 @@
 site_put_cold (Site *site, uint32_t i, int64_t cold_ms)
 {
   char *spec = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"dc-a\",\"slots\":6,\"state\":\"ready\","
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":6,\"state\":\"ready\","
       "\"sequence\":2,\"version\":\"v1\",\"coldRemainingMs\":%" G_GINT64_FORMAT "}",
-      service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i], cold_ms);
+      service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
+      data_centre_of (site, i), cold_ms);
   bool ok = site_put_worker (site, i, "ready", spec);
   g_free (spec);
   return ok;
@@ -152,6 +158,37 @@
   return sum;
 }
 
+void
+site_reset_times (Site *site)
+{
+  for (uint32_t i = 0; i < site->n_workers; i++)
+    {
+      FleetRequest request
+          = { .method = "POST", .address = site->workers[i], .path = "/admin/say", .body = "{}" };
+      fleet_request (&site->fleet, &request, NULL);
+    }
+}
+
+uint32_t
+site_count_after (Site *site, const char *data_centre, int64_t after_ms)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < site->n_workers; i++)
+    {
+      if (strcmp (data_centre_of (site, i), data_centre) != 0)
+        continue;
+      json_t *stats = fleet_call (&site->fleet, "GET", site->workers[i], "/admin/stats", NULL);
+      const json_t *time;
+      size_t k;
+      json_array_foreach (json_object_get (stats, "limited_ms"), k, time)
+      {
+        n += json_integer_value (time) > after_ms;
+      }
+      json_decref (stats);
+    }
+  return n;
+}
+
 void
 site_set_store (Site *site, const char *faults)
 {
@@ -270,8 +307,8 @@
   /* Earlier builds, which tests of mixed fleets run, do not know the key. */
   char *connect_from
       = site->has_sources ? g_strdup_printf ("connect_from = %s\n", source) : g_strdup ("");
-  char *bound = site->evacuates
-                    ? g_strdup_printf ("evacuations_bound_ms = %d\n", SITE_EVACUATION_MS)
+  char *bound = site->evacuation_ms
+                    ? g_strdup_printf ("evacuations_bound_ms = %d\n", site->evacuation_ms)
                     : g_strdup ("");
   char *text = g_strdup_printf (
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
@@ -452,48 +489,53 @@
   PEERS_DIRECT,
   PEERS_RELAYED,
   PEERS_SEPARATE,
-  PEERS_EVACUATING, /* as PEERS_RELAYED */
 } Peers;
 
+typedef struct
+{
+  uint32_t n_routers;
+  uint32_t n_workers; /* 0: SITE_N_WORKERS */
+  bool relayed;
+  Peers peers;
+  bool cold;
+  int evacuation_ms;
+  int64_t prepaid;         /* 0: PREPAID */
+  int vm_list_interval_ms; /* 0: VM_LIST_INTERVAL_MS */
+} Spec;
+
 static bool
-init (Site *site,
-      uint32_t n_routers,
-      uint32_t n_workers,
-      bool relayed,
-      Peers peers,
-      bool cold,
-      int64_t prepaid,
-      int vm_list_interval_ms)
+init (Site *site, const Spec *spec)
 {
   memset (site, 0, sizeof *site);
-  site->relayed = relayed;
-  site->cold = cold;
-  site->vm_list_interval_ms = vm_list_interval_ms;
-  site->separate = peers == PEERS_SEPARATE;
-  site->evacuates = peers == PEERS_EVACUATING;
-  site->peers_relayed = peers == PEERS_RELAYED || peers == PEERS_EVACUATING;
-  site->logs_json = site->peers_relayed;
+  site->evacuation_ms = spec->evacuation_ms;
+  site->relayed = spec->relayed;
+  site->cold = spec->cold;
+  site->vm_list_interval_ms
+      = spec->vm_list_interval_ms ? spec->vm_list_interval_ms : VM_LIST_INTERVAL_MS;
+  site->separate = spec->peers == PEERS_SEPARATE;
+  site->peers_relayed = spec->peers == PEERS_RELAYED;
+  site->logs_json = spec->peers == PEERS_RELAYED;
   signal (SIGPIPE, SIG_IGN);
   site->fleet.loop = ev_default_loop (EVFLAG_AUTO);
   site->dir = g_dir_make_tmp ("site-XXXXXX", NULL);
   site->arrival_log = g_build_filename (site->dir, "arrivals", NULL);
   site->sent_ms = g_array_new (FALSE, FALSE, sizeof (int64_t));
   site->refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  site->n_workers = n_workers;
-  site->has_sources = n_workers > SITE_N_WORKERS;
+  site->n_workers = spec->n_workers ? spec->n_workers : SITE_N_WORKERS;
+  site->has_sources = site->n_workers > SITE_N_WORKERS;
   site->store = fleet_free_address ();
   for (uint32_t i = 0; i < site->n_workers; i++)
     site->workers[i] = fleet_free_address ();
-  if (relayed)
+  if (spec->relayed)
     site->run_log = g_build_filename (site->dir, "runs", NULL);
-  bool ok = (!relayed || start_worker_relays (site)) && start_fakes (site)
-            && populate_store (site, prepaid);
+  bool ok = (!spec->relayed || start_worker_relays (site)) && start_fakes (site)
+            && populate_store (site, spec->prepaid ? spec->prepaid : PREPAID);
   site->populated_ms = g_get_monotonic_time () / 1000 + 1;
-  for (uint32_t i = 0; ok && i < n_routers; i++)
+  for (uint32_t i = 0; ok && i < spec->n_routers; i++)
     ok = site_add_router (site);
-  for (uint32_t i = 0; ok && i < n_routers; i++)
+  for (uint32_t i = 0; ok && i < spec->n_routers; i++)
     ok = site_wait_ready (site, i, 200);
-  for (uint32_t i = 0; ok && !site->separate && i + 1 < n_routers; i++)
+  for (uint32_t i = 0; ok && !site->separate && i + 1 < spec->n_routers; i++)
     ok = fleet_wait_line (&site->router_process[i], "peer connected");
   return ok;
 }
@@ -501,61 +543,75 @@
 bool
 site_init (Site *site, uint32_t n_routers)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, false, PREPAID,
-               VM_LIST_INTERVAL_MS);
+  return init (site, &(Spec){ .n_routers = n_routers });
 }
 
 bool
 site_init_cold (Site *site, uint32_t n_routers, bool separate)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, separate ? PEERS_SEPARATE : PEERS_DIRECT,
-               true, PREPAID, VM_LIST_INTERVAL_MS);
+  Peers peers = separate ? PEERS_SEPARATE : PEERS_DIRECT;
+  return init (site, &(Spec){ .n_routers = n_routers, .peers = peers, .cold = true });
 }
 
 bool
 site_init_listing (Site *site, uint32_t n_routers, int vm_list_interval_ms)
 {
-  return init (site, n_routers, SITE_N_WORKERS, false, PEERS_DIRECT, false, PREPAID,
-               vm_list_interval_ms);
+  return init (site, &(Spec){ .n_routers = n_routers, .vm_list_interval_ms = vm_list_interval_ms });
 }
 
 bool
 site_init_relayed (Site *site, uint32_t n_routers, int64_t prepaid)
 {
-  return init (site, n_routers, SITE_N_WORKERS, true, PEERS_DIRECT, false, prepaid,
-               VM_LIST_INTERVAL_MS);
+  return init (site, &(Spec){ .n_routers = n_routers, .relayed = true, .prepaid = prepaid });
 }
 
 bool
 site_init_large (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_DIRECT, false, prepaid, VM_LIST_INTERVAL_MS);
+  return init (site, &(Spec){ .n_routers = n_routers,
+                              .n_workers = n_workers,
+                              .relayed = true,
+                              .prepaid = prepaid });
 }
 
 bool
 site_init_separate (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return init (site, n_routers, n_workers, true, PEERS_SEPARATE, false, prepaid,
-               VM_LIST_INTERVAL_MS);
+  return init (site, &(Spec){ .n_routers = n_routers,
+                              .n_workers = n_workers,
+                              .relayed = true,
+                              .peers = PEERS_SEPARATE,
+                              .prepaid = prepaid });
 }
 
 bool
-site_init_soak (Site *site, uint32_t n_routers, uint32_t n_workers, bool cold, int64_t prepaid)
-{
-  return init (site, n_routers, n_workers, true, PEERS_RELAYED, cold, prepaid, VM_LIST_INTERVAL_MS);
+site_init_soak (Site *site,
+                uint32_t n_routers,
+                uint32_t n_workers,
+                bool cold,
+                int evacuation_ms,
+                int64_t prepaid)
+{
+  return init (site, &(Spec){ .n_routers = n_routers,
+                              .n_workers = n_workers,
+                              .relayed = true,
+                              .peers = PEERS_RELAYED,
+                              .cold = cold,
+                              .evacuation_ms = evacuation_ms,
+                              .prepaid = prepaid });
 }
 
 bool
 site_init_peers_relayed (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
 {
-  return site_init_soak (site, n_routers, n_workers, false, prepaid);
+  return site_init_soak (site, n_routers, n_workers, false, 0, prepaid);
 }
 
 bool
-site_init_evacuating (Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid)
+site_init_evacuating (
+    Site *site, uint32_t n_routers, uint32_t n_workers, int64_t prepaid, int evacuation_ms)
 {
-  return init (site, n_routers, n_workers, true, PEERS_EVACUATING, false, prepaid,
-               VM_LIST_INTERVAL_MS);
+  return site_init_soak (site, n_routers, n_workers, false, evacuation_ms, prepaid);
 }
 
 void
