Decoding of cold times has a table of cases; no rank is computed for warm endpoints

Cause: each record of a warm endpoint made its router compute its rank among all routers. Cases of records, answers and services whose cold times are missing, negative, huge or not a number.

--- a/src/core/cold_share.c
+++ b/src/core/cold_share.c
@@ -193,6 +193,8 @@
   else if (cold_us == 0 && version > 0 && was_cold)
     endpoint->cold_until_us = now_us;
   endpoint->stated = endpoint->stated || cold_us >= 0;
+  if (endpoint->stated && !is_cold (endpoint, now_us))
+    return false;
   endpoint->shared_us = INT64_MIN;
   update (shares, endpoint, now_us);
   if (!is_cold (endpoint, now_us) || (was_cold && !is_new))
--- a/test/test_cold_endpoints.c
+++ b/test/test_cold_endpoints.c
@@ -6,6 +6,8 @@
 #include "support/suite.h"
 #include "support/traffic.h"
 
+#include "platform/dialect.h"
+
 #include <string.h>
 
 enum
@@ -56,6 +58,75 @@
   ck_assert (site_put_cold (site, COLD_WORKER, ms));
 }
 
+/* Cold times of records and answers, and what a service states. */
+static const struct
+{
+  const char *value;
+  int64_t record_ms;
+  int64_t answer_ms; /* with VALUE as text */
+} cold_times[] = {
+  { "0", 0, 0 },
+  { "1500", 1500, 1500 },
+  { "600000", 600000, 600000 },
+  { "600001", DY_COLD_TIME_INVALID, -1 },
+  { "1e300", DY_COLD_TIME_INVALID, -1 },
+  { "-1", DY_COLD_TIME_INVALID, -1 },
+  { "null", DY_COLD_TIME_NOT_STATED, -1 },
+  { "\"12\"", DY_COLD_TIME_INVALID, -1 },
+  { "{}", DY_COLD_TIME_INVALID, -1 },
+};
+
+static const struct
+{
+  const char *fields;
+  int64_t cold_ms;
+  int64_t per_1000_s;
+  bool invalid;
+} service_cases[] = {
+  { "", 0, 0, false },
+  { ",\"coldStartS\":2.5,\"coldPerS\":12", 2500, 12000, false },
+  { ",\"coldStartS\":20,\"coldPerS\":0", 20000, 0, false },
+  { ",\"coldStartS\":601,\"coldPerS\":0.5", 0, 500, true },
+  { ",\"coldStartS\":20,\"coldPerS\":-1", 20000, 0, true },
+  { ",\"coldStartS\":\"x\",\"coldPerS\":1e12", 0, 0, true },
+};
+
+START_TEST (cold_time_that_cannot_be_used_is_told_from_others)
+{
+  const char *value = cold_times[_i].value;
+  char *text = g_strdup_printf ("{\"service\":\"llm\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+                                "\"slots\":1,\"state\":\"ready\",\"coldRemainingMs\":%s}",
+                                value);
+  DyEndpointRecord record;
+  json_t *document;
+  DyAnswerHead head;
+  DyHttpHeader header = { .name = "x-cold-ms", .value = value };
+  ck_assert_int_eq (
+      dy_platform_dialect.decode_endpoint ("i", text, strlen (text), &record, &document), 0);
+  ck_assert_msg (record.cold_ms == cold_times[_i].record_ms, "%s: %d", value, (int) record.cold_ms);
+  dy_platform_dialect.decode_answer (&header, 1, &head);
+  ck_assert_msg (head.cold_ms == cold_times[_i].answer_ms, "%s: %d", value, (int) head.cold_ms);
+  ck_assert_msg ((head.unreadable != NULL) == (head.cold_ms < 0), "%s", value);
+  json_decref (document);
+  g_free (text);
+}
+END_TEST
+
+START_TEST (cold_time_and_rate_of_a_service)
+{
+  DyRouteTable table;
+  char *text = g_strdup_printf ("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"llm\"%s}]}",
+                                service_cases[_i].fields);
+  ck_assert_int_eq (dy_platform_dialect.decode_routes (text, strlen (text), &table), 0);
+  const DyRouteService *service = dy_route_table_service (&table, "llm");
+  ck_assert_int_eq (service->cold_ms, service_cases[_i].cold_ms);
+  ck_assert_int_eq (service->cold_per_1000_s, service_cases[_i].per_1000_s);
+  ck_assert_int_eq (service->cold_invalid, service_cases[_i].invalid);
+  dy_route_table_finish (&table);
+  g_free (text);
+}
+END_TEST
+
 typedef struct
 {
   int worst; /* requests in the busiest second */
@@ -213,6 +284,9 @@
   };
   TCase *tcase = tcase_create ("cold_endpoints");
   tcase_set_timeout (tcase, TIMEOUT_S);
+  tcase_add_loop_test (tcase, cold_time_that_cannot_be_used_is_told_from_others, 0,
+                       G_N_ELEMENTS (cold_times));
+  tcase_add_loop_test (tcase, cold_time_and_rate_of_a_service, 0, G_N_ELEMENTS (service_cases));
   tcase_add_loop_test (tcase, cold_endpoint_gets_what_it_tolerates_and_no_more, 0,
                        G_N_ELEMENTS (site_cases));
   tcase_add_loop_test (tcase, restarted_routers_keep_to_what_a_cold_endpoint_tolerates, 0,
