A router that is certain to be cut off serves on by outdated routes

Cause: a router that knows of a later configuration, gets it from no other router and is cut off from the store refused all requests. It is not in touch then, so the bound of routes does not hold for it, and its callers go to the few that are.

Change: core/knowledge.c lets it act on the routes it has if a call to the store since it heard of the change had no answer at all, it was on time as it waited, and its requests to other routers were in vain for a second. A store that answers and refuses does not count, nor that other routers are cut off. Endpoint records that are behind stay unusable. Event 2009 logs the terms; 2014 and a gauge show that outdated routes are acted on.

--- a/src/core/knowledge.c
+++ b/src/core/knowledge.c
@@ -31,16 +31,29 @@
          && now_us - MAX (asked_us, evidence->on_time_since_us) >= unanswered_us;
 }
 
+DyKnowledgeTerms
+dy_knowledge_terms (const DyKnowledgeEvidence *evidence, int64_t now_us)
+{
+  DyKnowledgeTerms terms = {
+    .would_hear = is_on_time (evidence, now_us) && now_us - evidence->on_time_since_us >= HEAR_US,
+    .refused = evidence->away_us > evidence->confirmed_us && now_us - evidence->away_us <= AWAY_US,
+    .unanswered = evidence->asked_us > evidence->confirmed_us
+                  && dy_knowledge_is_unanswered (evidence, evidence->asked_us, now_us),
+  };
+  terms.cut_off
+      = evidence->behind && terms.would_hear
+        && ((evidence->silent_us > evidence->behind_us && now_us - evidence->silent_us <= AWAY_US)
+            || (terms.unanswered && evidence->asked_us > evidence->behind_us));
+  return terms;
+}
+
 DyKnowledge
 dy_knowledge_judge (const DyKnowledgeEvidence *evidence, int64_t now_us)
 {
   if (now_us - evidence->confirmed_us <= evidence->bound_us)
     return DY_KNOWLEDGE_CURRENT;
-  bool would_hear = is_on_time (evidence, now_us) && now_us - evidence->on_time_since_us >= HEAR_US;
-  bool refused
-      = evidence->away_us > evidence->confirmed_us && now_us - evidence->away_us <= AWAY_US;
-  bool unanswered = evidence->asked_us > evidence->confirmed_us
-                    && dy_knowledge_is_unanswered (evidence, evidence->asked_us, now_us);
-  bool away = (would_hear && (refused || unanswered)) || evidence->others_away;
-  return away && !evidence->behind ? DY_KNOWLEDGE_BRIDGED : DY_KNOWLEDGE_LATE;
+  DyKnowledgeTerms terms = dy_knowledge_terms (evidence, now_us);
+  bool away = (terms.would_hear && (terms.refused || terms.unanswered)) || evidence->others_away;
+  bool acts = evidence->behind ? terms.cut_off && evidence->in_vain : away;
+  return acts ? DY_KNOWLEDGE_BRIDGED : DY_KNOWLEDGE_LATE;
 }
--- a/src/core/knowledge.h
+++ b/src/core/knowledge.h
@@ -18,6 +18,17 @@
  *   others, who tell what they confirm; so the router must have been on time for long enough to
  *   hear that, and must not have heard of a later change.
  *
+ *   A router that knows of a later change of the routes, and gets it from no other router, serves
+ *   on by what it has if it is certain that it is cut off from the store: a call since it heard of
+ *   the change had no answer at all, and the router was on time as it waited. A store that refuses
+ *   its calls is not that: there is a path. Reasons:
+ *   it is then not in touch, so that the bound of the routes does not hold for it; its refusals
+ *   would send all callers to the few routers that are in touch; and the invariants that have no
+ *   bound in time hold by the older routes, too, as a router never goes back to older ones than it
+ *   has served by. That the other routers are cut off as well is not enough, as they may have had
+ *   the change before. Endpoint records that are behind are not acted on: requests could reach an
+ *   endpoint that has left.
+ *
  * UNITS
  *   Times are microseconds, INT64_MIN / 2 where nothing happened yet. The module reads no clock;
  *   the time is passed in as NOW_US.
@@ -37,17 +48,30 @@
 {
   int64_t confirmed_us; /* there was no later change then */
   int64_t bound_us;
-  bool behind;      /* a later change is known to exist, by another router */
-  int64_t away_us;  /* latest time at which a call to the store had failed though this router was on
-                       time, or was refused */
-  int64_t asked_us; /* sending of the oldest call to the store in progress */
-  int64_t call_limit_us;    /* usual time limit of calls to the store; 0: none */
+  bool behind;       /* a later change is known to exist, by another router */
+  int64_t behind_us; /* if so, since when */
+  bool in_vain;      /* if so, it is of the routes, and no other router gives it */
+  int64_t away_us; /* latest time at which a call to the store had failed though this router was on
+                      time, or was refused */
+  int64_t silent_us;     /* the same of a call that had no answer at all, none having come since */
+  int64_t asked_us;      /* sending of the oldest call to the store in progress */
+  int64_t call_limit_us; /* usual time limit of calls to the store; 0: none */
   int64_t on_time_since_us; /* this router was on time from here */
   int64_t on_time_until_us; /* to here */
   bool others_away; /* all other routers that are heard from say that they don't reach the store,
                        and nor does this one */
 } DyKnowledgeEvidence;
 
+/* What evidence shows; see above. */
+typedef struct
+{
+  bool would_hear; /* this router would have heard of what others confirm */
+  bool refused;    /* the store refused a call, or one failed, lately */
+  bool unanswered; /* a call to the store has no answer */
+  bool cut_off;    /* a call had no answer at all since this router is behind */
+} DyKnowledgeTerms;
+
+DyKnowledgeTerms dy_knowledge_terms (const DyKnowledgeEvidence *evidence, int64_t now_us);
 DyKnowledge dy_knowledge_judge (const DyKnowledgeEvidence *evidence, int64_t now_us);
 
 /* Returns whether a call that was sent at ASKED_US and has no answer at NOW_US shows that the store
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -69,6 +69,7 @@
   DyLinkProbe time_probe; /* connects to an endpoint, to learn whether this router is on time */
   int64_t probed_us;      /* by dy_kernel_boot_us(): start of the latest one */
   bool is_late;           /* as last logged */
+  bool is_outdated;       /* requests are served by routes that are known to be outdated */
   int64_t late_since_us;  /* by dy_kernel_boot_us(): when it was found late; 0: it is not */
   ev_timer expiry_timer;
   DyRoutesWatcher watcher;
--- a/src/services/endpoints/directory_knowledge.c
+++ b/src/services/endpoints/directory_knowledge.c
@@ -25,37 +25,48 @@
                                 .on_time_until_us = directory->clocks.on_time_until_us };
 }
 
-static DyKnowledge
-judge (const DyDirectory *directory, const DyObjectWatch *watch, int64_t bound_us)
+/* Returns what is needed to judge what WATCH knows; if that is current, no more than shows it. */
+static DyKnowledgeEvidence
+evidence_of (const DyDirectory *directory, const DyObjectWatch *watch)
 {
   const DyPlatform *platform = directory->platform;
+  const DySettings *settings = directory->kernel->settings;
+  bool of_routes = watch == &directory->routes_watch;
   DyKnowledgeEvidence evidence = evidence_of_time (directory);
-  int64_t boot_us = dy_kernel_boot_us ();
   evidence.confirmed_us = watch->age.confirmed_us;
-  evidence.bound_us = bound_us;
+  evidence.bound_us = of_routes ? settings->routes_bound_ms * US_PER_MS
+                                : settings->endpoints_bound_ms * US_PER_MS - SEND_MARGIN_US;
   evidence.behind = watch->age.behind_us != 0;
-  if (boot_us - evidence.confirmed_us <= bound_us)
-    return DY_KNOWLEDGE_CURRENT;
+  evidence.behind_us = watch->age.behind_us;
+  evidence.in_vain = of_routes && dy_change_requests_are_in_vain (&watch->requests);
+  if (dy_kernel_boot_us () - evidence.confirmed_us <= evidence.bound_us)
+    return evidence;
   evidence.away_us = platform->away_us;
+  evidence.silent_us = platform->silent_us;
   evidence.asked_us = dy_platform_asked_us (platform);
   evidence.others_away = !dy_platform_answers (platform)
                          && dy_members_lack_platform (&directory->peers->members,
                                                       dy_kernel_now_us (directory->kernel));
-  return dy_knowledge_judge (&evidence, boot_us);
+  return evidence;
+}
+
+static DyKnowledge
+judge (const DyDirectory *directory, const DyObjectWatch *watch)
+{
+  DyKnowledgeEvidence evidence = evidence_of (directory, watch);
+  return dy_knowledge_judge (&evidence, dy_kernel_boot_us ());
 }
 
 DyKnowledge
 dy_directory_routes_knowledge (const DyDirectory *directory)
 {
-  return judge (directory, &directory->routes_watch,
-                directory->kernel->settings->routes_bound_ms * US_PER_MS);
+  return judge (directory, &directory->routes_watch);
 }
 
 DyKnowledge
 dy_directory_endpoints_knowledge (const DyDirectory *directory)
 {
-  return judge (directory, &directory->endpoints_watch,
-                directory->kernel->settings->endpoints_bound_ms * US_PER_MS - SEND_MARGIN_US);
+  return judge (directory, &directory->endpoints_watch);
 }
 
 int
@@ -122,22 +133,44 @@
     directory->probed_us = dy_kernel_boot_us ();
 }
 
+/* Logs EVENT with the terms that decide what may be done by what WATCH knows. */
+static void
+log_terms (const DyDirectory *directory, DyEvent event, int error, const DyObjectWatch *watch)
+{
+  int64_t boot_us = dy_kernel_boot_us ();
+  DyKnowledgeEvidence evidence = evidence_of (directory, watch);
+  DyKnowledgeTerms terms = dy_knowledge_terms (&evidence, boot_us);
+  dy_log (event,
+          "kind=%s routes_age_ms=%" G_GINT64_FORMAT " list_age_ms=%" G_GINT64_FORMAT
+          " on_time_ms=%" G_GINT64_FORMAT " away_ms=%" G_GINT64_FORMAT
+          " would_hear=%d refused=%d unanswered=%d others_away=%d behind_ms=%" G_GINT64_FORMAT
+          " asked=%u in_vain=%d cut_off=%d",
+          dy_error_info (error)->kind, dy_directory_routes_age_ms (directory),
+          dy_directory_endpoints_age_ms (directory),
+          (boot_us - directory->clocks.on_time_until_us) / US_PER_MS,
+          (boot_us - directory->platform->away_us) / US_PER_MS, terms.would_hear, terms.refused,
+          terms.unanswered, evidence.others_away,
+          evidence.behind ? (boot_us - evidence.behind_us) / US_PER_MS : 0,
+          watch->requests.missed.n_requests, evidence.in_vain, terms.cut_off);
+}
+
 static void
 log_lateness (DyDirectory *directory)
 {
+  const DyObjectWatch *routes = &directory->routes_watch;
   int error = dy_directory_ready (directory) ? dy_directory_check_age (directory) : DY_OK;
   bool is_late = error != DY_OK;
+  bool outdated = !is_late && routes->age.behind_us != 0
+                  && dy_directory_routes_knowledge (directory) == DY_KNOWLEDGE_BRIDGED;
   dy_counters_set (&directory->kernel->counters, DY_COUNTER_LATE, is_late);
-  if (is_late == directory->is_late)
-    return;
+  dy_counters_set (&directory->kernel->counters, DY_COUNTER_OUTDATED, outdated);
+  if (is_late != directory->is_late)
+    log_terms (directory, is_late ? DY_EVENT_KNOWLEDGE_LATE : DY_EVENT_KNOWLEDGE_IN_TIME, error,
+               error == DY_ENDPOINTS_STALE ? &directory->endpoints_watch : routes);
+  if (outdated && !directory->is_outdated)
+    log_terms (directory, DY_EVENT_ROUTES_OUTDATED, DY_ROUTES_STALE, routes);
   directory->is_late = is_late;
-  dy_log (is_late ? DY_EVENT_KNOWLEDGE_LATE : DY_EVENT_KNOWLEDGE_IN_TIME,
-          "kind=%s routes_age_ms=%" G_GINT64_FORMAT " list_age_ms=%" G_GINT64_FORMAT
-          " on_time_ms=%" G_GINT64_FORMAT " away_ms=%" G_GINT64_FORMAT,
-          dy_error_info (error)->kind, dy_directory_routes_age_ms (directory),
-          dy_directory_endpoints_age_ms (directory),
-          (dy_kernel_boot_us () - directory->clocks.on_time_until_us) / US_PER_MS,
-          (dy_kernel_boot_us () - directory->platform->away_us) / US_PER_MS);
+  directory->is_outdated = outdated;
 }
 
 void
--- a/src/services/platform.c
+++ b/src/services/platform.c
@@ -133,7 +133,13 @@
   else if (!is_failure (error))
     dy_patience_record_answer (&platform->patience, took_us);
   if (is_failure (error) && (error != DY_TIMEOUT || !is_late (platform, call->sent_boot_us)))
-    platform->away_us = dy_kernel_boot_us ();
+    {
+      platform->away_us = dy_kernel_boot_us ();
+      if (error == DY_TIMEOUT || error == DY_UNAVAILABLE)
+        platform->silent_us = platform->away_us;
+    }
+  if (error != DY_TIMEOUT && error != DY_UNAVAILABLE)
+    platform->silent_us = LONG_AGO_US;
 }
 
 static void
@@ -305,7 +311,8 @@
   platform->credited_us = g_get_monotonic_time ();
   platform->probe_interval_us = DEFAULT_PROBE_INTERVAL_US;
   platform->restored_us = INT64_MIN / 2;
-  platform->away_us = INT64_MIN / 2;
+  platform->away_us = LONG_AGO_US;
+  platform->silent_us = LONG_AGO_US;
   platform->calls = g_hash_table_new_full (NULL, NULL, free_call, NULL);
   g_queue_init (&platform->held);
   g_queue_init (&platform->rejected);
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -139,7 +139,9 @@
   DyPatience patience;
   int64_t away_us; /* by dy_kernel_boot_us(): time of the latest call that failed though this router
                       was on time, or that was refused; INT64_MIN / 2: none */
-  bool down;       /* the platform is unreachable */
+  int64_t silent_us; /* the same of a call that had no answer at all; INT64_MIN / 2: none since the
+                        latest answer */
+  bool down;         /* the platform is unreachable */
   int64_t down_since_us; /* monotonic time at which it last became unreachable; 0: never */
 } DyPlatform;
 
--- a/test/test_knowledge.c
+++ b/test/test_knowledge.c
@@ -87,6 +87,46 @@
 }
 END_TEST
 
+/* A router that knows of a later change since 2,000 ms. Times are milliseconds before now. */
+static const struct
+{
+  const char *name;
+  int64_t silent_ms; /* the latest call without any answer ended */
+  int64_t asked_ms;
+  int64_t since_ms; /* on time, until 10 ms ago */
+  bool others_away;
+  bool in_vain;
+  DyKnowledge knowledge;
+} outdated[] = {
+  { "cut off, no router gives the change", 300, NEVER, 1200, false, true, DY_KNOWLEDGE_BRIDGED },
+  { "the same, by a call in progress", NEVER, 500, 1200, false, true, DY_KNOWLEDGE_BRIDGED },
+  { "cut off, other routers may give it", 300, NEVER, 1200, false, false, DY_KNOWLEDGE_LATE },
+  { "the store answers, and refuses", NEVER, NEVER, 1200, false, true, DY_KNOWLEDGE_LATE },
+  { "on time for a moment", 300, 500, 900, false, true, DY_KNOWLEDGE_LATE },
+  { "cut off before the change", 2100, 2200, 4000, false, true, DY_KNOWLEDGE_LATE },
+  { "the others are cut off", NEVER, NEVER, 1200, true, true, DY_KNOWLEDGE_LATE },
+};
+
+/* Guards against refusals by a router that is certain to be cut off, and against one that acts on
+ * an older configuration though it may be in touch with the store. */
+START_TEST (outdated_routes_are_acted_on_only_while_the_router_is_cut_off)
+{
+  DyKnowledgeEvidence evidence = { .confirmed_us = time_of (5000),
+                                   .bound_us = BOUND_MS * MS,
+                                   .behind = true,
+                                   .behind_us = time_of (2000),
+                                   .in_vain = outdated[_i].in_vain,
+                                   .away_us = time_of (300),
+                                   .silent_us = time_of (outdated[_i].silent_ms),
+                                   .asked_us = time_of (outdated[_i].asked_ms),
+                                   .on_time_since_us = time_of (outdated[_i].since_ms),
+                                   .on_time_until_us = time_of (10),
+                                   .others_away = outdated[_i].others_away };
+  DyKnowledge knowledge = dy_knowledge_judge (&evidence, NOW_MS * MS);
+  ck_assert_msg (knowledge == outdated[_i].knowledge, "%s: %d", outdated[_i].name, knowledge);
+}
+END_TEST
+
 /* A call that reaches its own limit counts, also if that is shorter than the general one. */
 static const struct
 {
@@ -172,6 +212,8 @@
 main (void)
 {
   TCase *tcase = tcase_create ("knowledge");
+  tcase_add_loop_test (tcase, outdated_routes_are_acted_on_only_while_the_router_is_cut_off, 0,
+                       G_N_ELEMENTS (outdated));
   tcase_add_loop_test (tcase, a_call_that_is_given_up_shows_that_the_store_is_away, 0,
                        G_N_ELEMENTS (limits));
   tcase_add_loop_test (tcase, a_late_router_waits_longer_for_answers, 0,
