--- a/src/core/missed_changes.c
+++ b/src/core/missed_changes.c
@@ -172,18 +172,21 @@
 DyMissedReply
 dy_missed_changes_reply (const DyWatchAge *age,
                          const DyObjectHistory *history,
-                         uint64_t known,
-                         uint64_t changed,
+                         const DyMissedRequest *request,
                          uint64_t *after)
 {
+  uint64_t known = request->known;
   *after = 0;
   if (age->version == 0 || known >= age->version
       || (known && dy_store_version_era (known) != dy_store_version_era (age->version)))
     return DY_MISSED_REPLY_NOTHING;
-  if (known && dy_object_history_reaches (history, known, MIN (changed, known), after) && *after)
+  if (known && dy_object_history_reaches (history, known, MIN (request->changed, known), after)
+      && *after)
     return DY_MISSED_REPLY_CHANGES;
-  *after = 0;
-  return DY_MISSED_REPLY_LIST;
+  /* Routers that start together list at different versions, mostly without a change between. */
+  bool same = known && dy_object_history_is_same (history, known, request->n_objects);
+  *after = same ? known : 0;
+  return same ? DY_MISSED_REPLY_CHANGES : DY_MISSED_REPLY_LIST;
 }
 
 uint32_t
--- a/src/core/missed_changes.h
+++ b/src/core/missed_changes.h
@@ -102,13 +102,19 @@
   DY_MISSED_REPLY_LIST,
 } DyMissedReply;
 
-/* Returns how to reply to a router that knows all changes up to KNOWN, the latest of them at or
- * before CHANGED; KNOWN 0: it lists anew. AGE and HISTORY are this router's. Stores in AFTER the
- * version after which the objects are to be sent, 0: all. */
+/* A request of another router. */
+typedef struct
+{
+  uint64_t known;     /* up to which it knows all changes; 0: it lists anew */
+  uint64_t changed;   /* at or after the latest change up to KNOWN */
+  uint32_t n_objects; /* that it has; UINT32_MAX: not stated */
+} DyMissedRequest;
+
+/* Returns how to reply to REQUEST; AGE and HISTORY are this router's. Stores in AFTER the version
+ * after which the changes are to be sent. */
 DyMissedReply dy_missed_changes_reply (const DyWatchAge *age,
                                        const DyObjectHistory *history,
-                                       uint64_t known,
-                                       uint64_t changed,
+                                       const DyMissedRequest *request,
                                        uint64_t *after);
 
 /* Returns the number of parts in which N_BYTES are sent, each of at most PART_BYTES; 0: they are
--- a/src/core/object_history.c
+++ b/src/core/object_history.c
@@ -137,6 +137,19 @@
          && dy_store_version_era (known) == dy_store_version_era (history->version);
 }
 
+bool
+dy_object_history_is_same (const DyObjectHistory *history, uint64_t known, uint32_t n_objects)
+{
+  GHashTableIter iter;
+  gpointer value;
+  /* Objects of no later version than KNOWN existed then, so they are among those N_OBJECTS. */
+  g_hash_table_iter_init (&iter, history->objects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const KnownObject *) value)->version > known)
+      return false;
+  return g_hash_table_size (history->objects) == n_objects;
+}
+
 void
 dy_object_history_visit (const DyObjectHistory *history,
                          uint64_t after,
--- a/src/core/object_history.h
+++ b/src/core/object_history.h
@@ -71,6 +71,10 @@
                                 uint64_t changed,
                                 uint64_t *after);
 
+/* Returns whether a router that knows all changes up to KNOWN, and has N_OBJECTS objects, has the
+ * same ones in the same state: no later list or change of them is needed. */
+bool dy_object_history_is_same (const DyObjectHistory *history, uint64_t known, uint32_t n_objects);
+
 /* Calls VISITOR for the latest change of each object after the version AFTER, or for all objects
  * if AFTER is 0. */
 void dy_object_history_visit (const DyObjectHistory *history,
--- a/src/services/peers/change_requests.c
+++ b/src/services/peers/change_requests.c
@@ -77,40 +77,39 @@
     }
 }
 
-/* Adds what the other router needs to take the changes after a version. */
+/* Adds what the router that sent REQUEST needs to take the changes. */
 static void
-add_basis (
-    const DyObjectWatch *watch, json_t *root, DyMissedReply reply, uint64_t known, uint64_t changed)
+add_basis (const DyObjectWatch *watch,
+           json_t *root,
+           DyMissedReply reply,
+           const DyMissedRequest *request)
 {
   json_object_set_new (root, "version", json_integer ((json_int_t) watch->age.version));
   json_object_set_new (root, "list", json_boolean (reply == DY_MISSED_REPLY_LIST));
   if (reply == DY_MISSED_REPLY_LIST)
     return;
-  json_object_set_new (root, "base", json_integer ((json_int_t) known));
-  json_object_set_new (root, "base_changed", json_integer ((json_int_t) changed));
+  json_object_set_new (root, "base", json_integer ((json_int_t) request->known));
+  json_object_set_new (root, "base_changed", json_integer ((json_int_t) request->changed));
 }
 
-/* Replies to the router NAME, which knows all changes up to KNOWN, the latest of them at or before
- * CHANGED. */
+/* Replies to REQUEST of the router NAME. */
 static void
-answer (
-    DyChangeRequests *requests, uint64_t link, const char *name, uint64_t known, uint64_t changed)
+answer (DyChangeRequests *requests, uint64_t link, const char *name, const DyMissedRequest *request)
 {
   DyObjectWatch *watch = requests->watch;
   uint64_t after;
   bool packed = false;
-  DyMissedReply reply
-      = dy_missed_changes_reply (&watch->age, &watch->history, known, changed, &after);
+  DyMissedReply reply = dy_missed_changes_reply (&watch->age, &watch->history, request, &after);
   json_t *changes = reply == DY_MISSED_REPLY_NOTHING ? NULL : encode_changes (watch, after);
   char *text = changes ? dy_object_changes_to_text (changes, &packed) : NULL;
   size_t n = text ? strlen (text) : 0;
   uint32_t n_parts = dy_missed_changes_parts (n, DY_OBJECT_CHANGES_PART_BYTES);
-  json_t *root = begin_reply (watch, known);
+  json_t *root = begin_reply (watch, request->known);
   if (!text || n_parts == 0 || !dy_peers_takes (watch->peers, link, n)
       || !dy_missed_changes_spend (&requests->missed, n, dy_kernel_boot_us ()))
     reply = DY_MISSED_REPLY_NOTHING;
   else
-    add_basis (watch, root, reply, known, changed);
+    add_basis (watch, root, reply, request);
   if (reply == DY_MISSED_REPLY_NOTHING)
     send_reply (watch, link, root);
   else if (packed)
@@ -123,7 +122,7 @@
   dy_log (DY_EVENT_CHANGES_ANSWERED,
           "prefix=%s router=%s from=%" G_GUINT64_FORMAT " to=%" G_GUINT64_FORMAT
           " reply=%s bytes=%zu",
-          watch->prefix, name, known, watch->age.version, reply_names[reply],
+          watch->prefix, name, request->known, watch->age.version, reply_names[reply],
           reply == DY_MISSED_REPLY_NOTHING ? 0 : n);
   dy_counters_add (&watch->kernel->counters, DY_COUNTER_CHANGES_ANSWERED, 1);
   g_free (text);
@@ -131,24 +130,44 @@
   json_decref (root);
 }
 
+/* Returns whether VALUE is missing or an integer from 0 to MAX. */
+static bool
+is_within (const json_t *value, json_int_t max)
+{
+  return !value
+         || (json_is_integer (value) && json_integer_value (value) >= 0
+             && json_integer_value (value) <= max);
+}
+
+/* Stores the request ROOT in REQUEST. Returns whether it is valid. */
+static bool
+read_request (const json_t *root, DyMissedRequest *request)
+{
+  const json_t *version = json_object_get (root, "version");
+  const json_t *changed = json_object_get (root, "changed");
+  const json_t *objects = json_object_get (root, "objects");
+  json_int_t known = json_integer_value (version);
+  request->known = (uint64_t) known;
+  request->changed = changed ? (uint64_t) json_integer_value (changed) : request->known;
+  request->n_objects = objects ? (uint32_t) json_integer_value (objects) : UINT32_MAX;
+  return version && is_within (version, INT64_MAX) && is_within (changed, known)
+         && is_within (objects, UINT32_MAX - 1);
+}
+
 static void
 on_message (void *ctx, uint64_t link, const DyMessage *message)
 {
   DyChangeRequests *requests = ctx;
+  DyMissedRequest request;
   if (message->type != DY_MESSAGE_CONFIG || !message->u.config.text
       || strcmp (message->u.config.key, requests->key) != 0)
     return;
   json_t *root = json_loadb (message->u.config.text, message->u.config.n_text, 0, NULL);
-  const json_t *version = json_object_get (root, "version");
-  const json_t *changed = json_object_get (root, "changed");
   const char *name = json_string_value (json_object_get (root, "router"));
-  json_int_t known = json_integer_value (version);
-  if (!json_is_integer (version) || known < 0 || (changed && !json_is_integer (changed))
-      || json_integer_value (changed) < 0)
-    dy_object_watch_log_invalid (requests->watch, 0);
+  if (read_request (root, &request))
+    answer (requests, link, name && g_str_is_ascii (name) ? name : "", &request);
   else
-    answer (requests, link, name && g_str_is_ascii (name) ? name : "", (uint64_t) known,
-            changed ? (uint64_t) json_integer_value (changed) : (uint64_t) known);
+    dy_object_watch_log_invalid (requests->watch, 0);
   json_decref (root);
 }
 
@@ -186,9 +205,11 @@
                                                watch->history.version, &fleet, boot_us);
   if (!name)
     return;
-  json_t *root = json_pack ("{s:I, s:I, s:s}", "version", (json_int_t) watch->age.version,
-                            "changed", (json_int_t) watch->age.changed_version, "router",
-                            watch->peers->members.self_name);
+  json_t *root
+      = json_pack ("{s:I, s:I, s:I, s:s}", "version", (json_int_t) watch->age.version, "changed",
+                   (json_int_t) MIN (watch->age.changed_version, watch->age.version), "objects",
+                   (json_int_t) g_hash_table_size (watch->history.objects), "router",
+                   watch->peers->members.self_name);
   char *text = json_dumps (root, JSON_COMPACT);
   requests->parts.n_parts = 0;
   dy_log (DY_EVENT_CHANGES_ASKED,
--- a/src/services/peers/change_requests.h
+++ b/src/services/peers/change_requests.h
@@ -9,10 +9,10 @@
  *   core/missed_changes.h decides who is asked, when, and what is replied. A request is the object
  *   "watch-wanted/PREFIX":
  *
- *     {"version": n, "changed": n, "router": name}
+ *     {"version": n, "changed": n, "objects": n, "router": name}
  *
- *   All changes up to VERSION are known, the latest of them at or before CHANGED. VERSION 0: the
- *   router lists anew.
+ *   All changes up to VERSION are known, the latest of them at or before CHANGED, which is VERSION
+ *   if it is missing; the router has so many objects. VERSION 0: it lists anew.
  *
  *   The reply is an object "watch-ages/PREFIX", which is not passed on, with the fields that it has
  *   as of object_watch.c, and these:
--- a/test/test_changes_from_peers.c
+++ b/test/test_changes_from_peers.c
@@ -63,15 +63,15 @@
   GRand *rng = g_rand_new_with_seed ((uint32_t) number);
   for (int i = 0; i < N_ROUTES; i++)
     {
-      char name[2][NAME_SIZE];
-      for (int k = 0; k < 2; k++)
+      char name[4][NAME_SIZE];
+      for (int k = 0; k < 4; k++)
         g_snprintf (name[k], NAME_SIZE, "%08x%08x", g_rand_int (rng), g_rand_int (rng));
       g_string_append_printf (
           text,
-          ",{\"name\":\"%s%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\",\"routeType\":"
+          ",{\"name\":\"%s%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s%s/\",\"routeType\":"
           "\"idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":100,\"priority\":1,\"service\":"
           "\"app\",\"maxAttempts\":2}",
-          name[0], name[1], name[1]);
+          name[0], name[1], name[2], name[3]);
     }
   g_rand_free (rng);
   return g_string_free (text, FALSE);
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -8,6 +8,7 @@
 #include "platform/store.h"
 #include "services/endpoints/directory.h"
 #include "services/endpoints/endpoints.h"
+#include "services/peers/packed_text.h"
 #include "services/peers/peers_private.h"
 #include "support/canned.h"
 #include "support/fleet.h"
@@ -292,6 +293,154 @@
 }
 END_TEST
 
+/* Replies of another router that can't be read, to a router that knows version 2. */
+static const char *const invalid_replies[] = {
+  "",
+  "{",
+  "[]",
+  "{\"answers\":2,\"changed\":-1,\"age_ms\":0,\"router\":\"r1\",\"version\":3}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":-1,\"router\":\"r1\",\"version\":3}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":1e300,\"router\":\"r1\",\"version\":3}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"version\":3}",
+  "{\"answers\":2,\"changed\":4,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":true,"
+  "\"changes\":[]}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":true}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":true,"
+  "\"changes\":{}}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":true,"
+  "\"changes\":[{\"key\":\"config/main\",\"version\":3,\"value\":null}]}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":true,"
+  "\"packed\":\"AAAA\"}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":true,"
+  "\"piece\":\"A\",\"part\":0,\"parts\":1000000}",
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":true,"
+  "\"piece\":\"A\",\"part\":1,\"parts\":1}",
+};
+
+static GLogWriterOutput
+count_rejections (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer ctx)
+{
+  (void) level;
+  for (gsize i = 0; i < n; i++)
+    if (strcmp (fields[i].key, "DY_EVENT") == 0 && strcmp (fields[i].value, "2008") == 0)
+      (*(int *) ctx)++;
+  return G_LOG_WRITER_HANDLED;
+}
+
+static void
+take_reply (Fixture *fixture, const char *text)
+{
+  DyMessage message
+      = { .type = DY_MESSAGE_CONFIG,
+          .u.config
+          = { .key = "watch-ages/servers/", .text = text, .n_text = (uint32_t) strlen (text) } };
+  dy_object_watch_take (&fixture->directory.endpoints_watch, &message);
+}
+
+/* Starts the directory with two endpoints, known up to version 2. */
+static void
+start_with_endpoints (Fixture *fixture)
+{
+  const DyPlatformReply list = { .version = 2, .objects = listed, .n_objects = 2 };
+  fixture_init (fixture);
+  start_directory (fixture);
+  answer_call (fixture, 'l', "servers/", &list);
+}
+
+/* Guards against a broken router that empties the others' lists, or fills their logs. */
+START_TEST (replies_of_a_router_that_are_not_valid_are_logged_once_and_change_nothing)
+{
+  int n_rejections = 0;
+  Fixture fixture;
+  start_with_endpoints (&fixture);
+  g_log_set_writer_func (count_rejections, &n_rejections, NULL);
+  for (int i = 0; i < 3; i++)
+    take_reply (&fixture, invalid_replies[_i]);
+  ck_assert_msg (n_rejections == 1, "%s: logged %d times", invalid_replies[_i], n_rejections);
+  ck_assert_uint_eq (fixture.directory.endpoints_watch.age.version, 2);
+  ck_assert_uint_eq (dy_placement_count (&fixture.directory.placement, "app"), 2);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+#define REPLY(fields)                                                                              \
+  "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\"," fields                            \
+  ",\"changes\":[{\"key\":\"servers/e0\",\"version\":3,\"value\":null}]}"
+
+/* Replies that can be read, and the version and number of endpoints then. */
+static const struct
+{
+  const char *text;
+  uint64_t version;
+  uint32_t n_endpoints;
+} valid_replies[] = {
+  { REPLY ("\"version\":3,\"list\":false,\"base\":2,\"base_changed\":2"), 3, 1 },
+  { REPLY ("\"version\":3,\"list\":false,\"base\":1,\"base_changed\":1"), 2,
+    2 }, /* known in part */
+  { REPLY ("\"version\":4,\"list\":false,\"base\":3,\"base_changed\":3"), 2,
+    2 }, /* one is missed */
+  { REPLY ("\"version\":3,\"list\":true"), 3, 0 },
+  { REPLY ("\"version\":1099511627779,\"list\":true"), 2, 2 }, /* after a restore */
+  { "{\"answers\":2,\"changed\":1,\"age_ms\":0,\"router\":\"r1\"}", 2, 2 },
+};
+
+/* Guards against a router that goes back, misses a change, or takes a list of a restored store for
+ * removals. */
+START_TEST (replies_of_a_router_are_taken_if_they_follow_on_what_is_known)
+{
+  Fixture fixture;
+  start_with_endpoints (&fixture);
+  take_reply (&fixture, valid_replies[_i].text);
+  ck_assert_msg (fixture.directory.endpoints_watch.age.version == valid_replies[_i].version, "%s",
+                 valid_replies[_i].text);
+  ck_assert_msg (dy_placement_count (&fixture.directory.placement, "app")
+                     == valid_replies[_i].n_endpoints,
+                 "%s", valid_replies[_i].text);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/* Parts of one reply in the order in which they come; -1 ends it. The text has three; one that
+ * comes again is left out. */
+static const struct
+{
+  int parts[6];
+  bool taken;
+} part_orders[] = {
+  { { 0, 1, 2, -1 }, true },       { { 0, 2, -1 }, false },      { { 1, 2, -1 }, false },
+  { { 0, 1, 0, 1, 2, -1 }, true }, { { 0, 1, 1, 2, -1 }, true },
+};
+
+/* Guards against a text that is put together from parts of two replies, or lacks one. */
+START_TEST (a_reply_in_parts_is_taken_once_it_is_whole)
+{
+  enum
+  {
+    N_PARTS = 3,
+  };
+  static const char json[] = "[{\"key\":\"servers/e0\",\"version\":3,\"value\":null}]";
+  Fixture fixture;
+  start_with_endpoints (&fixture);
+  char *packed = dy_packed_text_encode (json, sizeof json - 1);
+  size_t n_piece = strlen (packed) / N_PARTS + 1;
+  for (int i = 0; part_orders[_i].parts[i] >= 0; i++)
+    {
+      int part = part_orders[_i].parts[i];
+      char *text = g_strdup_printf (
+          "{\"answers\":2,\"changed\":3,\"age_ms\":0,\"router\":\"r1\",\"version\":3,\"list\":"
+          "false,"
+          "\"base\":2,\"base_changed\":2,\"parts\":%d,\"part\":%d,\"piece\":\"%.*s\"}",
+          N_PARTS, part, (int) n_piece, packed + n_piece * (size_t) part);
+      take_reply (&fixture, text);
+      g_free (text);
+    }
+  g_free (packed);
+  ck_assert_uint_eq (dy_placement_count (&fixture.directory.placement, "app"),
+                     part_orders[_i].taken ? 1 : 2);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* A stand-in of the store on a socket, which knows on which connection a call arrives. It answers
  * watches at once and other calls never. */
 typedef struct
@@ -676,5 +825,12 @@
   tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
                        (int) G_N_ELEMENTS (removal_cases));
+  tcase_add_loop_test (tcase,
+                       replies_of_a_router_that_are_not_valid_are_logged_once_and_change_nothing, 0,
+                       G_N_ELEMENTS (invalid_replies));
+  tcase_add_loop_test (tcase, replies_of_a_router_are_taken_if_they_follow_on_what_is_known, 0,
+                       G_N_ELEMENTS (valid_replies));
+  tcase_add_loop_test (tcase, a_reply_in_parts_is_taken_once_it_is_whole, 0,
+                       G_N_ELEMENTS (part_orders));
   return suite_run ("directory", tcase);
 }
--- a/test/test_missed_changes.c
+++ b/test/test_missed_changes.c
@@ -159,23 +159,25 @@
 }
 END_TEST
 
-/* Replies of a router that knows version 20 and has a history since 10, and of one whose store was
- * restored. */
+/* Replies of a router that knows version 20 and has a history since 10, with an object of version
+ * 5, and of one whose store was restored. */
 static const struct
 {
   const char *name;
   uint64_t era; /* of the router that replies */
-  uint64_t known;
-  uint64_t changed;
+  DyMissedRequest request;
   DyMissedReply reply;
 } replies[] = {
-  { "changes", 0, 12, 12, DY_MISSED_REPLY_CHANGES },
-  { "compacted history", 0, 9, 9, DY_MISSED_REPLY_LIST },
-  { "the other router lists anew", 0, 0, 0, DY_MISSED_REPLY_LIST },
-  { "as much is known", 0, 20, 20, DY_MISSED_REPLY_NOTHING },
-  { "more is known", 0, 25, 25, DY_MISSED_REPLY_NOTHING },
-  { "implausible change", 0, 12, UINT64_MAX, DY_MISSED_REPLY_CHANGES },
-  { "another era", 1, 12, 12, DY_MISSED_REPLY_NOTHING },
+  { "changes", 0, { 12, 12, 1 }, DY_MISSED_REPLY_CHANGES },
+  { "compacted history", 0, { 9, 9, 2 }, DY_MISSED_REPLY_LIST },
+  { "compacted history, and the object changed", 0, { 4, 4, 1 }, DY_MISSED_REPLY_LIST },
+  { "compacted history, no object changed", 0, { 9, 9, 1 }, DY_MISSED_REPLY_CHANGES },
+  { "number of objects not stated", 0, { 9, 9, UINT32_MAX }, DY_MISSED_REPLY_LIST },
+  { "the other router lists anew", 0, { 0, 0, 1 }, DY_MISSED_REPLY_LIST },
+  { "as much is known", 0, { 20, 20, 1 }, DY_MISSED_REPLY_NOTHING },
+  { "more is known", 0, { 25, 25, 1 }, DY_MISSED_REPLY_NOTHING },
+  { "implausible change", 0, { 12, UINT64_MAX, 1 }, DY_MISSED_REPLY_CHANGES },
+  { "another era", 1, { 12, 12, 1 }, DY_MISSED_REPLY_NOTHING },
 };
 
 START_TEST (a_router_replies_with_what_the_other_one_can_take)
@@ -186,15 +188,15 @@
   uint64_t after;
   dy_object_history_init (&history);
   dy_watch_age_init (&age, &dy_watch_age_policy);
-  ck_assert_int_eq (dy_missed_changes_reply (&age, &history, replies[_i].known, 0, &after),
+  ck_assert_int_eq (dy_missed_changes_reply (&age, &history, &replies[_i].request, &after),
                     DY_MISSED_REPLY_NOTHING);
   dy_object_history_begin (&history, DY_OBJECT_UPDATE_LIST, dy_store_version (replies[_i].era, 10));
+  dy_object_history_record (&history, "a", dy_store_version (replies[_i].era, 5), "x");
   dy_object_history_end (&history);
   dy_object_history_begin (&history, DY_OBJECT_UPDATE_CHANGES, version);
   dy_object_history_end (&history);
   dy_watch_age_record_answer (&age, version, version, 0);
-  DyMissedReply reply
-      = dy_missed_changes_reply (&age, &history, replies[_i].known, replies[_i].changed, &after);
+  DyMissedReply reply = dy_missed_changes_reply (&age, &history, &replies[_i].request, &after);
   ck_assert_msg (reply == replies[_i].reply, "%s: %d", replies[_i].name, reply);
   dy_object_history_finish (&history);
 }
