--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -80,6 +80,7 @@
   int64_t probed_us;        /* by dy_kernel_boot_us(): start of the latest one */
   int64_t testing_since_us; /* the same: since when it learns that from others; 0: it does not */
   bool is_late;             /* as last logged */
+  bool is_outdated;         /* requests are served by routes that are known to be outdated */
   int64_t late_since_us;    /* by dy_kernel_boot_us(): when it was found late; 0: it is not */
   ev_timer expiry_timer;
   DyRoutesWatcher watcher;
