--- a/src/core/members.c
+++ b/src/core/members.c
@@ -26,6 +26,13 @@
   return XXH3_64bits (pair, sizeof pair);
 }
 
+enum
+{
+  /* A router states its load at least every 15 s, and every 5 s while it gets no duties. */
+  LOAD_VALID_US = 40 * 1000 * 1000,
+  LOADED_VALID_US = 20 * 1000 * 1000,
+};
+
 bool
 dy_members_is_live (const DyMembers *members, const DyMember *member, int64_t now_us)
 {
@@ -34,12 +41,53 @@
   return now_us - member->last_heard_us < members->timeout_us;
 }
 
-/* Returns the live member with the highest rendezvous hash above BEST_HASH, leaving out SKIP (may
- * be NULL) and, if NEED_PLATFORM, those that do not reach the platform; NULL if there is none. */
+bool
+dy_members_load_is_known (const DyMember *member, int64_t now_us)
+{
+  return member->load.stated_us && now_us - member->load.stated_us < LOAD_VALID_US;
+}
+
+bool
+dy_members_is_loaded (const DyMember *member, int64_t now_us)
+{
+  return member->load.loaded && dy_members_load_is_known (member, now_us)
+         && now_us - member->load.stated_us < LOADED_VALID_US;
+}
+
+/* Returns the place of a router in the choice of a home, the highest one first: those that are
+ * loaded come last, then the hash decides. A router that does not reach the platform keeps its
+ * place: during an outage of the platform only the grants bridge it, and they do not move. */
+static uint64_t
+place_of (uint64_t hash, bool loaded, bool has_platform)
+{
+  enum
+  {
+    TOP_BIT = 63,
+  };
+  uint64_t unloaded = loaded && has_platform ? 0 : 1;
+  return (unloaded << TOP_BIT) | (hash >> 1);
+}
+
+static uint64_t
+member_place (uint64_t account_hash, const DyMember *member, int64_t now_us)
+{
+  return place_of (combine_hashes (account_hash, member->name_hash),
+                   dy_members_is_loaded (member, now_us), member->has_platform);
+}
+
+static uint64_t
+self_place (const DyMembers *members, uint64_t account_hash)
+{
+  return place_of (combine_hashes (account_hash, hash_string (members->self_name)),
+                   members->self_loaded, members->self_has_platform);
+}
+
+/* Returns the live member with the highest place above BEST, leaving out SKIP (may be NULL) and, if
+ * NEED_PLATFORM, those that do not reach the platform; NULL if there is none. */
 static const DyMember *
 highest_member (const DyMembers *members,
                 uint64_t account_hash,
-                uint64_t best_hash,
+                uint64_t best,
                 const char *skip,
                 bool need_platform,
                 int64_t now_us)
@@ -56,10 +104,10 @@
         continue;
       if (need_platform && !member->has_platform)
         continue;
-      uint64_t hash = combine_hashes (account_hash, member->name_hash);
-      if (hash <= best_hash)
+      uint64_t place = member_place (account_hash, member, now_us);
+      if (place <= best)
         continue;
-      best_hash = hash;
+      best = place;
       home = member;
     }
   return home;
@@ -74,6 +122,7 @@
   members->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   members->self_leaving = false;
   members->self_has_platform = true;
+  members->self_loaded = false;
   members->listed = false;
   members->joining = false;
 }
@@ -142,10 +191,20 @@
 
 void
 dy_members_disconnected (DyMembers *members, const char *name)
+{
+  DyMember *member = g_hash_table_lookup (members->by_name, name);
+  if (!member)
+    return;
+  member->incarnation_id = 0;
+  memset (&member->load, 0, sizeof member->load);
+}
+
+void
+dy_members_record_load (DyMembers *members, const char *name, const DyMemberLoad *load)
 {
   DyMember *member = g_hash_table_lookup (members->by_name, name);
   if (member)
-    member->incarnation_id = 0;
+    member->load = *load;
 }
 
 const DyMember *
@@ -158,8 +217,7 @@
 dy_members_home (const DyMembers *members, const char *account, const char *skip, int64_t now_us)
 {
   uint64_t account_hash = hash_string (account);
-  uint64_t self
-      = members->self_leaving ? 0 : combine_hashes (account_hash, hash_string (members->self_name));
+  uint64_t self = members->self_leaving ? 0 : self_place (members, account_hash);
   return highest_member (members, account_hash, self, skip, false, now_us);
 }
 
@@ -172,8 +230,8 @@
     return true;
   const DyMember *home = dy_members_home (members, account, NULL, now_us);
   uint64_t account_hash = hash_string (account);
-  uint64_t hash
-      = combine_hashes (account_hash, home ? home->name_hash : hash_string (members->self_name));
+  uint64_t place
+      = home ? member_place (account_hash, home, now_us) : self_place (members, account_hash);
   /* Without a connection to any other member, this router would act as a fleet of one. */
   if (!home && !dy_members_other_home (members, account, NULL, now_us))
     return members->listed && g_hash_table_size (members->by_name) == 0;
@@ -183,16 +241,14 @@
       const DyMember *member = value;
       if (member->leaving || member->draining)
         continue;
-      if (combine_hashes (account_hash, member->name_hash) > hash)
+      if (member_place (account_hash, member, now_us) > place)
         return false;
     }
   return members->listed;
 }
 
-/* Returns the number of live members that precede this router in the order for KEY, or of those
- * among them that reach the platform. */
-static uint32_t
-count_before (const DyMembers *members, const char *key, bool with_platform, int64_t now_us)
+uint32_t
+dy_members_rank (const DyMembers *members, const char *key, int64_t now_us)
 {
   uint64_t key_hash = hash_string (key);
   uint64_t self = combine_hashes (key_hash, hash_string (members->self_name));
@@ -205,19 +261,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const DyMember *member = value;
-      if (dy_members_is_live (members, member, now_us) && (member->has_platform || !with_platform)
-          && combine_hashes (key_hash, member->name_hash) > self)
-        rank++;
+      rank += dy_members_is_live (members, member, now_us)
+              && combine_hashes (key_hash, member->name_hash) > self;
     }
   return rank;
 }
 
-uint32_t
-dy_members_rank (const DyMembers *members, const char *key, int64_t now_us)
-{
-  return count_before (members, key, false, now_us);
-}
-
 uint32_t
 dy_members_possible_rank (const DyMembers *members, const char *key)
 {
@@ -235,7 +284,21 @@
 uint32_t
 dy_members_platform_rank (const DyMembers *members, const char *key, int64_t now_us)
 {
-  return count_before (members, key, true, now_us);
+  uint64_t key_hash = hash_string (key);
+  uint64_t self = self_place (members, key_hash);
+  uint32_t rank = 0;
+  GHashTableIter iter;
+  gpointer value;
+  if (members->self_leaving)
+    return UINT32_MAX;
+  g_hash_table_iter_init (&iter, members->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyMember *member = value;
+      rank += dy_members_is_live (members, member, now_us) && member->has_platform
+              && member_place (key_hash, member, now_us) > self;
+    }
+  return rank;
 }
 
 uint32_t
@@ -321,8 +384,8 @@
 {
   uint64_t account_hash = hash_string (account);
   bool self = members->self_has_platform && !members->self_leaving;
-  uint64_t hash = self ? combine_hashes (account_hash, hash_string (members->self_name)) : 0;
-  const DyMember *home = highest_member (members, account_hash, hash, skip, true, now_us);
+  uint64_t place = self ? self_place (members, account_hash) : 0;
+  const DyMember *home = highest_member (members, account_hash, place, skip, true, now_us);
   return home || self ? home : dy_members_home (members, account, skip, now_us);
 }
 
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -13,7 +13,8 @@
  *   The home of an account is the live member with the highest rendezvous hash of the account and
  *   the router's name; it keeps the reservations of the account in one place. Two routers may
  *   disagree about a home while their views of the fleet differ: twice as many tokens may then be
- *   granted in advance, but the account's budget is never overspent.
+ *   granted in advance, but the account's budget is never overspent. A router that states that it
+ * is loaded becomes a home only if all live ones are loaded.
  *
  * UNITS
  *   Times are microseconds; the module reads no clock, the time is passed in as NOW_US.
@@ -23,6 +24,17 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* What a router states of its load (core/router_load.h). */
+typedef struct
+{
+  int64_t stated_us;     /* time at which it was received; 0: nothing is known */
+  bool loaded;           /* it is to get no new duties */
+  bool ready;            /* for all reasons but its load */
+  uint32_t out_pressure; /* pressure at which it went out of rotation for its load; 0: it did not */
+  uint32_t open;         /* requests */
+  uint32_t pressure;     /* percent; 100: the limit */
+} DyMemberLoad;
+
 typedef struct
 {
   char *name;
@@ -35,6 +47,7 @@
   int64_t last_heartbeat_us; /* time of its latest heartbeat */
   int64_t last_heard_us;     /* time at which anything last came from it */
   uint64_t name_hash;
+  DyMemberLoad load;
 } DyMember;
 
 typedef struct
@@ -45,8 +58,9 @@
   GHashTable *seen; /* set of the names of all other routers that were ever listed or connected */
   bool self_leaving;
   bool self_has_platform;
-  bool listed;  /* at least one member was listed */
-  bool joining; /* this router started recently; connections to others may still be missing */
+  bool self_loaded; /* as DyMemberLoad.loaded */
+  bool listed;      /* at least one member was listed */
+  bool joining;     /* this router started recently; connections to others may still be missing */
 } DyMembers;
 
 void dy_members_init (DyMembers *members, const char *self_name, int64_t timeout_us);
@@ -73,6 +87,16 @@
 /* Records that the connection to the member NAME was lost. */
 void dy_members_disconnected (DyMembers *members, const char *name);
 
+/* Records what the member NAME states of its load, until it is disconnected. Ignored if NAME is not
+ * listed. */
+void dy_members_record_load (DyMembers *members, const char *name, const DyMemberLoad *load);
+
+/* Returns whether MEMBER stated its load, and not too long ago. */
+bool dy_members_load_is_known (const DyMember *member, int64_t now_us);
+
+/* Returns whether MEMBER is to get no new duties while other routers can have them. */
+bool dy_members_is_loaded (const DyMember *member, int64_t now_us);
+
 /* Returns the listed member NAME, live or not; NULL if it is not listed or is this router. */
 const DyMember *dy_members_find (const DyMembers *members, const char *name);
 
@@ -98,7 +122,8 @@
  * those that dy_members_possible_count() counts. */
 uint32_t dy_members_possible_rank (const DyMembers *members, const char *key);
 
-/* Like dy_members_rank(), of the live members that reach the platform. */
+/* Like dy_members_rank(), of the live members that reach the platform, of which the loaded ones
+ * come last. */
 uint32_t dy_members_platform_rank (const DyMembers *members, const char *key, int64_t now_us);
 
 /* Stores the names of up to MAX live members in NAMES, this router left out, those first in the
@@ -120,7 +145,8 @@
                                                const char *skip,
                                                int64_t now_us);
 
-/* Returns the live member with the highest hash for ACCOUNT, leaving out this router and SKIP (may
+/* Returns the live member with the highest hash for ACCOUNT, of those that are not loaded if there
+ * are any, leaving out this router and SKIP (may
  * be NULL), or NULL if there is none. */
 const DyMember *dy_members_other_home (const DyMembers *members,
                                        const char *account,
