Routers measure their load, state it to each other and shed it

Cause: core/router_load decides, but nothing measured, stated or applied it.

While shedding the gateway reports that it is not ready, closes a part of the connections with the answer (never if more was received on them), and refuses the least urgent requests while it is full. Relays prefer routers that are not loaded. Settings shed_load and cpu_percent, events 1011 and 4007, gauges and counters.

--- a/src/core/router_load.c
+++ b/src/core/router_load.c
@@ -72,9 +72,14 @@
 }
 
 void
-dy_router_load_record_request (DyRouterLoad *load, uint32_t priority, int64_t waited_us)
+dy_router_load_record_priority (DyRouterLoad *load, uint32_t priority)
 {
   load->recent[MIN (priority, DY_LOAD_PRIORITIES - 1)] += 1.0;
+}
+
+void
+dy_router_load_record_wait (DyRouterLoad *load, int64_t waited_us)
+{
   load->waited_us += MAX (waited_us, 0);
   load->n_waited++;
 }
--- a/src/core/router_load.h
+++ b/src/core/router_load.h
@@ -111,8 +111,11 @@
 
 void dy_router_load_init (DyRouterLoad *load);
 
-/* Records a request of PRIORITY that waited for WAITED_US until it was handled. */
-void dy_router_load_record_request (DyRouterLoad *load, uint32_t priority, int64_t waited_us);
+/* Records that a complete request waited for WAITED_US until it was handled. */
+void dy_router_load_record_wait (DyRouterLoad *load, int64_t waited_us);
+
+/* Records a request of PRIORITY. */
+void dy_router_load_record_priority (DyRouterLoad *load, uint32_t priority);
 
 /* Records that a readiness probe got the answer that this router is not ready. */
 void dy_router_load_record_denial (DyRouterLoad *load);
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -12,6 +12,7 @@
 #include "services/endpoints/reachability.h"
 #include "services/gateway/gateway.h"
 #include "services/gateway/relays.h"
+#include "services/gateway/shedding.h"
 #include "services/operators.h"
 #include "services/peers/peers.h"
 #include "services/platform.h"
@@ -54,6 +55,7 @@
   DyRestores restores;
   DyOrigins origins;
   DyReachability reachability;
+  DyShedding shedding;
   DyGateway gateway;
   DyRelays relays;
   DyOperators operators;
@@ -286,6 +288,8 @@
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
   dy_origins_add_service (kernel, &daemon->origins);
   dy_reachability_add_service (kernel, &daemon->reachability);
+  daemon->shedding.loop_monitor = &daemon->loop_monitor;
+  dy_shedding_add_service (kernel, &daemon->shedding);
   dy_gateway_add_service (kernel, &daemon->gateway);
   dy_relays_add_service (kernel, &daemon->relays);
   daemon->operators.ready = directory_ready;
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -89,6 +89,16 @@
   X (RELAYS, counter, "dogwoodyoke_relays_total",                                                  \
      "attempts that other routers were asked to make")                                             \
   X (RELAYS_SERVED, counter, "dogwoodyoke_relays_served_total", "attempts made for other routers") \
+  X (LOAD_STATE, gauge, "dogwoodyoke_load_state",                                                  \
+     "load of this router beside the others: 0 normal, 1 shedding, 2 full")                        \
+  X (LOAD_PRESSURE, gauge, "dogwoodyoke_load_pressure", "load in percent of what it can handle")   \
+  X (LOAD_OUT, gauge, "dogwoodyoke_load_out", "1: this router is not ready for its load")          \
+  X (LOAD_CLOSED, counter, "dogwoodyoke_load_closed_total",                                        \
+     "answers that closed their connection for the load")                                          \
+  X (LOAD_REFUSED, counter, "dogwoodyoke_load_refused_total",                                      \
+     "requests refused as less urgent than others while this router was full")                     \
+  X (LOAD_STATEMENTS, counter, "dogwoodyoke_load_statements_total",                                \
+     "statements of the load to other routers")                                                    \
   X (CONFIG_VERSION, gauge, "dogwoodyoke_config_version", "highest platform version in force")     \
   X (DECLARATIONS_REJECTED, counter, "dogwoodyoke_declarations_rejected_total",                    \
      "declarations rejected as invalid")
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -43,7 +43,7 @@
 
 enum
 {
-  DY_MAX_SERVICES = 16
+  DY_MAX_SERVICES = 24
 };
 
 struct DyKernel
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -31,6 +31,7 @@
   X (SETTINGS_RELOADED, 1008, MESSAGE, "settings read again")                                      \
   X (LINES_DROPPED, 1009, WARNING, "log lines dropped")                                            \
   X (LOOP_DELAYED, 1010, WARNING, "event loop delayed")                                            \
+  X (LOAD_CHANGED, 1011, MESSAGE, "load state changed")                                            \
   X (PLATFORM_DOWN, 2001, WARNING, "platform unreachable")                                         \
   X (PLATFORM_UP, 2002, MESSAGE, "platform reachable")                                             \
   X (PLATFORM_THROTTLED, 2003, WARNING, "platform calls held back")                                \
@@ -49,6 +50,7 @@
   X (REGISTERED, 4004, MESSAGE, "own record written")                                              \
   X (HISTORY_GONE, 4005, WARNING, "watch history gone")                                            \
   X (PEER_MESSAGE_TOO_LARGE, 4006, WARNING, "message to a peer too large")                         \
+  X (LOAD_UNREADABLE, 4007, WARNING, "load of a peer unreadable")                                  \
   X (LEDGER_CONFLICT, 5001, INFO, "ledger write conflict")                                         \
   X (LEDGER_INVALID, 5002, WARNING, "ledger entry invalid")                                        \
   X (SETTLE_FAILED, 5003, WARNING, "settlement not acknowledged")                                  \
--- a/src/kernel/loop_monitor.c
+++ b/src/kernel/loop_monitor.c
@@ -31,6 +31,8 @@
   int64_t turn_us = now_us - monitor->turn_started_us;
   dy_counters_observe (monitor->counters, DY_HISTOGRAM_LOOP_TURN, turn_us);
   monitor->longest_us = MAX (monitor->longest_us, turn_us);
+  monitor->longest_since_us = MAX (monitor->longest_since_us, turn_us);
+  monitor->busy_us += turn_us;
   if (now_us - monitor->logged_us < LOG_INTERVAL_US)
     return;
   if (monitor->longest_us > LONG_TURN_US)
@@ -56,6 +58,14 @@
   ev_prepare_start (loop, &monitor->turn_end);
 }
 
+int64_t
+dy_loop_monitor_take_longest (DyLoopMonitor *monitor)
+{
+  int64_t longest_us = monitor->longest_since_us;
+  monitor->longest_since_us = 0;
+  return longest_us;
+}
+
 void
 dy_loop_monitor_finish (DyLoopMonitor *monitor)
 {
--- a/src/kernel/loop_monitor.h
+++ b/src/kernel/loop_monitor.h
@@ -26,6 +26,8 @@
   int64_t turn_started_us; /* 0: no turn has begun */
   int64_t longest_us;      /* longest turn since the last line */
   int64_t logged_us;
+  int64_t busy_us;          /* sum of all turns */
+  int64_t longest_since_us; /* longest turn since dy_loop_monitor_take_longest() */
   ev_check turn_start;
   ev_prepare turn_end;
 } DyLoopMonitor;
@@ -33,4 +35,7 @@
 void dy_loop_monitor_init (DyLoopMonitor *monitor, struct ev_loop *loop, DyCounters *counters);
 void dy_loop_monitor_finish (DyLoopMonitor *monitor);
 
+/* Returns the microseconds that the longest turn took since the previous call, and starts anew. */
+int64_t dy_loop_monitor_take_longest (DyLoopMonitor *monitor);
+
 #endif
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -32,6 +32,7 @@
   char *declarations_dir;
   char *peer_secret;
   char *first_start;
+  char *shed_load;
   char *log_format;
   char *log_level;
   int64_t log_lines_per_s;
@@ -79,6 +80,7 @@
   int64_t resend_ratio_thousandths;
   int64_t resend_slack_thousandths;
   int64_t resend_window_ms;
+  int64_t cpu_percent;
 } DySettings;
 
 typedef enum
--- a/src/net/http_call.c
+++ b/src/net/http_call.c
@@ -3,6 +3,7 @@
 #include "kernel/log.h"
 
 #include <string.h>
+#include <sys/ioctl.h>
 
 void
 dy_http_call_suspend (DyHttpCall *call)
@@ -94,6 +95,18 @@
   call->response = MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
 }
 
+/* Returns whether the handler wants the connection closed. Never if a request that the caller sent
+ * without waiting for the answer would be lost. */
+static bool
+is_closed_by_handler (const DyHttpCall *call)
+{
+  const DyHttpServer *server = call->server;
+  int n_unread = 0;
+  return call->complete && server->handler->closes
+         && ioctl (call->disconnect_io.fd, FIONREAD, &n_unread) == 0 && n_unread == 0
+         && server->handler->closes (server->ctx);
+}
+
 enum MHD_Result
 dy_http_call_queue (DyHttpCall *call)
 {
@@ -101,7 +114,8 @@
   for (guint i = 0; i + 1 < call->headers->len; i += 2)
     MHD_add_response_header (call->response, g_ptr_array_index (call->headers, i),
                              g_ptr_array_index (call->headers, i + 1));
-  if (call->server->closing || call->record->crowded || call->record->shut || call->failed)
+  if (call->server->closing || call->record->crowded || call->record->shut || call->failed
+      || is_closed_by_handler (call))
     MHD_add_response_header (call->response, MHD_HTTP_HEADER_CONNECTION, "close");
   call->queued = true;
   enum MHD_Result result = MHD_queue_response (call->connection, call->status, call->response);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -5,7 +5,9 @@
 #include "net/address.h"
 #include "net/http_call_private.h"
 
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 
@@ -19,7 +21,8 @@
   SEND_TIMEOUT_S = 120,
   /* Connections beyond the limit that may wait for their refusal at a time. */
   CROWDED_CONNECTIONS = 64,
-  HOLD_CHECK_MS = 5, /* interval at which the handler is asked whether requests still wait */
+  MAX_UNSENT_CALLS = 200, /* looked at by dy_http_server_unsent(), with a system call for each */
+  HOLD_CHECK_MS = 5,      /* interval at which the handler is asked whether requests still wait */
 };
 
 static const double SWEEP_INTERVAL_S = 0.2;
@@ -528,6 +531,29 @@
   server->idle_timeout_s = timeout_s;
 }
 
+uint32_t
+dy_http_server_unsent (const DyHttpServer *server, uint64_t *bytes)
+{
+  uint32_t n_calls = 0;
+  uint32_t n_seen = 0;
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, server->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL) && n_seen < MAX_UNSENT_CALLS)
+    {
+      const DyHttpCall *call = key;
+      int n_queued = 0;
+      if (!call->queued)
+        continue;
+      n_seen++;
+      ioctl (call->disconnect_io.fd, SIOCOUTQ, &n_queued);
+      size_t n = dy_http_call_unsent_bytes (call) + (size_t) MAX (n_queued, 0);
+      n_calls += n > 0;
+      *bytes += n;
+    }
+  return n_calls;
+}
+
 uint32_t
 dy_http_server_n_calls (const DyHttpServer *server)
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -60,6 +60,9 @@
    * few milliseconds; those that wait are passed on in the order of their arrival. The handler
    * bounds the time. Not asked when the server stops. May be NULL. */
   bool (*holds) (void *ctx);
+  /* Returns whether the connection of the answer that is about to begin is to be closed at its end.
+   * Asked for each answer, but not if more of the connection was received already. May be NULL. */
+  bool (*closes) (void *ctx);
   /* Returns the caller's own id of the request for the log, or NULL. May be NULL. */
   const char *(*request_id) (void *ctx, DyHttpCall *call);
 } DyHttpServerHandler;
@@ -142,6 +145,10 @@
 /* Returns the number of calls that have not ended. */
 uint32_t dy_http_server_n_calls (const DyHttpServer *server);
 
+/* Returns the number of calls whose answer has begun and waits to be sent, here or by the kernel,
+ * and adds what waits to BYTES. Looks at a few hundred calls at most. */
+uint32_t dy_http_server_unsent (const DyHttpServer *server, uint64_t *bytes);
+
 const char *dy_http_call_method (const DyHttpCall *call);
 
 /* Returns the decoded path without the query. */
--- a/src/services/endpoints/reachability.c
+++ b/src/services/endpoints/reachability.c
@@ -235,6 +235,7 @@
 {
   const DyReachability *reachability;
   const char *except; /* NULL: none */
+  bool loaded;        /* routers that are to get no new duties may be chosen, too */
 } PeerChoice;
 
 static bool
@@ -246,19 +247,21 @@
   const DyMember *member = dy_members_find (&peers->members, name);
   return member && g_strcmp0 (name, choice->except) != 0
          && dy_members_is_live (&peers->members, member, now_us (reachability))
+         && (choice->loaded || !dy_members_is_loaded (member, now_us (reachability)))
          && dy_peers_takes (peers, dy_peers_link_to (peers, name), 0);
 }
 
 const char *
 dy_reachability_choose_peer (const DyReachability *reachability, const char *avoid)
 {
-  PeerChoice choice = { reachability, avoid };
-  const char *peer
-      = dy_reach_choose_peer (&reachability->reach, is_usable, &choice, now_us (reachability));
-  if (peer || !avoid)
-    return peer;
-  choice.except = NULL;
-  return dy_reach_choose_peer (&reachability->reach, is_usable, &choice, now_us (reachability));
+  const PeerChoice choices[] = { { reachability, avoid, false },
+                                 { reachability, avoid, true },
+                                 { reachability, NULL, true } };
+  const char *peer = NULL;
+  for (size_t i = 0; i < G_N_ELEMENTS (choices) && !peer; i++)
+    peer = dy_reach_choose_peer (&reachability->reach, is_usable, (void *) &choices[i],
+                                 now_us (reachability));
+  return peer;
 }
 
 bool
--- a/src/services/gateway/gateway.c
+++ b/src/services/gateway/gateway.c
@@ -93,10 +93,18 @@
   return dy_directory_is_catching_up (gateway->directory);
 }
 
+static bool
+closes (void *ctx)
+{
+  DyGateway *gateway = ctx;
+  return dy_shedding_closes_next (gateway->shedding);
+}
+
 static const DyHttpServerHandler handler = { .handle = handle,
                                              .too_large = refuse_too_large,
                                              .overloaded = refuse_overloaded,
                                              .holds = holds,
+                                             .closes = closes,
                                              .request_id = request_id };
 
 static void
@@ -107,16 +115,28 @@
   static const char not_ready[] = "not ready\n";
   if (strcmp (dy_http_call_path (call), gateway->dialect->ready_path) != 0)
     dy_http_call_reply (call, MHD_HTTP_NOT_FOUND, "text/plain", "", 0);
-  else if (dy_gateway_ready (gateway))
+  else if (dy_gateway_ready (gateway) && dy_shedding_is_ready (gateway->shedding))
     dy_http_call_reply (call, MHD_HTTP_OK, "text/plain", ready, sizeof ready - 1);
   else
-    dy_http_call_reply (call, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain", not_ready,
-                        sizeof not_ready - 1);
+    {
+      dy_shedding_record_denial (gateway->shedding);
+      dy_http_call_reply (call, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain", not_ready,
+                          sizeof not_ready - 1);
+    }
 }
 
 static const DyHttpServerHandler ready_handler
     = { .handle = handle_ready, .too_large = handle_ready, .overloaded = handle_ready };
 
+static bool
+measure (void *ctx, DyRouterLoadSample *sample)
+{
+  const DyGateway *gateway = ctx;
+  sample->open = g_hash_table_size (gateway->requests);
+  sample->unsent_calls = dy_http_server_unsent (&gateway->server, &sample->unsent_bytes);
+  return dy_gateway_ready (gateway);
+}
+
 static void
 apply_routes (void *ctx, const DyRouteTable *routes)
 {
@@ -276,6 +296,7 @@
   gateway->relays = dy_kernel_find (kernel, DY_SERVICE_RELAYS);
   gateway->registration = dy_kernel_find (kernel, DY_SERVICE_REGISTRATION);
   gateway->part_blocks = dy_kernel_find (kernel, DY_SERVICE_PART_BLOCKS);
+  gateway->shedding = dy_kernel_find (kernel, DY_SERVICE_SHEDDING);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gateway->rng = g_rand_new_with_seed ((uint32_t) kernel->incarnation_id);
@@ -295,6 +316,8 @@
   dy_peers_watch (gateway->directory->peers, &peers_watcher, gateway);
   gateway->directory->peers->is_within_share = is_within_share;
   gateway->directory->peers->is_within_share_ctx = gateway;
+  gateway->shedding->measure = measure;
+  gateway->shedding->measure_ctx = gateway;
   return listen_on (gateway, settings);
 }
 
@@ -321,6 +344,7 @@
   DyGateway *gateway = self;
   ev_timer_stop (gateway->kernel->loop, &gateway->tick);
   ev_timer_stop (gateway->kernel->loop, &gateway->stop_check);
+  gateway->shedding->measure = NULL;
   dy_http_server_finish (&gateway->server);
   dy_http_server_finish (&gateway->ready_server);
   g_hash_table_unref (gateway->requests);
--- a/src/services/gateway/gateway.h
+++ b/src/services/gateway/gateway.h
@@ -11,7 +11,7 @@
  *   to an endpoint. The endpoint's answer is passed on to the caller.
  *
  *   Readiness is served at a second address: its ready path is answered 200 while the router is
- *   ready, 503 otherwise.
+ *   ready, and not out of rotation for its load, 503 otherwise.
  */
 
 #include "core/crash_evidence.h"
@@ -26,6 +26,7 @@
 #include "services/endpoints/endpoint_notices.h"
 #include "services/endpoints/link_probe.h"
 #include "services/endpoints/reachability.h"
+#include "services/gateway/shedding.h"
 #include "services/origins.h"
 #include "services/part_blocks.h"
 #include "services/registration.h"
@@ -44,6 +45,7 @@
   DyOrigins *origins;
   DyReachability *reachability;
   const DyRegistration *registration;
+  DyShedding *shedding;
   struct DyRelays *relays;
   DyHttpServer server;
   DyHttpServer ready_server;
@@ -88,7 +90,7 @@
 bool dy_gateway_is_closing (const DyGateway *gateway);
 
 /* Returns whether the router is ready for requests: it has a route table and endpoints, knows its
- * peers and is not draining. */
+ * peers and is not draining. Its load is not considered. */
 bool dy_gateway_ready (const DyGateway *gateway);
 
 #endif
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -117,6 +117,7 @@
   gateway->registration = &fixture->registration;
   gateway->budgets = &fixture->budgets;
   gateway->part_blocks = &fixture->part_blocks;
+  gateway->shedding = &fixture->shedding;
   fixture->part_blocks.loaded = true;
   gateway->limits = &fixture->limits;
   gateway->notices = &fixture->notices;
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -46,6 +46,7 @@
   DyEndpointNotices notices; /* is given none */
   DyOrigins origins;         /* all endpoints have one software version */
   DyReachability reachability;
+  DyShedding shedding; /* not started: off */
   DyGateway gateway;
   char *address; /* where the gateway accepts callers */
   FixtureEndpoint endpoints[FIXTURE_N_ENDPOINTS];
--- a/test/test_router_load.c
+++ b/test/test_router_load.c
@@ -159,7 +159,7 @@
   router->n_late += late;
   router->backlog -= late;
   uint32_t waited_us = (uint32_t) (router->backlog / router->per_s * 1e6);
-  dy_router_load_record_request (&router->load, 0, waited_us);
+  dy_router_load_record_wait (&router->load, waited_us);
   DyRouterLoadSample sample
       = { .now_us = centre->now_us,
           .busy_us = router->busy_us,
@@ -454,7 +454,7 @@
   for (int i = 0; i < 60; i++)
     {
       for (size_t p = 0; p < G_N_ELEMENTS (priorities); p++)
-        dy_router_load_record_request (&load, priorities[p], 0);
+        dy_router_load_record_priority (&load, priorities[p]);
       take_samples (&load, &now_us, 1, 80, i < 40 ? 800 : 300);
       bool refuses[] = { dy_router_load_refuses (&load, 1), dy_router_load_refuses (&load, 3),
                          dy_router_load_refuses (&load, 20) };
