--- a/src/core/router_load.c
+++ b/src/core/router_load.c
@@ -6,13 +6,16 @@
 enum
 {
   MS = 1000,
-  LIMIT = 100, /* pressure, as are the next eight */
+  LIMIT = 100, /* pressure, as are the next nine */
   RETURN_BELOW = 50,
   FULL_ABOVE = 150,
   KEEP_PRESSURE = 60,    /* to which connections are closed */
   OPEN_COUNTS_FROM = 50, /* strain below which open requests do not count */
   MAX_PRESSURE = 300,    /* of one sample */
-  SMOOTHING = 4,         /* samples */
+  /* The same of what is no delay: use of processor and loop, and open requests. Only delays make a
+   * router full, whatever the settings say of its processor. */
+  MAX_USE_PRESSURE = 120,
+  SMOOTHING = 4, /* samples */
   /* Median pressures of the others below which they have room, and from which they have none. */
   ROOM_BELOW = 60,
   NO_ROOM_FROM = 85,
@@ -102,10 +105,11 @@
 {
   double elapsed_us = (double) (sample->now_us - load->last.now_us);
   double usable_us = elapsed_us * MAX_USE_PERCENT / 100.0;
-  double strain = ratio ((double) (sample->busy_us - load->last.busy_us), usable_us);
+  double use = ratio ((double) (sample->busy_us - load->last.busy_us), usable_us);
   if (sample->cpu_percent > 0)
-    strain = MAX (strain, ratio ((double) (sample->cpu_us - load->last.cpu_us),
-                                 usable_us * sample->cpu_percent / 100.0));
+    use = MAX (use, ratio ((double) (sample->cpu_us - load->last.cpu_us),
+                           usable_us * sample->cpu_percent / 100.0));
+  double strain = MIN (use, MAX_USE_PRESSURE);
   if (load->n_waited > 0)
     strain = MAX (strain, ratio ((double) load->waited_us / load->n_waited, MAX_WAIT_US));
   strain = MAX (strain, ratio ((double) sample->longest_turn_us, MAX_TURN_US));
@@ -132,7 +136,7 @@
   double pressure = strain;
   load->strain += (strain - load->strain) / SMOOTHING;
   if (load->strain >= OPEN_COUNTS_FROM)
-    pressure = MAX (pressure, MIN (ratio (sample->open, open_limit), MAX_PRESSURE));
+    pressure = MAX (pressure, MIN (ratio (sample->open, open_limit), MAX_USE_PRESSURE));
   load->pressure += (pressure - load->pressure) / SMOOTHING;
   if (load->pressure < LIMIT)
     load->over_us = 0;
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -228,10 +228,13 @@
   /* Earlier builds, which tests of mixed fleets run, do not know the key. */
   char *connect_from
       = site->has_sources ? g_strdup_printf ("connect_from = %s\n", source) : g_strdup ("");
+  char *shed_load
+      = site->sheds ? g_strdup_printf ("shed_load = yes\ncpu_percent = %d\n", site->cpu_percent[i])
+                    : g_strdup ("");
   char *text = g_strdup_printf (
       "[node]\nname = r%u\ndata_centre = dc-a\ncaller_listen = %s\nready_listen = %s\n"
       "%soperator_listen = %s\npeer_listen = %s\ngrace_s = 8\ndrain_notice_ms = "
-      "200\n%s"
+      "200\n%s%s"
       "[platform]\nkind = objects\nurl = %s\nplatform_timeout_ms = 300\n"
       "watch_timeout_ms = 8000\nvm_list_interval_ms = %d\nplatform_calls_per_s = 200\n"
       "[peers]\nsecret = test%s\nheartbeat_ms = 50\npeer_timeout_ms = 1000\n"
@@ -239,13 +242,14 @@
       "store_copy_age_ms = 4000\n"
       "[log]\nlevel = info\n%s",
       i, site->callers[i], site->ready[i], connect_from, site->operators[i], site->peers[i],
-      site->ran_before ? "first_start = no\n" : "",
+      site->ran_before ? "first_start = no\n" : "", shed_load,
       site->relayed ? site->store_relays[i] : site->store, site->vm_list_interval_ms,
       site->separate ? site->peers[i] : "",
       site->logs_json ? "format = json\nlog_lines_per_s = 100000\n" : "");
   bool ok = g_file_set_contents (path, text, -1, NULL);
   g_free (text);
   g_free (connect_from);
+  g_free (shed_load);
   g_free (path);
   return ok;
 }
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -53,6 +53,8 @@
   bool ran_before;     /* routers start with first_start = no */
   bool separate;       /* routers reject each other's connections */
   bool logs_json;      /* routers log all lines, as JSON */
+  bool sheds;          /* routers have shed_load = yes and cpu_percent below */
+  int cpu_percent[SITE_MAX_ROUTERS];
   FleetProcess store_process;
   FleetProcess router_process[SITE_MAX_ROUTERS];
   FleetProcess worker_process[SITE_MAX_WORKERS];
--- a/test/test_router_load.c
+++ b/test/test_router_load.c
@@ -4,8 +4,11 @@
 #include "support/suite.h"
 
 #include "core/router_load.h"
+#include "kernel/error.h"
+#include "services/gateway/shedding.h"
 
 #include <glib.h>
+#include <string.h>
 #include <xxhash.h>
 
 enum
@@ -485,6 +488,106 @@
 }
 END_TEST
 
+/* Budget homes and watches stayed at a router that could not handle its callers' requests. */
+START_TEST (duties_go_to_routers_that_are_not_loaded)
+{
+  enum
+  {
+    N = 6,
+    N_ACCOUNTS = 50,
+  };
+  DyMembers members;
+  DyMemberLoad loaded = { .stated_us = 1000 * MS, .loaded = true, .ready = true };
+  int64_t now_us = 2000 * MS;
+  dy_members_init (&members, "self", INT64_MAX);
+  for (int i = 0; i < N; i++)
+    {
+      char name[] = { 'r', (char) ('0' + i), '\0' };
+      dy_members_put (&members, name, "", "dc", false);
+      dy_members_record_heartbeat (&members, name, 2, false, now_us);
+      dy_members_set_platform (&members, name, true);
+    }
+  for (int i = 0; i < N_ACCOUNTS; i++)
+    {
+      char account[16];
+      g_snprintf (account, sizeof account, "a%d", i);
+      const DyMember *home = dy_members_home (&members, account, NULL, now_us);
+      uint32_t rank = dy_members_platform_rank (&members, account, now_us);
+      ck_assert ((rank == 0) == !home);
+      if (!home)
+        {
+          members.self_loaded = true;
+          ck_assert (dy_members_home (&members, account, NULL, now_us));
+          ck_assert_uint_eq (dy_members_platform_rank (&members, account, now_us), N);
+          members.self_loaded = false;
+          continue;
+        }
+      char *name = g_strdup (home->name);
+      dy_members_record_load (&members, name, &loaded);
+      const DyMember *other = dy_members_home (&members, account, NULL, now_us);
+      ck_assert (!other || strcmp (other->name, name) != 0);
+      /* Grants bridge an outage of the platform where they are. */
+      dy_members_set_platform (&members, name, false);
+      ck_assert (dy_members_home (&members, account, NULL, now_us) == home);
+      dy_members_set_platform (&members, name, true);
+      /* A statement that is not repeated does not hold for long. */
+      ck_assert (dy_members_home (&members, account, NULL, now_us + 30 * 1000 * MS) == home);
+      dy_members_record_load (&members, name, &(DyMemberLoad){ 0 });
+      g_free (name);
+    }
+  dy_members_finish (&members);
+}
+END_TEST
+
+static const char *const bad_statements[] = {
+  "",
+  "[]",
+  "{}",
+  "{\"node\":7,\"loaded\":true,\"ready\":true,\"out\":0,\"open\":1,\"pressure\":2}",
+  "{\"node\":\"r1\",\"loaded\":1,\"ready\":true,\"out\":0,\"open\":1,\"pressure\":2}",
+  "{\"node\":\"r1\",\"loaded\":true,\"ready\":true,\"out\":-1,\"open\":1,\"pressure\":2}",
+  "{\"node\":\"r1\",\"loaded\":true,\"ready\":true,\"out\":0,\"open\":1e99,\"pressure\":2}",
+  "{\"node\":\"r1\",\"loaded\":true,\"ready\":true,\"out\":0,\"open\":9999999,\"pressure\":2}",
+  "{\"node\":\"r1\",\"loaded\":true,\"ready\":true,\"out\":0,\"open\":1}"
+};
+
+/* A statement that cannot be read must change nothing; one with unknown members is of a later
+ * version and holds. */
+START_TEST (statements_are_checked)
+{
+  static const char good[] = "{\"node\":\"r1\",\"loaded\":true,\"ready\":false,\"out\":120,"
+                             "\"open\":41,\"pressure\":130,\"later\":[1]}";
+  DyKernel kernel;
+  DySettings settings = { .shed_load = (char *) "no" };
+  DyPeers peers = { 0 };
+  DyShedding shedding = { 0 };
+  const DyService service = { .name = DY_SERVICE_PEERS, .self = &peers };
+  DyMessage message = { .type = DY_MESSAGE_CONFIG };
+  g_strlcpy (message.u.config.key, "router-load", DY_KEY_SIZE);
+  dy_kernel_init (&kernel, ev_default_loop (EVFLAG_AUTO), &settings);
+  dy_members_init (&peers.members, "self", INT64_MAX);
+  dy_members_put (&peers.members, "r1", "", "dc", false);
+  dy_kernel_add (&kernel, &service);
+  dy_shedding_add_service (&kernel, &shedding);
+  ck_assert_int_eq (dy_kernel_start (&kernel), DY_OK);
+  const DyMember *member = dy_members_find (&peers.members, "r1");
+  for (size_t i = 0; i <= G_N_ELEMENTS (bad_statements); i++)
+    {
+      const char *text = i < G_N_ELEMENTS (bad_statements) ? bad_statements[i] : good;
+      ck_assert_msg (member->load.stated_us == 0, "taken: %s", bad_statements[MAX (i, 1) - 1]);
+      message.u.config.text = text;
+      message.u.config.n_text = (uint32_t) strlen (text);
+      peers.watchers[0].watcher->message (peers.watchers[0].ctx, 1, &message);
+    }
+  ck_assert (member->load.stated_us && member->load.loaded && !member->load.ready);
+  ck_assert_uint_eq (member->load.out_pressure, 120);
+  ck_assert_uint_eq (member->load.open, 41);
+  ck_assert_uint_eq (member->load.pressure, 130);
+  dy_kernel_finish (&kernel);
+  dy_members_finish (&peers.members);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -497,5 +600,7 @@
   tcase_add_test (tcase, duties_return_some_time_after_the_load);
   tcase_add_test (tcase, the_least_urgent_is_refused_first_and_the_most_urgent_never);
   tcase_add_test (tcase, routers_of_unknown_load_do_not_count_as_idle);
+  tcase_add_test (tcase, duties_go_to_routers_that_are_not_loaded);
+  tcase_add_test (tcase, statements_are_checked);
   return suite_run ("router_load", tcase);
 }
