--- a/src/core/members.c
+++ b/src/core/members.c
@@ -28,8 +28,8 @@
 
 enum
 {
-  /* A router states its load at least every 15 s, and every 5 s while it gets no duties. */
-  LOAD_VALID_US = 40 * 1000 * 1000,
+  /* A router states its load at least every 30 s, and every 5 s while it gets no duties. */
+  LOAD_VALID_US = 75 * 1000 * 1000,
   LOADED_VALID_US = 20 * 1000 * 1000,
 };
 
--- a/src/core/router_load.c
+++ b/src/core/router_load.c
@@ -48,7 +48,7 @@
   DUTY_HOLD_US = 10 * 1000 * MS,
   MIN_STATEMENT_US = 1000 * MS, /* between statements of figures */
   /* Refreshes, so that a statement that was lost or has grown old is replaced. */
-  REFRESH_US = 15 * 1000 * MS,
+  REFRESH_US = 30 * 1000 * MS,
   REFRESH_LOADED_US = 5 * 1000 * MS,
   OPEN_STEP = 8, /* smallest differences that are stated */
   PRESSURE_STEP = 25,
@@ -240,8 +240,10 @@
   load->out_share += (n_out / (others->n_listed + 1) - load->out_share) / OUT_SMOOTHING;
   if (!load->announced_us)
     {
-      if (load->state != DY_LOAD_NORMAL && enough_ready (others, others->n_ready)
-          && load->out_share < MAX_OUT_SHARE && out_us (load, now_us) + MIN_OUT_US <= MAX_OUT_US)
+      /* A small VM may never be below half of its limit. */
+      if (load->state != DY_LOAD_NORMAL && load->pressure >= LIMIT
+          && enough_ready (others, others->n_ready) && load->out_share < MAX_OUT_SHARE
+          && out_us (load, now_us) + MIN_OUT_US <= MAX_OUT_US)
         go_out (load, now_us);
       return;
     }
--- a/test/test_shedding.c
+++ b/test/test_shedding.c
@@ -1,6 +1,7 @@
 /* A router that gets more than it can handle beside idle ones: real router processes, callers that
  * keep their connections, and a load balancer that probes the routers. */
 
+#include "support/gateway_fixture.h"
 #include "support/site.h"
 #include "support/suite.h"
 
@@ -254,6 +255,38 @@
 }
 END_TEST
 
+/* A full router must refuse at once what is as urgent as its limit or less, and say that another
+ * router can serve it. */
+START_TEST (a_full_router_refuses_by_priority)
+{
+  static const struct
+  {
+    uint32_t refuse_from;
+    unsigned status;
+  } cases[] = { { 0, 503 }, { DY_LOAD_PRIORITIES, 200 } };
+  Fixture *fixture = g_new0 (Fixture, 1);
+  fixture_init (fixture);
+  fixture_put_endpoint (fixture, 0, false);
+  fixture->shedding.kernel = &fixture->kernel;
+  fixture->shedding.enabled = true;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      FixtureAnswer answer;
+      fixture->shedding.load.refuse_from = cases[i].refuse_from;
+      fixture_send (fixture, "/x", &answer, 1);
+      ck_assert_uint_eq (answer.result.status, cases[i].status);
+      bool refused = cases[i].status == 503;
+      ck_assert (refused == (strstr (answer.head->str, "Retry-After: 0.0") != NULL));
+      ck_assert (refused == (strstr (answer.body->str, "\"overloaded\"") != NULL));
+      ck_assert_int_eq (fixture->endpoints[0].n_requests, refused ? 0 : 1);
+      fixture_free_answers (&answer, 1);
+    }
+  ck_assert_int_eq (fixture->kernel.counters.values[DY_COUNTER_LOAD_REFUSED], 1);
+  fixture_finish (fixture);
+  g_free (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -264,5 +297,6 @@
   TCase *tcase = tcase_create ("shedding");
   tcase_set_timeout (tcase, TIMEOUT_S);
   tcase_add_test (tcase, a_crowded_router_sends_its_callers_elsewhere_and_comes_back);
+  tcase_add_test (tcase, a_full_router_refuses_by_priority);
   return suite_run ("shedding", tcase);
 }
