Waits that the gateway itself wants do not count as load

Cause: requests wait for up to some time while a router catches up with what it must know. The wait counted as load, so that a router could shed after a pause of the store's changes.

Change: a request that was ready before the latest such wait is not counted.

--- a/src/net/http_call.c
+++ b/src/net/http_call.c
@@ -154,6 +154,12 @@
   return g_get_monotonic_time () - call->ready_us;
 }
 
+bool
+dy_http_call_was_held (const DyHttpCall *call)
+{
+  return call->server->held_us >= call->ready_us;
+}
+
 const GString *
 dy_http_call_body (const DyHttpCall *call)
 {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -211,9 +211,12 @@
 }
 
 static bool
-holds (const DyHttpServer *server)
+holds (DyHttpServer *server)
 {
-  return server->handler->holds && server->handler->holds (server->ctx);
+  bool held = server->handler->holds && server->handler->holds (server->ctx);
+  if (held)
+    server->held_us = g_get_monotonic_time ();
+  return held;
 }
 
 /* Passes the request to the handler, or to the queue if the time of this turn is used up or the
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -94,6 +94,7 @@
   int64_t turn_started_us; /* monotonic time at which this turn of the loop began */
   int64_t turn_spent_us;   /* time spent in the handler in this turn */
   bool holding;            /* the requests of the queue wait as the handler wants it */
+  int64_t held_us;         /* monotonic time at which the handler last wanted that; 0: never */
   DyCounters *counters;    /* NULL: calls are not counted */
   DyHttpConnections connections;
   uint32_t idle_timeout_s; /* 0: no timeout */
@@ -164,6 +165,9 @@
  * turn of the loop that read its end. */
 int64_t dy_http_call_waited_us (const DyHttpCall *call);
 
+/* Returns whether that is because the handler wanted requests to wait. */
+bool dy_http_call_was_held (const DyHttpCall *call);
+
 const GString *dy_http_call_body (const DyHttpCall *call);
 
 /* Return the value of the request header or query parameter NAME, or NULL. */
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -567,7 +567,8 @@
 dy_gateway_request_start (DyGateway *gateway, DyHttpCall *call)
 {
   DyGatewayPlan plan;
-  dy_shedding_record_wait (gateway->shedding, dy_http_call_waited_us (call));
+  if (!dy_http_call_was_held (call))
+    dy_shedding_record_wait (gateway->shedding, dy_http_call_waited_us (call));
   int error = dy_gateway_plan_init (&plan, gateway, call);
   /* Of a resumed stream, its caller has a part already. */
   if (!error && dy_shedding_refuses (gateway->shedding, plan.rank == 0 ? 0 : plan.priority))
