Test: a request that crosses the close of its connection is answered

Guards against the loss of a request that a caller sent while the answer that closes its connection was made, and against closing idle connections.

--- a/test/test_net.c
+++ b/test/test_net.c
@@ -837,6 +837,90 @@
 }
 END_TEST
 
+typedef struct
+{
+  DyHttpServer server;
+  int fd;           /* of the caller */
+  const char *next; /* sent while the first request is handled; NULL: nothing */
+  int n_handled;
+} ClosingReceiver;
+
+static void
+handle_and_send_next (void *ctx, DyHttpCall *call)
+{
+  ClosingReceiver *receiver = ctx;
+  const char *next = receiver->n_handled++ == 0 ? receiver->next : NULL;
+  if (next)
+    ck_assert_int_eq (send (receiver->fd, next, strlen (next), MSG_NOSIGNAL),
+                      (ssize_t) strlen (next));
+  dy_http_call_reply (call, 200, "text/plain", "ok", 2);
+}
+
+static bool
+always_closes (void *ctx)
+{
+  (void) ctx;
+  return true;
+}
+
+static const DyHttpServerHandler closing_handler = { .handle = handle_and_send_next,
+                                                     .too_large = handle_and_send_next,
+                                                     .closes = always_closes };
+
+#define NEXT "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+
+static const struct
+{
+  const char *name;
+  const char *next;
+  int n_answers;
+} closing_cases[] = { { "one request", NULL, 1 }, { "another one crosses the answer", NEXT, 2 } };
+
+/* A request on its way while the server closes connections at the end of answers must be answered,
+ * and the last answer says that the connection ends. An idle connection stays open. */
+START_TEST (a_request_that_crosses_the_close_is_answered)
+{
+  enum
+  {
+    IDLE_TURNS_MS = 300,
+  };
+  static const char first[] = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char *address = fleet_free_address ();
+  ClosingReceiver receiver = { .next = closing_cases[_i].next };
+  ck_assert_int_eq (dy_http_server_init (&receiver.server, loop, address, MAX_BODY_BYTES,
+                                         MAX_HEADER_BYTES, MAX_BODY_BYTES, &closing_handler,
+                                         &receiver),
+                    DY_OK);
+  Reader reader = { .fd = open_socket (address, false), .text = g_string_new (NULL) };
+  ev_io io;
+  ev_io_init (&io, on_bytes, reader.fd, EV_READ);
+  io.data = &reader;
+  ev_io_start (loop, &io);
+  receiver.fd = reader.fd;
+  int64_t end_us = g_get_monotonic_time () + IDLE_TURNS_MS * 1000;
+  while (g_get_monotonic_time () < end_us)
+    ev_run (loop, EVRUN_ONCE);
+  ck_assert (!reader.closed);
+  ck_assert_int_eq (send (reader.fd, first, strlen (first), MSG_NOSIGNAL),
+                    (ssize_t) strlen (first));
+  while (!reader.closed)
+    ev_run (loop, EVRUN_ONCE);
+  char **answers = g_strsplit (reader.text->str, "HTTP/1.1 200 ", -1);
+  int n_answers = (int) g_strv_length (answers) - 1;
+  ck_assert_msg (n_answers == closing_cases[_i].n_answers, "%s: %d answers", closing_cases[_i].name,
+                 n_answers);
+  for (int i = 1; i <= n_answers; i++)
+    ck_assert_msg ((strstr (answers[i], "Connection: close") != NULL) == (i == n_answers), "%s: %s",
+                   closing_cases[_i].name, answers[i]);
+  g_strfreev (answers);
+  close (reader.fd);
+  g_string_free (reader.text, TRUE);
+  dy_http_server_finish (&receiver.server);
+  g_free (address);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -849,6 +933,8 @@
   tcase_add_loop_test (tcase, no_request_follows_a_refusal_on_its_connection, 0,
                        (int) G_N_ELEMENTS (copy_cases));
   tcase_add_test (tcase, a_refused_connection_is_not_reported_as_reused);
+  tcase_add_loop_test (tcase, a_request_that_crosses_the_close_is_answered, 0,
+                       (int) G_N_ELEMENTS (closing_cases));
   tcase_add_loop_test (tcase, a_connection_with_unread_bytes_is_not_reused, 0,
                        (int) G_N_ELEMENTS (idle_cases));
   tcase_add_test (tcase, socket_whose_connecting_timed_out_is_forgotten);
