--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -60,6 +60,9 @@
    * few milliseconds; those that wait are passed on in the order of their arrival. The handler
    * bounds the time. Not asked when the server stops. May be NULL. */
   bool (*holds) (void *ctx);
+  /* Returns whether the connection of the answer that is about to begin is to be closed at its end.
+   * Asked for each answer, but not if more of the connection was received already. May be NULL. */
+  bool (*closes) (void *ctx);
   /* Returns the caller's own id of the request for the log, or NULL. May be NULL. */
   const char *(*request_id) (void *ctx, DyHttpCall *call);
 } DyHttpServerHandler;
@@ -91,6 +94,7 @@
   int64_t turn_started_us; /* monotonic time at which this turn of the loop began */
   int64_t turn_spent_us;   /* time spent in the handler in this turn */
   bool holding;            /* the requests of the queue wait as the handler wants it */
+  int64_t held_us;         /* monotonic time at which the handler last wanted that; 0: never */
   DyCounters *counters;    /* NULL: calls are not counted */
   DyHttpConnections connections;
   uint32_t idle_timeout_s; /* 0: no timeout */
@@ -142,6 +146,10 @@
 /* Returns the number of calls that have not ended. */
 uint32_t dy_http_server_n_calls (const DyHttpServer *server);
 
+/* Returns the number of calls whose answer has begun and waits to be sent, here or by the kernel,
+ * and adds what waits to BYTES. Looks at a few hundred calls at most. */
+uint32_t dy_http_server_unsent (const DyHttpServer *server, uint64_t *bytes);
+
 const char *dy_http_call_method (const DyHttpCall *call);
 
 /* Returns the decoded path without the query. */
@@ -157,6 +165,9 @@
  * turn of the loop that read its end. */
 int64_t dy_http_call_waited_us (const DyHttpCall *call);
 
+/* Returns whether that is because the handler wanted requests to wait. */
+bool dy_http_call_was_held (const DyHttpCall *call);
+
 const GString *dy_http_call_body (const DyHttpCall *call);
 
 /* Return the value of the request header or query parameter NAME, or NULL. */
--- a/src/services/endpoints/directory_knowledge.c
+++ b/src/services/endpoints/directory_knowledge.c
@@ -42,9 +42,10 @@
   evidence.bound_us = bound_ms * US_PER_MS - (of_routes ? 0 : SEND_MARGIN_US);
   evidence.behind = watch->age.behind_us != 0;
   evidence.behind_us = watch->age.behind_us;
-  evidence.in_vain = of_routes && dy_change_requests_are_in_vain (&watch->requests);
   if (dy_kernel_boot_us () - evidence.confirmed_us <= evidence.bound_us)
     return evidence;
+  evidence.in_vain
+      = of_routes && evidence.behind && dy_change_requests_are_in_vain (&watch->requests);
   evidence.away_us = platform->away_us;
   evidence.silent_us = platform->silent_us;
   evidence.asked_us = dy_platform_asked_us (platform);
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -61,6 +61,8 @@
   int evacuation_ms;   /* bound with which routers watch evacuations; 0: they don't */
   bool logs_json;      /* routers log all lines, as JSON */
   bool cold;           /* endpoints of "llm" are cold for SITE_COLD_MS after their start */
+  bool sheds;          /* routers have shed_load = yes and cpu_percent below */
+  int cpu_percent[SITE_MAX_ROUTERS];
   FleetProcess store_process;
   FleetProcess router_process[SITE_MAX_ROUTERS];
   FleetProcess worker_process[SITE_MAX_WORKERS];
