Evacuations in an outage and a restore of the store; what explain shows of them

Cause: the hold of an evacuation that a restored store lacks, and an outage past the bound, were tested in virtual time or not at all, and the test evacuated the data centre that its routers use less. Change: the test evacuates the routers' own data centre, and has cases of a store that is away, that is restored from an older copy, and where the operator writes the evacuation again. A log of a request that met an evacuation joins the tests of explain.

--- a/src/cli/sendings.c
+++ b/src/cli/sendings.c
@@ -183,7 +183,7 @@
           event_of (sending->line) == EVENT_RELAY_PLACED ? " by another router" : "");
   int n_evacuated = number_of (sending->line, "evacuated", 0);
   if (n_evacuated > 0)
-    printf (", %d passed over for an evacuation", n_evacuated);
+    printf (", evacuated endpoints passed over: %d", n_evacuated);
   print_fields (sending->line);
   if (sending->silent)
     {
--- a/test/test_evacuation_faults.c
+++ b/test/test_evacuation_faults.c
@@ -15,7 +15,7 @@
   UNSTORED = 3, /* cut off from the store */
   HELD = 4,     /* stands still from the evacuation until after the bound */
   N_WORKERS = SITE_MAX_WORKERS,
-  SILENT_WORKER = 2, /* in the data centre that is not evacuated */
+  SILENT_WORKER = 3, /* in the data centre that is not evacuated */
   BOUND_MS = 5000,
   SILENCE_MS = 1500,
   INTERVAL_MS = 20,
@@ -28,11 +28,13 @@
   RUN_MS = BOUND_MS + AFTER_BOUND_MS,
   RETURN_MS = 3500, /* the ramp, and the time in which all routers learn of the end */
   PREPAID = 100000000,
+  NOT_PREPAID = -1,
 };
 
 static const double MIN_SERVED = 0.9;
-static const char EVACUATED[] = "dc-b";
-static const char KEPT[] = "dc-a";
+/* That of the routers, whose endpoints they would choose. */
+static const char EVACUATED[] = "dc-a";
+static const char KEPT[] = "dc-b";
 
 static void
 post (Site *site, uint32_t worker, const char *path, const char *body)
@@ -216,6 +218,58 @@
 }
 END_TEST
 
+/* What happens to the store while an evacuation is in force, and what follows for the evacuation.
+ */
+static const struct
+{
+  const char *name;
+  bool restored;    /* to a copy without the evacuation; else the store is away */
+  bool written;     /* again after that */
+  const char *ends; /* what a router logs of it in the end; NULL: nothing */
+} store_cases[] = { { "away", false, false, NULL },
+                    { "restored", true, false, "\"reason\":\"lapsed\"" },
+                    { "restored, written again", true, true, NULL } };
+
+/* An evacuation ended with an outage, or with a restore whose copy is older. */
+START_TEST (an_evacuation_outlasts_an_outage_and_a_restore_of_the_store)
+{
+  enum
+  {
+    COPY_MS = 1500,
+    HOLD_MS = 6000, /* from the restore, until an evacuation that is not written again ends */
+    LEARN_MS = 2500,
+  };
+  const TrafficStream stream = { "/ok/x/ok", "", INTERVAL_MS, 0, 0 };
+  const SiteRestore restore = { .age_ms = COPY_MS };
+  const char *name = store_cases[_i].name;
+  TrafficResult result;
+  Site site;
+  ck_assert (site_init_evacuating (&site, 2, N_WORKERS, NOT_PREPAID, BOUND_MS));
+  site_run_for (&site, COPY_MS);
+  ck_assert (site_evacuate (&site, EVACUATED, "{}"));
+  for (uint32_t i = 0; i < site.n_routers; i++)
+    ck_assert (fleet_wait_line (&site.router_process[i], "data centre evacuated"));
+  site_reset_times (&site);
+  if (store_cases[_i].restored)
+    site_restore_store (&site, &restore);
+  else
+    site_set_store (&site, "{\"drop_watches\":true,\"silent\":true}");
+  traffic_run (&site, &stream, &result, 1, HOLD_MS / 2);
+  if (store_cases[_i].written)
+    ck_assert (site_evacuate (&site, EVACUATED, "{}"));
+  traffic_run (&site, &stream, &result, 1, HOLD_MS / 2 - CALM_MS);
+  ck_assert_msg (site_count_after (&site, EVACUATED, 0) == 0, "%s", name);
+  traffic_run (&site, &stream, &result, 1, CALM_MS + LEARN_MS);
+  ck_assert_msg (result.n_served >= MIN_SERVED * result.n_sent, "%s: %u of %u served", name,
+                 result.n_served, result.n_sent);
+  bool ended = site_count_after (&site, EVACUATED, 0) > 0;
+  ck_assert_msg (ended == (store_cases[_i].ends != NULL), "%s", name);
+  for (uint32_t i = 0; ended && i < site.n_routers; i++)
+    ck_assert_msg (site_count_output (&site, i, store_cases[_i].ends) == 1, "%s", name);
+  site_finish (&site);
+}
+END_TEST
+
 /* Contents that cannot be read. */
 static const char *const contents[] = { "null", "7", "\"text\"", "[1,{\"a\":null}]" };
 
@@ -283,6 +337,8 @@
   tcase_set_timeout (tcase, TIMEOUT_S);
   tcase_add_test (tcase, no_request_reaches_an_evacuated_data_centre_after_the_bound);
   tcase_add_test (tcase, a_service_that_is_evacuated_refuses_at_once_for_seconds);
+  tcase_add_loop_test (tcase, an_evacuation_outlasts_an_outage_and_a_restore_of_the_store, 0,
+                       G_N_ELEMENTS (store_cases));
   tcase_add_loop_test (tcase, invalid_entries_change_nothing_else, 0, G_N_ELEMENTS (contents));
   tcase_add_loop_test (tcase, the_fleet_shares_a_watch_and_there_is_none_without_a_bound, 0,
                        G_N_ELEMENTS (cost_cases));
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -13,7 +13,7 @@
   { "misdirected", "soak-14-229" },     { "silent", "soak-1-7945" },
   { "turned-away", "soak-16-73" },      { "relayed", "soak-1-257" },
   { "missing-fields", "soak-16-119" },  { "unknown-event", "soak-16-119" },
-  { "no-resend-budget", "soak-2-190" },
+  { "no-resend-budget", "soak-2-190" }, { "evacuated", "request-500" },
 };
 
 START_TEST (each_sending_is_shown_with_its_endpoint_connection_and_why_it_was_sent_again)
@@ -41,6 +41,27 @@
 }
 END_TEST
 
+/* Which router learned when of the evacuation that a request met is not in the request's own lines.
+ */
+START_TEST (the_evacuation_that_a_request_met_is_shown_and_no_other)
+{
+  Fleet fleet = { .loop = ev_default_loop (EVFLAG_AUTO) };
+  FleetProcess process = { 0 };
+  char *program = fleet_program ("dogwoodyoke");
+  char *log = g_strdup_printf ("%s/test/explain/evacuated.log", g_getenv ("DY_SOURCE"));
+  char *argv[] = { program, "explain", "request-500", log, NULL };
+  ck_assert (fleet_spawn (&fleet, &process, "explain", argv));
+  ck_assert (fleet_wait_line (&process, "sendings of"));
+  ck_assert (fleet_wait_exit (&process));
+  ck_assert_ptr_nonnull (strstr (process.output->str, "\"6024\""));
+  ck_assert_ptr_nonnull (strstr (process.output->str, "\"dc-b\",\"endpoints\":\"5\""));
+  ck_assert_ptr_null (strstr (process.output->str, "\"dc-c\""));
+  fleet_kill (&process);
+  g_free (program);
+  g_free (log);
+}
+END_TEST
+
 START_TEST (only_log_lines_are_printed_as_json)
 {
   Fleet fleet = { .loop = ev_default_loop (EVFLAG_AUTO) };
@@ -66,6 +87,7 @@
   tcase_add_loop_test (tcase,
                        each_sending_is_shown_with_its_endpoint_connection_and_why_it_was_sent_again,
                        0, G_N_ELEMENTS (cases));
+  tcase_add_test (tcase, the_evacuation_that_a_request_met_is_shown_and_no_other);
   tcase_add_test (tcase, only_log_lines_are_printed_as_json);
   return suite_run ("explain", tcase);
 }
