Test of evacuations without requests that stay open

Cause: the sanitizer run of test_evacuations reported 728 bytes of endpoints with open requests, begun by the case of loaded endpoints. Change: that case reports load and begins no requests.

--- a/test/test_evacuations.c
+++ b/test/test_evacuations.c
@@ -119,13 +119,14 @@
       char id[8];
       g_snprintf (id, sizeof id, "e%u", i);
       DyPlacementEndpoint *endpoint = (DyPlacementEndpoint *) dy_placement_find (placement, id);
-      if (data_centre_of (endpoint) == 0 || (kind != DRAWN_BY_FAILED && kind != DRAWN_BY_LOAD))
+      if (data_centre_of (endpoint) == 0)
+        continue;
+      if (kind == DRAWN_BY_LOAD)
+        dy_placement_report (endpoint, 100, 100, 1);
+      if (kind != DRAWN_BY_FAILED)
         continue;
       dy_placement_begin (placement, endpoint, &work, 0);
-      if (kind == DRAWN_BY_FAILED)
-        dy_placement_end (placement, endpoint, &work, false, DY_PLACEMENT_UNREACHABLE, 0);
-      else
-        dy_placement_report (endpoint, 100, 100, 0);
+      dy_placement_end (placement, endpoint, &work, false, DY_PLACEMENT_UNREACHABLE, 0);
     }
 }
 
