Attempts at cold endpoints in the gateway's fixture

Cause: a place that an ended attempt kept would never be free again, and a request that was chosen while its endpoint was warm must not be sent once that is cold. Both were tested in core/cold_share only, not through the attempts.

--- a/test/test_cold_endpoints.c
+++ b/test/test_cold_endpoints.c
@@ -3,6 +3,7 @@
  * unused, and against requests that are held until their time limit when only cold endpoints are
  * left. */
 
+#include "support/gateway_fixture.h"
 #include "support/suite.h"
 #include "support/traffic.h"
 
@@ -127,6 +128,137 @@
 }
 END_TEST
 
+/* --- attempts of one router --- */
+
+enum
+{
+  ONE_BOUND = 8,
+  FIXTURE_COLD_MS = 60 * 1000,
+};
+
+static DyColdPlace
+only_router (void *ctx, const char *endpoint, int64_t now_us)
+{
+  (void) ctx;
+  (void) endpoint;
+  (void) now_us;
+  return (DyColdPlace){ .bound = ONE_BOUND, .cold_us = FIXTURE_COLD_MS * 1000, .n_routers = 1 };
+}
+
+static bool
+allows (void *ctx, const char *id, int64_t now_us)
+{
+  return dy_cold_shares_allow (&((Fixture *) ctx)->cold.shares, id, now_us);
+}
+
+/* A gateway whose endpoints "e0" and "e1" are cold or not, long after the start of the process. */
+static void
+start_fixture (Fixture *fixture, int64_t cold_ms)
+{
+  static const DyPlacementGate gate = { .allows = allows };
+  fixture_init (fixture);
+  fixture->settings.cold_overage_thousandths = 1000;
+  int64_t before_us = dy_kernel_now_us (&fixture->kernel) - 20 * 1000 * 1000;
+  DyColdEndpoints *cold = &fixture->cold;
+  cold->kernel = &fixture->kernel;
+  cold->directory = &fixture->directory;
+  cold->cold = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  dy_cold_shares_init (&cold->shares, only_router, NULL, "r0", LEARN_MS * 1000, before_us);
+  dy_placement_add_gate (&fixture->directory.placement, &gate, fixture);
+  for (int i = 0; i < FIXTURE_N_NEAR; i++)
+    {
+      char id[] = { 'e', (char) ('0' + i), '\0' };
+      fixture_put_endpoint (fixture, i, false);
+      dy_cold_shares_put (&cold->shares, id, 0, cold_ms * 1000, 1, before_us + 5 * 1000 * 1000);
+      if (cold_ms > 0)
+        g_hash_table_add (cold->cold, g_strdup (id));
+    }
+}
+
+static void
+finish_fixture (Fixture *fixture)
+{
+  fixture_finish (fixture);
+  dy_cold_shares_finish (&fixture->cold.shares);
+  g_hash_table_unref (fixture->cold.cold);
+}
+
+static const DyColdEndpoint *
+cold_endpoint (const Fixture *fixture, const char *id)
+{
+  return g_hash_table_lookup (fixture->cold.shares.endpoints, id);
+}
+
+/* A place that an ended attempt keeps would never be free again. */
+START_TEST (each_attempt_takes_a_place_and_none_keeps_it_once_it_has_ended)
+{
+  enum
+  {
+    N_SENT = 24,
+  };
+  FixtureAnswer answers[N_SENT];
+  Fixture fixture;
+  int n_served = 0;
+  start_fixture (&fixture, FIXTURE_COLD_MS);
+  /* Attempts at the first endpoint reserve places, fail to connect, and are made at the other. */
+  dy_http_server_finish (&fixture.endpoints[0].server);
+  fixture_send (&fixture, "/ok/x", answers, N_SENT);
+  for (int i = 0; i < N_SENT; i++)
+    {
+      n_served += answers[i].result.status == 200;
+      ck_assert (answers[i].result.status == 200 || answers[i].result.status == 503);
+    }
+  ck_assert_int_gt (n_served, 0);
+  ck_assert_int_le (n_served, ONE_BOUND);
+  ck_assert_int_eq (fixture.endpoints[1].n_requests, n_served);
+  ck_assert_uint_eq (cold_endpoint (&fixture, "e0")->n_reserved, 0);
+  ck_assert_uint_eq (cold_endpoint (&fixture, "e0")->sent_us->len, 0);
+  ck_assert_uint_eq (cold_endpoint (&fixture, "e1")->n_reserved, 0);
+  ck_assert_int_eq (cold_endpoint (&fixture, "e1")->sent_us->len, n_served);
+  fixture_free_answers (answers, N_SENT);
+  finish_fixture (&fixture);
+}
+END_TEST
+
+static void
+cool_if_chosen (
+    void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
+{
+  Fixture *fixture = ctx;
+  (void) service;
+  (void) breaker_open;
+  if (in_flight > 0)
+    dy_cold_shares_put (&fixture->cold.shares, id, 0, FIXTURE_COLD_MS * 1000, 2,
+                        dy_kernel_now_us (&fixture->kernel));
+}
+
+static void
+cool_chosen (void *ctx)
+{
+  Fixture *fixture = ctx;
+  fixture->on_taken = NULL;
+  dy_placement_visit (&fixture->directory.placement, cool_if_chosen, fixture,
+                      dy_kernel_now_us (&fixture->kernel));
+}
+
+/* Between the choice and the sending, which waits for a connection. */
+START_TEST (request_goes_elsewhere_if_its_endpoint_becomes_cold_before_it_is_sent)
+{
+  FixtureAnswer answer;
+  Fixture fixture;
+  start_fixture (&fixture, 0);
+  fixture.on_taken = cool_chosen;
+  fixture_send (&fixture, "/x", &answer, 1);
+  ck_assert_uint_eq (answer.result.status, 200);
+  ck_assert_int_eq (fixture.endpoints[0].n_requests + fixture.endpoints[1].n_requests, 1);
+  ck_assert_int_eq (fixture.kernel.counters.values[DY_COUNTER_COLD_WITHHELD], 1);
+  fixture_free_answers (&answer, 1);
+  finish_fixture (&fixture);
+}
+END_TEST
+
+/* --- fleets --- */
+
 typedef struct
 {
   int worst; /* requests in the busiest second */
@@ -287,6 +419,8 @@
   tcase_add_loop_test (tcase, cold_time_that_cannot_be_used_is_told_from_others, 0,
                        G_N_ELEMENTS (cold_times));
   tcase_add_loop_test (tcase, cold_time_and_rate_of_a_service, 0, G_N_ELEMENTS (service_cases));
+  tcase_add_test (tcase, each_attempt_takes_a_place_and_none_keeps_it_once_it_has_ended);
+  tcase_add_test (tcase, request_goes_elsewhere_if_its_endpoint_becomes_cold_before_it_is_sent);
   tcase_add_loop_test (tcase, cold_endpoint_gets_what_it_tolerates_and_no_more, 0,
                        G_N_ELEMENTS (site_cases));
   tcase_add_loop_test (tcase, restarted_routers_keep_to_what_a_cold_endpoint_tolerates, 0,
