Readiness and age of evacuations are tested with a store whose replies are given by hand

Cause: test_evacuation_faults passes (11 of 11) also if a router is ready before it has read the evacuations and acts on old ones: the other kinds of objects are read, and grow old, at the same time. Change: two tests of the directory: requests need the evacuations read and current, an entry without contents evacuates, one that a list lacks ends; without a bound no call is made.

--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -292,6 +292,66 @@
 }
 END_TEST
 
+/* A router that had not read the evacuations, or whose knowledge of them was too old, sent requests
+ * to an evacuated data centre. */
+START_TEST (requests_need_current_knowledge_of_evacuations)
+{
+  enum
+  {
+    BOUND_MS = 5000,
+    OTHER_BOUNDS_MS = 60000,
+  };
+  static const DyObject evacuated[] = { { "evacuations/dc-a", 1, "null", 0 } };
+  const DyPlatformReply endpoints = { .version = 2, .objects = listed, .n_objects = 2 };
+  const DyPlatformReply evacuations = { .version = 2, .objects = evacuated, .n_objects = 1 };
+  const DyPlatformReply none = { .version = 3 };
+  Fixture fixture;
+  fixture_init (&fixture);
+  DyDirectory *directory = &fixture.directory;
+  fixture.settings.evacuations_bound_ms = BOUND_MS;
+  fixture.settings.routes_bound_ms = OTHER_BOUNDS_MS;
+  fixture.settings.endpoints_bound_ms = OTHER_BOUNDS_MS;
+  start_directory (&fixture);
+  directory->has_routes = true;
+  answer_call (&fixture, 'l', "config/", &none);
+  answer_call (&fixture, 'l', "servers/", &endpoints);
+  ck_assert (!dy_directory_ready (directory));
+  ck_assert_int_eq (dy_directory_check_age (directory), DY_EVACUATIONS_STALE);
+  answer_call (&fixture, 'l', "evacuations/", &evacuations);
+  ck_assert (dy_directory_ready (directory));
+  ck_assert_int_eq (dy_directory_check_age (directory), DY_OK);
+  ck_assert_uint_eq (dy_placement_count (&directory->placement, "app"), 0);
+  ck_assert (dy_placement_is_evacuated (&directory->placement, "app"));
+  directory->evacuations.watch.age.confirmed_us = dy_kernel_boot_us () - BOUND_MS * INT64_C (1000);
+  ck_assert_int_eq (dy_directory_check_age (directory), DY_EVACUATIONS_STALE);
+  /* The store no longer has the changes, and lists nothing. */
+  answer_call (&fixture, 'w', "evacuations/", &(DyPlatformReply){ .error = DY_HISTORY_GONE });
+  answer_call (&fixture, 'l', "evacuations/", &none);
+  ck_assert_int_eq (dy_directory_check_age (directory), DY_OK);
+  ck_assert_uint_eq (dy_placement_count (&directory->placement, "app"), 2);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/* The calls of each watch are priced. */
+START_TEST (evacuations_are_not_watched_without_a_bound)
+{
+  static const char kinds[] = "lwcg";
+  const DyPlatformReply endpoints = { .version = 2, .objects = listed, .n_objects = 2 };
+  Fixture fixture;
+  fixture_init (&fixture);
+  start_directory (&fixture);
+  fixture.directory.has_routes = true;
+  answer_call (&fixture, 'l', "servers/", &endpoints);
+  run_for (&fixture, 500 * 1000);
+  for (const char *kind = kinds; *kind; kind++)
+    ck_assert_int_lt (find_call (&fixture.store, *kind, "evacuations/"), 0);
+  ck_assert (dy_directory_ready (&fixture.directory));
+  ck_assert_int_eq (dy_directory_evacuations_knowledge (&fixture.directory), DY_KNOWLEDGE_CURRENT);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* A stand-in of the store on a socket, which knows on which connection a call arrives. It answers
  * watches at once and other calls never. */
 typedef struct
@@ -672,6 +732,8 @@
   tcase_add_test (
       tcase, a_router_whose_calls_are_turned_away_does_not_count_as_one_that_reaches_the_store);
   tcase_add_test (tcase, a_confirmation_that_was_held_up_is_as_old_as_its_time_on_the_way);
+  tcase_add_test (tcase, requests_need_current_knowledge_of_evacuations);
+  tcase_add_test (tcase, evacuations_are_not_watched_without_a_bound);
   tcase_add_test (tcase, of_several_states_in_one_answer_only_the_latest_is_read);
   tcase_add_test (tcase, messages_of_one_router_do_not_hold_up_the_loop);
   tcase_add_loop_test (tcase, removed_endpoint_is_not_kept_after_a_call_that_timed_out, 0,
