Choice of endpoints for even load, off in the daemon

Cause: what a router knows of an endpoint's load is seconds old, and an endpoint that it knows nothing of counted as idle. Change: core/load_estimate estimates what others have at an endpoint, which returns to the mean of the service's reports, and how uncertain that is. core/endpoint_speed learns slowdowns from the time between events and from the stated figure. With dy_placement_set_spread(), placement draws among the endpoints whose predicted wait lies within the uncertainty of the shortest, in proportion to free slots. make play has the policy 'spread', engines of several speeds, with memory for tokens and the measured costs of contexts and chunks, data centres, delayed reports and arrivals at the same moment.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -31,6 +31,7 @@
   placement->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dy_placement_endpoint_unref);
   placement->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
+  placement->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
@@ -38,6 +39,7 @@
 {
   if (!placement->by_id)
     return;
+  g_hash_table_unref (placement->services);
   g_hash_table_unref (placement->by_service);
   g_hash_table_unref (placement->by_id);
   g_rand_free (placement->rng);
@@ -66,9 +68,35 @@
   endpoint->open_until_us = 0;
   endpoint->is_silent = false;
   endpoint->other_requests = 0;
+  endpoint->reported_us = 0;
+  memset (&endpoint->speed, 0, sizeof endpoint->speed);
   endpoint->wait_until_us = INT64_MIN / 2;
 }
 
+void
+dy_placement_set_spread (DyPlacement *placement, bool spread, uint32_t n_routers)
+{
+  placement->spread = spread;
+  placement->n_routers = n_routers;
+}
+
+DyPlacementService *
+dy_placement_service (DyPlacement *placement, const char *name)
+{
+  DyPlacementService *service = g_hash_table_lookup (placement->services, name);
+  if (service)
+    return service;
+  service = g_new0 (DyPlacementService, 1);
+  g_hash_table_insert (placement->services, g_strdup (name), service);
+  return service;
+}
+
+void
+dy_placement_set_memory (DyPlacement *placement, const char *service, int64_t memory_tokens)
+{
+  dy_placement_service (placement, service)->memory_tokens = memory_tokens;
+}
+
 static char *
 version_of (const DyEndpointRecord *record)
 {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -21,6 +21,16 @@
  *   endpoint whose breaker closes first is chosen. An endpoint that is leaving or was removed is
  *   never chosen.
  *
+ *   With even load, the choice does not trust old reports. What others have at an endpoint is
+ *   estimated, with an uncertainty (core/load_estimate.h), and slow endpoints count as such
+ *   (core/endpoint_speed.h). Of the endpoints whose predicted wait lies within the uncertainty of
+ *   the shortest, one is drawn in proportion to its free slots, so that routers that choose at the
+ *   same moment don't all choose the same. Those with few requests of this router are preferred, as
+ *   these are known for certain and their connections are in use. An endpoint in another data
+ *   centre is chosen only if it has the prefix cached, or if none in the own one is estimated to
+ *   have a free slot. An endpoint whose memory for tokens is estimated to be full gets nothing
+ *   unless all are.
+ *
  * UNITS
  *   Microseconds where a name ends in _us. The module reads no clock; the time is passed in
  *   as NOW_US.
@@ -66,6 +76,9 @@
   GRand *rng;
   GHashTable *by_id;      /* endpoint id to its DyPlacementEndpoint, owned */
   GHashTable *by_service; /* service name to a GPtrArray of DyPlacementEndpoint */
+  GHashTable *services;   /* service name to its DyPlacementService, owned */
+  bool spread;            /* even load; see dy_placement_set_spread() */
+  uint32_t n_routers;     /* of the fleet */
 } DyPlacement;
 
 /* The prompt of one request, as far as an endpoint has to process it. */
@@ -74,6 +87,7 @@
   uint64_t prefix_hash;  /* identifies the prefix shared with other prompts; 0: none */
   int64_t shared_tokens; /* in the shared prefix */
   int64_t own_tokens;    /* in the rest of the prompt */
+  int64_t output_tokens; /* in the longest answer; 0: not stated */
 } DyPromptWork;
 
 typedef struct
@@ -170,12 +184,31 @@
 /* Records that the endpoint has processed the prompt of WORK, as its first event shows. */
 void dy_placement_prompt_read (DyPlacementEndpoint *endpoint, const DyPromptWork *work);
 
+/* Sets whether load is spread evenly, in a fleet of N_ROUTERS. */
+void dy_placement_set_spread (DyPlacement *placement, bool spread, uint32_t n_routers);
+
+/* Sets the tokens of prompts and answers for which an endpoint of SERVICE has memory; 0: not
+ * limited. */
+void dy_placement_set_memory (DyPlacement *placement, const char *service, int64_t memory_tokens);
+
 /* Records the load that the endpoint reported: requests running and waiting, of all routers. */
-void dy_placement_report (DyPlacementEndpoint *endpoint,
+void dy_placement_report (DyPlacement *placement,
+                          DyPlacementEndpoint *endpoint,
                           uint32_t running,
                           uint32_t waiting,
                           int64_t now_us);
 
+/* Records that the endpoint stated that work takes PERCENT of the usual time there now. */
+void dy_placement_report_slowness (DyPlacementEndpoint *endpoint, uint32_t percent, int64_t now_us);
+
+/* Records a complete answer, which took TIME_US from the choice of the endpoint on. US_PER_EVENT is
+ * the mean time between its events; 0: not known. */
+void dy_placement_record_answer (DyPlacement *placement,
+                                 DyPlacementEndpoint *endpoint,
+                                 int64_t time_us,
+                                 double us_per_event,
+                                 int64_t now_us);
+
 /* Records the end of a request and drops its reference to ENDPOINT. PROMPT_READ is whether
  * dy_placement_prompt_read() was called for it. */
 void dy_placement_end (DyPlacement *placement,
@@ -210,6 +243,14 @@
  * endpoint and no other start of this one has. */
 const char *dy_placement_endpoint_version (const DyPlacementEndpoint *endpoint);
 
+/* Returns how slow ENDPOINT is, as a percentage of the usual time of work. */
+uint32_t dy_placement_endpoint_slowness (const DyPlacementEndpoint *endpoint, int64_t now_us);
+
+/* Returns the largest load that an endpoint has by this router's latest report of it, as a
+ * percentage of the mean of its service: of all services with two reports of the last seconds or
+ * more; 0: there is none. */
+uint32_t dy_placement_busiest_percent (const DyPlacement *placement, int64_t now_us);
+
 /* Calls VISIT for each endpoint with its service and version. */
 void
 dy_placement_visit_versions (const DyPlacement *placement,
--- a/src/core/placement_end.c
+++ b/src/core/placement_end.c
@@ -44,6 +44,28 @@
                          g_memdup2 (&now_us, sizeof now_us));
 }
 
+static int64_t
+memory_of (const DyPromptWork *work)
+{
+  return work->shared_tokens + work->own_tokens + work->output_tokens;
+}
+
+/* Counts a request with WORK at ENDPOINT, or no longer. */
+static void
+count_request (DyPlacement *placement,
+               DyPlacementEndpoint *endpoint,
+               const DyPromptWork *work,
+               bool begins)
+{
+  static const double NEWEST = 1.0 / 32.0; /* of the average of request_tokens */
+  DyPlacementService *service = dy_placement_service (placement, endpoint->service);
+  endpoint->held_tokens += begins ? memory_of (work) : -memory_of (work);
+  service->load.n_in_flight += begins ? 1U : -1U;
+  if (begins)
+    service->request_tokens += ((double) memory_of (work) - service->request_tokens)
+                               * (service->request_tokens > 0.0 ? NEWEST : 1.0);
+}
+
 void
 dy_placement_begin (DyPlacement *placement,
                     DyPlacementEndpoint *endpoint,
@@ -55,6 +77,7 @@
   if (placement->gate)
     placement->gate->record_sent (placement->gate_ctx, endpoint->id, now_us);
   endpoint->pending_tokens += work->own_tokens;
+  count_request (placement, endpoint, work, true);
   record_prefix (placement, endpoint, work->prefix_hash, now_us);
 }
 
@@ -65,7 +88,8 @@
 }
 
 void
-dy_placement_report (DyPlacementEndpoint *endpoint,
+dy_placement_report (DyPlacement *placement,
+                     DyPlacementEndpoint *endpoint,
                      uint32_t running,
                      uint32_t waiting,
                      int64_t now_us)
@@ -73,6 +97,26 @@
   uint32_t total = running + waiting;
   endpoint->other_requests = total > endpoint->in_flight ? total - endpoint->in_flight : 0;
   endpoint->reported_us = now_us;
+  dy_service_load_record_report (&dy_placement_service (placement, endpoint->service)->load,
+                                 endpoint->other_requests, now_us);
+}
+
+void
+dy_placement_report_slowness (DyPlacementEndpoint *endpoint, uint32_t percent, int64_t now_us)
+{
+  dy_endpoint_speed_record_slowness (&endpoint->speed, percent, now_us);
+}
+
+void
+dy_placement_record_answer (DyPlacement *placement,
+                            DyPlacementEndpoint *endpoint,
+                            int64_t time_us,
+                            double us_per_event,
+                            int64_t now_us)
+{
+  DyPlacementService *service = dy_placement_service (placement, endpoint->service);
+  dy_service_load_record_run (&service->load, time_us);
+  dy_endpoint_speed_record_pace (&endpoint->speed, &service->pace, us_per_event, now_us);
 }
 
 static void
@@ -143,6 +187,7 @@
                   int64_t now_us)
 {
   endpoint->in_flight--;
+  count_request (placement, endpoint, work, false);
   if (!prompt_read)
     dy_placement_prompt_read (endpoint, work);
   record_end (placement, endpoint, outcome, now_us);
--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -11,6 +11,8 @@
  *   placement_end.c     requests in flight, load reports and circuit breakers
  */
 
+#include "core/endpoint_speed.h"
+#include "core/load_estimate.h"
 #include "core/placement.h"
 
 enum
@@ -19,6 +21,15 @@
   DY_PLACEMENT_FULL_US = 50 * 1000,
 };
 
+/* What is known of a service as a whole, for even load. */
+typedef struct
+{
+  DyServiceLoad load;
+  DyServicePace pace;
+  int64_t memory_tokens; /* that an endpoint has for prompts and answers; 0: not limited */
+  double request_tokens; /* moving average of what a request needs of it */
+} DyPlacementService;
+
 struct DyPlacementEndpoint
 {
   char *id;
@@ -36,13 +47,18 @@
   int64_t pending_tokens;  /* own_tokens of the prompts in flight that it has not processed */
   uint32_t other_requests; /* requests of other routers, by its latest load report */
   int64_t reported_us;     /* time of its latest load report; 0: none */
-  uint32_t n_failures;     /* consecutive */
-  int64_t wait_until_us;   /* it wants no request of this router before */
-  int64_t open_until_us;   /* its circuit breaker is open until then */
-  bool is_silent;          /* it was opened because the endpoint was silent, and may go on */
-  GHashTable *cached;      /* prefix hash to the time of its latest use */
+  DyEndpointSpeed speed;
+  int64_t held_tokens;   /* memory that requests in flight need at most */
+  uint32_t n_failures;   /* consecutive */
+  int64_t wait_until_us; /* it wants no request of this router before */
+  int64_t open_until_us; /* its circuit breaker is open until then */
+  bool is_silent;        /* it was opened because the endpoint was silent, and may go on */
+  GHashTable *cached;    /* prefix hash to the time of its latest use */
 };
 
+/* Returns what is known of the service NAME. */
+DyPlacementService *dy_placement_service (DyPlacement *placement, const char *name);
+
 /* Drops a reference of ENDPOINT, a DyPlacementEndpoint, and frees it with the last one. */
 void dy_placement_endpoint_unref (gpointer endpoint);
 
--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -89,6 +89,16 @@
   return !answer->request_id && !dy_http_transfer_is_first (attempt->transfer);
 }
 
+static void
+report_load (const DyGatewayAttempt *attempt)
+{
+  const DyAnswerHead *answer = &attempt->answer;
+  dy_placement_report (&attempt->gateway->directory->placement, attempt->endpoint,
+                       answer->n_running, answer->n_waiting, now_us (attempt));
+  if (answer->slowness_percent > 0)
+    dy_placement_report_slowness (attempt->endpoint, answer->slowness_percent, now_us (attempt));
+}
+
 static bool
 on_head (void *ctx, unsigned status, const DyHttpHeader *headers, uint32_t n)
 {
@@ -108,7 +118,7 @@
     if (gateway->dialect->forwards_to_caller (headers[i].name))
       add_header (attempt->headers, headers[i].name, headers[i].value);
   if (answer->has_load && !attempt->foreign)
-    dy_placement_report (attempt->endpoint, answer->n_running, answer->n_waiting, now_us (attempt));
+    report_load (attempt);
   if (!attempt->foreign && status != DY_HTTP_MISDIRECTED)
     {
       take_limit (attempt, success);
--- a/test/play.c
+++ b/test/play.c
@@ -31,12 +31,13 @@
 typedef enum
 {
   POLICY_PLACED, /* core/placement.h */
+  POLICY_SPREAD, /* the same with even load */
   POLICY_TWO,    /* the less loaded of two random endpoints (power of two choices) */
   POLICY_PREFIX, /* rendezvous hashing by the prompt's prefix, regardless of load */
   N_POLICIES,
 } Policy;
 
-static const char *const policy_names[N_POLICIES] = { "placed", "two", "prefix" };
+static const char *const policy_names[N_POLICIES] = { "placed", "spread", "two", "prefix" };
 
 typedef struct
 {
@@ -49,6 +50,8 @@
   int64_t first_p95_ms;
   int64_t read_again_tokens; /* shared prompt tokens prefilled on further engines than the first */
   int64_t connections;       /* requests that found no idle connection */
+  int64_t remote;            /* requests at endpoints of another data centre than the router's */
+  int64_t busiest_percent;   /* requests by speed of the busiest endpoint, of the mean of all */
 } Outcome;
 
 static const struct
@@ -65,9 +68,12 @@
   { "first_p95_ms", offsetof (Outcome, first_p95_ms) },
   { "read_again_tokens", offsetof (Outcome, read_again_tokens) },
   { "connections", offsetof (Outcome, connections) },
+  { "remote", offsetof (Outcome, remote) },
+  { "busiest_percent", offsetof (Outcome, busiest_percent) },
 };
 
-/* What a router knows of an endpoint. POLICY_PLACED chooses by its DyPlacement instead. */
+/* What a router knows of an endpoint. The first two policies choose by their DyPlacement
+ * instead. */
 typedef struct
 {
   int64_t in_flight; /* the router's own requests */
@@ -78,6 +84,7 @@
 typedef struct
 {
   uint32_t index;
+  int64_t n_requests; /* accepted */
   Engine engine;
 } Endpoint;
 
@@ -90,11 +97,12 @@
   uint32_t router;
   uint64_t prefix_hash;
   int64_t start_us;
+  int64_t first_us; /* time of the first token */
   int64_t last_event_us;
   int64_t n_tokens; /* tokens received so far */
   bool late;
   Endpoint *endpoint;          /* where it runs or waits; NULL: at none */
-  DyPlacementEndpoint *placed; /* the same endpoint with POLICY_PLACED, else NULL */
+  DyPlacementEndpoint *placed; /* the same endpoint with the first two policies, else NULL */
   char tried[MAX_ATTEMPTS][8];
   uint32_t n_attempts;
 } Request;
@@ -117,7 +125,7 @@
   GRand *arrival_rng; /* seeded alike for all policies */
   GRand *policy_rng;  /* for random choices of the policy */
   Endpoint endpoints[PLAY_MAX_ENDPOINTS];
-  DyPlacement placements[PLAY_MAX_ROUTERS];
+  DyPlacement placements[PLAY_MAX_ROUTERS]; /* of the first two policies */
   EndpointView views[PLAY_MAX_ROUTERS][PLAY_MAX_ENDPOINTS];
   GPtrArray *requests;          /* all, owned */
   GHashTable *open;             /* set of Request, those at an endpoint */
@@ -205,7 +213,8 @@
 {
   return (DyPromptWork){ .prefix_hash = request->prefix_hash,
                          .shared_tokens = request->class->shared,
-                         .own_tokens = request->class->own };
+                         .own_tokens = request->class->own,
+                         .output_tokens = request->class->events * request->class->event_tokens };
 }
 
 static Endpoint *
@@ -230,6 +239,7 @@
   switch (sim->policy)
     {
     case POLICY_PLACED:
+    case POLICY_SPREAD:
       return choose_placed (sim, request);
     case POLICY_TWO:
       return choose_of_two (sim, request);
@@ -256,15 +266,46 @@
   request->endpoint = NULL;
 }
 
+/* A load report on its way to the router. */
+typedef struct
+{
+  uint32_t router;
+  uint32_t endpoint;
+  uint32_t n_running;
+  uint32_t n_waiting;
+  uint32_t slowness_percent; /* 0: not stated */
+} Report;
+
+static void
+take_report (Simulation *sim, void *data)
+{
+  Report *report = data;
+  DyPlacement *placement = &sim->placements[report->router];
+  char id[8];
+  g_snprintf (id, sizeof id, "e%u", report->endpoint);
+  sim->views[report->router][report->endpoint].reported = report->n_running;
+  DyPlacementEndpoint *placed = g_hash_table_lookup (placement->by_id, id);
+  dy_placement_report (placement, placed, report->n_running, report->n_waiting, sim->now_us);
+  if (report->slowness_percent > 0)
+    dy_placement_report_slowness (placed, report->slowness_percent, sim->now_us);
+  g_free (report);
+}
+
 static void
 report_load (const Request *request)
 {
   Simulation *sim = request->sim;
-  const Endpoint *endpoint = request->endpoint;
-  sim->views[request->router][endpoint->index].reported = endpoint->engine.running->len;
-  if (request->placed)
-    dy_placement_report (request->placed, endpoint->engine.running->len,
-                         endpoint->engine.waiting.length, sim->now_us);
+  const Engine *engine = &request->endpoint->engine;
+  Report *report = g_new0 (Report, 1);
+  report->router = request->router;
+  report->endpoint = request->endpoint->index;
+  report->n_running = engine->running->len;
+  report->n_waiting = engine->waiting.length;
+  report->slowness_percent = sim->load->states_slowness ? (uint32_t) engine->step_factor * 100 : 0;
+  if (sim->load->report_delay_us > 0)
+    schedule (sim, sim->load->report_delay_us, take_report, report);
+  else
+    take_report (sim, report);
 }
 
 static void
@@ -272,6 +313,7 @@
 {
   Simulation *sim = request->sim;
   DyPromptWork work = work_of (request);
+  request->first_us = sim->now_us;
   gint64 ms = (sim->now_us - request->start_us) / 1000;
   g_array_append_val (sim->first_token_ms, ms);
   request->late = ms > request->class->aim_ms;
@@ -280,6 +322,15 @@
   report_load (request);
 }
 
+static double
+us_per_event (const Request *request)
+{
+  if (request->n_tokens < 2)
+    return 0.0;
+  return (double) (request->sim->now_us - request->first_us) / (double) (request->n_tokens - 1)
+         * (double) request->class->event_tokens;
+}
+
 static void
 on_token (void *ctx, void *data, bool last)
 {
@@ -297,6 +348,10 @@
     request->last_event_us = sim->now_us;
   if (!last)
     return;
+  if (request->placed)
+    dy_placement_record_answer (&sim->placements[request->router], request->placed,
+                                sim->now_us - request->start_us, us_per_event (request),
+                                sim->now_us);
   sim->outcome.in_aim += !request->late;
   sim->outcome.late += request->late;
   release_endpoint (request, DY_PLACEMENT_ANSWERED);
@@ -359,6 +414,9 @@
     }
   if (g_hash_table_add (sim->seen_prefixes, g_memdup2 (&request->prefix_hash, sizeof (uint64_t))))
     sim->first_prefill_tokens += request->class->shared;
+  endpoint->n_requests++;
+  sim->outcome.remote
+      += endpoint->index % sim->load->n_data_centres != request->router % sim->load->n_data_centres;
   start_step (sim, endpoint);
   return true;
 }
@@ -375,6 +433,21 @@
   g_hash_table_remove (sim->open, request);
 }
 
+static void
+send_first (Simulation *sim, void *data)
+{
+  Request *request = data;
+  request->start_us = sim->now_us;
+  bool accepted = false;
+  while (!accepted && request->n_attempts < MAX_ATTEMPTS)
+    accepted = send_to_endpoint (sim, request);
+  sim->outcome.refused += !accepted;
+  if (!accepted)
+    return;
+  g_hash_table_add (sim->open, request);
+  schedule (sim, request->class->limit_ms * 1000, on_time_limit, request);
+}
+
 static void
 arrive (Simulation *sim, void *data)
 {
@@ -388,18 +461,12 @@
   request->class = class;
   request->router = (uint32_t) g_rand_int_range (sim->arrival_rng, 0, (gint32) load->n_routers);
   request->prefix_hash = 1 + (uint64_t) (class - load->classes) * 1000003 + (uint64_t) session;
-  request->start_us = sim->now_us;
   sim->outcome.requests++;
-  bool accepted = false;
-  while (!accepted && request->n_attempts < MAX_ATTEMPTS)
-    accepted = send_to_endpoint (sim, request);
-  sim->outcome.refused += !accepted;
   g_ptr_array_add (sim->requests, request);
-  if (accepted)
-    {
-      g_hash_table_add (sim->open, request);
-      schedule (sim, class->limit_ms * 1000, on_time_limit, request);
-    }
+  if (load->together_us > 0)
+    schedule (sim, load->together_us - sim->now_us % load->together_us, send_first, request);
+  else
+    send_first (sim, request);
   int64_t rate = class->rate * active_change (sim, PLAY_CHANGE_RATE, 100) / 100;
   int64_t gap_us = (int64_t) (2e6 * g_rand_double (sim->arrival_rng) / (double) MAX (rate, 1));
   if (sim->now_us + gap_us < load->end_us)
@@ -433,19 +500,27 @@
   sim->seen_prefixes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   sim->first_token_ms = g_array_new (FALSE, FALSE, sizeof (gint64));
   for (uint32_t r = 0; r < load->n_routers; r++)
-    dy_placement_init (&sim->placements[r], &dy_placement_policy, "a", load->seed + r);
+    {
+      char data_centre[] = { (char) ('a' + r % load->n_data_centres), '\0' };
+      dy_placement_init (&sim->placements[r], &dy_placement_policy, data_centre, load->seed + r);
+      dy_placement_set_spread (&sim->placements[r], policy == POLICY_SPREAD, load->n_routers);
+      dy_placement_set_memory (&sim->placements[r], "llm", load->speed.memory_tokens);
+    }
   for (uint32_t i = 0; i < load->n_endpoints; i++)
     {
       char id[8];
       g_snprintf (id, sizeof id, "e%u", i);
+      char data_centre[] = { (char) ('a' + i % load->n_data_centres), '\0' };
       DyEndpointRecord record = { .id = id,
                                   .service = "llm",
                                   .address = id,
-                                  .data_centre = "a",
+                                  .data_centre = data_centre,
                                   .slots = load->speed.n_slots,
                                   .start_ms = 1 };
       sim->endpoints[i].index = i;
       engine_init (&sim->endpoints[i].engine, &load->speed);
+      if (load->n_speeds > 0)
+        sim->endpoints[i].engine.speed_percent = load->speeds[i % load->n_speeds];
       for (uint32_t r = 0; r < load->n_routers; r++)
         dy_placement_put (&sim->placements[r], &record);
     }
@@ -453,9 +528,26 @@
     schedule (sim, 0, arrive, (void *) &load->classes[i]);
 }
 
+/* Returns the requests of the busiest endpoint, by its speed, as a percentage of the mean. */
+static int64_t
+busiest_percent (const Simulation *sim)
+{
+  double sum = 0.0;
+  double most = 0.0;
+  for (uint32_t i = 0; i < sim->load->n_endpoints; i++)
+    {
+      const Endpoint *endpoint = &sim->endpoints[i];
+      double load = (double) endpoint->n_requests / (double) endpoint->engine.speed_percent;
+      sum += load;
+      most = MAX (most, load);
+    }
+  return sum > 0.0 ? (int64_t) (most * 100.0 * (double) sim->load->n_endpoints / sum) : 0;
+}
+
 static void
 simulation_finish (Simulation *sim)
 {
+  sim->outcome.busiest_percent = busiest_percent (sim);
   for (uint32_t i = 0; i < sim->load->n_endpoints; i++)
     {
       sim->outcome.read_again_tokens += sim->endpoints[i].engine.cache_missed_tokens;
--- a/test/support/engine.c
+++ b/test/support/engine.c
@@ -8,6 +8,7 @@
   memset (engine, 0, sizeof *engine);
   engine->speed = *speed;
   engine->step_factor = 1;
+  engine->speed_percent = 100;
   engine->running = g_ptr_array_new_with_free_func (g_free);
   g_queue_init (&engine->waiting);
   engine->cached = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
@@ -33,9 +34,27 @@
       engine->cache_missed_tokens += run->shared_tokens;
       g_hash_table_add (engine->cached, g_memdup2 (&run->prefix_hash, sizeof run->prefix_hash));
     }
+  run->context_tokens = run->own_tokens + run->shared_tokens;
+  engine->context_tokens += run->context_tokens;
   g_ptr_array_add (engine->running, run);
 }
 
+/* Returns the tokens that RUN holds in the memory at most. */
+static int64_t
+memory_of (const EngineRun *run)
+{
+  return run->own_tokens + run->shared_tokens + run->max_output_tokens;
+}
+
+static void
+end_run (Engine *engine, guint i)
+{
+  const EngineRun *run = g_ptr_array_index (engine->running, i);
+  engine->held_tokens -= memory_of (run);
+  engine->context_tokens -= run->context_tokens;
+  g_ptr_array_remove_index (engine->running, i);
+}
+
 static void
 fill_slots (Engine *engine)
 {
@@ -46,9 +65,14 @@
 bool
 engine_submit (Engine *engine, const EngineRun *run)
 {
-  if (engine->waiting.length >= engine->speed.n_slots / 2 + 1)
+  EngineRun copy = *run;
+  copy.max_output_tokens = run->remaining_tokens;
+  int64_t held_tokens = engine->held_tokens + memory_of (&copy);
+  if (engine->waiting.length >= engine->speed.n_slots / 2 + 1
+      || (engine->speed.memory_tokens > 0 && held_tokens > engine->speed.memory_tokens))
     return false;
-  g_queue_push_tail (&engine->waiting, g_memdup2 (run, sizeof *run));
+  engine->held_tokens = held_tokens;
+  g_queue_push_tail (&engine->waiting, g_memdup2 (&copy, sizeof copy));
   fill_slots (engine);
   return true;
 }
@@ -59,13 +83,14 @@
   for (guint i = 0; i < engine->running->len; i++)
     if (((const EngineRun *) g_ptr_array_index (engine->running, i))->request == request)
       {
-        g_ptr_array_remove_index (engine->running, i);
+        end_run (engine, i);
         fill_slots (engine);
         return true;
       }
   for (GList *link = engine->waiting.head; link; link = link->next)
     if (((const EngineRun *) link->data)->request == request)
       {
+        engine->held_tokens -= memory_of (link->data);
         g_free (link->data);
         g_queue_delete_link (&engine->waiting, link);
         return true;
@@ -92,11 +117,13 @@
   if (engine->running->len == 0)
     return 0;
   engine->stepping = true;
-  engine->chunk_tokens
-      = prefilling ? MIN (prefilling->unprefilled_tokens, (int64_t) ENGINE_CHUNK_TOKENS) : 0;
+  int64_t chunk_tokens
+      = engine->speed.chunk_tokens > 0 ? engine->speed.chunk_tokens : ENGINE_CHUNK_TOKENS;
+  engine->chunk_tokens = prefilling ? MIN (prefilling->unprefilled_tokens, chunk_tokens) : 0;
   int64_t us = engine->speed.step_us + (int64_t) engine->running->len * engine->speed.us_per_running
-               + engine->chunk_tokens * engine->speed.ns_per_prompt_token / 1000;
-  return us * engine->step_factor;
+               + engine->chunk_tokens * engine->speed.ns_per_prompt_token / 1000
+               + engine->context_tokens * engine->speed.ns_per_context_token / 1000;
+  return us * engine->step_factor * 100 / engine->speed_percent;
 }
 
 void
@@ -112,9 +139,11 @@
       if (run->unprefilled_tokens > 0)
         continue;
       bool last = --run->remaining_tokens <= 0;
+      run->context_tokens++;
+      engine->context_tokens++;
       token (ctx, run->request, last);
       if (last)
-        g_ptr_array_remove_index (engine->running, i - 1);
+        end_run (engine, i - 1);
     }
   fill_slots (engine);
 }
--- a/test/support/engine.h
+++ b/test/support/engine.h
@@ -12,8 +12,9 @@
  *   the tokens of all requests in the batch.
  *
  *   As many requests run at once as there are slots; the queue holds n_slots / 2 + 1 requests, and
- *   further ones are refused. The shared part of a prompt (its prefix) is prefilled once and then
- *   taken from the prefix cache, which never evicts.
+ *   further ones are refused. So are requests whose prompts and answers would not fit into the
+ *   engine's memory for tokens, beside those that run or wait. The shared part of a prompt (its
+ * prefix) is prefilled once and then taken from the prefix cache, which never evicts.
  *
  *   The model has no clock: the simulation that uses it asks for the duration of each step and ends
  *   the step when that time has passed.
@@ -30,10 +31,13 @@
 
 typedef struct
 {
-  uint32_t n_slots;            /* requests that run at once */
-  int64_t step_us;             /* duration of a step without the two parts below */
-  int64_t us_per_running;      /* added for each running request */
-  int64_t ns_per_prompt_token; /* added for each prompt token that the step prefills */
+  uint32_t n_slots;             /* requests that run at once */
+  int64_t step_us;              /* duration of a step without the two parts below */
+  int64_t us_per_running;       /* added for each running request */
+  int64_t ns_per_prompt_token;  /* added for each prompt token that the step prefills */
+  int64_t ns_per_context_token; /* added for each token of the contexts that run */
+  int64_t chunk_tokens;         /* prompt tokens of a step; 0: ENGINE_CHUNK_TOKENS */
+  int64_t memory_tokens;        /* of prompts and answers, running and waiting; 0: not limited */
 } EngineSpeed;
 
 /* A request at an engine. */
@@ -45,12 +49,17 @@
   int64_t own_tokens;         /* prompt tokens in the rest */
   int64_t unprefilled_tokens; /* prompt tokens that remain to be prefilled; set by the engine */
   int64_t remaining_tokens;   /* tokens that remain to be generated */
+  int64_t max_output_tokens;  /* the same at the start; set by the engine */
+  int64_t context_tokens;     /* of the prompt and the answer so far; set by the engine */
 } EngineRun;
 
 typedef struct
 {
   EngineSpeed speed;
   int64_t step_factor;         /* factor on the duration of all steps; 1 by default */
+  int64_t speed_percent;       /* divisor of the duration of all steps; 100 by default */
+  int64_t held_tokens;         /* of prompts and answers, running and waiting */
+  int64_t context_tokens;      /* sum over the requests that run */
   bool stepping;               /* a step has begun and not ended */
   int64_t chunk_tokens;        /* prompt tokens that the current step prefills */
   GPtrArray *running;          /* of EngineRun, owned */
@@ -63,7 +72,8 @@
 void engine_init (Engine *engine, const EngineSpeed *speed);
 void engine_finish (Engine *engine);
 
-/* Starts or queues a copy of RUN. Returns false when all slots are taken and the queue is full. */
+/* Starts or queues a copy of RUN. Returns false when all slots are taken and the queue is full,
+ * or the memory is. */
 bool engine_submit (Engine *engine, const EngineRun *run);
 
 /* Cancels REQUEST, whether it runs or waits. Returns false when it is not at this engine. */
--- a/test/support/play_load.c
+++ b/test/support/play_load.c
@@ -47,14 +47,31 @@
 static bool
 parse_settings (PlayLoad *load, char **words)
 {
-  static const char *const names[] = { "seed",  "routers", "seconds",        "endpoints",
-                                       "slots", "step_us", "us_per_running", "ns_per_prompt_token",
+  static const char *const names[] = { "seed",
+                                       "routers",
+                                       "seconds",
+                                       "endpoints",
+                                       "slots",
+                                       "step_us",
+                                       "us_per_running",
+                                       "ns_per_prompt_token",
+                                       "chunk_tokens",
+                                       "ns_per_context_token",
+                                       "memory_tokens",
+                                       "data_centres",
+                                       "together_ms",
+                                       "report_delay_ms",
+                                       "states_slowness",
                                        NULL };
   int64_t seed = load->seed;
   int64_t n_routers = load->n_routers;
   int64_t seconds = load->end_us / 1000000;
   int64_t n_endpoints = load->n_endpoints;
   int64_t n_slots = load->speed.n_slots;
+  int64_t n_data_centres = MAX (load->n_data_centres, 1);
+  int64_t together_ms = load->together_us / 1000;
+  int64_t report_delay_ms = load->report_delay_us / 1000;
+  int64_t states_slowness = load->states_slowness;
   int64_t *const values[] = { &seed,
                               &n_routers,
                               &seconds,
@@ -62,15 +79,27 @@
                               &n_slots,
                               &load->speed.step_us,
                               &load->speed.us_per_running,
-                              &load->speed.ns_per_prompt_token };
+                              &load->speed.ns_per_prompt_token,
+                              &load->speed.chunk_tokens,
+                              &load->speed.ns_per_context_token,
+                              &load->speed.memory_tokens,
+                              &n_data_centres,
+                              &together_ms,
+                              &report_delay_ms,
+                              &states_slowness };
   if (!parse_pairs (words, names, values) || n_routers < 0 || n_routers > PLAY_MAX_ROUTERS
-      || n_endpoints < 0 || n_endpoints > PLAY_MAX_ENDPOINTS)
+      || n_endpoints < 0 || n_endpoints > PLAY_MAX_ENDPOINTS || n_data_centres < 1
+      || n_data_centres > PLAY_MAX_DATA_CENTRES)
     return false;
   load->seed = (uint32_t) seed;
   load->n_routers = (uint32_t) n_routers;
   load->end_us = seconds * 1000000;
   load->n_endpoints = (uint32_t) n_endpoints;
   load->speed.n_slots = (uint32_t) n_slots;
+  load->n_data_centres = (uint32_t) n_data_centres;
+  load->together_us = together_ms * 1000;
+  load->report_delay_us = report_delay_ms * 1000;
+  load->states_slowness = states_slowness != 0;
   return true;
 }
 
@@ -99,6 +128,17 @@
   return true;
 }
 
+static bool
+parse_speeds (PlayLoad *load, char **words)
+{
+  for (; *words; words++)
+    if (load->n_speeds == PLAY_MAX_SPEEDS
+        || !play_load_read_number (*words, &load->speeds[load->n_speeds])
+        || load->speeds[load->n_speeds++] <= 0)
+      return false;
+  return true;
+}
+
 static bool
 parse_line (PlayLoad *load, char *line)
 {
@@ -110,6 +150,8 @@
     ok = parse_class (load, words + 1);
   else if (strcmp (words[0], "at") == 0)
     ok = parse_change (load, words + 1);
+  else if (strcmp (words[0], "speeds") == 0)
+    ok = parse_speeds (load, words + 1);
   else if (strcmp (words[0], "expect") == 0)
     g_ptr_array_add (load->expectations, g_strjoinv (" ", words + 1));
   else
--- a/test/support/play_load.h
+++ b/test/support/play_load.h
@@ -15,6 +15,19 @@
  *   endpoints N slots N step_us N us_per_running N ns_per_prompt_token N
  *     Number and speed of the endpoints' engines, see support/engine.h.
  *
+ *   chunk_tokens N ns_per_context_token N memory_tokens N
+ *     The same; 0 where they are not stated.
+ *   speeds N N ...
+ *     Speeds of the endpoints in turn, as percentages; 100 where they are not stated.
+ *   data_centres N
+ *     Routers and endpoints are in so many data centres in turn; 1 unless stated.
+ *   together_ms N
+ *     Requests arrive together, at multiples of that time.
+ *   report_delay_ms N
+ *     Load reports reach the router that much later than the answer that carries them.
+ *   states_slowness N
+ *     1: load reports state how slow the endpoint is at the moment.
+ *
  *   class NAME rate N shared N own N events N event_tokens N aim_ms N limit_ms N sessions N
  *     hot_percent N (on the same line)
  *     A class of requests, see PlayClass.
@@ -41,7 +54,9 @@
 enum
 {
   PLAY_MAX_ENDPOINTS = 256,
-  PLAY_MAX_ROUTERS = 64,
+  PLAY_MAX_ROUTERS = 96,
+  PLAY_MAX_SPEEDS = 16,
+  PLAY_MAX_DATA_CENTRES = 8,
   PLAY_MAX_CLASSES = 8,
   PLAY_MAX_CHANGES = 32,
 };
@@ -82,6 +97,12 @@
   uint32_t n_endpoints;
   int64_t end_us; /* end of the arrivals */
   EngineSpeed speed;
+  int64_t speeds[PLAY_MAX_SPEEDS]; /* percentages, of the endpoints in turn */
+  uint32_t n_speeds;               /* 0: all as SPEED */
+  uint32_t n_data_centres;
+  int64_t together_us;     /* interval of arrivals; 0: at any time */
+  int64_t report_delay_us; /* between an answer and the use of its load report */
+  bool states_slowness;
   PlayClass classes[PLAY_MAX_CLASSES];
   uint32_t n_classes;
   PlayChange changes[PLAY_MAX_CHANGES];
