Even load: requests are drawn by what each endpoint is to get until newer reports are known

Change: the requests that all routers send within the age of the report are spread such that the shortest predicted waits grow to a common level; endpoints that requests leave sooner, as they are faster, get more. The speed is remembered for a minute. In core/placement_even.c.

--- a/src/core/endpoint_speed.c
+++ b/src/core/endpoint_speed.c
@@ -7,8 +7,9 @@
 {
   /* Answers that the service's mean is of: enough that one slow endpoint hardly moves it. */
   MEAN_ANSWERS = 32,
-  /* A slowdown lasts for seconds, and a router sees an endpoint every few seconds. */
-  PACE_TTL_US = 30 * 1000 * 1000,
+  /* A router sees an endpoint every few seconds. Replayed with 30, 60 and 120 s: 30 s forget the
+   * speeds of endpoints between answers, with 120 s one that was slowed is passed over for long. */
+  PACE_TTL_US = 60 * 1000 * 1000,
   /* The stated slowness changes many times a second. */
   SLOWNESS_TTL_US = 2 * 1000 * 1000,
 };
--- a/src/core/endpoint_speed.h
+++ b/src/core/endpoint_speed.h
@@ -14,9 +14,11 @@
  *   machine. Both are bounded and lose their weight with age. The larger one counts, as both may
  *   tell of the same cause.
  *
- *   Only what exceeds DY_SPEED_USUAL counts. Endpoints that are faster or slower than others for
- *   good need no correction: equal numbers of requests in flight are requests in proportion to
- *   speed. Correcting for them as well overloaded the fast ones (docs/design/even-load.md).
+ *   The slowdown says how fast requests leave an endpoint. Only what exceeds DY_SPEED_USUAL
+ * lengthens the predicted wait. Endpoints that are faster or slower than others for good need no
+ * longer or shorter prediction: equal numbers of requests in flight are requests in proportion to
+ * speed. Predicting by all of the slowdown overloaded the fast endpoints
+ * (docs/design/even-load.md).
  *
  * UNITS
  *   Microseconds where a name ends in _us. The module reads no clock; the time is passed in as
@@ -53,8 +55,7 @@
 /* Records that the endpoint stated that work takes PERCENT of the usual time. */
 void dy_endpoint_speed_record_slowness (DyEndpointSpeed *speed, uint32_t percent, int64_t now_us);
 
-/* Returns the factor on the time that work takes, before what is usual is taken off: from 0.25 to
- * 4; 1 if nothing is known. */
+/* Returns the factor on the time that work takes, from 0.25 to 4; 1 if nothing is known. */
 double dy_endpoint_speed_slowdown (const DyEndpointSpeed *speed, int64_t now_us);
 
 /* Returns the factor by which placement lengthens the predicted wait, at least 1. */
--- a/src/core/load_estimate.c
+++ b/src/core/load_estimate.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <math.h>
+#include <stdbool.h>
 
 enum
 {
@@ -13,7 +14,7 @@
   MEAN_TTL_US = 10 * 1000 * 1000,
   /* Assumed time of a request until some have ended. */
   DEFAULT_RUN_US = 1000 * 1000,
-  /* Bounds of the mean time of a request, against single extreme ones. */
+  /* Bounds of the time of a request, against single extreme ones. */
   MIN_RUN_US = 20 * 1000,
   MAX_RUN_US = 30 * 1000 * 1000,
 };
@@ -35,6 +36,21 @@
   load->run_us += (us - load->run_us) / load->n_runs;
 }
 
+double
+dy_service_load_run_us (const DyServiceLoad *load)
+{
+  return load->n_runs > 0 ? load->run_us : DEFAULT_RUN_US;
+}
+
+double
+dy_service_load_age_us (const DyServiceLoad *load, int64_t reported_us, int64_t now_us)
+{
+  double longest_us = MAX (dy_service_load_run_us (load), (double) DY_LOAD_MIN_AGE_US);
+  if (reported_us == 0)
+    return longest_us;
+  return CLAMP ((double) (now_us - reported_us), (double) DY_LOAD_MIN_AGE_US, longest_us);
+}
+
 double
 dy_service_load_mean (const DyServiceLoad *load,
                       uint32_t n_endpoints,
@@ -51,8 +67,8 @@
 dy_load_estimate (
     const DyServiceLoad *load, double mean, double others, int64_t reported_us, int64_t now_us)
 {
-  double run_us = load->n_runs > 0 ? load->run_us : DEFAULT_RUN_US;
-  double weight = reported_us == 0 ? 0.0 : exp (-(double) MAX (now_us - reported_us, 0) / run_us);
+  int64_t age_us = MAX (now_us - reported_us, (int64_t) DY_LOAD_MIN_AGE_US);
+  double weight = reported_us == 0 ? 0.0 : exp (-(double) age_us / dy_service_load_run_us (load));
   return (DyLoadEstimate){ .requests = mean + (others - mean) * weight,
                            .deviation = sqrt (mean * (1.0 - weight * weight)) };
 }
--- a/src/core/load_estimate.h
+++ b/src/core/load_estimate.h
@@ -25,9 +25,14 @@
  *   the time is passed in as NOW_US.
  */
 
-#include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  /* A report never counts as newer: meanwhile other routers choose by reports of the same age. */
+  DY_LOAD_MIN_AGE_US = 100 * 1000,
+};
+
 /* What is known of the requests to a service. All fields are 0 at first. */
 typedef struct
 {
@@ -50,6 +55,13 @@
 /* Records that a request took TIME_US. */
 void dy_service_load_record_run (DyServiceLoad *load, int64_t time_us);
 
+/* Returns the mean time that a request takes. */
+double dy_service_load_run_us (const DyServiceLoad *load);
+
+/* Returns the age of a report of REPORTED_US (0: none) as far as it matters: at least
+ * DY_LOAD_MIN_AGE_US, and at most the mean time of a request. */
+double dy_service_load_age_us (const DyServiceLoad *load, int64_t reported_us, int64_t now_us);
+
 /* Returns the mean load of others at an endpoint of the service, which has N_ENDPOINTS, in a fleet
  * of N_ROUTERS. */
 double dy_service_load_mean (const DyServiceLoad *load,
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -22,14 +22,13 @@
  *   never chosen.
  *
  *   With even load, the choice does not trust old reports. What others have at an endpoint is
- *   estimated, with an uncertainty (core/load_estimate.h), and slow endpoints count as such
- *   (core/endpoint_speed.h). Of the endpoints whose predicted wait lies within the uncertainty of
- *   the shortest, one is drawn in proportion to its free slots, so that routers that choose at the
- *   same moment don't all choose the same. Those with few requests of this router are preferred, as
- *   these are known for certain and their connections are in use. An endpoint in another data
- *   centre is chosen only if it has the prefix cached, or if none in the own one is estimated to
- *   have a free slot. An endpoint whose memory for tokens is estimated to be full gets nothing
- *   unless all are.
+ *   estimated (core/load_estimate.h), and slow endpoints count as such (core/endpoint_speed.h). The
+ *   endpoint is drawn, such that the requests that all routers send until there are newer reports
+ *   bring the shortest waits to a common level. So routers that choose at the same moment don't all
+ *   choose the same. Endpoints with few requests of this router are preferred, as these are known
+ *   for certain. An endpoint that lacks the prefix does not stand in for one that has it. One in
+ *   another data centre that lacks the prefix gets nothing while one in the own data centre may
+ * have a free slot. Nor does one whose memory for tokens is estimated to be full, unless all are.
  *
  * UNITS
  *   Microseconds where a name ends in _us. The module reads no clock; the time is passed in
--- a/src/core/placement_choice.c
+++ b/src/core/placement_choice.c
@@ -2,7 +2,6 @@
 
 #include "core/placement_private.h"
 
-#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -197,129 +196,6 @@
   return best;
 }
 
-/* An endpoint that may be chosen, with even load. */
-typedef struct
-{
-  DyPlacementEndpoint *endpoint;
-  double us;           /* predicted wait */
-  double deviation_us; /* standard deviation of the prediction */
-  double load;         /* requests there */
-  double deviation;    /* standard deviation of the load */
-  double factor;       /* on the time of work, as it is slow */
-  bool local;          /* in this router's data centre */
-  bool cached;         /* it has the prefix */
-  bool full;           /* its memory is estimated to be full */
-} Candidate;
-
-static Candidate
-predict_candidate (DyPlacement *placement,
-                   DyPlacementEndpoint *endpoint,
-                   const DyPlacementService *service,
-                   double mean,
-                   const DyPromptWork *work,
-                   bool cached,
-                   int64_t now_us)
-{
-  const DyPlacementPolicy *policy = &placement->policy;
-  DyLoadEstimate others = dy_load_estimate (&service->load, mean, endpoint->other_requests,
-                                            endpoint->reported_us, now_us);
-  double per_running = (double) policy->us_per_running;
-  Candidate candidate = { .endpoint = endpoint,
-                          .load = (double) endpoint->in_flight + others.requests,
-                          .deviation = others.deviation,
-                          .factor = dy_endpoint_speed_factor (&endpoint->speed, now_us),
-                          .local = strcmp (endpoint->data_centre, placement->data_centre) == 0,
-                          .cached = cached };
-  int64_t tokens = endpoint->pending_tokens + work->own_tokens + (cached ? 0 : work->shared_tokens);
-  double us
-      = (double) tokens * (double) policy->ns_per_prompt_token / 1e3 + candidate.load * per_running;
-  if (endpoint->slots > 0 && candidate.load >= (double) endpoint->slots)
-    us += (candidate.load + 1.0 - (double) endpoint->slots) * per_running * 10.0;
-  candidate.us
-      = us * candidate.factor + (candidate.local ? 0.0 : (double) policy->us_cross_data_centre);
-  candidate.deviation_us = others.deviation * per_running * candidate.factor;
-  double held = (double) (endpoint->held_tokens + work->shared_tokens + work->own_tokens
-                          + work->output_tokens)
-                + others.requests * service->request_tokens;
-  candidate.full = service->memory_tokens > 0 && held > (double) service->memory_tokens;
-  return candidate;
-}
-
-/* Returns whether the candidate has a free slot if it has MORE requests than is estimated. */
-static bool
-has_free_slot (const Candidate *candidate, double more)
-{
-  double slots = (double) candidate->endpoint->slots;
-  return candidate->endpoint->slots == 0 || candidate->load + more + 1.0 <= slots;
-}
-
-/* Removes from the N CANDIDATES those whose memory is full, unless all are, and those in other data
- * centres without the prefix, unless it is likely that they have a free slot while none in the own
- * one may have one. Returns how many are left. */
-static guint
-drop_worse (Candidate *candidates, guint n)
-{
-  bool any_room = false;
-  bool any_local = false;
-  bool local_free = false;
-  for (guint i = 0; i < n; i++)
-    {
-      const Candidate *candidate = &candidates[i];
-      bool is_local = candidate->local && !candidate->full;
-      any_room = any_room || !candidate->full;
-      any_local = any_local || is_local;
-      local_free = local_free || (is_local && has_free_slot (candidate, -candidate->deviation));
-    }
-  guint n_left = 0;
-  for (guint i = 0; i < n; i++)
-    {
-      const Candidate *candidate = &candidates[i];
-      bool is_far = any_local && !candidate->local && !candidate->cached
-                    && (local_free || !has_free_slot (candidate, candidate->deviation));
-      if ((any_room && candidate->full) || is_far)
-        continue;
-      candidates[n_left++] = *candidate;
-    }
-  return n_left;
-}
-
-/* Returns how likely the candidate is to be drawn, compared with others. */
-static double
-weight_of (const Candidate *candidate)
-{
-  static const double MIN_FREE = 0.5; /* full by estimate, which may be wrong */
-  const DyPlacementEndpoint *endpoint = candidate->endpoint;
-  double free = endpoint->slots > 0 ? MAX ((double) endpoint->slots - candidate->load, MIN_FREE)
-                                    : 1.0 / (1.0 + candidate->load);
-  double own = 1.0 + (double) endpoint->in_flight;
-  return free / candidate->factor / (own * own * own);
-}
-
-/* Draws one of the N CANDIDATES, of which there is at least one, whose predicted wait lies within
- * the uncertainty of the shortest, in the same data centre or outside of it. */
-static const Candidate *
-draw (DyPlacement *placement, const Candidate *candidates, guint n)
-{
-  const Candidate *best = &candidates[0];
-  for (guint i = 1; i < n; i++)
-    if (candidates[i].us < best->us)
-      best = &candidates[i];
-  const Candidate *drawn = best;
-  double sum = 0.0;
-  for (guint i = 0; i < n; i++)
-    {
-      const Candidate *candidate = &candidates[i];
-      double uncertainty_us = hypot (candidate->deviation_us, best->deviation_us);
-      if (candidate->us > best->us + uncertainty_us || candidate->local != best->local)
-        continue;
-      double weight = weight_of (candidate);
-      sum += weight;
-      if (g_rand_double (placement->rng) * sum < weight)
-        drawn = candidate;
-    }
-  return drawn;
-}
-
 /* Chooses for even load. Returns NULL if there is no candidate. */
 static DyPlacementEndpoint *
 choose_even (DyPlacement *placement,
@@ -329,9 +205,8 @@
              int64_t now_us,
              int64_t *chosen_us)
 {
-  const DyPlacementService *service = dy_placement_service (placement, query->service);
-  double mean = dy_service_load_mean (&service->load, list->len, placement->n_routers, now_us);
-  Candidate *candidates = g_new (Candidate, list->len);
+  double mean = dy_placement_mean_load (placement, query->service, list->len, now_us);
+  DyPlacementCandidate *candidates = g_new (DyPlacementCandidate, list->len);
   DyPlacementEndpoint *chosen = NULL;
   guint n = 0;
   for (guint i = 0; i < list->len && !chosen; i++)
@@ -342,14 +217,13 @@
       bool cached = endpoint == affinity
                     || has_cached (placement, endpoint, query->work.prefix_hash, now_us);
       candidates[n++]
-          = predict_candidate (placement, endpoint, service, mean, &query->work, cached, now_us);
+          = dy_placement_predict (placement, endpoint, mean, &query->work, cached, now_us);
       if (is_due (placement, endpoint, now_us))
         chosen = endpoint;
     }
-  n = drop_worse (candidates, n);
   if (!chosen && n > 0)
     {
-      const Candidate *drawn = draw (placement, candidates, n);
+      const DyPlacementCandidate *drawn = dy_placement_draw (placement, candidates, n, mean);
       chosen = drawn->endpoint;
       *chosen_us = (int64_t) drawn->us;
     }
@@ -404,43 +278,3 @@
       = find_affinity_endpoint (placement, list, query->work.prefix_hash, false, now_us);
   return affinity && !is_allowed (placement, affinity, now_us) ? affinity->id : NULL;
 }
-
-uint32_t
-dy_placement_endpoint_slowness (const DyPlacementEndpoint *endpoint, int64_t now_us)
-{
-  return (uint32_t) (dy_endpoint_speed_slowdown (&endpoint->speed, now_us) * 100.0);
-}
-
-/* Returns the largest reported load of the endpoints in LIST, as a percentage of their mean; 0 if
- * fewer than two have reported lately. */
-static uint32_t
-busiest_percent_of (const DyPlacement *placement, const GPtrArray *list, int64_t now_us)
-{
-  double most = 0.0;
-  double sum = 0.0;
-  uint32_t n = 0;
-  for (guint i = 0; i < list->len; i++)
-    {
-      const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
-      if (endpoint->reported_us == 0
-          || now_us - endpoint->reported_us >= placement->policy.report_ttl_us)
-        continue;
-      double load = (double) endpoint->in_flight + (double) endpoint->other_requests;
-      most = MAX (most, load);
-      sum += load;
-      n++;
-    }
-  return n >= 2 && sum > 0.0 ? (uint32_t) (most * 100.0 * n / sum) : 0;
-}
-
-uint32_t
-dy_placement_busiest_percent (const DyPlacement *placement, int64_t now_us)
-{
-  GHashTableIter iter;
-  gpointer list;
-  uint32_t most = 0;
-  g_hash_table_iter_init (&iter, placement->by_service);
-  while (g_hash_table_iter_next (&iter, NULL, &list))
-    most = MAX (most, busiest_percent_of (placement, list, now_us));
-  return most;
-}
--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -8,6 +8,7 @@
  * DESCRIPTION
  *   placement.c         endpoints and what is set of them
  *   placement_choice.c  prediction of the wait at an endpoint, and choice by it
+ *   placement_even.c    prediction and draw for even load
  *   placement_end.c     requests in flight, load reports and circuit breakers
  */
 
@@ -56,6 +57,41 @@
   GHashTable *cached;    /* prefix hash to the time of its latest use */
 };
 
+/* An endpoint that may be chosen, with even load. */
+typedef struct
+{
+  DyPlacementEndpoint *endpoint;
+  double us;        /* predicted wait */
+  double load;      /* estimated requests there */
+  double deviation; /* standard deviation of the load */
+  double age_us;    /* of its load report, see dy_service_load_age_us() */
+  double slowdown;  /* see core/endpoint_speed.h */
+  bool local;       /* in this router's data centre */
+  bool cached;      /* it has the prefix */
+  bool full;        /* its memory for tokens is estimated to be full */
+} DyPlacementCandidate;
+
+/* Returns the mean load that others put on an endpoint of SERVICE, which has N_ENDPOINTS. */
+double dy_placement_mean_load (DyPlacement *placement,
+                               const char *service,
+                               uint32_t n_endpoints,
+                               int64_t now_us);
+
+/* Predicts the wait for WORK at ENDPOINT; MEAN is of dy_placement_mean_load(), and CACHED whether
+ * the endpoint has the prefix. */
+DyPlacementCandidate dy_placement_predict (DyPlacement *placement,
+                                           DyPlacementEndpoint *endpoint,
+                                           double mean,
+                                           const DyPromptWork *work,
+                                           bool cached,
+                                           int64_t now_us);
+
+/* Draws one of the N CANDIDATES, at least one, and changes their order. */
+const DyPlacementCandidate *dy_placement_draw (DyPlacement *placement,
+                                               DyPlacementCandidate *candidates,
+                                               uint32_t n,
+                                               double mean);
+
 /* Returns what is known of the service NAME. */
 DyPlacementService *dy_placement_service (DyPlacement *placement, const char *name);
 
