Even load in the daemon: setting spread_load, kvCapacity, gauges

Cause: the choice for even load was not used by the daemon. The directory tells placement the number of live routers and the memory for tokens of each service's endpoints (kvCapacity of its runtime; no plausible number: not limited). Attempts record the time of an answer and the time between its events, unless the caller held it up. The longest answer goes with a relay; a router of an earlier version ignores it. Gauges of the busiest endpoint and of slow ones, slowness_percent in the state dump.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -28,7 +28,8 @@
  *   choose the same. Endpoints with few requests of this router are preferred, as these are known
  *   for certain. An endpoint that lacks the prefix does not stand in for one that has it. One in
  *   another data centre that lacks the prefix gets nothing while one in the own data centre may
- * have a free slot. Nor does one whose memory for tokens is estimated to be full, unless all are.
+ * have a free slot; requests that were sent before may go there. Nor does one whose memory for
+ * tokens is estimated to be full, unless all are.
  *
  * UNITS
  *   Microseconds where a name ends in _us. The module reads no clock; the time is passed in
@@ -245,6 +246,9 @@
 /* Returns how slow ENDPOINT is, as a percentage of the usual time of work. */
 uint32_t dy_placement_endpoint_slowness (const DyPlacementEndpoint *endpoint, int64_t now_us);
 
+/* Returns how many endpoints take twice the usual time of work or longer. */
+uint32_t dy_placement_slow_count (const DyPlacement *placement, int64_t now_us);
+
 /* Returns the largest load that an endpoint has by this router's latest report of it, as a
  * percentage of the mean of its service: of all services with two reports of the last seconds or
  * more; 0: there is none. */
--- a/src/core/placement_choice.c
+++ b/src/core/placement_choice.c
@@ -223,7 +223,9 @@
     }
   if (!chosen && n > 0)
     {
-      const DyPlacementCandidate *drawn = dy_placement_draw (placement, candidates, n, mean);
+      bool is_first = !query->avoid || !query->avoid[0];
+      const DyPlacementCandidate *drawn
+          = dy_placement_draw (placement, candidates, n, mean, is_first);
       chosen = drawn->endpoint;
       *chosen_us = (int64_t) drawn->us;
     }
--- a/src/core/placement_even.c
+++ b/src/core/placement_even.c
@@ -87,11 +87,11 @@
   return candidate->endpoint->slots == 0 || candidate->load + more + 1.0 <= slots;
 }
 
-/* Removes from the N CANDIDATES those whose memory is full, unless all are, and those in other data
- * centres without the prefix, unless it is likely that they have a free slot while none in the own
- * one may have one. Returns how many are left. */
+/* Removes from the N CANDIDATES those whose memory is full, unless all are. If ONLY_LOCAL, also
+ * those in other data centres without the prefix, unless it is likely that they have a free slot
+ * while none in the own one may have one. Returns how many are left. */
 static uint32_t
-drop_worse (DyPlacementCandidate *candidates, uint32_t n)
+drop_worse (DyPlacementCandidate *candidates, uint32_t n, bool only_local)
 {
   bool any_room = false;
   bool any_local = false;
@@ -108,7 +108,7 @@
   for (uint32_t i = 0; i < n; i++)
     {
       const DyPlacementCandidate *candidate = &candidates[i];
-      bool is_far = any_local && !candidate->local && !candidate->cached
+      bool is_far = only_local && any_local && !candidate->local && !candidate->cached
                     && (local_free || !has_free_slot (candidate, candidate->deviation));
       if ((any_room && candidate->full) || is_far)
         continue;
@@ -162,13 +162,15 @@
 dy_placement_draw (DyPlacement *placement,
                    DyPlacementCandidate *candidates,
                    uint32_t n,
-                   double mean)
+                   double mean,
+                   bool is_first)
 {
   const DyServiceLoad *load
       = &dy_placement_service (placement, candidates[0].endpoint->service)->load;
   double run_us = dy_service_load_run_us (load);
   double per_running = (double) placement->policy.us_per_running;
-  n = drop_worse (candidates, n);
+  /* What was refused once goes wherever it is served. */
+  n = drop_worse (candidates, n, is_first);
   qsort (candidates, n, sizeof *candidates, compare_waits);
   n = keep_alternatives (candidates, n);
   /* At least the request itself. */
@@ -198,6 +200,19 @@
   return (uint32_t) (dy_endpoint_speed_slowdown (&endpoint->speed, now_us) * 100.0);
 }
 
+uint32_t
+dy_placement_slow_count (const DyPlacement *placement, int64_t now_us)
+{
+  static const uint32_t SLOW_PERCENT = 200;
+  GHashTableIter iter;
+  gpointer endpoint;
+  uint32_t n = 0;
+  g_hash_table_iter_init (&iter, placement->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &endpoint))
+    n += dy_placement_endpoint_slowness (endpoint, now_us) >= SLOW_PERCENT ? 1 : 0;
+  return n;
+}
+
 /* Returns the largest reported load of the endpoints in LIST, as a percentage of their mean; 0 if
  * fewer than two have reported lately. */
 static uint32_t
--- a/src/core/placement_private.h
+++ b/src/core/placement_private.h
@@ -86,11 +86,13 @@
                                            bool cached,
                                            int64_t now_us);
 
-/* Draws one of the N CANDIDATES, at least one, and changes their order. */
+/* Draws one of the N CANDIDATES, at least one, and changes their order. IS_FIRST: the request was
+ * not sent to any endpoint before. */
 const DyPlacementCandidate *dy_placement_draw (DyPlacement *placement,
                                                DyPlacementCandidate *candidates,
                                                uint32_t n,
-                                               double mean);
+                                               double mean,
+                                               bool is_first);
 
 /* Returns what is known of the service NAME. */
 DyPlacementService *dy_placement_service (DyPlacement *placement, const char *name);
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -59,6 +59,7 @@
   char *name;
   char *health_path;     /* of the endpoints' health check; NULL: not stated */
   uint32_t event_tokens; /* output tokens per event of a stream */
+  int64_t memory_tokens; /* of prompts and answers that an endpoint has room for; 0: not limited */
 } DyRouteService;
 
 typedef struct
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -68,6 +68,10 @@
   X (BRITTLE, gauge, "dogwoodyoke_brittle_services", "services whose endpoints may fall over")     \
   X (ROOM_WAITS, counter, "dogwoodyoke_room_waits_total",                                          \
      "requests that waited for a place at an endpoint that may fall over")                         \
+  X (BUSIEST_PERCENT, gauge, "dogwoodyoke_busiest_endpoint_percent",                               \
+     "load of the busiest endpoint by its latest report, of the mean of its service")              \
+  X (SLOW_ENDPOINTS, gauge, "dogwoodyoke_slow_endpoints",                                          \
+     "endpoints at which work takes twice the usual time or longer")                               \
   X (NOTICES, gauge, "dogwoodyoke_endpoint_notices",                                               \
      "endpoints that said something of themselves in answers")                                     \
   X (RESUMES, counter, "dogwoodyoke_resumes_total", "streams that callers resumed")                \
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -32,6 +32,7 @@
   char *declarations_dir;
   char *peer_secret;
   char *first_start;
+  char *spread_load;
   char *log_format;
   char *log_level;
   int64_t log_lines_per_s;
--- a/src/services/endpoints/directory.c
+++ b/src/services/endpoints/directory.c
@@ -1,4 +1,5 @@
 #include "services/endpoints/directory_private.h"
+#include "services/endpoints/even_load.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
@@ -71,6 +72,7 @@
   directory->routes_text = g_strdup (object->value);
   g_clear_pointer (&directory->routes_packed, g_free);
   directory->routes_revision = object->version;
+  dy_even_load_take_routes (directory);
   directory->peers->config_version = table.version;
   dy_counters_set (&directory->kernel->counters, DY_COUNTER_CONFIG_VERSION,
                    (int64_t) table.version);
@@ -394,6 +396,7 @@
   ev_set_priority (&directory->expiry_timer, DY_PRIORITY_TIMEOUT);
   directory->expiry_timer.data = directory;
   ev_timer_start (kernel->loop, &directory->expiry_timer);
+  dy_even_load_start (directory);
   dy_directory_start_knowledge (directory);
   dy_spread_init (&directory->spread, kernel, directory->peers, &directory->clocks);
   const DyObjectWatchSpec routes = { .prefix = directory->dialect->routes_prefix,
@@ -416,6 +419,7 @@
 {
   DyDirectory *directory = self;
   ev_timer_stop (directory->kernel->loop, &directory->expiry_timer);
+  dy_even_load_stop (directory);
   dy_object_watch_stop (&directory->routes_watch);
   dy_object_watch_stop (&directory->endpoints_watch);
   dy_spread_finish (&directory->spread);
@@ -430,12 +434,23 @@
   g_free (directory->routes_packed);
 }
 
+typedef struct
+{
+  const DyDirectory *directory;
+  json_t *endpoints;
+} Dump;
+
 static void
 dump_endpoint (
     void *ctx, const char *id, const char *service, uint32_t in_flight, bool breaker_open)
 {
-  json_array_append_new (ctx, json_pack ("{s:s, s:s, s:i, s:b}", "id", id, "service", service,
-                                         "in_flight", (int) in_flight, "paused", breaker_open));
+  const Dump *dump = ctx;
+  const DyPlacementEndpoint *endpoint = dy_placement_find (&dump->directory->placement, id);
+  uint32_t slowness = dy_placement_endpoint_slowness (endpoint, now_us (dump->directory));
+  json_array_append_new (dump->endpoints,
+                         json_pack ("{s:s, s:s, s:i, s:b, s:i}", "id", id, "service", service,
+                                    "in_flight", (int) in_flight, "paused", breaker_open,
+                                    "slowness_percent", (int) slowness));
 }
 
 static json_t *
@@ -443,7 +458,8 @@
 {
   const DyDirectory *directory = self;
   json_t *endpoints = json_array ();
-  dy_placement_visit (&directory->placement, dump_endpoint, endpoints, now_us (directory));
+  Dump dump = { directory, endpoints };
+  dy_placement_visit (&directory->placement, dump_endpoint, &dump, now_us (directory));
   return json_pack ("{s:b, s:I, s:I, s:b, s:I, s:I, s:o}", "has_routes", directory->has_routes,
                     "version", (json_int_t) directory->routes.version, "revision",
                     (json_int_t) directory->routes_revision, "store_failing",
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -71,6 +71,7 @@
   bool is_late;           /* as last logged */
   int64_t late_since_us;  /* by dy_kernel_boot_us(): when it was found late; 0: it is not */
   ev_timer expiry_timer;
+  ev_timer even_load_timer;
   DyRoutesWatcher watcher;
   void *watcher_ctx;
   DyEndpointEndWatcher end_watcher;
--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -143,6 +143,7 @@
   (void) transfer;
   dy_gateway_record_bytes (attempt->gateway, attempt->endpoint_id);
   attempt->paused = !attempt->watcher->data (attempt->ctx, data, n);
+  attempt->was_paused = attempt->was_paused || attempt->paused;
   return !attempt->paused;
 }
 
@@ -196,9 +197,28 @@
   return out->endpoint_error ? DY_PLACEMENT_FAILED : DY_PLACEMENT_ANSWERED;
 }
 
+/* Returns the mean time between the events of the answer; 0: it does not show how fast the endpoint
+ * is. */
+static double
+us_per_event (const DyGatewayAttempt *attempt)
+{
+  enum
+  {
+    MIN_EVENTS = 4, /* fewer say little, as events come in bundles */
+  };
+  uint64_t n = attempt->n_events - attempt->first_events;
+  if (attempt->was_paused || attempt->first_event_us == 0 || n < MIN_EVENTS)
+    return 0.0;
+  return (double) (attempt->last_event_us - attempt->first_event_us) / (double) n;
+}
+
 static void
 release (DyGatewayAttempt *attempt, DyPlacementOutcome outcome)
 {
+  if (attempt->endpoint && outcome == DY_PLACEMENT_ANSWERED && attempt->is_success)
+    dy_placement_record_answer (&attempt->gateway->directory->placement, attempt->endpoint,
+                                now_us (attempt) - attempt->placed_us, us_per_event (attempt),
+                                now_us (attempt));
   if (attempt->endpoint)
     dy_placement_end (&attempt->gateway->directory->placement, attempt->endpoint, &attempt->work,
                       attempt->prompt_read, outcome, now_us (attempt));
@@ -533,6 +553,17 @@
     dy_placement_prompt_read (attempt->endpoint, &attempt->work);
 }
 
+void
+dy_gateway_attempt_on_events (DyGatewayAttempt *attempt, uint64_t n_events)
+{
+  attempt->last_event_us = now_us (attempt);
+  attempt->n_events = n_events;
+  if (attempt->first_event_us != 0)
+    return;
+  attempt->first_event_us = attempt->last_event_us;
+  attempt->first_events = n_events;
+}
+
 void
 dy_gateway_attempt_reject (DyGatewayAttempt *attempt)
 {
--- a/src/services/gateway/gateway_attempt.h
+++ b/src/services/gateway/gateway_attempt.h
@@ -97,6 +97,11 @@
   bool foreign;       /* the answer is rejected: it is not the endpoint's to this request */
   bool is_success;    /* 2xx and not rejected */
   bool prompt_read;   /* the endpoint has processed the prompt */
+  bool was_paused;    /* the caller held the answer up, so that its events do not show the pace */
+  uint64_t first_events;  /* events of the request once the answer's first ones had come */
+  uint64_t n_events;      /* the same at the latest ones */
+  int64_t first_event_us; /* monotonic time of the first ones; 0: none came */
+  int64_t last_event_us;
 } DyGatewayAttempt;
 
 /* Returns the name of the router that makes the attempt, or NULL if it is not relayed or has ended.
@@ -155,6 +160,9 @@
 
 void dy_gateway_attempt_resume (DyGatewayAttempt *attempt);
 
+/* Records that the request has had N_EVENTS events in all, some of which came now. */
+void dy_gateway_attempt_on_events (DyGatewayAttempt *attempt, uint64_t n_events);
+
 /* Ends the attempt by closing its connection; OUTCOME is reported to placement. Not to be called
  * from the data callback. */
 void dy_gateway_attempt_cancel (DyGatewayAttempt *attempt, DyPlacementOutcome outcome);
--- a/src/services/gateway/gateway_plan.c
+++ b/src/services/gateway/gateway_plan.c
@@ -30,6 +30,7 @@
       work.shared_tokens += head->parts[i].tokens;
     }
   work.own_tokens = MAX (head->prompt_tokens - work.shared_tokens, 0);
+  work.output_tokens = head->max_output_tokens;
   return work;
 }
 
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -252,6 +252,7 @@
   if (!request->attempt->prompt_read)
     dy_gateway_record_output (request->gateway, &request->plan);
   dy_gateway_attempt_on_first_event (request->attempt);
+  dy_gateway_attempt_on_events (request->attempt, request->events.n_events);
   dy_http_call_write (request->call, request->body->str, request->body->len);
   g_string_truncate (request->body, 0);
   arm_read_timer (request);
--- a/src/services/gateway/relay_server.c
+++ b/src/services/gateway/relay_server.c
@@ -260,7 +260,9 @@
     }
   DyPromptWork work = { .prefix_hash = parse_hex (json_object_get (served->open, "prefix")),
                         .shared_tokens = integer_of (served, "shared"),
-                        .own_tokens = integer_of (served, "own") };
+                        .own_tokens = integer_of (served, "own"),
+                        /* 0 from a router of an earlier version. */
+                        .output_tokens = CLAMP (integer_of (served, "output"), 0, G_MAXINT32) };
   bool out = dy_reachability_is_out (relays->reachability);
   bool late = !out && !dy_gateway_may_send (relays->gateway, text_of (served, "id"), "relay");
   DyPlacementEndpoint *endpoint = out || late ? NULL : choose_endpoint (served, &work);
--- a/src/services/gateway/relays.c
+++ b/src/services/gateway/relays.c
@@ -83,13 +83,15 @@
   for (uint32_t i = 0; i < spec->plan->n_parts; i++)
     json_array_append_new (parts, hex (spec->plan->parts[i]));
   json_t *root = json_pack (
-      "{s:s, s:s, s:s, s:s, s:o, s:I, s:o, s:o, s:o, s:I, s:I, s:s?, s:o, s:s?, s:s?, s:I, s:i, "
+      "{s:s, s:s, s:s, s:s, s:o, s:I, s:o, s:o, s:o, s:I, s:I, s:I, s:s?, s:o, s:s?, s:s?, s:I, "
+      "s:i, "
       "s:b, s:s?}",
       "id", attempt->request_id, "service", attempt->service, "method", forwarded->method, "target",
       forwarded->target, "lines", text_list (forwarded->lines), "body_bytes",
       (json_int_t) forwarded->n_body, "body_hash", hex (spec->plan->body_hash), "parts", parts,
       "prefix", hex (attempt->work.prefix_hash), "shared", (json_int_t) attempt->work.shared_tokens,
-      "own", (json_int_t) attempt->work.own_tokens, "version", spec->version, "avoid",
+      "own", (json_int_t) attempt->work.own_tokens, "output",
+      (json_int_t) attempt->work.output_tokens, "version", spec->version, "avoid",
       text_list (spec->avoid), "account", head->account, "resume_from", head->resume_from,
       "time_left_ms", (json_int_t) head->time_left_ms, "priority", (int) head->priority,
       "has_priority", head->has_priority, "except", spec->except);
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -26,7 +26,10 @@
       "\"weight\":90},{\"service\":\"three\",\"weight\":10}]},"
       "{\"name\":\"root\",\"host\":\"g.example\",\"pathPrefix\":\"/\",\"routeType\":"
       "\"non_idempotent\",\"public\":true,\"service\":\"one\"}],"
-      "\"services\":[{\"name\":\"two\",\"runtime\":{\"slots\":64,\"stride\":6}}],"
+      "\"services\":[{\"name\":\"two\",\"runtime\":{\"slots\":64,\"stride\":6,"
+      "\"kvCapacity\":232000}},{\"name\":\"three\",\"runtime\":{\"kvCapacity\":-5}},"
+      "{\"name\":\"four\",\"runtime\":{\"kvCapacity\":1e300}},"
+      "{\"name\":\"five\",\"runtime\":{\"kvCapacity\":\"many\"}},{\"name\":\"six\"}],"
       "\"limits\":{\"maxBodyBytes\":100},"
       "\"tenants\":[{\"name\":\"acct\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1,\"prepaid\":50}]"
       "}";
@@ -77,6 +80,11 @@
   ck_assert_str_eq (account->name, "acct");
   ck_assert_int_eq (account->prepaid_tokens, 50);
   ck_assert_uint_eq (dy_route_table_service (&table, "two")->event_tokens, 6);
+  /* Guards against a memory that is taken from a number that is none. */
+  ck_assert_int_eq (dy_route_table_service (&table, "two")->memory_tokens, 232000);
+  static const char *const unlimited[] = { "three", "four", "five", "six" };
+  for (size_t i = 0; i < G_N_ELEMENTS (unlimited); i++)
+    ck_assert_int_eq (dy_route_table_service (&table, unlimited[i])->memory_tokens, 0);
   ck_assert_ptr_null (dy_route_table_account (&table, "k3"));
   ck_assert_ptr_null (dy_route_table_account (&table, NULL));
   dy_route_table_finish (&table);
