--- a/src/core/placement_choice.c
+++ b/src/core/placement_choice.c
@@ -173,20 +173,16 @@
   return false;
 }
 
-DyPlacementEndpoint *
-dy_placement_choose (DyPlacement *placement,
-                     const DyPlacementQuery *query,
-                     int64_t now_us,
-                     int64_t *predicted_us)
+/* Chooses the candidate with the shortest predicted wait. Returns NULL if there is none. */
+static DyPlacementEndpoint *
+choose_shortest (DyPlacement *placement,
+                 const GPtrArray *list,
+                 const DyPlacementQuery *query,
+                 const DyPlacementEndpoint *affinity,
+                 int64_t now_us,
+                 int64_t *best_us)
 {
-  const GPtrArray *list = g_hash_table_lookup (placement->by_service, query->service);
   DyPlacementEndpoint *best = NULL;
-  int64_t best_us = 0;
-  if (!list || list->len == 0)
-    return NULL;
-  dy_placement_hold_back (placement, query, now_us);
-  const DyPlacementEndpoint *affinity
-      = find_affinity_endpoint (placement, list, query->work.prefix_hash, true, now_us);
   guint first = (guint) g_rand_int_range (placement->rng, 0, (gint32) list->len);
   for (guint i = 0; i < list->len; i++)
     {
@@ -195,18 +191,72 @@
         continue;
       if (is_due (placement, endpoint, now_us))
         {
-          best = endpoint;
-          best_us = 0;
-          break;
+          *best_us = 0;
+          return endpoint;
         }
       bool cached = endpoint == affinity
                     || has_cached (placement, endpoint, query->work.prefix_hash, now_us);
       int64_t us = predict_us (placement, endpoint, &query->work, cached, now_us);
-      if (best && us >= best_us)
+      if (best && us >= *best_us)
         continue;
       best = endpoint;
-      best_us = us;
+      *best_us = us;
+    }
+  return best;
+}
+
+/* Chooses for even load. Returns NULL if there is no candidate. */
+static DyPlacementEndpoint *
+choose_even (DyPlacement *placement,
+             const GPtrArray *list,
+             const DyPlacementQuery *query,
+             const DyPlacementEndpoint *affinity,
+             int64_t now_us,
+             int64_t *chosen_us)
+{
+  double mean = dy_placement_mean_load (placement, query->service, list->len, now_us);
+  DyPlacementCandidate *candidates = g_new (DyPlacementCandidate, list->len);
+  DyPlacementEndpoint *chosen = NULL;
+  guint n = 0;
+  for (guint i = 0; i < list->len && !chosen; i++)
+    {
+      DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
+      if (!is_choice (placement, query, endpoint, now_us))
+        continue;
+      bool cached = endpoint == affinity
+                    || has_cached (placement, endpoint, query->work.prefix_hash, now_us);
+      candidates[n++]
+          = dy_placement_predict (placement, endpoint, mean, &query->work, cached, now_us);
+      if (is_due (placement, endpoint, now_us))
+        chosen = endpoint;
     }
+  if (!chosen && n > 0)
+    {
+      bool is_first = !query->avoid || !query->avoid[0];
+      const DyPlacementCandidate *drawn
+          = dy_placement_draw (placement, candidates, n, mean, is_first);
+      chosen = drawn->endpoint;
+      *chosen_us = (int64_t) drawn->us;
+    }
+  g_free (candidates);
+  return chosen;
+}
+
+DyPlacementEndpoint *
+dy_placement_choose (DyPlacement *placement,
+                     const DyPlacementQuery *query,
+                     int64_t now_us,
+                     int64_t *predicted_us)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, query->service);
+  int64_t best_us = 0;
+  if (!list || list->len == 0)
+    return NULL;
+  dy_placement_hold_back (placement, query, now_us);
+  const DyPlacementEndpoint *affinity
+      = find_affinity_endpoint (placement, list, query->work.prefix_hash, true, now_us);
+  DyPlacementEndpoint *best = (placement->spread ? choose_even : choose_shortest) (
+      placement, list, query, affinity, now_us, &best_us);
   if (!best)
     best = first_to_retry (placement, list, query, now_us);
   dy_placement_end_hold_back (placement, query);
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -62,7 +62,8 @@
   int64_t cold_ms;       /* time for which an endpoint is cold after its start; 0: none */
   /* Requests in a thousand seconds that a cold endpoint tolerates; 0: not limited. */
   int64_t cold_per_1000_s;
-  bool cold_invalid; /* one of the two is stated and cannot be used, and counts as not stated */
+  bool cold_invalid;     /* one of the two is stated and cannot be used, and counts as not stated */
+  int64_t memory_tokens; /* of prompts and answers that an endpoint has room for; 0: not limited */
 } DyRouteService;
 
 typedef struct
--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -101,6 +101,16 @@
   return !answer->request_id && !dy_http_transfer_is_first (attempt->transfer);
 }
 
+static void
+report_load (const DyGatewayAttempt *attempt)
+{
+  const DyAnswerHead *answer = &attempt->answer;
+  dy_placement_report (&attempt->gateway->directory->placement, attempt->endpoint,
+                       answer->n_running, answer->n_waiting, now_us (attempt));
+  if (answer->slowness_percent > 0)
+    dy_placement_report_slowness (attempt->endpoint, answer->slowness_percent, now_us (attempt));
+}
+
 static bool
 on_head (void *ctx, unsigned status, const DyHttpHeader *headers, uint32_t n)
 {
@@ -120,7 +130,7 @@
     if (gateway->dialect->forwards_to_caller (headers[i].name))
       add_header (attempt->headers, headers[i].name, headers[i].value);
   if (answer->has_load && !attempt->foreign)
-    dy_placement_report (attempt->endpoint, answer->n_running, answer->n_waiting, now_us (attempt));
+    report_load (attempt);
   if (!attempt->foreign && status != DY_HTTP_MISDIRECTED)
     {
       take_limit (attempt, success);
@@ -147,6 +157,7 @@
   (void) transfer;
   dy_gateway_record_bytes (attempt->gateway, attempt->endpoint_id);
   attempt->paused = !attempt->watcher->data (attempt->ctx, data, n);
+  attempt->was_paused = attempt->was_paused || attempt->paused;
   return !attempt->paused;
 }
 
@@ -200,12 +211,31 @@
   return out->endpoint_error ? DY_PLACEMENT_FAILED : DY_PLACEMENT_ANSWERED;
 }
 
+/* Returns the mean time between the events of the answer; 0: it does not show how fast the endpoint
+ * is. */
+static double
+us_per_event (const DyGatewayAttempt *attempt)
+{
+  enum
+  {
+    MIN_EVENTS = 4, /* fewer say little, as events come in bundles */
+  };
+  uint64_t n = attempt->n_events - attempt->first_events;
+  if (attempt->was_paused || attempt->first_event_us == 0 || n < MIN_EVENTS)
+    return 0.0;
+  return (double) (attempt->last_event_us - attempt->first_event_us) / (double) n;
+}
+
 static void
 release (DyGatewayAttempt *attempt, DyPlacementOutcome outcome)
 {
   if (attempt->cold_reserved)
     dy_cold_endpoints_cancel (attempt->gateway->cold, attempt->endpoint_id, attempt->start_ms);
   attempt->cold_reserved = false;
+  if (attempt->endpoint && outcome == DY_PLACEMENT_ANSWERED && attempt->is_success)
+    dy_placement_record_answer (&attempt->gateway->directory->placement, attempt->endpoint,
+                                now_us (attempt) - attempt->placed_us, us_per_event (attempt),
+                                now_us (attempt));
   if (attempt->endpoint)
     dy_placement_end (&attempt->gateway->directory->placement, attempt->endpoint, &attempt->work,
                       attempt->prompt_read, outcome, now_us (attempt));
@@ -543,6 +573,17 @@
     dy_placement_prompt_read (attempt->endpoint, &attempt->work);
 }
 
+void
+dy_gateway_attempt_on_events (DyGatewayAttempt *attempt, uint64_t n_events)
+{
+  attempt->last_event_us = now_us (attempt);
+  attempt->n_events = n_events;
+  if (attempt->first_event_us != 0)
+    return;
+  attempt->first_event_us = attempt->last_event_us;
+  attempt->first_events = n_events;
+}
+
 void
 dy_gateway_attempt_reject (DyGatewayAttempt *attempt)
 {
--- a/test/test_evacuations.c
+++ b/test/test_evacuations.c
@@ -122,7 +122,7 @@
       if (data_centre_of (endpoint) == 0)
         continue;
       if (kind == DRAWN_BY_LOAD)
-        dy_placement_report (endpoint, 100, 100, 1);
+        dy_placement_report (placement, endpoint, 100, 100, 1);
       if (kind != DRAWN_BY_FAILED)
         continue;
       dy_placement_begin (placement, endpoint, &work, 0);
