Test of load headers on the way from an answer to the choice

Cause: that the fourth figure reaches placement, and that an invalid header changes nothing, was tested in parts only. Measured: test_gateway_request passes, six cases more.

--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -43,6 +43,8 @@
   endpoint->n_requests++;
   dy_http_call_add_header (call, "X-Request-Id", dy_http_call_header (call, "X-Request-Id"));
   dy_http_call_add_header (call, "X-Server-Seal", "5ea1.0.0");
+  if (endpoint->load)
+    dy_http_call_add_header (call, "X-Worker-Load", endpoint->load);
   dy_http_call_reply (call, 200, "text/plain", "ok", 2);
   g_usleep ((gulong) endpoint->hold_up_us);
 }
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -29,6 +29,7 @@
   char *address;
   DyHttpServer server;
   int n_requests;
+  const char *load;   /* X-Worker-Load of its answers; NULL: none */
   int64_t hold_up_us; /* time for which a request to the endpoint holds up the loop of the test */
 } FixtureEndpoint;
 
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -1,6 +1,7 @@
 /* Requests of the gateway whose event loop the test holds up, or whose endpoints leave, between any
  * two turns. */
 
+#include "core/placement_private.h"
 #include "kernel/error.h"
 #include "net/address.h"
 #include "support/canned.h"
@@ -69,6 +70,43 @@
 }
 END_TEST
 
+/* Guards against loads and slowdowns that are lost on the way from the answer to the choice, and
+ * against an invalid header that changes what is known, or costs the caller the answer. */
+static const struct
+{
+  const char *load;
+  uint32_t low_percent; /* bounds of the slowness that is known then */
+  uint32_t high_percent;
+  bool reported;
+} load_cases[] = {
+  { "3,0,8", 100, 100, true },    { "3,0,8,400", 300, 400, true },
+  { "3,0", 100, 100, false },     { "3,0,8,-400", 100, 100, false },
+  { "nan,0,8", 100, 100, false }, { "3,0,8,400,1", 100, 100, false },
+};
+
+START_TEST (load_reaches_the_choice_unless_it_is_invalid)
+{
+  Fixture fixture;
+  FixtureAnswer answer;
+  fixture_init (&fixture);
+  fixture.notices.reported = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fixture_put_endpoint (&fixture, 0, false);
+  dy_placement_set_spread (&fixture.directory.placement, true, 1);
+  fixture.endpoints[0].load = load_cases[_i].load;
+  fixture_send (&fixture, "/ok/x", &answer, 1);
+  ck_assert_uint_eq (answer.result.status, 200);
+  const DyPlacementEndpoint *endpoint = dy_placement_find (&fixture.directory.placement, "e0");
+  uint32_t percent = dy_placement_endpoint_slowness (endpoint, dy_kernel_now_us (&fixture.kernel));
+  ck_assert_uint_ge (percent, load_cases[_i].low_percent);
+  ck_assert_uint_le (percent, load_cases[_i].high_percent);
+  ck_assert_int_eq (endpoint->reported_us != 0, load_cases[_i].reported);
+  ck_assert_uint_eq (g_hash_table_size (fixture.notices.reported), load_cases[_i].reported ? 0 : 1);
+  g_hash_table_unref (fixture.notices.reported);
+  fixture_free_answers (&answer, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* The answer is in the socket when the loop continues, after the time of silence that ends an
  * attempt. */
 START_TEST (answer_is_read_before_its_attempt_is_abandoned)
@@ -487,6 +525,8 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, request_is_not_sent_to_an_endpoint_that_left_after_the_choice, 0,
                        (int) G_N_ELEMENTS (departure_cases));
+  tcase_add_loop_test (tcase, load_reaches_the_choice_unless_it_is_invalid, 0,
+                       (int) G_N_ELEMENTS (load_cases));
   tcase_add_loop_test (tcase, answer_that_never_ends_is_cut_off, 0,
                        (int) G_N_ELEMENTS (endless_cases));
   tcase_add_loop_test (tcase, answer_without_length_ends_with_its_connection, 0,
