A list after a dropped history is passed on; replies are packed once; other routers in later rows

A router whose check is told that the history is gone lists anew, and told nobody; when others heard of it, by an overestimated version, their endpoint records were 2.0 s old. Read: each reply packed its text anew, and rows of requests in vain always asked the same eight routers.

Change: such a list is passed on as the result of a check is, and compared with the objects that were known. The latest text of a reply is kept. Each row orders the routers anew.

--- a/src/core/missed_changes.c
+++ b/src/core/missed_changes.c
@@ -85,7 +85,7 @@
   };
   uint32_t max = g_hash_table_size (fleet->members->by_name);
   const char **names = g_new (const char *, max + 1);
-  char *key = g_strconcat (fleet->prefix, fleet->members->self_name, NULL);
+  char *key = g_strdup_printf ("%s%s/%u", fleet->prefix, fleet->members->self_name, missed->n_rows);
   uint32_t n = dy_members_first (fleet->members, key, fleet->now_us, names, max);
   const char *best = NULL;
   int best_class = -1;
@@ -145,6 +145,7 @@
     {
       missed->interval_us = missed->n_asked ? MIN (missed->interval_us * 2, MAX_ASK_US) : ASK_US;
       missed->n_asked = 0;
+      missed->n_rows++;
       return NULL;
     }
   g_strlcpy (missed->asked[missed->n_asked++], name, DY_NAME_SIZE);
--- a/src/core/missed_changes.h
+++ b/src/core/missed_changes.h
@@ -10,7 +10,8 @@
  *   other routers for it, one at a time: first those that reported a later version, then other
  *   live ones, which may have it by now; of each those of its own data centre first. The order of
  *   routers differs between those that ask, so that their requests are spread. A router is asked
- *   once; when all were asked in vain, they are asked again, at longer intervals.
+ *   once in a row of requests; after a row in vain, the next one has longer intervals and, of those
+ *   that reported nothing, others.
  *
  *   The router that is asked replies with the changes since the other one's version, if it still
  *   has them, or with all objects. The other one takes changes only if they follow on what it
@@ -52,6 +53,7 @@
   DyMissedReporter reporters[DY_MISSED_REPORTERS]; /* those of the latest versions */
   char asked[DY_MISSED_ASKED][DY_NAME_SIZE];       /* in this row */
   uint32_t n_asked;
+  uint32_t n_rows;     /* that were in vain; another one asks others */
   uint32_t n_requests; /* since the latest progress */
   int64_t behind_us;   /* of the watch age as of the latest progress, as VERSION */
   uint64_t version;
--- a/src/services/peers/change_requests.c
+++ b/src/services/peers/change_requests.c
@@ -36,6 +36,32 @@
   return changes;
 }
 
+static void
+clear_text (DyReplyText *sent)
+{
+  json_decref (sent->changes);
+  g_free (sent->text);
+  memset (sent, 0, sizeof *sent);
+}
+
+/* Returns the text of the changes after the version AFTER, of which the field TEXT is NULL if they
+ * are too long. */
+static const DyReplyText *
+text_of_changes (DyChangeRequests *requests, uint64_t after)
+{
+  DyReplyText *sent = &requests->sent;
+  uint64_t version = requests->watch->history.version;
+  if (sent->version == version && sent->after == after)
+    return sent;
+  clear_text (sent);
+  sent->after = after;
+  sent->version = version;
+  sent->changes = encode_changes (requests->watch, after);
+  if (sent->changes)
+    sent->text = dy_object_changes_to_text (sent->changes, &sent->packed);
+  return sent;
+}
+
 /* Returns the fields that all replies to a request of a router that knows KNOWN have. The field
  * "spread" without a root tells for how long a message was on its way, and is not passed on. */
 static json_t *
@@ -98,25 +124,24 @@
 {
   DyObjectWatch *watch = requests->watch;
   uint64_t after;
-  bool packed = false;
   DyMissedReply reply = dy_missed_changes_reply (&watch->age, &watch->history, request, &after);
-  json_t *changes = reply == DY_MISSED_REPLY_NOTHING ? NULL : encode_changes (watch, after);
-  char *text = changes ? dy_object_changes_to_text (changes, &packed) : NULL;
-  size_t n = text ? strlen (text) : 0;
+  const DyReplyText *sent
+      = reply == DY_MISSED_REPLY_NOTHING ? NULL : text_of_changes (requests, after);
+  size_t n = sent && sent->text ? strlen (sent->text) : 0;
   uint32_t n_parts = dy_missed_changes_parts (n, DY_OBJECT_CHANGES_PART_BYTES);
   json_t *root = begin_reply (watch, request->known);
-  if (!text || n_parts == 0 || !dy_peers_takes (watch->peers, link, n)
+  if (n == 0 || n_parts == 0 || !dy_peers_takes (watch->peers, link, n)
       || !dy_missed_changes_spend (&requests->missed, n, dy_kernel_boot_us ()))
     reply = DY_MISSED_REPLY_NOTHING;
   else
     add_basis (watch, root, reply, request);
   if (reply == DY_MISSED_REPLY_NOTHING)
     send_reply (watch, link, root);
-  else if (packed)
-    send_text (watch, link, root, text, n_parts);
+  else if (sent->packed)
+    send_text (watch, link, root, sent->text, n_parts);
   else
     {
-      json_object_set (root, "changes", changes);
+      json_object_set (root, "changes", sent->changes);
       send_reply (watch, link, root);
     }
   dy_log (DY_EVENT_CHANGES_ANSWERED,
@@ -125,8 +150,6 @@
           watch->prefix, name, request->known, watch->age.version, reply_names[reply],
           reply == DY_MISSED_REPLY_NOTHING ? 0 : n);
   dy_counters_add (&watch->kernel->counters, DY_COUNTER_CHANGES_ANSWERED, 1);
-  g_free (text);
-  json_decref (changes);
   json_decref (root);
 }
 
@@ -187,6 +210,7 @@
 void
 dy_change_requests_stop (DyChangeRequests *requests)
 {
+  clear_text (&requests->sent);
   g_free (requests->key);
   g_string_free (requests->parts.packed, TRUE);
 }
--- a/src/services/peers/change_requests.h
+++ b/src/services/peers/change_requests.h
@@ -48,12 +48,24 @@
   GString *packed;
 } DyReplyParts;
 
+/* The latest text that was sent, as most routers that are behind lack the same changes, and packing
+ * a large route table takes long. */
+typedef struct
+{
+  uint64_t after;   /* the changes after this version, 0: all objects, */
+  uint64_t version; /* up to this one */
+  json_t *changes;  /* NULL: there is none, or they are too long */
+  char *text;
+  bool packed;
+} DyReplyText;
+
 typedef struct
 {
   struct DyObjectWatch *watch;
   char *key; /* of requests */
   DyMissedChanges missed;
   DyReplyParts parts;
+  DyReplyText sent;
 } DyChangeRequests;
 
 /* WATCH outlives REQUESTS, and has its kernel, peers and prefix. */
--- a/src/services/peers/object_watch.c
+++ b/src/services/peers/object_watch.c
@@ -69,10 +69,13 @@
 static uint64_t
 latest_change (const DyObjectWatch *watch, const DyPlatformReply *reply, bool lists)
 {
+  /* Without a version, as the store lacks changes since it, the objects of that are still known. */
+  DyWatchAge age = watch->age;
   uint64_t version = 0;
   for (uint32_t i = 0; i < reply->n_objects; i++)
     version = MAX (version, reply->objects[i].value ? reply->objects[i].version : reply->version);
-  return lists ? dy_watch_age_list_change (&watch->age, reply->version, version,
+  age.version = MAX (age.version, watch->history.version);
+  return lists ? dy_watch_age_list_change (&age, reply->version, version,
                                            reply->n_objects
                                                == g_hash_table_size (watch->history.objects))
                : version;
@@ -132,7 +135,7 @@
   if (!call->lists)
     return dy_object_changes_encode (reply->objects, reply->n_objects, DY_OBJECT_CHANGES_MAX_BYTES);
   /* A list is compared with what is known now, which may be more than when it was asked for. */
-  call->base = watch->age.version;
+  call->base = MAX (watch->age.version, watch->history.version);
   call->changed = watch->age.changed_version;
   return call->base && dy_store_version_era (call->base) == dy_store_version_era (reply->version)
              ? dy_object_changes_of_list (watch->history.objects, call->base, reply,
@@ -196,6 +199,34 @@
   request_changes (watch);
 }
 
+/* Returns whether this router is to tell others of the answer REPLY to CALL. */
+static bool
+tells (const DyObjectWatch *watch, const DyObjectWatchCall *call, const DyPlatformReply *reply)
+{
+  /* The store's history was gone: this list may show what a check or a watch would have. */
+  if (call->lists)
+    return watch->history.version != 0 && !call->told;
+  /* A router that no longer watches may have a call left from before. */
+  return reply->n_objects > 0 && is_watcher (watch);
+}
+
+/* Takes the answer REPLY to CALL, a list or a watch. */
+static void
+take_answer (DyObjectWatch *watch, DyObjectWatchCall *call, const DyPlatformReply *reply)
+{
+  bool told = tells (watch, call, reply);
+  json_t *changes = told ? changes_for_others (watch, call, reply) : NULL;
+  if (!dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1),
+                                   latest_change (watch, reply, call->lists), call->sent_us))
+    {
+      json_decref (changes);
+      return;
+    }
+  apply_reply (watch, reply, call->lists);
+  if (told)
+    spread_age (watch, call, changes, reply->version);
+}
+
 static void
 on_changes (void *ctx, const DyPlatformReply *reply)
 {
@@ -221,14 +252,7 @@
       return;
     }
   record_success (watch);
-  if (dy_watch_age_record_answer (&watch->age, MAX (reply->version, 1),
-                                  latest_change (watch, reply, call->lists), call->sent_us))
-    {
-      apply_reply (watch, reply, call->lists);
-      /* A router that no longer watches may have a call left from before. */
-      if (!call->lists && reply->n_objects > 0 && is_watcher (watch))
-        spread_age (watch, call, changes_for_others (watch, call, reply), reply->version);
-    }
+  take_answer (watch, call, reply);
   continue_watch (watch, reply->n_objects > 0);
 }
 
