--- a/test/test_even_load.c
+++ b/test/test_even_load.c
@@ -85,16 +85,22 @@
     }
 }
 
+static const DyPromptWork no_work = { 0 };
+
 static void
 replay_finish (Replay *replay)
 {
+  for (uint32_t i = 0; i < replay->n_open; i++)
+    {
+      const Open *open = &replay->open[i];
+      dy_placement_end (&replay->routers[open->router], replay->known[open->router][open->endpoint],
+                        &no_work, true, DY_PLACEMENT_CANCELLED, 0);
+    }
   for (uint32_t r = 0; r < replay->n_routers; r++)
     dy_placement_finish (&replay->routers[r]);
   g_rand_free (replay->rng);
 }
 
-static const DyPromptWork no_work = { 0 };
-
 static void
 run_requests (Replay *replay, int64_t now_us)
 {
