Changes for other routers are encoded in time linear in their number

Cause: each object of a list was compared with all that follow it to leave out superseded ones. Change: a table of the last object of each key.

--- a/src/services/peers/object_changes.c
+++ b/src/services/peers/object_changes.c
@@ -23,31 +23,34 @@
   return n;
 }
 
-/* Returns whether a later change of the same object follows the one at I. */
-static bool
-is_superseded (const DyObject *objects, uint32_t n, uint32_t i)
+/* Returns a table from each key of OBJECTS to the last of them with that key. A list has thousands
+ * of objects, too many to compare each one with all that follow it. */
+static GHashTable *
+last_by_key (const DyObject *objects, uint32_t n)
 {
-  for (uint32_t k = i + 1; k < n; k++)
-    if (strcmp (objects[k].key, objects[i].key) == 0)
-      return true;
-  return false;
+  GHashTable *last = g_hash_table_new (g_str_hash, g_str_equal);
+  for (uint32_t i = 0; i < n; i++)
+    g_hash_table_insert (last, (gpointer) objects[i].key, (gpointer) &objects[i]);
+  return last;
 }
 
 json_t *
 dy_object_changes_encode (const DyObject *objects, uint32_t n, size_t max_bytes)
 {
   json_t *changes = json_array ();
+  GHashTable *last = last_by_key (objects, n);
   size_t n_bytes = 0;
   for (uint32_t i = 0; i < n && n_bytes <= max_bytes; i++)
     {
       const DyObject *object = &objects[i];
-      if (is_superseded (objects, n, i))
+      if (g_hash_table_lookup (last, object->key) != object)
         continue;
       n_bytes += FIELD_BYTES + encoded_size (object->key) + encoded_size (object->value);
       json_array_append_new (changes,
                              json_pack ("{s:s, s:I, s:s?}", "key", object->key, "version",
                                         (json_int_t) object->version, "value", object->value));
     }
+  g_hash_table_unref (last);
   if (n_bytes <= max_bytes)
     return changes;
   json_decref (changes);
--- a/test/test_object_changes.c
+++ b/test/test_object_changes.c
@@ -4,7 +4,9 @@
 
 #include "services/peers/object_changes.h"
 
+#include <math.h>
 #include <string.h>
+#include <time.h>
 
 #define OBJECT(key, version, value)                                                                \
   {                                                                                                \
@@ -95,6 +97,49 @@
 }
 END_TEST
 
+/* Returns the processor time to encode changes of N objects. */
+static double
+time_to_encode (uint32_t n)
+{
+  DyObject *objects = g_new0 (DyObject, n);
+  for (uint32_t i = 0; i < n; i++)
+    objects[i] = (DyObject){ .key = g_strdup_printf ("servers/worker-%06u", i),
+                             .version = i + 1,
+                             .value = "{}",
+                             .n_value = 2 };
+  clock_t start = clock ();
+  json_t *changes = dy_object_changes_encode (objects, n, DY_OBJECT_CHANGES_MAX_BYTES);
+  double time = (double) (clock () - start);
+  ck_assert_uint_eq (json_array_size (changes), n);
+  json_decref (changes);
+  for (uint32_t i = 0; i < n; i++)
+    g_free ((char *) objects[i].key);
+  g_free (objects);
+  return time;
+}
+
+/* A router stood still while it compared each object of a list with all others, for another router
+ * that had missed changes. */
+START_TEST (time_to_encode_a_list_grows_with_its_length)
+{
+  enum
+  {
+    FEW = 1000,
+    MORE = 16,
+    N_TRIES = 5,
+  };
+  double few = HUGE_VAL;
+  double many = HUGE_VAL;
+  for (int i = 0; i < N_TRIES; i++)
+    {
+      few = MIN (few, time_to_encode (FEW));
+      many = MIN (many, time_to_encode (FEW * MORE));
+    }
+  /* Linear: 16 times; with comparisons of pairs over 100 times. */
+  ck_assert_msg (many < few * 3.0 * MORE, "%.0f of %.0f us", many, few);
+}
+END_TEST
+
 static const struct
 {
   const char *text;
@@ -129,6 +174,7 @@
   tcase_add_loop_test (tcase, a_list_shows_what_has_changed, 0, (int) G_N_ELEMENTS (lists));
   tcase_add_loop_test (tcase, of_each_object_the_latest_state_is_passed_on, 0,
                        G_N_ELEMENTS (encodings));
+  tcase_add_test (tcase, time_to_encode_a_list_grows_with_its_length);
   tcase_add_loop_test (tcase, changes_of_another_format_are_not_valid, 0, G_N_ELEMENTS (inputs));
   return suite_run ("object_changes", tcase);
 }
