Evacuations that were read stay usable without history, and ones never read are not bridged

Cause: the known version is 0 from "history gone" until a list arrives, and readiness required a version, so a router refused everything as starting for as long as that list took, in an outage for all of it. Relays require no readiness, only the age, which counted as bridged in an outage also if the evacuations had never been read. Change: readiness requires that the evacuations were read once; their knowledge is late until then.

--- a/src/services/endpoints/directory_knowledge.c
+++ b/src/services/endpoints/directory_knowledge.c
@@ -80,6 +80,9 @@
   const DyEvacuationWatch *evacuations = &directory->evacuations;
   if (!evacuations->enabled)
     return DY_KNOWLEDGE_CURRENT;
+  /* Nothing that was never read can be acted on. Relays ask for no readiness. */
+  if (!dy_evacuation_watch_ready (evacuations))
+    return DY_KNOWLEDGE_LATE;
   return judge (directory, &evacuations->watch);
 }
 
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -466,6 +466,13 @@
   answer_call (&fixture, 'l', "servers/", &endpoints);
   ck_assert (!dy_directory_ready (directory));
   ck_assert_int_eq (dy_directory_check_age (directory), DY_EVACUATIONS_STALE);
+  /* Nor by relays, which ask for no readiness, while the store is away. */
+  directory->clocks.on_time_since_us = dy_kernel_boot_us () - 2 * G_USEC_PER_SEC;
+  directory->clocks.on_time_until_us = dy_kernel_boot_us ();
+  fixture.platform.away_us = dy_kernel_boot_us ();
+  ck_assert_int_eq (dy_directory_check_age (directory), DY_EVACUATIONS_STALE);
+  fixture.platform.away_us = INT64_MIN / 2;
+  directory->clocks.on_time_until_us = INT64_MIN / 2;
   answer_call (&fixture, 'l', "evacuations/", &evacuations);
   ck_assert (dy_directory_ready (directory));
   ck_assert_int_eq (dy_directory_check_age (directory), DY_OK);
@@ -475,6 +482,8 @@
   ck_assert_int_eq (dy_directory_check_age (directory), DY_EVACUATIONS_STALE);
   /* The store no longer has the changes, and lists nothing. */
   answer_call (&fixture, 'w', "evacuations/", &(DyPlatformReply){ .error = DY_HISTORY_GONE });
+  /* Until the list arrives, which takes as long as an outage, no router was ready. */
+  ck_assert (dy_directory_ready (directory));
   answer_call (&fixture, 'l', "evacuations/", &none);
   ck_assert_int_eq (dy_directory_check_age (directory), DY_OK);
   ck_assert_uint_eq (dy_placement_count (&directory->placement, "app"), 2);
