--- a/src/core/cold_share.c
+++ b/src/core/cold_share.c
@@ -85,7 +85,7 @@
 take_place (DyColdEndpoint *endpoint, const DyColdPlace *place, int64_t now_us)
 {
   bool was_limited = endpoint->share > 0;
-  endpoint->shared_us = now_us;
+  endpoint->shared_us = place->unknown ? INT64_MIN : now_us;
   if (!endpoint->stated && place->cold_us > 0)
     endpoint->cold_until_us = endpoint->known_us + place->cold_us;
   endpoint->share = place->bound;
--- a/src/core/cold_share.h
+++ b/src/core/cold_share.h
@@ -58,6 +58,7 @@
   int64_t cold_us;    /* time for which an endpoint of the service is cold after its start */
   uint32_t rank;      /* routers before this one that may run */
   uint32_t n_routers; /* routers that may run; 0: this router has no share */
+  bool unknown;       /* the service is not known yet: the place is asked for again at each use */
 } DyColdPlace;
 
 typedef DyColdPlace (*DyColdPlaceOf) (void *ctx, const char *endpoint, int64_t now_us);
--- a/src/services/endpoints/cold_endpoints.c
+++ b/src/services/endpoints/cold_endpoints.c
@@ -44,7 +44,12 @@
   DyPeers *peers = cold->directory->peers;
   const DyRouteService *service = service_of (cold, id);
   DyColdPlace place = { .bound = -1 };
-  if (!service || !is_enabled (cold))
+  if (!is_enabled (cold))
+    return place;
+  /* A router that starts may read the records before the routes, which state the rate. */
+  if (!cold->directory->has_routes)
+    return (DyColdPlace){ .bound = 0, .unknown = true };
+  if (!service)
     return place;
   place.cold_us = service->cold_ms * 1000;
   place.bound = dy_cold_bound (service->cold_per_1000_s, settings->cold_overage_thousandths,
@@ -238,21 +243,53 @@
     g_hash_table_add (cold->settled, g_strdup (service));
 }
 
+/* Handles endpoints that are cold since the routes were read, which is after their records. Returns
+ * whether any endpoint is cold or in its ramp. */
+static bool
+find_cold (DyColdEndpoints *cold)
+{
+  int64_t now = now_us (cold);
+  bool found = false;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, cold->shares.endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DyColdEndpoint *endpoint = value;
+      bool is_cold = now < endpoint->cold_until_us;
+      found = found || now - DY_COLD_RAMP_US < endpoint->cold_until_us;
+      if (is_cold && !g_hash_table_contains (cold->cold, endpoint->id))
+        take_begin (cold, endpoint->id, "service");
+    }
+  return found;
+}
+
 static void
-on_sweep (struct ev_loop *loop, ev_timer *w, int events)
+forget_removed (DyColdEndpoints *cold)
 {
-  DyColdEndpoints *cold = w->data;
-  (void) loop;
-  (void) events;
   GList *ids = g_hash_table_get_keys (cold->shares.endpoints);
   for (GList *l = ids; l; l = l->next)
     if (!g_hash_table_contains (cold->directory->endpoints, l->data))
       dy_cold_shares_remove (&cold->shares, l->data);
   g_list_free (ids);
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *w, int events)
+{
+  DyColdEndpoints *cold = w->data;
+  (void) loop;
+  (void) events;
+  /* Each listed endpoint is known here. */
+  if (g_hash_table_size (cold->shares.endpoints) > g_hash_table_size (cold->directory->endpoints))
+    forget_removed (cold);
+  bool any = is_enabled (cold) && find_cold (cold);
   g_hash_table_foreach_remove (cold->cold, end_if_warm, cold);
   count_cold (cold);
   g_hash_table_remove_all (cold->settled);
-  if (is_enabled (cold))
+  /* Only endpoints in their ramp are compared with the settled ones. Without this condition the
+   * walk over all endpoints is a steady load of small VMs. */
+  if (any)
     dy_placement_visit (&cold->directory->placement, add_settled, cold, now_us (cold));
 }
 
--- a/test/test_cold_share.c
+++ b/test/test_cold_share.c
@@ -180,6 +180,22 @@
 }
 END_TEST
 
+/* A router that read the records before the routes sent without a limit until the share was
+ * computed again. */
+START_TEST (share_is_computed_as_soon_as_the_service_is_known)
+{
+  One one;
+  one_init (&one);
+  DyColdPlace known = one.place;
+  one.place = (DyColdPlace){ .bound = 0, .unknown = true };
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SERVICE_COLD_US, VERSION, 0);
+  ck_assert (!dy_cold_shares_allow (&one.shares, ENDPOINT, 0));
+  one.place = known;
+  ck_assert_int_gt (dy_cold_shares_share (&one.shares, ENDPOINT, 1), 0);
+  dy_cold_shares_finish (&one.shares);
+}
+END_TEST
+
 START_TEST (share_of_the_load_rises_once_the_endpoint_is_warm)
 {
   enum
@@ -548,6 +564,7 @@
   tcase_add_test (tcase, request_without_a_place_is_not_sent_once_the_endpoint_is_cold);
   tcase_add_loop_test (tcase, endpoint_is_cold_until_its_record_says_otherwise, 0,
                        G_N_ELEMENTS (cold_cases));
+  tcase_add_test (tcase, share_is_computed_as_soon_as_the_service_is_known);
   tcase_add_test (tcase, share_of_the_load_rises_once_the_endpoint_is_warm);
   tcase_add_loop_test (tcase, fleet_keeps_the_bound_and_uses_it, 0, G_N_ELEMENTS (fleet_cases));
   return suite_run ("cold_share", tcase);
