Schedule the returns of requests refused for want of room

Retry-After was 300 to 600 ms whatever was known, so callers returned together and were refused again.

--- a/src/services/gateway/gateway.c
+++ b/src/services/gateway/gateway.c
@@ -301,6 +301,8 @@
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gateway->rng = g_rand_new_with_seed ((uint32_t) kernel->incarnation_id);
+  dy_return_schedule_init (&gateway->account_returns, g_rand_int (gateway->rng));
+  dy_return_schedule_init (&gateway->service_returns, g_rand_int (gateway->rng));
   dy_http_client_init (&gateway->client, kernel->loop);
   gateway->client.source = settings->connect_from;
   dy_quarantine_init (&gateway->quarantine, MAX_CRASHES, QUARANTINE_US);
@@ -355,6 +357,8 @@
   dy_http_client_finish (&gateway->client);
   dy_quarantine_finish (&gateway->quarantine);
   dy_resend_budget_finish (&gateway->resend_budget);
+  dy_return_schedule_finish (&gateway->account_returns);
+  dy_return_schedule_finish (&gateway->service_returns);
   g_rand_free (gateway->rng);
 }
 
--- a/src/services/gateway/gateway.h
+++ b/src/services/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "core/crash_evidence.h"
 #include "core/quarantine.h"
 #include "core/resend.h"
+#include "core/return_schedule.h"
 #include "kernel/kernel.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -53,6 +54,8 @@
   DyHttpServer ready_server;
   DyHttpClient client;
   DyResendBudget resend_budget;
+  DyReturnSchedule account_returns; /* of requests that found no budget free */
+  DyReturnSchedule service_returns; /* of requests that found no endpoint free */
   DyQuarantine quarantine;
   DyCrashEvidence crash_evidence;
   DyLinkProbe crash_probe;
--- a/src/services/gateway/gateway_admit.c
+++ b/src/services/gateway/gateway_admit.c
@@ -56,6 +56,9 @@
       dy_gateway_take_event (request, DY_COURSE_DENIED, error);
       return;
     }
+  if (request->plan.is_prepaid)
+    dy_return_schedule_grant (&request->gateway->account_returns, request->plan.account,
+                              now_us (request));
   dy_resend_budget_record_request (&request->gateway->resend_budget, request->plan.service,
                                    now_us (request));
   dy_gateway_take_event (request, DY_COURSE_GRANTED, DY_OK);
--- a/src/services/gateway/gateway_refusal.c
+++ b/src/services/gateway/gateway_refusal.c
@@ -7,18 +7,42 @@
 
 enum
 {
-  RETRY_WAIT_MS = 300,      /* shortest Retry-After; up to the same again is added as jitter */
-  ELSEWHERE_WAIT_MS = 20,   /* the same when another router can serve the request */
-  MAX_RETRY_WAIT_MS = 4000, /* callers wait at most a third of their time limit */
+  RETRY_WAIT_MS = 300,    /* shortest Retry-After; up to the same again is added as jitter */
+  ELSEWHERE_WAIT_MS = 20, /* the same when another router can serve the request */
   /* Added while a service is evacuated, and up to the same again as jitter: operators end
    * evacuations within seconds, not milliseconds. */
   EVACUATED_WAIT_MS = 2000,
 };
 
-/* Returns the milliseconds after which a refused caller may retry, with jitter; 0 if a retry does
- * not help or the request may have run. */
+/* Returns the time until the request's time limit; INT64_MAX: not limited, or there is no PLAN. */
 static int64_t
-retry_wait_ms (DyGateway *gateway, int error)
+left_us (const DyGateway *gateway, const DyGatewayPlan *plan)
+{
+  if (!plan || plan->end_us == INT64_MAX)
+    return INT64_MAX;
+  return MAX (plan->end_us - dy_kernel_now_us (gateway->kernel), 0);
+}
+
+/* Records that the request of PLAN found no room, if ERROR says so. Returns the time after which
+ * room is expected; 0: not known. */
+static int64_t
+scheduled_wait_ms (DyGateway *gateway, const DyGatewayPlan *plan, int error)
+{
+  int64_t now_us = dy_kernel_now_us (gateway->kernel);
+  int64_t wait_us = 0;
+  if (error == DY_BUDGET_RESERVED)
+    wait_us = dy_return_schedule_refuse (&gateway->account_returns, plan->account,
+                                         left_us (gateway, plan), now_us);
+  else if (error == DY_NO_ENDPOINT)
+    wait_us = dy_return_schedule_refuse (&gateway->service_returns, plan->service,
+                                         left_us (gateway, plan), now_us);
+  return (wait_us + 999) / 1000;
+}
+
+/* Returns the milliseconds after which a refused caller, whose request has PLAN or NULL, may retry,
+ * with jitter; 0 if a retry does not help or the request may have run. */
+static int64_t
+retry_wait_ms (DyGateway *gateway, const DyGatewayPlan *plan, int error)
 {
   const DyErrorInfo *info = dy_error_info (error);
   if (info->run != DY_RUN_NOT_RUN || info->retry_after_s == 0)
@@ -31,8 +55,12 @@
   int64_t wait_ms = elsewhere ? ELSEWHERE_WAIT_MS : RETRY_WAIT_MS;
   /* The platform outage is assumed to last as long again as it has lasted so far. */
   if (error == DY_BUDGET_UNAVAILABLE && platform->down)
-    wait_ms = CLAMP ((dy_kernel_now_us (gateway->kernel) - platform->down_since_us) / 1000,
-                     (int64_t) RETRY_WAIT_MS, (int64_t) MAX_RETRY_WAIT_MS);
+    {
+      int64_t down_us = dy_kernel_now_us (gateway->kernel) - platform->down_since_us;
+      int64_t wait_us = dy_return_schedule_outage_us (&gateway->account_returns, down_us,
+                                                      left_us (gateway, plan));
+      return (wait_us + 999) / 1000;
+    }
   return wait_ms + g_rand_int_range (gateway->rng, 0, (gint32) wait_ms);
 }
 
@@ -75,10 +103,22 @@
 
 void
 dy_gateway_refuse_for (DyGateway *gateway, DyHttpCall *call, int error, int64_t min_wait_ms)
+{
+  dy_gateway_refuse_request (gateway, call, NULL, error, min_wait_ms);
+}
+
+void
+dy_gateway_refuse_request (
+    DyGateway *gateway, DyHttpCall *call, const DyGatewayPlan *plan, int error, int64_t min_wait_ms)
 {
   const DyErrorInfo *info = dy_error_info (error);
-  int64_t wait_ms = retry_wait_ms (gateway, error);
-  if (wait_ms > 0)
+  int64_t wait_ms = retry_wait_ms (gateway, plan, error);
+  /* What states its own wait tells nothing of the rate at which room appears. */
+  int64_t scheduled_ms
+      = wait_ms > 0 && plan && min_wait_ms == 0 ? scheduled_wait_ms (gateway, plan, error) : 0;
+  if (scheduled_ms > 0)
+    wait_ms = scheduled_ms;
+  else if (wait_ms > 0)
     wait_ms += min_wait_ms;
   char *body = g_strdup_printf ("{\"error\":{\"kind\":\"%s\",\"message\":\"%s\",\"run\":\"%s\"}}",
                                 info->kind, info->text, dy_run_status_name (info->run));
--- a/src/services/gateway/gateway_refusal.h
+++ b/src/services/gateway/gateway_refusal.h
@@ -9,10 +9,11 @@
  *   The HTTP status and the body follow from the error kind:
  *   {"error": {"kind": text, "message": text, "run": "not_run"|"ran"|"unknown"}}. An error after
  *   which the request can be sent again has a Retry-After header with jitter, so that refused
- *   callers do not retry at the same time.
+ *   callers do not retry at the same time. Its time follows from core/return_schedule if the
+ * request found no room.
  */
 
-#include "services/gateway/gateway.h"
+#include "services/gateway/gateway_plan.h"
 
 /* Answers CALL with ERROR. */
 void dy_gateway_refuse (DyGateway *gateway, DyHttpCall *call, int error);
@@ -20,6 +21,14 @@
 /* The same, where a retry does not help before MIN_WAIT_MS have passed. */
 void dy_gateway_refuse_for (DyGateway *gateway, DyHttpCall *call, int error, int64_t min_wait_ms);
 
+/* The same for the request of PLAN. If it found no room, its caller is told to return when room is
+ * expected. */
+void dy_gateway_refuse_request (DyGateway *gateway,
+                                DyHttpCall *call,
+                                const DyGatewayPlan *plan,
+                                int error,
+                                int64_t min_wait_ms);
+
 /* Returns whether all endpoints of SERVICE are in evacuated data centres. */
 bool dy_gateway_is_evacuated (const DyGateway *gateway, const char *service);
 
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -129,7 +129,8 @@
       dy_http_call_abort (request->call);
     }
   else
-    dy_gateway_refuse_for (request->gateway, request->call, error, wait_ms (request, error));
+    dy_gateway_refuse_request (request->gateway, request->call, &request->plan, error,
+                               wait_ms (request, error));
   end_request (request, false);
 }
 
@@ -185,6 +186,10 @@
                                             [DY_ROUTE_STREAM] = DY_HISTOGRAM_ANSWER_STREAM };
   count (request, DY_COUNTER_ANSWERED);
   observe (request, histograms[request->plan.kind], request->plan.arrived_us);
+  /* A place is free again. Requests that an endpoint turned away had none. */
+  if (request->attempt->is_success)
+    dy_return_schedule_grant (&request->gateway->service_returns, request->plan.service,
+                              now_us (request));
   log_end (request, "answered");
   if (expects_events (request))
     {
