--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -73,6 +73,8 @@
   X (BRITTLE, gauge, "dogwoodyoke_brittle_services", "services whose endpoints may fall over")     \
   X (ROOM_WAITS, counter, "dogwoodyoke_room_waits_total",                                          \
      "requests that waited for a place at an endpoint that may fall over")                         \
+  X (RETURNS_SCHEDULED, counter, "dogwoodyoke_returns_scheduled_total",                            \
+     "refusals for want of room whose Retry-After is when room is expected")                       \
   X (BUSIEST_PERCENT, gauge, "dogwoodyoke_busiest_endpoint_percent",                               \
      "load of the busiest endpoint by its latest report, of the mean of its service")              \
   X (SLOW_ENDPOINTS, gauge, "dogwoodyoke_slow_endpoints",                                          \
--- a/src/services/gateway/gateway_refusal.c
+++ b/src/services/gateway/gateway_refusal.c
@@ -14,13 +14,14 @@
   EVACUATED_WAIT_MS = 2000,
 };
 
-/* Returns the time until the request's time limit; INT64_MAX: not limited, or there is no PLAN. */
+/* Returns for how long the caller still waits; INT64_MAX: not limited, or there is no PLAN. The
+ * route's timeout does not count, as it begins again when the caller returns. */
 static int64_t
 left_us (const DyGateway *gateway, const DyGatewayPlan *plan)
 {
-  if (!plan || plan->end_us == INT64_MAX)
+  if (!plan || plan->caller_deadline_us == INT64_MAX)
     return INT64_MAX;
-  return MAX (plan->end_us - dy_kernel_now_us (gateway->kernel), 0);
+  return MAX (plan->caller_deadline_us - dy_kernel_now_us (gateway->kernel), 0);
 }
 
 /* Records that the request of PLAN found no room, if ERROR says so. Returns the time after which
@@ -117,7 +118,10 @@
   int64_t scheduled_ms
       = wait_ms > 0 && plan && min_wait_ms == 0 ? scheduled_wait_ms (gateway, plan, error) : 0;
   if (scheduled_ms > 0)
-    wait_ms = scheduled_ms;
+    {
+      wait_ms = scheduled_ms;
+      dy_counters_add (&gateway->kernel->counters, DY_COUNTER_RETURNS_SCHEDULED, 1);
+    }
   else if (wait_ms > 0)
     wait_ms += min_wait_ms;
   char *body = g_strdup_printf ("{\"error\":{\"kind\":\"%s\",\"message\":\"%s\",\"run\":\"%s\"}}",
--- a/test/test_gateway_request.c
+++ b/test/test_gateway_request.c
@@ -249,6 +249,7 @@
   ck_assert_double_le (waits_s[0], 0.6);
   ck_assert_double_ge (waits_s[1], WITHOUT_S);
   ck_assert_double_le (waits_s[1], 4.0);
+  ck_assert_int_eq (fixture.kernel.counters.values[DY_COUNTER_RETURNS_SCHEDULED], 1);
   fixture_finish (&fixture);
 }
 END_TEST
