--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -64,6 +64,12 @@
           "no",
           "yes: a router with more load than it can handle, beside others with room, has callers "
           "sent elsewhere, kind objects only"),
+  CHOICE ("node",
+          "schedule_returns",
+          schedule_returns,
+          "yes|no",
+          "no",
+          "yes: Retry-After follows from the rate at which room appears, kind objects only"),
   RELOADABLE_INTEGER ("node",
                       cpu_percent,
                       "0",
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -33,6 +33,7 @@
   char *peer_secret;
   char *first_start;
   char *shed_load;
+  char *schedule_returns;
   char *spread_load;
   char *log_format;
   char *log_level;
--- a/src/services/gateway/gateway_refusal.c
+++ b/src/services/gateway/gateway_refusal.c
@@ -7,8 +7,9 @@
 
 enum
 {
-  RETRY_WAIT_MS = 300,    /* shortest Retry-After; up to the same again is added as jitter */
-  ELSEWHERE_WAIT_MS = 20, /* the same when another router can serve the request */
+  RETRY_WAIT_MS = 300,      /* shortest Retry-After; up to the same again is added as jitter */
+  ELSEWHERE_WAIT_MS = 20,   /* the same when another router can serve the request */
+  MAX_RETRY_WAIT_MS = 4000, /* callers wait at most a third of their time limit */
   /* Added while a service is evacuated, and up to the same again as jitter: operators end
    * evacuations within seconds, not milliseconds. */
   EVACUATED_WAIT_MS = 2000,
@@ -24,6 +25,12 @@
   return MAX (plan->caller_deadline_us - dy_kernel_now_us (gateway->kernel), 0);
 }
 
+static bool
+schedules_returns (const DyGateway *gateway)
+{
+  return g_strcmp0 (gateway->kernel->settings->schedule_returns, "yes") == 0;
+}
+
 /* Records that the request of PLAN found no room, if ERROR says so. Returns the time after which
  * room is expected; 0: not known. */
 static int64_t
@@ -58,6 +65,11 @@
   if (error == DY_BUDGET_UNAVAILABLE && platform->down)
     {
       int64_t down_us = dy_kernel_now_us (gateway->kernel) - platform->down_since_us;
+      if (!schedules_returns (gateway))
+        {
+          wait_ms = CLAMP (down_us / 1000, (int64_t) RETRY_WAIT_MS, (int64_t) MAX_RETRY_WAIT_MS);
+          return wait_ms + g_rand_int_range (gateway->rng, 0, (gint32) wait_ms);
+        }
       int64_t wait_us = dy_return_schedule_outage_us (&gateway->account_returns, down_us,
                                                       left_us (gateway, plan));
       return (wait_us + 999) / 1000;
@@ -115,8 +127,8 @@
   const DyErrorInfo *info = dy_error_info (error);
   int64_t wait_ms = retry_wait_ms (gateway, plan, error);
   /* What states its own wait tells nothing of the rate at which room appears. */
-  int64_t scheduled_ms
-      = wait_ms > 0 && plan && min_wait_ms == 0 ? scheduled_wait_ms (gateway, plan, error) : 0;
+  bool is_scheduled = wait_ms > 0 && plan && min_wait_ms == 0 && schedules_returns (gateway);
+  int64_t scheduled_ms = is_scheduled ? scheduled_wait_ms (gateway, plan, error) : 0;
   if (scheduled_ms > 0)
     {
       wait_ms = scheduled_ms;
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -116,6 +116,7 @@
   gateway->directory = &fixture->directory;
   fixture->registration.created = true;
   fixture->settings.first_start = (char *) "yes";
+  fixture->settings.schedule_returns = (char *) "yes";
   gateway->registration = &fixture->registration;
   gateway->budgets = &fixture->budgets;
   gateway->part_blocks = &fixture->part_blocks;
