A record of a restored store's copy does not end or shorten the cold time of an endpoint

Cause: any record with another version than the last one counted as news. After a restore the store lists records of its copy, which may be from before the endpoint became cold; then all routers sent it what they would send to a warm one, until it wrote its record. Change: only a record of a later revision ends or shortens the cold time. Without one the time ends as stated.

--- a/src/core/cold_share.c
+++ b/src/core/cold_share.c
@@ -1,5 +1,7 @@
 #include "core/cold_share.h"
 
+#include "core/store_version.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -183,14 +185,19 @@
       endpoint->cold_until_us = INT64_MIN;
       endpoint->n_reserved = 0;
     }
+  /* A restored store lists records of its copy, which are older than what is known. */
+  bool is_later
+      = version > 0
+        && (is_new
+            || dy_store_version_revision (version) > dy_store_version_revision (endpoint->version));
   if (version > 0)
     {
       endpoint->version = version;
       endpoint->record_us = cold_us;
     }
-  if (cold_us > 0 && (version > 0 || now_us + cold_us > endpoint->cold_until_us))
+  if (cold_us > 0 && (is_later || now_us + cold_us > endpoint->cold_until_us))
     endpoint->cold_until_us = now_us + cold_us;
-  else if (cold_us == 0 && version > 0 && was_cold)
+  else if (cold_us == 0 && is_later && was_cold)
     endpoint->cold_until_us = now_us;
   endpoint->stated = endpoint->stated || cold_us >= 0;
   if (endpoint->stated && !is_cold (endpoint, now_us))
--- a/test/test_cold_share.c
+++ b/test/test_cold_share.c
@@ -4,6 +4,7 @@
  * unused while it is cold. */
 
 #include "core/cold_share.h"
+#include "core/store_version.h"
 #include "support/suite.h"
 
 #include <stdio.h>
@@ -196,6 +197,31 @@
 }
 END_TEST
 
+/* A cold endpoint counted as warm by a record from before it became cold, which a restored store
+ * listed. */
+START_TEST (record_of_a_restored_copy_does_not_end_the_cold_time)
+{
+  enum
+  {
+    REVISION = 10,
+  };
+  One one;
+  one_init (&one);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 9 * SECOND, dy_store_version (1, REVISION),
+                      0);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, dy_store_version (2, REVISION - 5),
+                      SECOND);
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, SECOND, dy_store_version (3, REVISION - 6),
+                      SECOND);
+  ck_assert (dy_cold_shares_is_cold (&one.shares, ENDPOINT, 3 * SECOND));
+  /* What the endpoint writes since does. */
+  dy_cold_shares_put (&one.shares, ENDPOINT, START_MS, 0, dy_store_version (3, REVISION - 4),
+                      4 * SECOND);
+  ck_assert (!dy_cold_shares_is_cold (&one.shares, ENDPOINT, 4 * SECOND));
+  dy_cold_shares_finish (&one.shares);
+}
+END_TEST
+
 START_TEST (share_of_the_load_rises_once_the_endpoint_is_warm)
 {
   enum
@@ -565,6 +591,7 @@
   tcase_add_loop_test (tcase, endpoint_is_cold_until_its_record_says_otherwise, 0,
                        G_N_ELEMENTS (cold_cases));
   tcase_add_test (tcase, share_is_computed_as_soon_as_the_service_is_known);
+  tcase_add_test (tcase, record_of_a_restored_copy_does_not_end_the_cold_time);
   tcase_add_test (tcase, share_of_the_load_rises_once_the_endpoint_is_warm);
   tcase_add_loop_test (tcase, fleet_keeps_the_bound_and_uses_it, 0, G_N_ELEMENTS (fleet_cases));
   return suite_run ("cold_share", tcase);
