--- a/src/core/cold_share.c
+++ b/src/core/cold_share.c
@@ -9,8 +9,7 @@
 {
   /* With fewer requests in a second, the demand of one router often leaves its share unused. */
   MIN_SHARE = 2,
-  MAX_SHARE = 10000,               /* bounds the memory of a window */
-  MAX_COLD_US = 600 * 1000 * 1000, /* longest cold time of a service */
+  MAX_SHARE = 10000, /* bounds the memory of a window */
   RAMP_SLICE_US = 10 * 1000,
   THOUSANDTHS = 1000,
 };
@@ -102,10 +101,10 @@
 update (DyColdShares *shares, DyColdEndpoint *endpoint, int64_t now_us)
 {
   guint n_old = 0;
-  bool may_be_cold = endpoint->stated ? now_us < endpoint->cold_until_us
-                                      : now_us - endpoint->known_us < MAX_COLD_US;
+  /* The rank among all routers is too costly to compute for endpoints that are warm. */
+  bool stays_cold = now_us < endpoint->cold_until_us;
   if (endpoint->shared_us == INT64_MIN
-      || (may_be_cold && now_us - endpoint->shared_us >= DY_COLD_SHARE_TTL_US))
+      || (stays_cold && now_us - endpoint->shared_us >= DY_COLD_SHARE_TTL_US))
     {
       DyColdPlace place = shares->place_of (shares->ctx, endpoint->id, now_us);
       take_place (endpoint, &place, now_us);
