--- a/src/services/gateway/gateway_refusal.c
+++ b/src/services/gateway/gateway_refusal.c
@@ -127,8 +127,9 @@
   const DyErrorInfo *info = dy_error_info (error);
   int64_t wait_ms = retry_wait_ms (gateway, plan, error);
   /* What states its own wait tells nothing of the rate at which room appears. */
-  bool is_scheduled = wait_ms > 0 && plan && min_wait_ms == 0 && schedules_returns (gateway);
-  int64_t scheduled_ms = is_scheduled ? scheduled_wait_ms (gateway, plan, error) : 0;
+  int64_t scheduled_ms = 0;
+  if (plan && wait_ms > 0 && min_wait_ms == 0 && schedules_returns (gateway))
+    scheduled_ms = scheduled_wait_ms (gateway, plan, error);
   if (scheduled_ms > 0)
     {
       wait_ms = scheduled_ms;
