--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -315,9 +315,10 @@
   CHOICE ("endpoints",
           "spread_load",
           spread_load,
-          "yes|no",
+          "yes|no|stated",
           "no",
-          "yes: spread load evenly though reports of it are old, kind objects only"),
+          "yes: spread load evenly though reports of it are old; stated: once an endpoint says how "
+          "slow work is there; kind objects only"),
   INTEGER ("endpoints",
            load_poll_ms,
            "100",
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -84,6 +84,7 @@
   int64_t late_since_us;    /* by dy_kernel_boot_us(): when it was found late; 0: it is not */
   ev_timer expiry_timer;
   ev_timer even_load_timer;
+  bool states_slowness; /* an endpoint has said how slow work is there */
   DyRoutesWatcher watcher;
   void *watcher_ctx;
   DyEndpointEndWatcher end_watcher;
--- a/src/services/endpoints/even_load.c
+++ b/src/services/endpoints/even_load.c
@@ -4,13 +4,20 @@
 
 static const double UPDATE_S = 1.0;
 
+static bool
+spreads (const DyDirectory *directory)
+{
+  const char *setting = directory->kernel->settings->spread_load;
+  return g_strcmp0 (setting, "yes") == 0
+         || (g_strcmp0 (setting, "stated") == 0 && directory->states_slowness);
+}
+
 static void
 update (DyDirectory *directory)
 {
   DyKernel *kernel = directory->kernel;
   int64_t now_us = dy_kernel_now_us (kernel);
-  bool spread = g_strcmp0 (kernel->settings->spread_load, "yes") == 0;
-  dy_placement_set_spread (&directory->placement, spread,
+  dy_placement_set_spread (&directory->placement, spreads (directory),
                            dy_members_count (&directory->peers->members, now_us));
   dy_counters_set (&kernel->counters, DY_COUNTER_BUSIEST_PERCENT,
                    dy_placement_busiest_percent (&directory->placement, now_us));
--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -105,10 +105,13 @@
 report_load (const DyGatewayAttempt *attempt)
 {
   const DyAnswerHead *answer = &attempt->answer;
-  dy_placement_report (&attempt->gateway->directory->placement, attempt->endpoint,
-                       answer->n_running, answer->n_waiting, now_us (attempt));
-  if (answer->slowness_percent > 0)
-    dy_placement_report_slowness (attempt->endpoint, answer->slowness_percent, now_us (attempt));
+  DyDirectory *directory = attempt->gateway->directory;
+  dy_placement_report (&directory->placement, attempt->endpoint, answer->n_running,
+                       answer->n_waiting, now_us (attempt));
+  if (answer->slowness_percent == 0)
+    return;
+  directory->states_slowness = true;
+  dy_placement_report_slowness (attempt->endpoint, answer->slowness_percent, now_us (attempt));
 }
 
 static bool
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -876,6 +876,32 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *setting;
+  bool stated; /* an endpoint has said how slow work is there */
+  bool spreads;
+} even_load_cases[] = {
+  { "no", false, false },     { "no", true, false },    { "yes", false, true },
+  { "stated", false, false }, { "stated", true, true },
+};
+
+/* Even load changed the choice on deployments whose endpoints state nothing of their slowness,
+ * where it cost callers a part of the answers in time. */
+START_TEST (load_is_spread_where_the_setting_and_the_endpoints_call_for_it)
+{
+  Fixture fixture;
+  fixture_init (&fixture);
+  fixture.settings.spread_load = (char *) even_load_cases[_i].setting;
+  start_directory (&fixture);
+  fixture.directory.states_slowness = even_load_cases[_i].stated;
+  run_for (&fixture, 1200 * 1000);
+  ck_assert_msg (fixture.directory.placement.spread == even_load_cases[_i].spreads, "%s",
+                 even_load_cases[_i].setting);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -903,5 +929,7 @@
                        G_N_ELEMENTS (valid_replies));
   tcase_add_loop_test (tcase, a_reply_in_parts_is_taken_once_it_is_whole, 0,
                        G_N_ELEMENTS (part_orders));
+  tcase_add_loop_test (tcase, load_is_spread_where_the_setting_and_the_endpoints_call_for_it, 0,
+                       (int) G_N_ELEMENTS (even_load_cases));
   return suite_run ("directory", tcase);
 }
