--- a/src/core/object_history.h
+++ b/src/core/object_history.h
@@ -10,7 +10,7 @@
  *   removals. The changes after a version are the objects of later versions and the later removals.
  *
  *   The log has no removal of an object that was created and removed between two lists of the
- *   store, as no list shows it. A router that knew the object would keep it. So the history is
+ *   store, as no list has it, and another router may still have the object. So the history is
  *   incomplete for the versions within such a gap, of which the latest is kept.
  *
  * LOAD
--- a/src/core/return_schedule.h
+++ b/src/core/return_schedule.h
@@ -6,8 +6,8 @@
  *   return_schedule - when a caller that was refused for want of room is to come back
  *
  * DESCRIPTION
- *   Handles bursts of several times the room. Callers that are all told the same wait return
- *   together and are refused again.
+ *   Handles bursts of several times the room. Callers with the same Retry-After return together and
+ *   are refused again.
  *
  *   A key is what has the room: a client account or a service. The schedule counts the grants of a
  *   key in the last two seconds, and spaces the returns so that no more are due in a second than
--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -6,11 +6,11 @@
  *   http_framing - whether an answer that has ended is complete
  *
  * DESCRIPTION
- *   An answer without a length ends with its connection. A reset ends it in the same way for a
- *   reader who does not see the error, as when a write to the connection was told of it before: on
- *   Linux each error of a socket is reported once. So such an answer counts as complete only if the
- *   connection was not reset and the whole request had been written: a server that closes a
- *   connection with unread bytes resets it, possibly after the reader saw the end.
+ *   An answer without a length ends with its connection. A reset may look like a regular end to the
+ *   reader: Linux reports each error of a socket once, and a write may have got it before. So such
+ * an answer counts as complete only if the connection was not reset and the whole request had been
+ * written: a server that closes a connection with unread bytes resets it, possibly after the reader
+ * saw the end.
  */
 
 #include "net/http_client.h"
--- a/src/services/endpoints/evacuations.c
+++ b/src/services/endpoints/evacuations.c
@@ -176,8 +176,8 @@
 bool
 dy_evacuation_watch_ready (const DyEvacuationWatch *watch)
 {
-  /* The known version is 0 while a list is awaited again, as when the store's history is gone. What
-   * was known before is kept and its age counts, so the router remains ready. */
+  /* The known version is 0 while a list is awaited again, as after the store has dropped its
+   * history. What was known before is kept and its age counts, so the router remains ready. */
   return !watch->enabled || watch->watch.age.version != 0 || watch->watch.history.version != 0;
 }
 
--- a/src/services/gateway/gateway_refusal.h
+++ b/src/services/gateway/gateway_refusal.h
@@ -21,7 +21,7 @@
 /* The same, where a retry does not help before MIN_WAIT_MS have passed. */
 void dy_gateway_refuse_for (DyGateway *gateway, DyHttpCall *call, int error, int64_t min_wait_ms);
 
-/* The same for the request of PLAN. If it found no room, its caller is told to return when room is
+/* The same for the request of PLAN. If it found no room, Retry-After is the time until room is
  * expected. */
 void dy_gateway_refuse_request (DyGateway *gateway,
                                 DyHttpCall *call,
--- a/src/services/peers/change_requests.h
+++ b/src/services/peers/change_requests.h
@@ -25,7 +25,7 @@
  *       number of parts, the number of this one from 0, and its share of the packed text
  *
  *   A reply without "version" has nothing that the other router could take. Routers of earlier
- *   builds do not reply; they are asked in vain, as are those that are gone.
+ *   builds do not reply, which counts as no answer, as with a router that has stopped.
  *
  * ERRORS
  *   A request or reply that is not valid is logged once and otherwise ignored.
--- a/src/services/peers/object_watch.c
+++ b/src/services/peers/object_watch.c
@@ -203,7 +203,7 @@
 static bool
 tells (const DyObjectWatch *watch, const DyObjectWatchCall *call, const DyPlatformReply *reply)
 {
-  /* The store's history was gone: this list may show what a check or a watch would have. */
+  /* After a dropped history, the list replaces the changes that a check or a watch would return. */
   if (call->lists)
     return watch->history.version != 0 && !call->told;
   /* A router that no longer watches may have a call left from before. */
--- a/test/test_return_schedule.c
+++ b/test/test_return_schedule.c
@@ -1,4 +1,4 @@
-/* Times at which refused callers are told to return. */
+/* Times for which refused callers got a Retry-After. */
 
 #include "support/suite.h"
 
