Router records are read with the addresses of relays in tests

What tests saw: relays in front of routers were never used, so faults between routers did nothing in the soak, in test_evacuation_faults and in every test of site_init_peers_relayed(). A router that was cut off from the others by relays went on hearing them.

Cause: the stand-in store replaces the addresses in objects of the kind "vms"; the routers' records are of the kind "routers".

--- a/test/fakes/fake_store.c
+++ b/test/fakes/fake_store.c
@@ -20,7 +20,7 @@
  *                    with restore: the object is written at the return, before any other call
  *   "skip": n        with restore: n revisions are then given out, as if to other objects
  *   "addresses": {address: address}
- *                    objects of the kind "vms" are read with the second address in place of the
+ *                    objects of the kind "routers" are read with the second address in place of the
  *                    first, as of a relay
  *
  * GET /admin/stats returns the number of calls to each kind of objects as KIND, and of writes among
@@ -83,7 +83,8 @@
 } Watch;
 
 static uint64_t current_era;
-static json_t *read_addresses; /* address of an object of the kind "vms" to the one that is read */
+/* Address in an object of the kind "routers" to the one that is read. */
+static json_t *read_addresses;
 
 static void
 reply (DyHttpCall *call, unsigned status, json_t *root)
@@ -104,7 +105,7 @@
   json_t *spec = object->value ? json_loads (object->value, JSON_DECODE_ANY, NULL) : json_null ();
   const char *address = json_string_value (json_object_get (spec, "address"));
   json_t *read_address = address ? json_object_get (read_addresses, address) : NULL;
-  if (read_address && g_str_has_prefix (object->key, "vms/"))
+  if (read_address && g_str_has_prefix (object->key, "routers/"))
     json_object_set (spec, "address", read_address);
   return json_pack ("{s:{s:s, s:I, s:I, s:[], s:b}, s:o, s:n}", "metadata", "name", slash + 1,
                     "revision", (json_int_t) object->version, "created",
