A stream is of the only known version only if no other one can be missing

What callers saw: a router that was cut off from the store and the other routers went on with streams of a second software version at the first one.

Cause: dy_stream_origins_find() took the only version that a router knows for that of any stream, whatever the age of what it knows. The same holds a moment after a version came, after a time without confirmations in which one came and went, and for a router that started after the store was restored.

Evidence: event 7010 now tells `recorded` from `listed`, and why a lookup failed.

Change: core/version_knowledge decides for each resume whether all versions are known: the records were confirmed after the caller asked, or no router that may run reaches the store; what came before is read from the store, whose objects name the era in which they were written. Streams that a router began itself need none of this. The versions are written by a home that reaches the store.

--- a/src/core/members.c
+++ b/src/core/members.c
@@ -33,12 +33,16 @@
   LOADED_VALID_US = 20 * 1000 * 1000,
 };
 
+static bool
+is_heard (const DyMembers *members, const DyMember *member, int64_t now_us)
+{
+  return member->incarnation_id != 0 && now_us - member->last_heard_us < members->timeout_us;
+}
+
 bool
 dy_members_is_live (const DyMembers *members, const DyMember *member, int64_t now_us)
 {
-  if (member->leaving || member->draining || member->incarnation_id == 0)
-    return false;
-  return now_us - member->last_heard_us < members->timeout_us;
+  return !member->leaving && !member->draining && is_heard (members, member, now_us);
 }
 
 bool
@@ -433,6 +437,24 @@
   return n > 0;
 }
 
+bool
+dy_members_all_lack_platform (const DyMembers *members, int64_t since_us, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, members->seen);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      const DyMember *member = g_hash_table_lookup (members->by_name, name);
+      const int64_t *absent_us = g_hash_table_lookup (members->absent, name);
+      if (!member && absent_us && *absent_us <= since_us)
+        continue;
+      if (!member || !is_heard (members, member, now_us) || member->has_platform)
+        return false;
+    }
+  return true;
+}
+
 bool
 dy_members_all_connected (const DyMembers *members)
 {
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -158,6 +158,10 @@
  * reach the platform. */
 bool dy_members_lack_platform (const DyMembers *members, int64_t now_us);
 
+/* Returns whether every other router that may run, of those listed or heard from after SINCE_US, is
+ * heard from and says that it does not reach the platform. True if there is none. */
+bool dy_members_all_lack_platform (const DyMembers *members, int64_t since_us, int64_t now_us);
+
 /* Returns whether MEMBER is live. */
 bool dy_members_is_live (const DyMembers *members, const DyMember *member, int64_t now_us);
 
--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -4,7 +4,6 @@
 
 enum
 {
-  VERSION_RETENTION_US = 20 * 1000 * 1000, /* longer than callers resume a stream */
   MIN_WRITE_INTERVAL_US = 20 * 1000,
   WRITE_INTERVAL_PER_ROUTER_US = 5 * 1000, /* 200 writes a second of all routers together */
 };
@@ -84,18 +83,27 @@
   return versions && g_hash_table_size (versions) > 1;
 }
 
+bool
+dy_stream_origins_has_one_version (const DyStreamOrigins *origins, const char *service)
+{
+  GHashTable *versions = g_hash_table_lookup (origins->services, service);
+  return versions && g_hash_table_size (versions) == 1;
+}
+
 const char *
-dy_stream_origins_find (const DyStreamOrigins *origins, const char *service, const char *request_id)
+dy_stream_origins_find (const DyStreamOrigins *origins,
+                        const char *service,
+                        const char *request_id,
+                        bool complete)
 {
   const Stream *stream = request_id ? g_hash_table_lookup (origins->streams, request_id) : NULL;
-  GHashTable *versions = g_hash_table_lookup (origins->services, service);
   GHashTableIter iter;
   gpointer version = NULL;
   if (stream)
     return strcmp (stream->service, service) == 0 ? stream->version : NULL;
-  if (!versions || g_hash_table_size (versions) != 1)
+  if (!complete || !dy_stream_origins_has_one_version (origins, service))
     return NULL;
-  g_hash_table_iter_init (&iter, versions);
+  g_hash_table_iter_init (&iter, g_hash_table_lookup (origins->services, service));
   g_hash_table_iter_next (&iter, &version, NULL);
   return version;
 }
@@ -111,7 +119,7 @@
 is_gone (gpointer key, gpointer value, gpointer ctx)
 {
   (void) key;
-  return *(const int64_t *) ctx - *(const int64_t *) value > VERSION_RETENTION_US;
+  return *(const int64_t *) ctx - *(const int64_t *) value > DY_VERSION_RETENTION_US;
 }
 
 bool
--- a/src/core/stream_origins.h
+++ b/src/core/stream_origins.h
@@ -8,9 +8,9 @@
  * DESCRIPTION
  *   What two versions of a service write does not fit together, so a stream may go on only at the
  *   version that began it. The table keeps the version of each stream until its caller can no
- *   longer resume it, and the versions of each service that were listed lately. While there is only
- *   one, every stream of the service was begun by it. docs/ORIGINS.md says where else origins are
- *   kept.
+ *   longer resume it, and the versions of each service that were listed lately. If there is only
+ *   one, and no other is missing here (core/version_knowledge.h), every stream of the service was
+ *   begun by it. docs/ORIGINS.md says where else origins are kept.
  *
  * UNITS
  *   Times are microseconds; the module reads no clock, the time is passed in as NOW_US.
@@ -20,6 +20,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  /* Time after which a version that is no longer listed is dropped: longer than callers resume a
+   * stream. */
+  DY_VERSION_RETENTION_US = 20 * 1000 * 1000,
+};
+
 typedef struct
 {
   GHashTable *streams;  /* request id to its origin */
@@ -52,10 +59,15 @@
 bool dy_stream_origins_is_mixed (const DyStreamOrigins *origins, const char *service);
 
 /* Returns the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE, or NULL if
- * that is not known here. */
+ * that is not known here. COMPLETE is whether no version that may have begun it is missing here, so
+ * that one which is not recorded was begun by the only version there is. */
 const char *dy_stream_origins_find (const DyStreamOrigins *origins,
                                     const char *service,
-                                    const char *request_id);
+                                    const char *request_id,
+                                    bool complete);
+
+/* Returns whether one version of SERVICE is known, and no other one. */
+bool dy_stream_origins_has_one_version (const DyStreamOrigins *origins, const char *service);
 
 /* Drops expired streams, and versions that have not been listed for so long that no stream of
  * theirs can be resumed. Returns whether a version was dropped. */
--- a/src/core/watch_age.c
+++ b/src/core/watch_age.c
@@ -126,14 +126,20 @@
 }
 
 DyWatchAgeAction
-dy_watch_age_decide (const DyWatchAge *age, uint32_t rank, bool waiting, int64_t now_us)
+dy_watch_age_next_call (const DyWatchAge *age, int64_t now_us)
 {
   if (age->version == 0 || now_us - age->failed_us < age->policy.retry_us)
     return DY_WATCH_AGE_FRESH;
+  return age->check_fails || age->n_failures % 2 == 1 ? DY_WATCH_AGE_LIST : DY_WATCH_AGE_CHECK;
+}
+
+DyWatchAgeAction
+dy_watch_age_decide (const DyWatchAge *age, uint32_t rank, bool waiting, int64_t now_us)
+{
   bool behind
       = age->behind_us && waiting
         && now_us - age->behind_us >= age->policy.answer_us + spread_us (&age->policy, rank);
   if (!behind && now_us - age->confirmed_us < check_age_us (&age->policy, rank))
     return DY_WATCH_AGE_FRESH;
-  return age->check_fails || age->n_failures % 2 == 1 ? DY_WATCH_AGE_LIST : DY_WATCH_AGE_CHECK;
+  return dy_watch_age_next_call (age, now_us);
 }
--- a/src/core/watch_age.h
+++ b/src/core/watch_age.h
@@ -108,6 +108,10 @@
                             uint64_t changed_version,
                             uint64_t version);
 
+/* Returns how the router can have what it knows confirmed now, DY_WATCH_AGE_FRESH: not at all, as
+ * it has read no list or a check failed a moment ago. */
+DyWatchAgeAction dy_watch_age_next_call (const DyWatchAge *age, int64_t now_us);
+
 /* Returns what the router is to do that has RANK in the order of routers, from 0. WAITING is
  * whether changes are expected without a further call of this router: a watch of its own is in
  * progress, or other routers pass changes on. */
--- a/src/services/endpoints/directory.c
+++ b/src/services/endpoints/directory.c
@@ -300,9 +300,20 @@
   g_hash_table_remove_all (directory->held);
 }
 
+static void
+report_confirmation (void *ctx, uint64_t version)
+{
+  DyDirectory *directory = ctx;
+  (void) version;
+  if (directory->confirm_watcher)
+    directory->confirm_watcher (directory->confirm_watcher_ctx);
+}
+
 static const DyObjectWatcher routes_watcher = { .apply = apply_routes };
-static const DyObjectWatcher endpoints_watcher
-    = { .apply = apply_endpoint, .list_begun = drop_held, .list_ended = remove_unlisted };
+static const DyObjectWatcher endpoints_watcher = { .apply = apply_endpoint,
+                                                   .list_begun = drop_held,
+                                                   .list_ended = remove_unlisted,
+                                                   .updated = report_confirmation };
 
 /* Sends the route table to the router that asked with GET for a later one than its own. */
 static void
@@ -511,6 +522,13 @@
   directory->record_watcher_ctx = ctx;
 }
 
+void
+dy_directory_watch_confirmations (DyDirectory *directory, void (*watcher) (void *ctx), void *ctx)
+{
+  directory->confirm_watcher = watcher;
+  directory->confirm_watcher_ctx = ctx;
+}
+
 bool
 dy_directory_take_leaving (
     DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, bool from_peer)
--- a/src/services/endpoints/directory.h
+++ b/src/services/endpoints/directory.h
@@ -91,6 +91,8 @@
   void *end_watcher_ctx;
   DyEndpointRecordWatcher record_watcher;
   void *record_watcher_ctx;
+  void (*confirm_watcher) (void *ctx);
+  void *confirm_watcher_ctx;
 } DyDirectory;
 
 /* Adds the service "directory", whose interface is a DyDirectory. */
@@ -108,6 +110,11 @@
 void
 dy_directory_watch_records (DyDirectory *directory, DyEndpointRecordWatcher watcher, void *ctx);
 
+/* Calls WATCHER after each answer of the store about endpoint records, once it is applied. A
+ * directory has one such watcher. */
+void
+dy_directory_watch_confirmations (DyDirectory *directory, void (*watcher) (void *ctx), void *ctx);
+
 /* Records that the endpoint ID, started at START_MS, said at SAID_US in an answer that it leaves;
  * FROM_PEER is whether another router reported it. Returns whether that was not known. */
 bool dy_directory_take_leaving (
--- a/src/services/gateway/gateway_admit.c
+++ b/src/services/gateway/gateway_admit.c
@@ -108,12 +108,12 @@
 }
 
 static void
-on_origin (void *ctx, int error, const char *version)
+on_origin (void *ctx, int error, const char *version, const char *source)
 {
   DyGatewayRequest *request = ctx;
   (void) error;
   request->lookup = NULL;
-  take_origin (request, version, "store");
+  take_origin (request, version, source);
 }
 
 void
@@ -124,5 +124,5 @@
   request->lookup = dy_origins_look_up (request->gateway->origins, request->plan.service,
                                         request->plan.resumes_id, on_origin, request, &version);
   if (!request->lookup)
-    take_origin (request, version, "memory");
+    take_origin (request, version, "recorded");
 }
--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -28,6 +28,7 @@
   char *request_id; /* NULL: not stated */
   DyOriginDone done;
   void *ctx;
+  int64_t asked_us;     /* by dy_kernel_boot_us() */
   uint32_t n_reads;     /* reads of the streams since it began */
   int64_t next_read_us; /* no read for it before this time */
   bool waiting;         /* a read that serves it is in progress */
@@ -39,7 +40,10 @@
   DyOrigins *origins;
   char *service;
   uint64_t stored_version; /* of the object; 0: not known */
-  bool synced;             /* the store has the versions that are known here */
+  bool stored;             /* the store has it, of STORED_ERA */
+  uint64_t stored_era;
+  uint64_t sent_era; /* of the write in progress */
+  bool synced;       /* the store has the versions that are known here */
   bool busy;
   int64_t next_try_us;
 } ServiceObject;
@@ -93,6 +97,21 @@
 
 /* Versions that the store has. */
 
+static void
+record_stored (ServiceObject *object, uint64_t era)
+{
+  object->stored = true;
+  object->stored_era = MAX (object->stored_era, era);
+}
+
+/* Returns whether the store has the versions of SERVICE, written since it was last restored. */
+static bool
+is_stored (const DyOrigins *origins, const char *service)
+{
+  const ServiceObject *object = g_hash_table_lookup (origins->services, service);
+  return object && object->stored && object->stored_era == origins->platform->era;
+}
+
 static void
 load_versions (DyOrigins *origins, const DyObject *object)
 {
@@ -105,6 +124,9 @@
     if (json_is_string (version))
       see_version (origins, service, json_string_value (version));
   }
+  const json_t *era = json_object_get (root, "era");
+  if (json_is_integer (era))
+    record_stored (get_service (origins, service), (uint64_t) json_integer_value (era));
   json_decref (root);
 }
 
@@ -122,7 +144,10 @@
   if (reply->error == DY_OK || (reply->error == DY_CONFLICT && reply->version))
     object->stored_version = reply->version;
   if (reply->error == DY_OK)
-    return;
+    {
+      record_stored (object, object->sent_era);
+      return;
+    }
   object->synced = false;
   if (reply->error != DY_CONFLICT || !reply->version)
     {
@@ -138,12 +163,16 @@
   if (object->synced || object->busy || !origins->versions_loaded
       || !dy_peers_members_known (origins->directory->peers)
       || now_us (origins) < object->next_try_us
-      || dy_members_home (members, object->service, NULL, now_us (origins)))
+      || !(is_stored (origins, object->service)
+           || dy_version_knowledge_may_write (&origins->knowledge, dy_kernel_boot_us ()))
+      || dy_members_home_with_platform (members, object->service, NULL, now_us (origins)))
     return;
   char *key = g_strconcat (VERSIONS_PREFIX, object->service, NULL);
   json_t *versions = json_array ();
   dy_stream_origins_visit_versions (&origins->table, object->service, collect_version, versions);
-  json_t *root = json_pack ("{s:o}", "versions", versions);
+  object->sent_era = origins->platform->era;
+  json_t *root
+      = json_pack ("{s:o, s:I}", "versions", versions, "era", (json_int_t) object->sent_era);
   char *text = json_dumps (root, JSON_COMPACT);
   object->synced = true;
   object->busy = true;
@@ -186,42 +215,126 @@
   json_decref (root);
 }
 
-/* Ends LOOKUP, which has been removed from the set, with VERSION (NULL: unknown). */
+/* Lookups. */
+
+/* Ends LOOKUP with VERSION (NULL: unknown). */
 static void
-end_lookup (DyOrigins *origins, DyOriginLookup *lookup, const char *version)
+end_lookup (DyOrigins *origins, DyOriginLookup *lookup, const char *version, const char *source)
 {
   char *copy = g_strdup (version);
-  (void) origins;
-  lookup->done (lookup->ctx, copy ? DY_OK : DY_ORIGIN_UNKNOWN, copy);
+  g_hash_table_steal (origins->lookups, lookup);
+  lookup->done (lookup->ctx, copy ? DY_OK : DY_ORIGIN_UNKNOWN, copy, source);
   g_free (copy);
   free_lookup (lookup);
 }
 
-static const char *
-find (const DyOrigins *origins, const char *service, const char *request_id)
+/* Returns whether no router that may run reaches the store, so that no endpoint can have been
+ * listed since it went away. */
+static bool
+are_all_cut_off (const DyOrigins *origins)
+{
+  const DyDirectory *directory = origins->directory;
+  return !dy_platform_answers (origins->platform) && directory->endpoints_watch.age.behind_us == 0
+         && dy_members_all_lack_platform (&directory->peers->members,
+                                          now_us (origins) - DY_VERSION_RETENTION_US,
+                                          now_us (origins));
+}
+
+static void
+see_listed (void *ctx, const char *service, const char *version)
+{
+  see_version (ctx, service, version);
+}
+
+/* Takes the versions that are listed, and until when they are known to be all. */
+static void
+update_knowledge (DyOrigins *origins)
+{
+  dy_placement_visit_versions (&origins->directory->placement, see_listed, origins);
+  dy_version_knowledge_extend (&origins->knowledge,
+                               origins->directory->endpoints_watch.age.confirmed_us);
+}
+
+/* Returns whether all versions that may have begun the stream of LOOKUP are known. */
+static DyVersionVerdict
+judge (const DyOrigins *origins, const DyOriginLookup *lookup)
+{
+  DyVersionEvidence evidence
+      = { .asked_us = lookup->asked_us,
+          .cut_off = dy_directory_endpoints_knowledge (origins->directory) == DY_KNOWLEDGE_BRIDGED,
+          .all_cut_off = are_all_cut_off (origins),
+          .restored = dy_platform_was_restored_within (origins->platform, DY_VERSIONS_REWRITE_US),
+          .stored = is_stored (origins, lookup->service) };
+  return dy_version_knowledge_judge (&origins->knowledge, &evidence, dy_kernel_boot_us ());
+}
+
+/* Ends LOOKUP if it is decided by what is known here. */
+static void
+decide (DyOrigins *origins, DyOriginLookup *lookup)
+{
+  DyVersionVerdict verdict = judge (origins, lookup);
+  const char *version
+      = dy_stream_origins_find (&origins->table, lookup->service, lookup->request_id, false);
+  if (version)
+    end_lookup (origins, lookup, version, "recorded");
+  else if (verdict == DY_VERSIONS_COMPLETE
+           && (version = dy_stream_origins_find (&origins->table, lookup->service,
+                                                 lookup->request_id, true)))
+    end_lookup (origins, lookup, version, "listed");
+  else if (verdict == DY_VERSIONS_UNKNOWN
+           && dy_directory_endpoints_knowledge (origins->directory) == DY_KNOWLEDGE_BRIDGED)
+    end_lookup (origins, lookup, NULL, "cut_off");
+}
+
+/* Ends the lookups that are decided. Returns whether one is left that waits for a confirmation. */
+static bool
+decide_lookups (DyOrigins *origins)
 {
-  return origins->versions_loaded ? dy_stream_origins_find (&origins->table, service, request_id)
-                                  : NULL;
+  GList *lookups = g_hash_table_get_keys (origins->lookups);
+  bool awaits = false;
+  update_knowledge (origins);
+  for (GList *l = lookups; l && origins->versions_loaded; l = l->next)
+    {
+      DyOriginLookup *lookup = l->data;
+      if (!g_hash_table_contains (origins->lookups, lookup) || lookup->waiting)
+        continue;
+      decide (origins, lookup);
+      awaits = awaits || g_hash_table_contains (origins->lookups, lookup);
+    }
+  g_list_free (lookups);
+  return awaits;
 }
 
-/* Ends the lookups that are decided. FAILED: the store could not be read. */
+/* Asks for the endpoint records, which show whether there are versions that are not known. */
+static void
+confirm_records (DyOrigins *origins)
+{
+  uint32_t n_routers = dy_members_possible_count (&origins->directory->peers->members);
+  if (now_us (origins) - origins->confirm_us < dy_stream_origins_write_interval_us (n_routers))
+    return;
+  origins->confirm_us = now_us (origins);
+  dy_object_watch_confirm (&origins->directory->endpoints_watch);
+}
+
+/* Ends the lookups for which the streams were read, or could not be. */
 static void
 end_lookups (DyOrigins *origins, bool failed)
 {
   GList *lookups = g_hash_table_get_keys (origins->lookups);
+  update_knowledge (origins);
   for (GList *l = lookups; l; l = l->next)
     {
       DyOriginLookup *lookup = l->data;
       if (!g_hash_table_contains (origins->lookups, lookup) || !lookup->waiting)
         continue;
-      const char *version = find (origins, lookup->service, lookup->request_id);
       lookup->waiting = false;
       lookup->n_reads++;
       lookup->next_read_us = now_us (origins) + SECOND_READ_US;
-      if (!version && !failed && lookup->request_id && lookup->n_reads < MAX_READS)
-        continue;
-      g_hash_table_steal (origins->lookups, lookup);
-      end_lookup (origins, lookup, version);
+      if (origins->versions_loaded)
+        decide (origins, lookup);
+      if (g_hash_table_contains (origins->lookups, lookup)
+          && (failed || !lookup->request_id || lookup->n_reads >= MAX_READS))
+        end_lookup (origins, lookup, NULL, failed ? "store_failed" : "unrecorded");
     }
   g_list_free (lookups);
 }
@@ -252,6 +365,18 @@
   for (uint32_t i = 0; i < reply->n_objects; i++)
     load_versions (origins, &reply->objects[i]);
   origins->versions_loaded = true;
+  dy_version_knowledge_record_read (&origins->knowledge, origins->versions_sent_us);
+  decide_lookups (origins);
+}
+
+static void
+read_versions (DyOrigins *origins)
+{
+  if (origins->reading_versions || now_us (origins) < origins->retry_us)
+    return;
+  origins->reading_versions = true;
+  origins->versions_sent_us = dy_kernel_boot_us ();
+  dy_platform_list (origins->platform, VERSIONS_PREFIX, 0, on_versions, origins);
 }
 
 static void
@@ -273,6 +398,16 @@
   end_lookups (origins, reply->error != DY_OK);
 }
 
+/* Returns whether LOOKUP needs the streams: not while what is known may soon show that there is
+ * only one version. */
+static bool
+needs_streams (const DyOrigins *origins, const DyOriginLookup *lookup)
+{
+  return now_us (origins) >= lookup->next_read_us
+         && !(dy_stream_origins_has_one_version (&origins->table, lookup->service)
+              && judge (origins, lookup) == DY_VERSIONS_AWAITED);
+}
+
 /* Reads the streams for the lookups that are due. */
 static void
 read_streams (DyOrigins *origins)
@@ -286,7 +421,7 @@
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       DyOriginLookup *lookup = key;
-      lookup->waiting = now_us (origins) >= lookup->next_read_us;
+      lookup->waiting = needs_streams (origins, lookup);
       due = due || lookup->waiting;
     }
   if (!due)
@@ -361,12 +496,6 @@
   json_decref (root);
 }
 
-static void
-see_listed (void *ctx, const char *service, const char *version)
-{
-  see_version (ctx, service, version);
-}
-
 static gboolean
 is_forgotten (gpointer key, gpointer value, gpointer ctx)
 {
@@ -381,10 +510,10 @@
 {
   GHashTableIter iter;
   gpointer value;
+  update_knowledge (origins);
   if (now_us (origins) - origins->swept_us < SWEEP_INTERVAL_US)
     return;
   origins->swept_us = now_us (origins);
-  dy_placement_visit_versions (&origins->directory->placement, see_listed, origins);
   bool dropped = dy_stream_origins_evict (&origins->table, now_us (origins));
   g_hash_table_foreach_remove (origins->own_ids, is_forgotten, origins);
   g_hash_table_iter_init (&iter, origins->services);
@@ -402,17 +531,35 @@
   DyOrigins *origins = w->data;
   (void) loop;
   (void) events;
-  if (!origins->versions_loaded && !origins->reading_versions
-      && now_us (origins) >= origins->retry_us)
-    {
-      origins->reading_versions = true;
-      dy_platform_list (origins->platform, VERSIONS_PREFIX, 0, on_versions, origins);
-    }
+  bool awaits = decide_lookups (origins);
+  if (awaits)
+    confirm_records (origins);
+  if (!origins->versions_loaded
+      || (awaits && dy_version_knowledge_needs_read (&origins->knowledge, dy_kernel_boot_us ())))
+    read_versions (origins);
   sweep (origins);
   read_streams (origins);
   write_own (origins);
 }
 
+/* The endpoint records were read. Not decided at once, as a request that goes on may ask for them
+ * again. */
+static void
+on_confirmed (void *ctx)
+{
+  DyOrigins *origins = ctx;
+  if (g_hash_table_size (origins->lookups) > 0)
+    ev_timer_start (origins->kernel->loop, &origins->decision);
+}
+
+static void
+on_decision (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) events;
+  decide_lookups (w->data);
+}
+
 /* Writes the objects again that the store may have lost. */
 static void
 on_era (void *ctx, uint64_t era, bool restored)
@@ -441,6 +588,10 @@
   origins->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
   origins->lookups = g_hash_table_new_full (NULL, NULL, free_lookup, NULL);
   dy_stream_origins_init (&origins->table);
+  dy_version_knowledge_init (&origins->knowledge);
+  dy_directory_watch_confirmations (origins->directory, on_confirmed, origins);
+  ev_timer_init (&origins->decision, on_decision, 0.0, 0.0);
+  origins->decision.data = origins;
   dy_platform_watch_era (origins->platform, on_era, origins);
   ev_timer_init (&origins->timer, on_timer, 0.0, TICK_S);
   origins->timer.data = origins;
@@ -452,7 +603,9 @@
 service_stop (void *self)
 {
   DyOrigins *origins = self;
+  dy_directory_watch_confirmations (origins->directory, NULL, NULL);
   ev_timer_stop (origins->kernel->loop, &origins->timer);
+  ev_timer_stop (origins->kernel->loop, &origins->decision);
   g_hash_table_unref (origins->lookups);
   g_hash_table_unref (origins->services);
   g_hash_table_unref (origins->own_ids);
@@ -509,7 +662,7 @@
                     void *ctx,
                     const char **version)
 {
-  *version = find (origins, service, request_id);
+  *version = dy_stream_origins_find (&origins->table, service, request_id, false);
   if (*version)
     return NULL;
   DyOriginLookup *lookup = g_new0 (DyOriginLookup, 1);
@@ -517,7 +670,10 @@
   lookup->request_id = g_strdup (request_id);
   lookup->done = done;
   lookup->ctx = ctx;
+  lookup->asked_us = dy_kernel_boot_us ();
   g_hash_table_add (origins->lookups, lookup);
+  if (dy_stream_origins_has_one_version (&origins->table, service))
+    confirm_records (origins);
   return lookup;
 }
 
--- a/src/services/origins.h
+++ b/src/services/origins.h
@@ -8,27 +8,32 @@
  * DESCRIPTION
  *   While a service has endpoints of several versions, this router keeps the origins of the streams
  *   that it passes on in the platform's store, in one object, so that a caller can resume them at
- * any router. docs/ORIGINS.md explains what is kept where, how long, and what is refused.
+ *   any router. A stream that is not recorded is of the only version of its service, once the
+ *   endpoint records show that there is no other. docs/ORIGINS.md explains what is kept where, how
+ *   long, and what is refused.
  *
  * FORMAT
  *   streams/NAME of the router NAME:
  *     {"streams": {service: {version: [request id, ...]}}}
  *   stream-versions/SERVICE, written by the router that is the home of the service's name:
- *     {"versions": [version, ...]}
+ *     {"versions": [version, ...], "era": number}
+ *     The era is that of the store when it was written: after a restore, versions may be missing.
  *
  * ERRORS
  *   DY_ORIGIN_UNKNOWN  the version that began the stream is not known, or cannot be looked up now
  */
 
 #include "core/stream_origins.h"
+#include "core/version_knowledge.h"
 #include "services/endpoints/directory.h"
 
 #define DY_SERVICE_ORIGINS "origins"
 
 typedef struct DyOriginLookup DyOriginLookup;
 
-/* Called once for a lookup, from the event loop. VERSION is NULL unless ERROR is DY_OK. */
-typedef void (*DyOriginDone) (void *ctx, int error, const char *version);
+/* Called once for a lookup, from the event loop. VERSION is NULL unless ERROR is DY_OK. SOURCE, for
+ * logs, is where it is known from, or why it is not. */
+typedef void (*DyOriginDone) (void *ctx, int error, const char *version, const char *source);
 
 typedef struct
 {
@@ -36,14 +41,17 @@
   DyDirectory *directory;
   DyPlatform *platform;
   DyStreamOrigins table;
-  GHashTable *own_ids;  /* set of the ids of the streams to be written by this router */
-  GHashTable *services; /* service to the state of its object of versions */
-  GHashTable *lookups;  /* set of DyOriginLookup */
+  DyVersionKnowledge knowledge; /* times by dy_kernel_boot_us() */
+  GHashTable *own_ids;          /* set of the ids of the streams to be written by this router */
+  GHashTable *services;         /* service to the state of its object of versions */
+  GHashTable *lookups;          /* set of DyOriginLookup */
   char *own_key;
   uint64_t own_version; /* of the own object; 0: not known */
   bool versions_loaded; /* the store's versions were read */
   bool streams_loaded;  /* the store's streams were read */
   bool reading_versions;
+  int64_t versions_sent_us; /* by dy_kernel_boot_us(): sending of the latest read of them */
+  int64_t confirm_us;       /* when the endpoint records were last asked for */
   bool reading_streams;
   bool dirty; /* the own object lacks an own stream */
   bool writing;
@@ -51,6 +59,7 @@
   int64_t retry_us;   /* no read of what is not loaded before this time */
   int64_t swept_us;
   ev_timer timer;
+  ev_timer decision; /* runs out after the endpoint records were confirmed */
 } DyOrigins;
 
 /* Adds the service "origins", whose interface is a DyOrigins. */
@@ -61,8 +70,8 @@
 void dy_origins_record (DyOrigins *origins, const DyStreamOrigin *origin);
 
 /* Looks up the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE. If it is
- * known here, stores it in VERSION, valid until the next call, and returns NULL. Otherwise DONE is
- * called later, unless the lookup is cancelled. */
+ * recorded here, stores it in VERSION, valid until the next call, and returns NULL. Otherwise DONE
+ * is called later, unless the lookup is cancelled. */
 DyOriginLookup *dy_origins_look_up (DyOrigins *origins,
                                     const char *service,
                                     const char *request_id,
--- a/src/services/peers/object_watch.c
+++ b/src/services/peers/object_watch.c
@@ -319,6 +319,27 @@
     spread_age (watch, call, changes, reply->version);
 }
 
+static void
+start_check (DyObjectWatch *watch, DyWatchAgeAction action)
+{
+  if (action == DY_WATCH_AGE_FRESH)
+    return;
+  begin_call (watch, &watch->check, action == DY_WATCH_AGE_LIST);
+  dy_counters_add (&watch->kernel->counters, DY_COUNTER_WATCH_CHECKS, 1);
+  if (watch->check.lists)
+    dy_platform_list (watch->platform, watch->prefix, 0, on_checked, &watch->check);
+  else
+    dy_platform_changes (watch->platform, watch->prefix, watch->age.version, on_checked,
+                         &watch->check);
+}
+
+void
+dy_object_watch_confirm (DyObjectWatch *watch)
+{
+  if (!watch->check.busy)
+    start_check (watch, dy_watch_age_next_call (&watch->age, dy_kernel_boot_us ()));
+}
+
 static void
 on_check_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -331,17 +352,8 @@
   if (watch->check.busy)
     return;
   uint32_t rank = rank_of (watch);
-  DyWatchAgeAction action
-      = dy_watch_age_decide (&watch->age, rank, watch->current || rank > 0, dy_kernel_boot_us ());
-  if (action == DY_WATCH_AGE_FRESH)
-    return;
-  begin_call (watch, &watch->check, action == DY_WATCH_AGE_LIST);
-  dy_counters_add (&watch->kernel->counters, DY_COUNTER_WATCH_CHECKS, 1);
-  if (watch->check.lists)
-    dy_platform_list (watch->platform, watch->prefix, 0, on_checked, &watch->check);
-  else
-    dy_platform_changes (watch->platform, watch->prefix, watch->age.version, on_checked,
-                         &watch->check);
+  start_check (watch, dy_watch_age_decide (&watch->age, rank, watch->current || rank > 0,
+                                           dy_kernel_boot_us ()));
 }
 
 void
--- a/src/services/peers/object_watch.h
+++ b/src/services/peers/object_watch.h
@@ -119,6 +119,10 @@
                             const DyObjectWatchSpec *spec);
 void dy_object_watch_stop (DyObjectWatch *watch);
 
+/* Asks the store for changes now, so that what is known is confirmed soon, unless such a call is in
+ * progress or has failed a moment ago. */
+void dy_object_watch_confirm (DyObjectWatch *watch);
+
 /* Takes what another router says about its checks, if MESSAGE is of that kind. */
 void dy_object_watch_take (DyObjectWatch *watch, const DyMessage *message);
 
--- a/test/test_stream_origin_table.c
+++ b/test/test_stream_origin_table.c
@@ -43,13 +43,13 @@
   for (int i = 0; i < MAX_SEEN && cases[_i].seen[i]; i++)
     ck_assert (dy_stream_origins_see (&origins, "llm", cases[_i].seen[i], cases[_i].seen_s[i] * S));
   dy_stream_origins_evict (&origins, cases[_i].now_s * S);
-  const char *version = dy_stream_origins_find (&origins, "llm", "request");
+  const char *version = dy_stream_origins_find (&origins, "llm", "request", true);
   ck_assert_int_eq (dy_stream_origins_is_mixed (&origins, "llm"), cases[_i].mixed);
   if (cases[_i].version)
     ck_assert_str_eq (version, cases[_i].version);
   else
     ck_assert_ptr_null (version);
-  ck_assert_ptr_null (dy_stream_origins_find (&origins, "other", "request"));
+  ck_assert_ptr_null (dy_stream_origins_find (&origins, "other", "request", true));
   dy_stream_origins_finish (&origins);
 }
 END_TEST
