Bytes that are no valid answer show that an endpoint is in reach

What callers saw: after an endpoint's answer whose head, or interim answers, did not end, a router that knew no other endpoint refused all requests, also those that an endpoint listed since could have run.

Cause: an attempt that ended before its head was complete counted as a connection that could not be made, whatever had come on it.

Change: an answer that breaks the protocol counts as a connection that works.

--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -271,14 +271,16 @@
 static void
 record_reach (const DyGatewayAttempt *attempt, const DyHttpResult *result)
 {
-  bool failed = result->error && !attempt->head_received && !attempt->foreign;
+  /* Bytes that are no valid answer show that the connection works, too. */
+  bool answered = attempt->head_received || result->error == DY_PROTOCOL;
+  bool failed = result->error && !answered && !attempt->foreign;
   bool late = result->error == DY_TIMEOUT;
   if (attempt->endpoint_left || result->reused)
     return;
   if (failed)
     dy_reachability_record_failure (attempt->gateway->reachability, attempt->endpoint_id,
                                     late ? DY_REACH_UNMADE : DY_REACH_REFUSED, attempt->placed_us);
-  else if (attempt->head_received)
+  else if (answered)
     dy_reachability_record_success (attempt->gateway->reachability);
 }
 
