The search for the end of an event goes on where it stopped

What callers saw: a stream of short lines without end, each a chunk of its own, stopped the router that got it for a minute. Requests of other callers had no answer at their route's time limit, and the readiness check none.

Cause: dy_event_stream_feed() looked for the end of an event from the start of all that it held for each piece that came: pieces times lines. libcurl reads a connection up to a hundred times 16 KiB in a turn of the loop, so all of it was one turn, in which no timer ran.

Change: the search keeps its place, so the work is proportional to the bytes; the client reads 4 KiB at a time, at most 400 KiB of a connection in a turn. Event 6001 tells how many bytes came.

--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -44,21 +44,26 @@
     }
 }
 
-/* Returns the length of the first complete event in DATA, 0 if there is none. */
+/* Goes on with the search for the end of an event in the partial bytes. Returns the offset behind
+ * that end, 0 if it has not come yet. */
 static size_t
-event_length (const char *data, size_t n)
+find_event_end (DyEventStream *stream)
 {
-  size_t begin = 0;
-  while (begin < n)
+  const GString *partial = stream->partial;
+  while (stream->searched < partial->len)
     {
-      const char *end = memchr (data + begin, '\n', n - begin);
+      const char *end
+          = memchr (partial->str + stream->searched, '\n', partial->len - stream->searched);
       if (!end)
-        return 0;
-      size_t next = (size_t) (end - data) + 1;
-      size_t n_line = next - 1 - begin;
-      if (n_line == 0 || (n_line == 1 && data[begin] == '\r'))
-        return next;
-      begin = next;
+        {
+          stream->searched = partial->len;
+          return 0;
+        }
+      size_t n_line = (size_t) (end - partial->str) - stream->line;
+      bool is_empty = n_line == 0 || (n_line == 1 && partial->str[stream->line] == '\r');
+      stream->line = stream->searched = (size_t) (end - partial->str) + 1;
+      if (is_empty)
+        return stream->line;
     }
   return 0;
 }
@@ -84,21 +89,27 @@
 dy_event_stream_feed (DyEventStream *stream, const char *data, size_t n, GString *out)
 {
   size_t taken = 0;
-  size_t length;
+  size_t end;
   g_string_append_len (stream->partial, data, (gssize) n);
-  while ((length = event_length (stream->partial->str + taken, stream->partial->len - taken)) > 0)
+  while ((end = find_event_end (stream)) > 0)
     {
-      record_event (stream, stream->partial->str + taken, length);
-      taken += length;
+      record_event (stream, stream->partial->str + taken, end - taken);
+      taken = end;
     }
+  if (taken == 0)
+    return;
   g_string_append_len (out, stream->partial->str, (gssize) taken);
   g_string_erase (stream->partial, 0, (gssize) taken);
+  stream->line -= taken;
+  stream->searched -= taken;
 }
 
 void
 dy_event_stream_drop_partial (DyEventStream *stream)
 {
   g_string_truncate (stream->partial, 0);
+  stream->line = 0;
+  stream->searched = 0;
 }
 
 size_t
--- a/src/core/event_stream.h
+++ b/src/core/event_stream.h
@@ -9,6 +9,8 @@
  *   An event is passed on, unchanged, once the empty line that ends it has arrived. When a stream
  *   breaks in the middle of an event, it can thus be resumed at another endpoint with the event
  *   after the last complete one, whose id is stored for this. Lines end with LF or CRLF.
+ *
+ *   The work is proportional to the bytes, in whatever pieces they come.
  */
 
 #include <glib.h>
@@ -23,6 +25,8 @@
 typedef struct
 {
   GString *partial;               /* received bytes of an incomplete event */
+  size_t line;                    /* offset in them of the line that is not complete */
+  size_t searched;                /* bytes of them that were searched for its end */
   char last_id[DY_EVENT_ID_SIZE]; /* latest id field of a complete event; empty: none */
   uint64_t n_events;              /* complete events that are not empty */
 } DyEventStream;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -14,6 +14,9 @@
 {
   /* Of the header and trailer fields of an answer and of its interim answers. */
   MAX_HEAD_BYTES = 64 * 1024,
+  /* libcurl reads a connection up to a hundred times in a turn of the loop while there is more, and
+   * passes on each chunk by itself, which may be a byte. */
+  READ_BYTES = 4096,
 };
 
 struct DyHttpTransfer
@@ -116,7 +119,8 @@
                           .sent_us = transfer->sent_us,
                           .reused = transfer->reused,
                           .idle_us = transfer->idle_us,
-                          .earlier_status = transfer->earlier_status };
+                          .earlier_status = transfer->earlier_status,
+                          .n_body_bytes = transfer->n_body_bytes };
   result.status = dy_http_transfer_status (transfer);
   const DyHttpTransferWatcher *watcher = transfer->watcher;
   void *ctx = transfer->ctx;
@@ -466,6 +470,7 @@
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, transfer->client);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, (long) READ_BYTES);
   transfer->on_new_connection = spec->new_connection;
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, spec->new_connection ? 1L : 0L);
   /* libcurl counts whole seconds and reuses a connection to the end of the last one. */
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -20,7 +20,8 @@
  *   the next answer. So a connection that carried one is closed and not reused, and
  *   no request is sent on a connection whose latest request had the same tag.
  *
- *   A limit is checked after the sockets were read: what arrived while the loop was busy counts.
+ *   A limit is checked after the sockets were read: what arrived while the loop was busy counts. In
+ *   one turn of the loop at most 400 KiB are read from a connection, however fast the server sends.
  *
  * ERRORS
  *   DY_UNAVAILABLE: connecting, sending or receiving failed, or the server closed the connection
@@ -82,6 +83,7 @@
   int64_t idle_us; /* of that connection, between its last transfer and the sending; else 0 */
   /* Status of the answer before on that connection; 0: none. */
   unsigned earlier_status;
+  uint64_t n_body_bytes; /* of the answer's body that were passed on */
 } DyHttpResult;
 
 typedef struct
--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -258,13 +258,14 @@
   dy_log (DY_EVENT_ENDPOINT_FAILED,
           "request=%s endpoint=%s error=%s status=%u sent=%d left=%d head=%d foreign=%d not_run=%d "
           "evacuated=%d end=%d reused=%d earlier_status=%u idle_ms=%" G_GINT64_FORMAT
-          " after_ms=%" G_GINT64_FORMAT,
+          " after_ms=%" G_GINT64_FORMAT " bytes=%" G_GUINT64_FORMAT,
           attempt->request_id, attempt->endpoint_id, dy_error_info (result->error)->kind,
           attempt->status, attempt->sent, attempt->endpoint_left, attempt->head_received,
           attempt->foreign, attempt->answer.not_run,
           dy_placement_endpoint_is_evacuated (attempt->endpoint), outcome, result->reused,
           result->earlier_status, result->idle_us / 1000,
-          result->sent_us ? (now_us (attempt) - result->sent_us) / 1000 : INT64_C (-1));
+          result->sent_us ? (now_us (attempt) - result->sent_us) / 1000 : INT64_C (-1),
+          result->n_body_bytes);
 }
 
 /* Records what the attempt tells of new connections to endpoints. */
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -202,7 +202,7 @@
 /* The input in pieces, and the output after each piece. */
 static const struct
 {
-  const char *pieces[4];
+  const char *pieces[5]; /* NULL at the end */
   const char *passed[4];
   const char *last_id;
   bool at_boundary; /* after the last piece */
@@ -215,6 +215,8 @@
     "9",
     true },
   { { "id: 5\ndata: torn" }, { "" }, "", false },
+  { { "\n\r\n", "data: a\r", "\n\r", "\n" }, { "\n\r\n", "", "", "data: a\r\n\r\n" }, "", true },
+  { { "data: a\r\r\n", "\n\n" }, { "", "data: a\r\r\n\n\n" }, "", true },
 };
 
 START_TEST (only_complete_events_pass)
@@ -236,6 +238,42 @@
 }
 END_TEST
 
+/* Returns what the stream of event case I passes on when it comes in pieces of N bytes. */
+static char *
+feed_in_pieces (int i, size_t n)
+{
+  DyEventStream stream;
+  char *text = g_strjoinv (NULL, (char **) event_cases[i].pieces);
+  GString *out = g_string_new (NULL);
+  dy_event_stream_init (&stream);
+  for (size_t at = 0; at < strlen (text); at += n)
+    dy_event_stream_feed (&stream, text + at, MIN (n, strlen (text) - at), out);
+  ck_assert_str_eq (stream.last_id, event_cases[i].last_id);
+  ck_assert_int_eq (dy_event_stream_at_boundary (&stream), event_cases[i].at_boundary);
+  dy_event_stream_finish (&stream);
+  g_free (text);
+  return g_string_free (out, FALSE);
+}
+
+/* Guards against a search for the end of an event that goes on at the wrong place. */
+START_TEST (events_are_the_same_in_pieces_of_any_size)
+{
+  enum
+  {
+    WHOLE = 1000,
+    MAX_PIECE = 20,
+  };
+  char *whole = feed_in_pieces (_i, WHOLE);
+  for (size_t n = 1; n <= MAX_PIECE; n++)
+    {
+      char *passed = feed_in_pieces (_i, n);
+      ck_assert_str_eq (passed, whole);
+      g_free (passed);
+    }
+  g_free (whole);
+}
+END_TEST
+
 static void
 put_endpoint (DyPlacement *placement, const char *id, bool leaving)
 {
@@ -872,6 +910,8 @@
   tcase_add_loop_test (tcase, endpoint_records_are_checked, 0, (int) G_N_ELEMENTS (record_cases));
   tcase_add_loop_test (tcase, answer_headers_are_decoded, 0, (int) G_N_ELEMENTS (answer_cases));
   tcase_add_loop_test (tcase, only_complete_events_pass, 0, (int) G_N_ELEMENTS (event_cases));
+  tcase_add_loop_test (tcase, events_are_the_same_in_pieces_of_any_size, 0,
+                       (int) G_N_ELEMENTS (event_cases));
   tcase_add_test (tcase, routers_agree_on_the_affinity_endpoint);
   tcase_add_test (tcase, a_hot_session_spreads_instead_of_queueing);
   tcase_add_loop_test (tcase, a_failing_endpoint_opens_its_breaker, 0,
