A request that crashes endpoints stays blocked while it comes, over restarts

What callers saw: a request that crashes the endpoints that run it was stopped after the third crash, and let through again 30 s later: three more crashes, and again after that. A restart of routers let it through at once.

Cause: the gateway's quarantine ended 30 s after the latest crash, with its count; it lived in the memory of each router, and a router that started was not told. A break that proved to be no crash cleared earlier crashes, too, and equal requests that one crash ended counted several times.

Blocks left no line in the log; events 6027, 6028, 7020 and 7021 are new.

Change: core/crash_counts counts, and blocks until a complete answer, a trial or an hour in which the request does not come. services/request_blocks tells other routers; services/block_records, taken from the blocked parts, keeps blocks and the number of trials in the store, and lets one router record a trial. Both kinds of blocks have one schedule of trials (core/trial.h). Trials of parts no longer begin anew with a restart.

Test: test_crashing_requests, 9 cases of 2, 3 and 9 routers, and a request that is sound again; test_crash_counts, a table. test_crash_cause's test of trials asks for the schedule itself, and for at most three trials in twelve hours, in place of the function that is gone.

--- a/src/core/crash_cause.c
+++ b/src/core/crash_cause.c
@@ -1,5 +1,7 @@
 #include "core/crash_cause.h"
 
+#include "core/trial.h"
+
 #include <string.h>
 
 enum
@@ -21,8 +23,6 @@
   .same_crash_us = 800 * 1000, /* shorter than the restart of an endpoint under the same id */
   .burst_us = 100 * 1000,
   .keep_us = INT64_C (600) * 1000 * 1000,
-  .first_trial_us = INT64_C (60) * 1000 * 1000,
-  .trial_factor = 10,
 };
 
 typedef struct
@@ -182,8 +182,7 @@
   part->source = source;
   part->n_crashes = n_crashes;
   part->blocked_us = now_us;
-  part->trial_wait_us = cause->policy.first_trial_us;
-  part->trial_us = now_us + part->trial_wait_us;
+  part->trial_us = now_us + dy_trial_wait_us (0);
   g_hash_table_insert (cause->blocked, &part->id, part);
   return part;
 }
@@ -211,13 +210,13 @@
 }
 
 bool
-dy_crash_cause_try (DyCrashCause *cause, uint64_t id, int64_t now_us)
+dy_crash_cause_record_trials (DyCrashCause *cause, uint64_t id, uint32_t n_trials, int64_t now_us)
 {
   DyBlockedPart *part = g_hash_table_lookup (cause->blocked, &id);
-  if (!part || now_us < part->trial_us)
+  if (!part || n_trials <= part->n_trials)
     return false;
-  part->trial_wait_us *= cause->policy.trial_factor;
-  part->trial_us = now_us + part->trial_wait_us;
+  part->n_trials = n_trials;
+  part->trial_us = now_us + dy_trial_wait_us (n_trials);
   return true;
 }
 
--- a/src/core/crash_cause.h
+++ b/src/core/crash_cause.h
@@ -46,8 +46,6 @@
   int64_t same_crash_us;        /* reports about one endpoint within it are of the same crash */
   int64_t burst_us;             /* crashes within it count as one */
   int64_t keep_us;              /* age at which a crash, or the output of a part, is forgotten */
-  int64_t first_trial_us;       /* time from the block until one request is let through */
-  int64_t trial_factor;         /* by which that time grows with each trial */
 } DyCrashCausePolicy;
 
 extern const DyCrashCausePolicy dy_crash_cause_policy;
@@ -65,8 +63,8 @@
   DyCauseSource source;
   uint32_t n_crashes;
   int64_t blocked_us;
-  int64_t trial_us; /* time from which a request may be let through */
-  int64_t trial_wait_us;
+  uint32_t n_trials;
+  int64_t trial_us; /* time from which a request may be let through, see core/trial.h */
 } DyBlockedPart;
 
 typedef struct
@@ -118,9 +116,10 @@
 const DyBlockedPart *
 dy_crash_cause_find (const DyCrashCause *cause, const uint64_t *ids, uint32_t n);
 
-/* Returns whether a request with the blocked part ID may be let through to see if it still crashes
- * endpoints, and postpones the next trial. To be called by one router of the fleet. */
-bool dy_crash_cause_try (DyCrashCause *cause, uint64_t id, int64_t now_us);
+/* Records that N_TRIALS requests with the part ID, if it is blocked, were let through or may be
+ * now. Returns whether that is more than was known; the next one is postponed then. */
+bool
+dy_crash_cause_record_trials (DyCrashCause *cause, uint64_t id, uint32_t n_trials, int64_t now_us);
 
 /* Decides on the parts of the crashes so far. */
 void dy_crash_cause_tick (DyCrashCause *cause, int64_t now_us);
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -12,8 +12,7 @@
  *   body.
  *
  *   The home of an account counts the failures of its requests. For requests routed by host and
- *   path, every router keeps the counts, and routers inform each other of crashes and complete
- *   answers.
+ *   path, see core/crash_counts.h.
  */
 
 #include <glib.h>
--- a/src/dogwoodyoked.c
+++ b/src/dogwoodyoked.c
@@ -54,6 +54,7 @@
   DyColdEndpoints cold;
   DyEndpointNotices notices;
   DyPartBlocks part_blocks;
+  DyRequestBlocks request_blocks;
   DyRestores restores;
   DyOrigins origins;
   DyReachability reachability;
@@ -289,6 +290,7 @@
   dy_cold_endpoints_add_service (kernel, &daemon->cold);
   dy_endpoint_notices_add_service (kernel, &daemon->notices);
   dy_part_blocks_add_service (kernel, &daemon->part_blocks);
+  dy_request_blocks_add_service (kernel, &daemon->request_blocks);
   dy_origins_add_service (kernel, &daemon->origins);
   dy_reachability_add_service (kernel, &daemon->reachability);
   daemon->shedding.loop_monitor = &daemon->loop_monitor;
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -62,6 +62,8 @@
      "attempts whose connection broke before the answer was complete")                             \
   X (BLOCKED_PARTS, gauge, "dogwoodyoke_blocked_parts",                                            \
      "prompt parts that are blocked as they crash endpoints")                                      \
+  X (BLOCKED_REQUESTS, gauge, "dogwoodyoke_blocked_requests",                                      \
+     "requests that are blocked as they crash endpoints")                                          \
   X (LIMITED_ENDPOINTS, gauge, "dogwoodyoke_limited_endpoints", "endpoints that name a limit")     \
   X (LIMIT_SKIPS, counter, "dogwoodyoke_limit_skips_total",                                        \
      "requests that passed over an endpoint for its limit")                                        \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -88,6 +88,8 @@
   X (EVACUATED, 6024, MESSAGE, "data centre evacuated")                                            \
   X (EVACUATION_ENDED, 6025, MESSAGE, "evacuation of a data centre ended")                         \
   X (EVACUATION_UNKNOWN, 6026, WARNING, "evacuation of an unknown data centre")                    \
+  X (CRASHING_REQUEST_BLOCKED, 6027, WARNING, "request blocked")                                   \
+  X (CRASHING_REQUEST_RELEASED, 6028, WARNING, "request released")                                 \
   X (ENDPOINT_COLD, 6030, MESSAGE, "endpoint cold")                                                \
   X (ENDPOINT_WARM, 6031, MESSAGE, "endpoint warm")                                                \
   X (COLD_TIME_INVALID, 6032, WARNING, "cold time invalid")                                        \
@@ -110,6 +112,8 @@
   X (REQUEST_HELD, 7017, INFO, "request not sent by old knowledge")                                \
   X (RESEND_DENIED, 7018, INFO, "resend not allowed by the resend budget")                         \
   X (ENDPOINTS_EVACUATED, 7019, INFO, "endpoints passed over for an evacuation")                   \
+  X (CRASHING_REQUEST_REFUSED, 7020, INFO, "request refused as it crashes endpoints")              \
+  X (CRASHING_REQUEST_TRIED, 7021, WARNING, "request that crashed endpoints let through")          \
   X (COLD_SHARE_APPLIED, 7030, INFO, "endpoint passed over as it is cold")                         \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
--- a/src/services/gateway/gateway.c
+++ b/src/services/gateway/gateway.c
@@ -15,8 +15,6 @@
   HEADER_POOL_BYTES = 48 * 1024,    /* heads of requests up to 32 KiB */
   READY_POOL_BYTES = 8 * 1024,
   STREAM_BUFFER_BYTES = 64 * 1024,
-  MAX_CRASHES = 3,                  /* fleet-wide endpoint failures that quarantine a request */
-  QUARANTINE_US = 30 * 1000 * 1000, /* longer than callers' time limits, within which they retry */
   /* Time from the start of a drain during which the requests that callers still send on open
    * connections are accepted. */
   DRAIN_ACCEPT_US = 2500 * 1000,
@@ -31,6 +29,7 @@
 dy_gateway_ready (const DyGateway *gateway)
 {
   return dy_directory_ready (gateway->directory) && dy_part_blocks_loaded (gateway->part_blocks)
+         && dy_request_blocks_loaded (gateway->request_blocks)
          && dy_peers_members_known (gateway->directory->peers) && !gateway->kernel->draining;
 }
 
@@ -206,47 +205,6 @@
                                dy_kernel_now_us (gateway->kernel));
   gateway->directory->peers->resend_share.window_us = window_us;
   set_share_counters (gateway);
-  dy_quarantine_tick (&gateway->quarantine, dy_kernel_now_us (gateway->kernel));
-}
-
-static void
-on_message (void *ctx, uint64_t link, const DyMessage *message)
-{
-  DyGateway *gateway = ctx;
-  (void) link;
-  if (message->type != DY_MESSAGE_CRASH)
-    return;
-  if (message->u.crash.cleared)
-    dy_quarantine_clear (&gateway->quarantine, message->u.crash.body_hash);
-  else
-    dy_quarantine_add (&gateway->quarantine, message->u.crash.body_hash, 1,
-                       dy_kernel_now_us (gateway->kernel));
-}
-
-static const DyPeersWatcher peers_watcher = { .message = on_message };
-
-static void
-broadcast_crash (DyGateway *gateway, uint64_t body_hash, bool cleared)
-{
-  DyMessage message = { .type = DY_MESSAGE_CRASH };
-  message.u.crash.body_hash = body_hash;
-  message.u.crash.cleared = cleared;
-  dy_peers_broadcast (gateway->directory->peers, &message);
-}
-
-void
-dy_gateway_report_crash (DyGateway *gateway, uint64_t body_hash)
-{
-  dy_quarantine_add (&gateway->quarantine, body_hash, 1, dy_kernel_now_us (gateway->kernel));
-  dy_counters_add (&gateway->kernel->counters, DY_COUNTER_ENDPOINT_CRASHES, 1);
-  broadcast_crash (gateway, body_hash, false);
-}
-
-void
-dy_gateway_report_success (DyGateway *gateway, uint64_t body_hash)
-{
-  if (dy_quarantine_clear (&gateway->quarantine, body_hash))
-    broadcast_crash (gateway, body_hash, true);
 }
 
 /* Accepts callers for at least drain_notice_ms, so that the load balancer can notice that this
@@ -297,6 +255,7 @@
   gateway->relays = dy_kernel_find (kernel, DY_SERVICE_RELAYS);
   gateway->registration = dy_kernel_find (kernel, DY_SERVICE_REGISTRATION);
   gateway->part_blocks = dy_kernel_find (kernel, DY_SERVICE_PART_BLOCKS);
+  gateway->request_blocks = dy_kernel_find (kernel, DY_SERVICE_REQUEST_BLOCKS);
   gateway->shedding = dy_kernel_find (kernel, DY_SERVICE_SHEDDING);
   gateway->requests = g_hash_table_new_full (NULL, NULL, dy_gateway_request_free, NULL);
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -305,7 +264,6 @@
   dy_return_schedule_init (&gateway->service_returns, g_rand_int (gateway->rng));
   dy_http_client_init (&gateway->client, kernel->loop);
   gateway->client.source = settings->connect_from;
-  dy_quarantine_init (&gateway->quarantine, MAX_CRASHES, QUARANTINE_US);
   dy_resend_budget_init (&gateway->resend_budget, (double) settings->resend_ratio_thousandths / 1e3,
                          (double) settings->resend_slack_thousandths / 1e3,
                          settings->resend_window_ms * 1000);
@@ -316,7 +274,6 @@
   gateway->stop_check.data = gateway;
   dy_gateway_crashes_init (gateway);
   dy_directory_watch (gateway->directory, apply_routes, gateway);
-  dy_peers_watch (gateway->directory->peers, &peers_watcher, gateway);
   gateway->directory->peers->is_within_share = is_within_share;
   gateway->directory->peers->is_within_share_ctx = gateway;
   gateway->shedding->measure = measure;
@@ -355,7 +312,6 @@
   g_hash_table_unref (gateway->max_idle_by_service);
   dy_gateway_crashes_finish (gateway);
   dy_http_client_finish (&gateway->client);
-  dy_quarantine_finish (&gateway->quarantine);
   dy_resend_budget_finish (&gateway->resend_budget);
   dy_return_schedule_finish (&gateway->account_returns);
   dy_return_schedule_finish (&gateway->service_returns);
--- a/src/services/gateway/gateway.h
+++ b/src/services/gateway/gateway.h
@@ -15,7 +15,6 @@
  */
 
 #include "core/crash_evidence.h"
-#include "core/quarantine.h"
 #include "core/resend.h"
 #include "core/return_schedule.h"
 #include "kernel/kernel.h"
@@ -32,6 +31,7 @@
 #include "services/origins.h"
 #include "services/part_blocks.h"
 #include "services/registration.h"
+#include "services/request_blocks.h"
 
 #define DY_SERVICE_GATEWAY "gateway"
 
@@ -42,6 +42,7 @@
   DyDirectory *directory;
   DyBudgets *budgets;
   DyPartBlocks *part_blocks;
+  DyRequestBlocks *request_blocks;
   DyEndpointLimits *limits;
   DyColdEndpoints *cold;
   DyEndpointNotices *notices;
@@ -56,7 +57,6 @@
   DyResendBudget resend_budget;
   DyReturnSchedule account_returns; /* of requests that found no budget free */
   DyReturnSchedule service_returns; /* of requests that found no endpoint free */
-  DyQuarantine quarantine;
   DyCrashEvidence crash_evidence;
   DyLinkProbe crash_probe;
   char *crash_probed_id; /* endpoint of the probe in progress; else NULL */
@@ -74,14 +74,6 @@
 /* Adds the service "gateway", whose interface is a DyGateway. */
 void dy_gateway_add_service (DyKernel *kernel, DyGateway *gateway);
 
-/* Records that an endpoint failed while it ran a request with BODY_HASH and broadcasts it to the
- * other routers. */
-void dy_gateway_report_crash (DyGateway *gateway, uint64_t body_hash);
-
-/* Clears the failures recorded for BODY_HASH, as such a request got a complete answer or the link
- * to the endpoint had failed, and broadcasts it to the other routers if there were any. */
-void dy_gateway_report_success (DyGateway *gateway, uint64_t body_hash);
-
 /* Returns whether requests may be sent by what this router knows now. If not, logs and counts that
  * the request ID was not sent at STEP. */
 bool dy_gateway_may_send (const DyGateway *gateway, const char *id, const char *step);
--- a/src/services/gateway/gateway_crashes.c
+++ b/src/services/gateway/gateway_crashes.c
@@ -56,7 +56,7 @@
                                  (const uint64_t *) (const void *) suspicion->parts->data,
                                  suspicion->parts->len);
   if (evidence == DY_EVIDENCE_NONE)
-    dy_gateway_report_success (gateway, suspicion->body_hash);
+    dy_request_blocks_withdraw (gateway->request_blocks, suspicion->body_hash, endpoint_id);
   free_suspicion (suspicion);
 }
 
@@ -172,7 +172,9 @@
                           dy_kernel_now_us (gateway->kernel));
   ev_timer_start (gateway->kernel->loop, &gateway->crash_timer);
   /* The same request may come again at once, so this counts until it is decided otherwise. */
-  dy_gateway_report_crash (gateway, plan->body_hash);
+  dy_counters_add (&gateway->kernel->counters, DY_COUNTER_ENDPOINT_CRASHES, 1);
+  dy_request_blocks_report_crash (gateway->request_blocks, plan->body_hash, broken->endpoint_id,
+                                  broken->sent_us);
 }
 
 /* Removes the parts of the plan CTX from those that may have caused a crash. */
@@ -201,7 +203,7 @@
 dy_gateway_record_success (DyGateway *gateway, const DyGatewayPlan *plan)
 {
   dy_crash_evidence_forget (&gateway->crash_evidence, plan->id);
-  dy_gateway_report_success (gateway, plan->body_hash);
+  dy_request_blocks_report_success (gateway->request_blocks, plan->body_hash);
 }
 
 void
@@ -215,8 +217,7 @@
 bool
 dy_gateway_is_blocked (DyGateway *gateway, const DyGatewayPlan *plan, bool may_try)
 {
-  int64_t now_us = dy_kernel_now_us (gateway->kernel);
-  return dy_quarantine_blocks (&gateway->quarantine, plan->body_hash, now_us)
+  return dy_request_blocks_refuse (gateway->request_blocks, plan->id, plan->body_hash, may_try)
          || dy_part_blocks_refuse (gateway->part_blocks, plan->id, plan->parts, plan->n_parts,
                                    may_try);
 }
--- a/src/services/gateway/gateway_plan.c
+++ b/src/services/gateway/gateway_plan.c
@@ -77,7 +77,8 @@
     return DY_DRAINING;
   if (dy_http_call_waited_us (call) > MAX_HANDLER_WAIT_US)
     return DY_OVERLOADED;
-  if (!dy_directory_ready (gateway->directory) || !dy_part_blocks_loaded (gateway->part_blocks))
+  if (!dy_directory_ready (gateway->directory) || !dy_part_blocks_loaded (gateway->part_blocks)
+      || !dy_request_blocks_loaded (gateway->request_blocks))
     return DY_STARTING;
   int error = dy_directory_check_age (gateway->directory);
   if (error)
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -278,6 +278,7 @@
               bool is_new_connection)
 {
   DyGatewayBreak broken = { .endpoint_id = attempt->endpoint_id,
+                            .sent_us = attempt->placed_us,
                             .had_output = attempt->prompt_read,
                             .is_new_connection = is_new_connection };
   if (attempt->endpoint)
--- a/src/services/gateway/relay_server.c
+++ b/src/services/gateway/relay_server.c
@@ -163,6 +163,7 @@
       plan.parts[plan.n_parts++] = parse_hex (item);
   }
   DyGatewayBreak broken = { .endpoint_id = served->attempt.endpoint_id,
+                            .sent_us = served->attempt.placed_us,
                             .had_output = served->attempt.prompt_read,
                             .is_new_connection = result->is_new_connection };
   dy_gateway_record_crash (served->relays->gateway, &plan, &broken);
--- a/src/services/part_blocks.c
+++ b/src/services/part_blocks.c
@@ -11,25 +11,6 @@
 #define ID_FORMAT "%" G_GINT64_MODIFIER "x"
 
 static const double TICK_S = 0.1;
-static const double LOAD_RETRY_S = 0.2;
-
-enum
-{
-  MAX_CRASHES_STATED = 1000000, /* a larger count in a text is not believed */
-  STORE_RETRY_US = 500 * 1000,
-};
-
-/* The object of a part in the store. */
-typedef struct
-{
-  DyPartBlocks *blocks;
-  uint64_t id;
-  uint32_t n_crashes;
-  bool wanted; /* the part is blocked */
-  bool synced; /* this router read or wrote the object after WANTED last changed */
-  bool busy;   /* a call is in progress */
-  int64_t next_try_us;
-} Record;
 
 static const char *const source_names[]
     = { [DY_CAUSE_OWN] = "own", [DY_CAUSE_PEER] = "peer", [DY_CAUSE_STORE] = "store" };
@@ -40,12 +21,6 @@
   return dy_kernel_now_us (blocks->kernel);
 }
 
-static char *
-part_key (uint64_t id)
-{
-  return g_strdup_printf (PARTS_PREFIX ID_FORMAT, id);
-}
-
 static bool
 parse_id (const char *text, uint64_t *id)
 {
@@ -63,40 +38,12 @@
                    g_hash_table_size (blocks->cause.blocked));
 }
 
-/* Records whether the store is to have the object of the part ID, and whether it is known to be so
- * (SYNCED). */
-static void
-set_wanted (DyPartBlocks *blocks, uint64_t id, bool wanted, uint32_t n_crashes, bool synced)
-{
-  Record *record = g_hash_table_lookup (blocks->records, &id);
-  if (!record)
-    {
-      record = g_new0 (Record, 1);
-      record->blocks = blocks;
-      record->id = id;
-      g_hash_table_insert (blocks->records, &record->id, record);
-    }
-  record->wanted = wanted;
-  record->n_crashes = n_crashes;
-  record->synced = synced;
-}
-
-/* Returns the value of the object of a blocked part, to be freed with free(). */
-static char *
-encode_block (uint32_t n_crashes)
-{
-  json_t *root = json_pack ("{s:i}", "crashes", (int) n_crashes);
-  char *text = json_dumps (root, JSON_COMPACT);
-  json_decref (root);
-  return text;
-}
-
 /* Reports a blocked part to the router NAME, or to all if it is NULL. */
 static void
 send_block (DyPartBlocks *blocks, const char *name, const DyBlockedPart *part)
 {
-  char *key = part_key (part->id);
-  char *text = encode_block (part->n_crashes);
+  char *key = dy_block_records_key (&blocks->records, part->id);
+  char *text = dy_block_records_encode (part->n_crashes, part->n_trials);
   dy_peers_send_object (blocks->peers, name, key, text);
   free (text);
   g_free (key);
@@ -106,7 +53,7 @@
 static void
 broadcast_removal (DyPartBlocks *blocks, uint64_t id)
 {
-  char *key = part_key (id);
+  char *key = dy_block_records_key (&blocks->records, id);
   dy_peers_send_object (blocks->peers, NULL, key, NULL);
   g_free (key);
 }
@@ -115,29 +62,38 @@
 static void
 take_block (DyPartBlocks *blocks, uint64_t id, uint32_t n_crashes, DyCauseSource source)
 {
-  set_wanted (blocks, id, true, n_crashes, source == DY_CAUSE_STORE);
+  dy_block_records_put (&blocks->records, id, n_crashes, 0, source == DY_CAUSE_STORE, 0);
   count_blocked (blocks);
   dy_log (DY_EVENT_PART_BLOCKED, "part=" ID_FORMAT " crashes=%u source=%s", id, n_crashes,
           source_names[source]);
 }
 
-/* Blocks the part ID as another router or the store says. Does nothing if it is blocked already. */
+/* Takes that N_TRIALS requests with the blocked part ID were let through, or may be. */
 static void
-adopt_block (DyPartBlocks *blocks, uint64_t id, const char *text, DyCauseSource source)
+take_trials (DyPartBlocks *blocks, uint64_t id, uint32_t n_trials, bool in_store)
+{
+  if (!dy_crash_cause_record_trials (&blocks->cause, id, n_trials, now_us (blocks)))
+    return;
+  const DyBlockedPart *part = dy_crash_cause_find (&blocks->cause, &id, 1);
+  dy_block_records_put (&blocks->records, id, part->n_crashes, n_trials, in_store, 0);
+}
+
+/* Blocks the part ID as another router or the store says, unless it is blocked already. */
+static void
+adopt_block (
+    DyPartBlocks *blocks, uint64_t id, uint32_t n_crashes, uint32_t n_trials, DyCauseSource source)
 {
-  json_t *root = json_loads (text, 0, NULL);
-  json_int_t n = json_integer_value (json_object_get (root, "crashes"));
-  uint32_t n_crashes = (uint32_t) CLAMP (n, 0, MAX_CRASHES_STATED);
-  json_decref (root);
   if (dy_crash_cause_block (&blocks->cause, id, n_crashes, source, now_us (blocks)))
     take_block (blocks, id, n_crashes, source);
+  take_trials (blocks, id, n_trials, source == DY_CAUSE_STORE);
 }
 
 /* Handles that the part ID is no longer blocked. */
 static void
 take_release (DyPartBlocks *blocks, uint64_t id, const char *reason)
 {
-  set_wanted (blocks, id, false, 0, false);
+  dy_block_records_remove (&blocks->records, id);
+  g_hash_table_remove (blocks->trials, &id);
   count_blocked (blocks);
   dy_log (DY_EVENT_PART_RELEASED, "part=" ID_FORMAT " reason=%s", id, reason);
 }
@@ -159,103 +115,35 @@
 
 static const DyCrashCauseWatcher cause_watcher = { .blocked = on_blocked, .released = on_released };
 
-/* Returns whether this router is the home of the part ID. */
-static bool
-is_home (const DyPartBlocks *blocks, uint64_t id)
-{
-  char *key = part_key (id);
-  bool home = !dy_members_home (&blocks->peers->members, key, NULL, now_us (blocks));
-  g_free (key);
-  return home;
-}
-
 static void
-on_written (void *ctx, const DyPlatformReply *reply)
+on_record_read (void *ctx, uint64_t id, uint32_t n_crashes, uint32_t n_trials)
 {
-  Record *record = ctx;
-  record->busy = false;
-  if (reply->error)
-    record->next_try_us = now_us (record->blocks) + STORE_RETRY_US;
-}
-
-/* Writes or removes the object if it differs from what is wanted; the next call to read it then
- * finds that it does not. */
-static void
-on_read (void *ctx, const DyPlatformReply *reply)
-{
-  Record *record = ctx;
-  DyPartBlocks *blocks = record->blocks;
-  bool exists = reply->error == DY_OK;
-  record->busy = false;
-  if (!exists && reply->error != DY_NOT_FOUND)
-    {
-      record->next_try_us = now_us (blocks) + STORE_RETRY_US;
-      return;
-    }
-  if (exists == record->wanted)
-    {
-      record->synced = true;
-      return;
-    }
-  char *key = part_key (record->id);
-  char *text = record->wanted ? encode_block (record->n_crashes) : NULL;
-  record->busy = true;
-  dy_platform_put (blocks->platform, key, text, exists ? reply->version : 0, on_written, record);
-  free (text);
-  g_free (key);
+  adopt_block (ctx, id, n_crashes, n_trials, DY_CAUSE_STORE);
 }
 
+/* The trial N_TRIALS is this router's: the next request with the part ID is let through. */
 static void
-sync_record (DyPartBlocks *blocks, Record *record)
+on_trial (void *ctx, uint64_t id, uint32_t n_trials)
 {
-  if (record->synced || record->busy || now_us (blocks) < record->next_try_us
-      || !is_home (blocks, record->id))
+  DyPartBlocks *blocks = ctx;
+  const DyBlockedPart *part = dy_crash_cause_find (&blocks->cause, &id, 1);
+  take_trials (blocks, id, n_trials, true);
+  if (!part)
     return;
-  char *key = part_key (record->id);
-  record->busy = true;
-  dy_platform_get (blocks->platform, key, on_read, record);
-  g_free (key);
+  g_hash_table_add (blocks->trials, g_memdup2 (&id, sizeof id));
+  send_block (blocks, NULL, part);
 }
 
-static void
-on_listed (void *ctx, const DyPlatformReply *reply)
-{
-  DyPartBlocks *blocks = ctx;
-  uint64_t id;
-  if (reply->error)
-    {
-      ev_timer_set (&blocks->timer, LOAD_RETRY_S, 0.0);
-      ev_timer_start (blocks->kernel->loop, &blocks->timer);
-      return;
-    }
-  for (uint32_t i = 0; i < reply->n_objects; i++)
-    {
-      const DyObject *object = &reply->objects[i];
-      if (object->value && parse_id (object->key + strlen (PARTS_PREFIX), &id))
-        adopt_block (blocks, id, object->value, DY_CAUSE_STORE);
-    }
-  blocks->loaded = true;
-  ev_timer_set (&blocks->timer, TICK_S, TICK_S);
-  ev_timer_start (blocks->kernel->loop, &blocks->timer);
-}
+static const DyBlockRecordsWatcher records_watcher = { .read = on_record_read, .trial = on_trial };
 
 static void
 on_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
   DyPartBlocks *blocks = w->data;
-  GHashTableIter iter;
-  gpointer value;
   (void) loop;
   (void) events;
-  if (!blocks->loaded)
-    {
-      dy_platform_list (blocks->platform, PARTS_PREFIX, 0, on_listed, blocks);
-      return;
-    }
-  dy_crash_cause_tick (&blocks->cause, now_us (blocks));
-  g_hash_table_iter_init (&iter, blocks->records);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    sync_record (blocks, value);
+  if (blocks->records.loaded)
+    dy_crash_cause_tick (&blocks->cause, now_us (blocks));
 }
 
 static void
@@ -274,15 +162,15 @@
 }
 
 static void
-take_part (DyPartBlocks *blocks, const char *name, const char *text)
+take_part (DyPartBlocks *blocks, uint64_t id, const char *text)
 {
-  uint64_t id;
   bool was_blocked;
-  if (!parse_id (name, &id))
-    return;
   if (text)
     {
-      adopt_block (blocks, id, text, DY_CAUSE_PEER);
+      uint32_t n_crashes;
+      uint32_t n_trials;
+      dy_block_records_decode (text, &n_crashes, &n_trials);
+      adopt_block (blocks, id, n_crashes, n_trials, DY_CAUSE_PEER);
       return;
     }
   dy_crash_cause_clear (&blocks->cause, id, now_us (blocks), &was_blocked);
@@ -295,6 +183,7 @@
 {
   DyPartBlocks *blocks = ctx;
   const char *key = message->u.config.key;
+  uint64_t id;
   (void) link;
   if (message->type != DY_MESSAGE_CONFIG)
     return;
@@ -302,8 +191,8 @@
                                       : NULL;
   if (g_str_has_prefix (key, CRASHES_PREFIX) && text)
     take_crash (blocks, key + strlen (CRASHES_PREFIX), text);
-  else if (g_str_has_prefix (key, PARTS_PREFIX))
-    take_part (blocks, key + strlen (PARTS_PREFIX), text);
+  else if (dy_block_records_parse_key (&blocks->records, key, &id))
+    take_part (blocks, id, text);
   g_free (text);
 }
 
@@ -318,21 +207,6 @@
     send_block (blocks, name, value);
 }
 
-/* Reads the objects again that the store may have lost or may have again, and corrects them. */
-static void
-on_era (void *ctx, uint64_t era, bool restored)
-{
-  DyPartBlocks *blocks = ctx;
-  GHashTableIter iter;
-  gpointer value;
-  (void) era;
-  if (!restored)
-    return;
-  g_hash_table_iter_init (&iter, blocks->records);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((Record *) value)->synced = false;
-}
-
 static const DyPeersWatcher peers_watcher = { .message = on_message, .up = on_peer_up };
 
 static int
@@ -340,13 +214,12 @@
 {
   DyPartBlocks *blocks = self;
   blocks->kernel = kernel;
-  blocks->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
   blocks->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
-  blocks->records = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   dy_crash_cause_init (&blocks->cause, &dy_crash_cause_policy, &cause_watcher, blocks);
   dy_peers_watch (blocks->peers, &peers_watcher, blocks);
-  dy_platform_watch_era (blocks->platform, on_era, blocks);
-  ev_timer_init (&blocks->timer, on_timer, 0.0, 0.0);
+  dy_block_records_start (&blocks->records, kernel, PARTS_PREFIX, &records_watcher, blocks);
+  ev_timer_init (&blocks->timer, on_timer, TICK_S, TICK_S);
   blocks->timer.data = blocks;
   ev_timer_start (kernel->loop, &blocks->timer);
   return DY_OK;
@@ -357,8 +230,9 @@
 {
   DyPartBlocks *blocks = self;
   ev_timer_stop (blocks->kernel->loop, &blocks->timer);
+  dy_block_records_stop (&blocks->records);
   dy_crash_cause_finish (&blocks->cause);
-  g_hash_table_unref (blocks->records);
+  g_hash_table_unref (blocks->trials);
 }
 
 static json_t *
@@ -374,12 +248,13 @@
       const DyBlockedPart *part = value;
       char *id = g_strdup_printf (ID_FORMAT, part->id);
       json_array_append_new (
-          parts, json_pack ("{s:s, s:i, s:s, s:I}", "part", id, "crashes", (int) part->n_crashes,
-                            "source", source_names[part->source], "age_ms",
-                            (json_int_t) ((now_us (blocks) - part->blocked_us) / 1000)));
+          parts,
+          json_pack ("{s:s, s:i, s:i, s:s, s:I}", "part", id, "crashes", (int) part->n_crashes,
+                     "trials", (int) part->n_trials, "source", source_names[part->source], "age_ms",
+                     (json_int_t) ((now_us (blocks) - part->blocked_us) / 1000)));
       g_free (id);
     }
-  return json_pack ("{s:b, s:o}", "loaded", blocks->loaded, "blocked", parts);
+  return json_pack ("{s:b, s:o}", "loaded", blocks->records.loaded, "blocked", parts);
 }
 
 void
@@ -396,7 +271,7 @@
 bool
 dy_part_blocks_loaded (const DyPartBlocks *blocks)
 {
-  return blocks->loaded;
+  return blocks->records.loaded;
 }
 
 void
@@ -452,11 +327,12 @@
   const DyBlockedPart *part = dy_crash_cause_find (&blocks->cause, ids, n);
   if (!part)
     return false;
-  bool tried = may_try && now_us (blocks) >= part->trial_us && is_home (blocks, part->id)
-               && dy_crash_cause_try (&blocks->cause, part->id, now_us (blocks));
+  bool tried = may_try && g_hash_table_remove (blocks->trials, &part->id);
+  if (!tried && may_try && now_us (blocks) >= part->trial_us)
+    dy_block_records_ask_trial (&blocks->records, part->id);
   dy_log (tried ? DY_EVENT_REQUEST_TRIED : DY_EVENT_REQUEST_BLOCKED,
-          "request=%s part=" ID_FORMAT " crashes=%u source=%s age_ms=%" G_GINT64_FORMAT, request_id,
-          part->id, part->n_crashes, source_names[part->source],
+          "request=%s part=" ID_FORMAT " crashes=%u trials=%u source=%s age_ms=%" G_GINT64_FORMAT,
+          request_id, part->id, part->n_crashes, part->n_trials, source_names[part->source],
           (now_us (blocks) - part->blocked_us) / 1000);
   return !tried;
 }
--- a/src/services/part_blocks.h
+++ b/src/services/part_blocks.h
@@ -11,37 +11,30 @@
  *
  *     crashes/ENDPOINT  {"parts": [{"id": hex, "depth": n}]}
  *       These parts may have caused a crash of the endpoint.
- *     crashingparts/ID  {"crashes": n}
+ *     crashingparts/ID  {"crashes": n, "trials": n}
  *       The part is blocked. Removed: a request with it had output, or another part explains the
  *       crashes.
  *
  *   A router whose connection to another one comes up sends that one the blocked parts.
  *
  *   The blocks outlive a restart of all routers as objects of the same key and value in the
- *   platform's store. They are read at the start, and written by one router for each part: its
- *   home, chosen as for client accounts. The home also lets a request through now and then, as a
- *   trial.
- *
- * ERRORS
- *   Calls to the store that fail are repeated.
+ *   platform's store (services/block_records.h). The home of a part also lets a request through now
+ *   and then, as a trial.
  */
 
 #include "core/crash_cause.h"
-#include "kernel/kernel.h"
-#include "services/peers/peers.h"
-#include "services/platform.h"
+#include "services/block_records.h"
 
 #define DY_SERVICE_PART_BLOCKS "part_blocks"
 
 typedef struct
 {
   DyKernel *kernel;
-  DyPlatform *platform;
   DyPeers *peers;
   DyCrashCause cause;
-  GHashTable *records; /* part id to the state of the part's object in the store */
-  bool loaded;         /* the store's objects were read */
-  ev_timer timer;      /* decisions and writes; before that, the next try to read the objects */
+  DyBlockRecords records;
+  GHashTable *trials; /* set of the parts of which a request may be let through now */
+  ev_timer timer;     /* decisions */
 } DyPartBlocks;
 
 /* Adds the service "part_blocks", whose interface is a DyPartBlocks. */
--- a/src/services/platform.h
+++ b/src/services/platform.h
@@ -48,7 +48,7 @@
 
 enum
 {
-  DY_MAX_ERA_WATCHERS = 12,
+  DY_MAX_ERA_WATCHERS = 16,
 };
 
 typedef struct
--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -7,6 +7,7 @@
  *   full      503: refused, not run; a request without X-Request-Id gets the same answer. Like
  *             all refusals it has the id of the request
  *   reset     the connection is closed without an answer after the request was read
+ *   fragile   as reset until POST /admin/mend, then as ok
  *   torn      200, signed; the connection is closed in the middle of the body
  *   foreign   200, signed, with the id of another request
  *   unsigned  200 without X-Server-Seal
@@ -115,6 +116,7 @@
 static GHashTable *pending; /* set of PendingCall */
 static char *limit;         /* value of Server-Limit; NULL: none */
 static json_t *said;        /* header fields of all answers; NULL: none */
+static bool mended;         /* "fragile" is answered as "ok" */
 static char *label;         /* end of each event's data; NULL: none */
 static int64_t refused_percent;
 /* A brittle endpoint: when it began, the refusals in a second that it stands, the times of its
@@ -233,6 +235,15 @@
   dy_http_call_abort (call);
 }
 
+static void
+answer_fragile (DyHttpCall *call, const char *id)
+{
+  if (mended)
+    answer_ok (call, id);
+  else
+    answer_reset (call, id);
+}
+
 static void
 answer_torn (DyHttpCall *call, const char *id)
 {
@@ -438,10 +449,11 @@
   const char *name;
   Answer answer;
 } behaviours[] = {
-  { "ok", answer_ok },         { "error", answer_error },     { "reset", answer_reset },
-  { "torn", answer_torn },     { "foreign", answer_foreign }, { "unsigned", answer_unsigned },
-  { "silent", answer_silent }, { "stream", answer_stream },   { "tear-once", answer_tear_once },
-  { "later", answer_later },   { "paced", answer_paced },     { "long", answer_long },
+  { "ok", answer_ok },           { "error", answer_error },     { "reset", answer_reset },
+  { "torn", answer_torn },       { "foreign", answer_foreign }, { "unsigned", answer_unsigned },
+  { "silent", answer_silent },   { "stream", answer_stream },   { "tear-once", answer_tear_once },
+  { "later", answer_later },     { "paced", answer_paced },     { "long", answer_long },
+  { "fragile", answer_fragile },
 };
 
 static bool
@@ -689,6 +701,11 @@
                            (json_int_t) cold_worst, "limited_ms", worker->limited_ms));
   else if (strcmp (path, "/admin/label") == 0)
     set_label (call);
+  else if (strcmp (path, "/admin/mend") == 0)
+    {
+      mended = true;
+      reply_json (call, json_object ());
+    }
   else if (strcmp (path, "/admin/set") == 0)
     set_instance (worker, call);
   else if (strcmp (path, "/admin/limit") == 0)
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -107,6 +107,22 @@
   g_free (list);
 }
 
+/* Without records in a store. */
+static void
+start_request_blocks (Fixture *fixture)
+{
+  DyRequestBlocks *blocks = &fixture->request_blocks;
+  blocks->kernel = &fixture->kernel;
+  blocks->peers = &fixture->peers;
+  blocks->records.kernel = &fixture->kernel;
+  blocks->records.peers = &fixture->peers;
+  blocks->records.prefix = "crashingrequests/";
+  blocks->records.loaded = true;
+  blocks->records.records = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  dy_crash_counts_init (&blocks->counts, &dy_crash_counts_policy);
+}
+
 static void
 start_gateway (Fixture *fixture)
 {
@@ -121,7 +137,9 @@
   gateway->budgets = &fixture->budgets;
   gateway->part_blocks = &fixture->part_blocks;
   gateway->shedding = &fixture->shedding;
-  fixture->part_blocks.loaded = true;
+  fixture->part_blocks.records.loaded = true;
+  gateway->request_blocks = &fixture->request_blocks;
+  start_request_blocks (fixture);
   gateway->limits = &fixture->limits;
   gateway->cold = &fixture->cold;
   gateway->notices = &fixture->notices;
@@ -131,7 +149,6 @@
   gateway->max_idle_by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gateway->rng = g_rand_new_with_seed (1);
   dy_http_client_init (&gateway->client, fixture->kernel.loop);
-  dy_quarantine_init (&gateway->quarantine, 3, 1000 * 1000);
   dy_gateway_crashes_init (gateway);
   fixture->reachability.kernel = &fixture->kernel;
   fixture->reachability.directory = &fixture->directory;
@@ -185,7 +202,9 @@
   g_hash_table_unref (fixture->origins.own_ids);
   dy_stream_origins_finish (&fixture->origins.table);
   dy_http_client_finish (&gateway->client);
-  dy_quarantine_finish (&gateway->quarantine);
+  dy_crash_counts_finish (&fixture->request_blocks.counts);
+  g_hash_table_unref (fixture->request_blocks.trials);
+  g_hash_table_unref (fixture->request_blocks.records.records);
   dy_crash_cause_finish (&fixture->part_blocks.cause);
   dy_limit_shares_finish (&fixture->limits.shares);
   dy_resend_budget_finish (&gateway->resend_budget);
--- a/test/support/gateway_fixture.h
+++ b/test/support/gateway_fixture.h
@@ -42,7 +42,8 @@
   DyPeers peers;               /* has no other router */
   DyRegistration registration; /* of a router that has not run before */
   DyDirectory directory;
-  DyPartBlocks part_blocks;  /* knows of no crash */
+  DyPartBlocks part_blocks; /* knows of no crash */
+  DyRequestBlocks request_blocks;
   DyEndpointLimits limits;   /* knows of no limit */
   DyColdEndpoints cold;      /* is not in force */
   DyEndpointNotices notices; /* is given none */
--- a/test/test_crash_cause.c
+++ b/test/test_crash_cause.c
@@ -2,6 +2,7 @@
  * and fleets whose routers exchange what they see. */
 
 #include "core/crash_cause.h"
+#include "core/trial.h"
 #include "support/suite.h"
 
 #include <string.h>
@@ -150,17 +151,33 @@
 
 START_TEST (trials_of_a_blocked_part_grow_apart)
 {
-  const int64_t first_us = dy_crash_cause_policy.first_trial_us;
-  const int64_t factor = dy_crash_cause_policy.trial_factor;
+  enum
+  {
+    MAX_TRIALS = 3,
+    LONG_S = 12 * 3600,
+  };
+  uint32_t n_trials = 0;
   DyCrashCause cause;
   dy_crash_cause_init (&cause, &dy_crash_cause_policy, &ignoring_watcher, NULL);
   ck_assert (dy_crash_cause_block (&cause, 7, 3, DY_CAUSE_STORE, 0));
   ck_assert (!dy_crash_cause_block (&cause, 7, 3, DY_CAUSE_PEER, 0));
-  ck_assert (!dy_crash_cause_try (&cause, 7, first_us - 1));
-  ck_assert (dy_crash_cause_try (&cause, 7, first_us));
-  ck_assert (!dy_crash_cause_try (&cause, 7, first_us));
-  ck_assert (!dy_crash_cause_try (&cause, 7, first_us * factor));
-  ck_assert (dy_crash_cause_try (&cause, 7, first_us + first_us * factor));
+  const DyBlockedPart *part = dy_crash_cause_find (&cause, &(uint64_t){ 7 }, 1);
+  ck_assert_int_eq (part->trial_us, dy_trial_wait_us (0));
+  for (int64_t now_us = 0; now_us < INT64_C (1000000) * LONG_S; now_us += 1000000)
+    if (now_us >= part->trial_us)
+      {
+        ck_assert (dy_crash_cause_record_trials (&cause, 7, ++n_trials, now_us));
+        ck_assert (!dy_crash_cause_record_trials (&cause, 7, n_trials, now_us));
+        ck_assert_int_eq (part->trial_us, now_us + dy_trial_wait_us (n_trials));
+      }
+  ck_assert_uint_ge (n_trials, 1);
+  ck_assert_uint_le (n_trials, MAX_TRIALS);
+  /* A router that starts has the number of trials from the store. */
+  ck_assert (dy_crash_cause_block (&cause, 8, 3, DY_CAUSE_STORE, 0));
+  ck_assert (dy_crash_cause_record_trials (&cause, 8, 2, 0));
+  part = dy_crash_cause_find (&cause, &(uint64_t){ 8 }, 1);
+  ck_assert_int_eq (part->trial_us, dy_trial_wait_us (2));
+  ck_assert (!dy_crash_cause_record_trials (&cause, 9, 1, 0));
   dy_crash_cause_finish (&cause);
 }
 END_TEST
