Lookups of origins: the end of one is told by its return value

The analyzer could not follow that a lookup which was ended is no longer in the set, and took the check for a use after free. No change of behaviour.

--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -268,22 +268,26 @@
   return dy_version_knowledge_judge (&origins->knowledge, &evidence, dy_kernel_boot_us ());
 }
 
-/* Ends LOOKUP if it is decided by what is known here. */
-static void
+/* Ends LOOKUP if it is decided by what is known here. Returns whether it did. */
+static bool
 decide (DyOrigins *origins, DyOriginLookup *lookup)
 {
+  const char *service = lookup->service;
+  const char *id = lookup->request_id;
   DyVersionVerdict verdict = judge (origins, lookup);
-  const char *version
-      = dy_stream_origins_find (&origins->table, lookup->service, lookup->request_id, false);
-  if (version)
-    end_lookup (origins, lookup, version, "recorded");
-  else if (verdict == DY_VERSIONS_COMPLETE
-           && (version = dy_stream_origins_find (&origins->table, lookup->service,
-                                                 lookup->request_id, true)))
-    end_lookup (origins, lookup, version, "listed");
-  else if (verdict == DY_VERSIONS_UNKNOWN
-           && dy_directory_endpoints_knowledge (origins->directory) == DY_KNOWLEDGE_BRIDGED)
-    end_lookup (origins, lookup, NULL, "cut_off");
+  const char *source = "recorded";
+  const char *version = dy_stream_origins_find (&origins->table, service, id, false);
+  if (!version && verdict == DY_VERSIONS_COMPLETE)
+    {
+      source = "listed";
+      version = dy_stream_origins_find (&origins->table, service, id, true);
+    }
+  bool refuses = !version && verdict == DY_VERSIONS_UNKNOWN
+                 && dy_directory_endpoints_knowledge (origins->directory) == DY_KNOWLEDGE_BRIDGED;
+  if (!version && !refuses)
+    return false;
+  end_lookup (origins, lookup, version, refuses ? "cut_off" : source);
+  return true;
 }
 
 /* Ends the lookups that are decided. Returns whether one is left that waits for a confirmation. */
@@ -298,8 +302,8 @@
       DyOriginLookup *lookup = l->data;
       if (!g_hash_table_contains (origins->lookups, lookup) || lookup->waiting)
         continue;
-      decide (origins, lookup);
-      awaits = awaits || g_hash_table_contains (origins->lookups, lookup);
+      if (!decide (origins, lookup))
+        awaits = true;
     }
   g_list_free (lookups);
   return awaits;
@@ -330,10 +334,8 @@
       lookup->waiting = false;
       lookup->n_reads++;
       lookup->next_read_us = now_us (origins) + SECOND_READ_US;
-      if (origins->versions_loaded)
-        decide (origins, lookup);
-      if (g_hash_table_contains (origins->lookups, lookup)
-          && (failed || !lookup->request_id || lookup->n_reads >= MAX_READS))
+      bool ended = origins->versions_loaded && decide (origins, lookup);
+      if (!ended && (failed || !lookup->request_id || lookup->n_reads >= MAX_READS))
         end_lookup (origins, lookup, NULL, failed ? "store_failed" : "unrecorded");
     }
   g_list_free (lookups);
