A dead holder's row is closed only if a witness of all its charges reports

What callers saw: a client account got 2.59 million tokens of 2.0 million prepaid, after two of three routers were killed at once and, 3 s later, the account's home.

Cause: a row was closed if every member had seen the holder and none had seen another death. Routers that started while the holder lived know neither who died before nor the sum that the holder had replicated to those.

Event 5008 tells for each row why it was closed or not; nothing did before.

Change: one of the members must have been alive since before anything was reserved at the holder, which says so to each router that it connects to, or have known the holder for ten minutes. Otherwise the rest is withheld. Earlier builds ignore the new message and read the report's flags as before.

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -177,6 +177,9 @@
       /* DY_MESSAGE_REPORT only: the sender was alive while the holder lived, and saw no other
        * router die recently. */
       bool was_present;
+      /* DY_MESSAGE_REPORT only, with was_present: the sender has been alive since before anything
+       * was reserved at the holder, and knows of all routers that died since. */
+      bool is_witness;
       DyKeyHash key; /* DY_MESSAGE_REPLICATE only: of the request, as are the next two fields */
       uint64_t body_hash;
       int64_t key_tokens; /* total charged for the key */
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -93,12 +93,14 @@
                     uint64_t origin_id,
                     int64_t charged_tokens,
                     int64_t replicated_tokens,
-                    bool was_present)
+                    bool was_present,
+                    bool is_witness)
 {
   if (dy_recovery_has_reported (recovery, origin_id))
     return;
   g_hash_table_add (recovery->reported_ids, g_memdup2 (&origin_id, sizeof origin_id));
   recovery->uncertain = recovery->uncertain || !was_present;
+  recovery->witnessed = recovery->witnessed || is_witness;
   add_total (recovery, origin_id, charged_tokens);
   add_total (recovery, recovery->holder_id, replicated_tokens);
 }
--- a/src/core/recovery.h
+++ b/src/core/recovery.h
@@ -9,11 +9,16 @@
  *   A holder that dies leaves a row in the account's ledger entry that may lack tokens it charged
  *   but did not write. The home of the account asks every member what the holder charged for its
  *   requests. When all have reported, the row is raised to these totals. If every member was
- *   alive while the holder lived, no other router can have used the row: it is closed and its
- *   unspent tokens become free. Otherwise, or when another router died within the last ten minutes,
+ *   alive while the holder lived, and none saw another router die within the last ten minutes, no
+ *   other router can have used the row: it is closed and its unspent tokens become free. Otherwise
  *   a router that used the row may have died without reporting, so the unspent tokens stay withheld
  *   until an operator releases them.
  *
+ *   Routers that started while the holder lived do not know who died before, nor what the holder
+ *   replicated to those. So one of the members must be a witness: alive since before anything was
+ *   reserved at the holder, or for ten minutes beside it. A holder at which nothing was reserved
+ *   yet says so to each router that it connects to.
+ *
  *   A holder counts as dead only when its VM is no longer listed or runs another incarnation.
  *
  * UNITS
@@ -36,6 +41,7 @@
   GHashTable *reported_ids;              /* set of router incarnations that have reported */
   GHashTable *listed;                    /* set of names of members listed since the start */
   bool uncertain; /* a router that used the row may not have reported: do not close the row */
+  bool witnessed; /* a witness has reported: otherwise do not close it either */
   bool writing;   /* the totals are being written to the ledger entry */
   int64_t started_us;
   int64_t asked_us; /* when the members were last asked */
@@ -64,12 +70,14 @@
 /* Takes the report of the router ORIGIN_ID: the holder charged CHARGED_TOKENS for that router's
  * requests and, as replicated to that router, REPLICATED_TOKENS for the holder's own. WAS_PRESENT
  * is whether that router was alive while the holder lived and saw no other router die recently;
- * otherwise the recovery becomes uncertain. A second report of a router changes nothing. */
+ * otherwise the recovery becomes uncertain. IS_WITNESS is as in
+ * the message. A second report of a router changes nothing. */
 void dy_recovery_report (DyRecovery *recovery,
                          uint64_t origin_id,
                          int64_t charged_tokens,
                          int64_t replicated_tokens,
-                         bool was_present);
+                         bool was_present,
+                         bool is_witness);
 
 /* Returns whether the given router incarnation has reported. */
 bool dy_recovery_has_reported (const DyRecovery *recovery, uint64_t origin_id);
--- a/src/core/reservations.c
+++ b/src/core/reservations.c
@@ -8,6 +8,10 @@
 /* Time for which a request body is not run after endpoints failed while they ran it. */
 static const int64_t QUARANTINE_US = INT64_C (600) * 1000 * 1000;
 
+/* Key of the message by which a router says that nothing was reserved there yet; the version is its
+ * incarnation. A CONFIG message, as builds that do not know it ignore those. */
+static const char unused_key[] = "budget-holders/unused";
+
 static const DyLedgerEntry *
 find_latest_entry (void *ctx, const char *account, uint64_t era)
 {
@@ -262,6 +266,10 @@
     case DY_MESSAGE_REPORT:
       dy_reservations_add_report (res, message);
       break;
+    case DY_MESSAGE_CONFIG:
+      if (strcmp (message->u.config.key, unused_key) == 0)
+        dy_usages_add_unused (&res->usages, message->u.config.version);
+      break;
     case DY_MESSAGE_CLOSED:
       dy_reservations_remove_usage (res, message->u.holder.holder_id, message->u.holder.account);
       break;
@@ -349,9 +357,18 @@
 }
 
 void
-dy_reservations_on_router_alive (DyReservations *res, uint64_t id)
+dy_reservations_on_router_alive (DyReservations *res, uint64_t id, int64_t now_us)
+{
+  dy_usages_add_present (&res->usages, id, now_us);
+}
+
+static void
+say_unused (DyReservations *res, const char *name)
 {
-  dy_usages_add_present (&res->usages, id);
+  DyMessage message = { .type = DY_MESSAGE_CONFIG };
+  message.u.config.version = res->policy.self_id;
+  g_strlcpy (message.u.config.key, unused_key, DY_KEY_SIZE);
+  res->actions->send (res->ctx, name, &message);
 }
 
 void
@@ -362,6 +379,8 @@
   res->now_us = now_us;
   res->members_changed_us = now_us;
   res->joined_us = MIN (res->joined_us, now_us);
+  if (!res->has_reserved)
+    say_unused (res, name);
   const DyMember *member = dy_members_find (res->members, name);
   if (member && g_hash_table_remove (res->lost_ids, &member->incarnation_id))
     res->parted_us = now_us;
--- a/src/core/reservations.h
+++ b/src/core/reservations.h
@@ -76,6 +76,9 @@
   void (*reply) (void *ctx, uint64_t link, const DyMessage *message);
   /* Reports a reservation that POOL refused. NULL: not needed. */
   void (*refused) (void *ctx, DyPool pool, const DyLedgerRefusal *refusal);
+  /* Reports that the row of a dead holder is raised to what was reported, and closed if CLOSE;
+   * DEATH is whether this router saw another one die. NULL: not needed. */
+  void (*recovering) (void *ctx, const DyRecovery *recovery, bool close, bool death);
 } DyReservationsActions;
 
 typedef struct
@@ -129,6 +132,7 @@
   DyUsages usages;
   DyRecoveries recoveries;
   uint64_t last_number;   /* of this router's latest request */
+  bool has_reserved;      /* something may have been reserved at this router */
   GHashTable *tickets;    /* request id to DyTicket */
   GHashTable *requesters; /* request id to the connection that waits for a reservation */
   int64_t now_us;         /* time of the latest event */
@@ -239,7 +243,7 @@
 void dy_reservations_release_withheld (DyReservations *res, uint64_t era, int64_t now_us);
 
 /* Records that the router incarnation ID was alive beside this one. */
-void dy_reservations_on_router_alive (DyReservations *res, uint64_t id);
+void dy_reservations_on_router_alive (DyReservations *res, uint64_t id, int64_t now_us);
 
 /* Report that the connection to the router NAME was made, or lost. */
 void dy_reservations_on_up (DyReservations *res, const char *name, int64_t now_us);
--- a/src/core/reservations_home.c
+++ b/src/core/reservations_home.c
@@ -13,6 +13,7 @@
                                 .idempotent = reserve->u.reserve.idempotent };
   if (dy_quarantine_blocks (&res->quarantine, request.body_hash, res->now_us))
     return DY_QUARANTINED;
+  res->has_reserved = true;
   return dy_register_begin (&res->reg, &request, res->now_us);
 }
 
--- a/src/core/reservations_recovery.c
+++ b/src/core/reservations_recovery.c
@@ -48,6 +48,9 @@
   message.u.holder.replicated_tokens = usage ? usage->replicated_tokens : 0;
   message.u.holder.was_present
       = dy_usages_was_present (&res->usages, holder_id) && !another_died (res, holder_id);
+  message.u.holder.is_witness
+      = message.u.holder.was_present
+        && dy_usages_is_witness (&res->usages, holder_id, res->now_us - DEATH_RETENTION_US);
   g_strlcpy (message.u.holder.holder_name, dead_holder_name (res, holder_id), DY_NAME_SIZE);
   return message;
 }
@@ -60,7 +63,8 @@
   if (message->u.holder.holder_name[0] != '\0')
     g_strlcpy (recovery->holder_name, message->u.holder.holder_name, sizeof recovery->holder_name);
   dy_recovery_report (recovery, message->u.holder.origin_id, message->u.holder.charged_tokens,
-                      message->u.holder.replicated_tokens, message->u.holder.was_present);
+                      message->u.holder.replicated_tokens, message->u.holder.was_present,
+                      message->u.holder.is_witness);
 }
 
 void
@@ -108,8 +112,11 @@
   bool reported = add_own_report (res, recovery);
   if (reported && dy_recovery_complete (&res->recoveries, recovery, res->members, res->now_us))
     {
-      bool close = !recovery->uncertain && !another_died (res, recovery->holder_id);
+      bool death = another_died (res, recovery->holder_id);
+      bool close = !recovery->uncertain && recovery->witnessed && !death;
       recovery->writing = true;
+      if (res->actions->recovering)
+        res->actions->recovering (res->ctx, recovery, close, death);
       dy_ledger_recover (dy_reservations_home_ledger (res), recovery->account, recovery->holder_id,
                          g_array_ref (recovery->totals), close, res->now_us);
       return;
--- a/src/core/usage.h
+++ b/src/core/usage.h
@@ -30,8 +30,15 @@
 
 typedef struct
 {
-  GHashTable *table;       /* set of DyUsage */
-  GHashTable *present_ids; /* set of incarnations that were alive while this router was */
+  uint64_t id;
+  int64_t seen_us;  /* time at which it was first known to be alive; INT64_MAX: not known */
+  bool seen_unused; /* that was before anything was reserved there */
+} DyPresence;
+
+typedef struct
+{
+  GHashTable *table;   /* set of DyUsage */
+  GHashTable *present; /* incarnation that was alive while this router was to a DyPresence */
 } DyUsages;
 
 void dy_usages_init (DyUsages *usages);
@@ -42,10 +49,17 @@
 DyUsage *dy_usages_get (DyUsages *usages, uint64_t holder_id, const char *account);
 void dy_usages_remove (DyUsages *usages, DyUsage *usage);
 
-/* Records that the incarnation ID is alive. */
-void dy_usages_add_present (DyUsages *usages, uint64_t id);
+/* Records that the incarnation ID is alive at SEEN_US (INT64_MAX: not known since when). */
+void dy_usages_add_present (DyUsages *usages, uint64_t id, int64_t seen_us);
+
+/* Records that nothing has been reserved at the incarnation ID yet. */
+void dy_usages_add_unused (DyUsages *usages, uint64_t id);
 
 /* Returns whether the incarnation ID was ever recorded as alive. */
 bool dy_usages_was_present (const DyUsages *usages, uint64_t id);
 
+/* Returns whether this router has been alive since before anything was reserved at the incarnation
+ * ID, or has known that one since BEFORE_US. */
+bool dy_usages_is_witness (const DyUsages *usages, uint64_t id, int64_t before_us);
+
 #endif
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -62,6 +62,7 @@
   X (LEDGER_WRITTEN, 5005, INFO, "ledger entry to be written")                                     \
   X (RESERVATION_REFUSED, 5006, INFO, "reservation refused")                                       \
   X (RESTORE_COMPLETE, 5007, MESSAGE, "grants are written again after a restore")                  \
+  X (ROW_RECOVERED, 5008, MESSAGE, "row of a dead holder recovered")                               \
   X (ENDPOINT_FAILED, 6001, WARNING, "endpoint attempt failed")                                    \
   X (ENDPOINT_OPEN, 6002, WARNING, "endpoint breaker opened")                                      \
   X (ENDPOINT_CLOSED, 6003, MESSAGE, "endpoint breaker closed")                                    \
--- a/src/services/budgets.c
+++ b/src/services/budgets.c
@@ -197,7 +197,20 @@
           refusal->failing, budgets->platform->down);
 }
 
+static void
+log_recovery (void *ctx, const DyRecovery *recovery, bool close, bool death)
+{
+  (void) ctx;
+  dy_log (DY_EVENT_ROW_RECOVERED,
+          "account=%s holder=%016" G_GINT64_MODIFIER
+          "x node=%s closed=%d uncertain=%d witnessed=%d death=%d reports=%u",
+          recovery->account, recovery->holder_id,
+          recovery->holder_name[0] ? recovery->holder_name : "-", close, recovery->uncertain,
+          recovery->witnessed, death, g_hash_table_size (recovery->reported_ids));
+}
+
 static const DyReservationsActions actions = { .refused = log_refusal,
+                                               .recovering = log_recovery,
                                                .read = read_ledger_entry,
                                                .write = write_ledger_entry,
                                                .send = send_message,
@@ -231,7 +244,7 @@
 on_incarnation_seen (void *ctx, uint64_t id)
 {
   DyBudgets *budgets = ctx;
-  dy_reservations_on_router_alive (&budgets->reservations, id);
+  dy_reservations_on_router_alive (&budgets->reservations, id, now_us (budgets));
 }
 
 static void
--- a/src/services/peers/wire.c
+++ b/src/services/peers/wire.c
@@ -17,6 +17,13 @@
   WITHIN_SHARE = 1 << 1,
 };
 
+/* Of a report, in the field that earlier builds read as was_present. */
+enum
+{
+  WAS_PRESENT = 1 << 0,
+  IS_WITNESS = 1 << 1,
+};
+
 static void
 pack_text (msgpack_packer *pk, const char *text)
 {
@@ -71,6 +78,14 @@
   return HAS_PLATFORM | (message->u.heartbeat.within_share ? WITHIN_SHARE : 0);
 }
 
+static uint32_t
+presence_flags (const DyMessage *message)
+{
+  if (!message->u.holder.was_present)
+    return 0;
+  return WAS_PRESENT | (message->u.holder.is_witness ? IS_WITNESS : 0);
+}
+
 static void
 pack_content (const DyMessage *message, msgpack_packer *pk)
 {
@@ -179,7 +194,7 @@
       msgpack_pack_uint64 (pk, message->u.holder.origin_id);
       msgpack_pack_int64 (pk, message->u.holder.charged_tokens);
       msgpack_pack_int64 (pk, message->u.holder.replicated_tokens);
-      msgpack_pack_uint32 (pk, message->u.holder.was_present);
+      msgpack_pack_uint32 (pk, presence_flags (message));
       break;
     }
 }
@@ -295,6 +310,14 @@
   return reader->failed ? DY_KEY_UNKNOWN : (DyKeyState) value;
 }
 
+static void
+read_presence (Reader *reader, DyMessage *message)
+{
+  uint64_t flags = read_unsigned (reader);
+  message->u.holder.was_present = flags != 0;
+  message->u.holder.is_witness = (flags & IS_WITNESS) != 0;
+}
+
 static void
 read_relay (Reader *reader, DyMessage *message)
 {
@@ -414,7 +437,7 @@
       message->u.holder.origin_id = read_unsigned (reader);
       message->u.holder.charged_tokens = read_signed (reader);
       message->u.holder.replicated_tokens = read_signed (reader);
-      message->u.holder.was_present = read_unsigned (reader) != 0;
+      read_presence (reader, message);
       break;
     default:
       reader->failed = true;
--- a/test/support/replay_private.h
+++ b/test/support/replay_private.h
@@ -22,6 +22,8 @@
   PEER_TIMEOUT_US = 1000 * MS,
   CALL_TIMEOUT_US = 1000 * MS,
   DRAIN_US = 60 * 1000 * MS,
+  MIN_DELAY_US = 200, /* of messages between routers */
+  MAX_DELAY_US = 1500,
   RESUME_RANK = 0, /* of streams that callers resume */
   OTHER_RANK = 1,  /* of all other requests */
   RESUME_INTERVAL_US = 20 * MS,
--- a/test/support/replay_world.c
+++ b/test/support/replay_world.c
@@ -111,7 +111,11 @@
   delivery->from_generation = from->generation;
   delivery->message = *message;
   replay->outcome.messages++;
-  replay_schedule (replay, random_delay_us (replay, 200, 1500), to, deliver, delivery, g_free);
+  /* Not drawn for CONFIG, which came later: the delays of all other messages stay as they were. */
+  int64_t delay_us = message->type == DY_MESSAGE_CONFIG
+                         ? MAX_DELAY_US
+                         : random_delay_us (replay, MIN_DELAY_US, MAX_DELAY_US);
+  replay_schedule (replay, delay_us, to, deliver, delivery, g_free);
 }
 
 Node *
@@ -396,7 +400,7 @@
   if (*last_id && *last_id != peer->incarnation_id)
     dy_reservations_on_router_dead (&node->res, peer->name, *last_id, now_us);
   *last_id = peer->incarnation_id;
-  dy_reservations_on_router_alive (&node->res, peer->incarnation_id);
+  dy_reservations_on_router_alive (&node->res, peer->incarnation_id, now_us);
   node->last_heartbeat_us[peer->index] = now_us;
   dy_members_record_heartbeat (&node->members, peer->name, peer->incarnation_id, peer->draining,
                                now_us);
--- a/test/test_replay.c
+++ b/test/test_replay.c
@@ -15,12 +15,20 @@
   N_FAULTS = 6,
   SCHEDULE_MS = 20000,
   MAX_COPY_AGE_MS = 9000,
+  /* Of SCHEDULE_LOSSES. */
+  N_LOSS_NODES = 4,
+  N_LOSSES = 2 * ((1 << N_LOSS_NODES) - 1), /* in a round: each set of routers, killed or cut off */
+  MAX_LOSS_ROUNDS = 3,
+  LOSS_PAID = 60000,
+  FIRST_LOSS_MS = 4000,
+  LOSS_END_MS = 30000,
   TIMEOUT_S = 240,
 };
 
 static GPtrArray *traces;
 static bool keyed_partitions; /* all schedules are of SCHEDULE_KEYED_PARTITION */
 static bool restores;         /* all schedules are of SCHEDULE_RESTORED */
+static bool losses;           /* all schedules are of SCHEDULE_LOSSES */
 
 static gint
 compare_names (gconstpointer a, gconstpointer b)
@@ -140,6 +148,8 @@
   /* The store is restored from older copies, among all faults but top-ups, which the operator would
    * write again. Routers answer before they settle. */
   SCHEDULE_RESTORED,
+  /* Up to three rounds in which some of four routers are killed or cut off; see add_losses(). */
+  SCHEDULE_LOSSES,
 } ScheduleKind;
 
 static ScheduleKind
@@ -219,9 +229,80 @@
   g_string_append_c (text, '\n');
 }
 
+/* Appends one round of losses: LOSS is a set of routers and whether they are killed, and started
+ * again half a second later, or cut off from the others and the platform for a while. */
+static void
+add_loss (GString *text, uint32_t loss, int start_ms, int gap_ms)
+{
+  uint32_t set = loss / 2 + 1;
+  bool kills = loss % 2 == 0;
+  GString *names = g_string_new (NULL);
+  for (int i = 0; i < N_LOSS_NODES; i++)
+    {
+      if (!(set >> i & 1))
+        continue;
+      g_string_append_printf (names, "%sr%d", names->len ? "," : "", i);
+      if (kills)
+        g_string_append_printf (text, "%d kill r%d\n%d start r%d\n", start_ms, i, start_ms + 500,
+                                i);
+    }
+  if (!kills)
+    g_string_append_printf (text, "%d island %s\n%d heal\n", start_ms, names->str,
+                            start_ms + gap_ms * 2 / 3);
+  g_string_free (names, TRUE);
+}
+
+/* Appends the requests of one account: some that are open over all losses, some that are settled or
+ * handed off meanwhile, each at some of the routers only, and then more than its budget allows. */
+static void
+add_loss_requests (GString *text, GRand *rng)
+{
+  uint32_t n_sets = 1 << N_LOSS_NODES;
+  uint32_t long_set = (uint32_t) g_rand_int_range (rng, 1, (gint32) n_sets);
+  uint32_t short_set = (uint32_t) g_rand_int_range (rng, 1, (gint32) n_sets);
+  for (int i = 0; i < 20; i++)
+    if (long_set >> i % N_LOSS_NODES & 1)
+      g_string_append_printf (text, "%d request r%d a 1500 1400 %d\n", 2000 + i * 50,
+                              i % N_LOSS_NODES, g_rand_int_range (rng, 6000, 16000));
+  for (int ms = 1000; ms < 16000; ms += 250)
+    {
+      int node = g_rand_int_range (rng, 0, N_LOSS_NODES);
+      if (short_set >> node & 1)
+        g_string_append_printf (text, "%d request r%d a 150 100 %d\n", ms, node,
+                                g_rand_int_range (rng, 10, 900));
+    }
+  for (int i = 0; i < 200; i++)
+    g_string_append_printf (text, "%d request r%d a 600 600 100\n", 16000 + i * 60,
+                            i % N_LOSS_NODES);
+}
+
+/* Returns the schedule NUMBER of all those with one round, then with two, then with three. */
+static char *
+loss_schedule (uint32_t number)
+{
+  GRand *rng = g_rand_new_with_seed (number);
+  GString *text = g_string_new (NULL);
+  uint32_t n_rounds = 1;
+  uint32_t n = N_LOSSES;
+  uint32_t rest = number % (N_LOSSES + N_LOSSES * N_LOSSES + N_LOSSES * N_LOSSES * N_LOSSES);
+  for (; n_rounds < MAX_LOSS_ROUNDS && rest >= n; n_rounds++, n *= N_LOSSES)
+    rest -= n;
+  int gap_ms = g_rand_int_range (rng, 700, 4000);
+  g_string_append_printf (text, "nodes %d\nseed %u\naccount a %d\nset answers_first 1\n",
+                          N_LOSS_NODES, number + 1, LOSS_PAID);
+  add_loss_requests (text, rng);
+  for (uint32_t i = 0; i < n_rounds; i++, rest /= N_LOSSES)
+    add_loss (text, rest % N_LOSSES, FIRST_LOSS_MS + (int) i * gap_ms, gap_ms);
+  g_string_append_printf (text, "run %d\nexpect overspend_tokens = 0\n", LOSS_END_MS);
+  g_rand_free (rng);
+  return g_string_free (text, FALSE);
+}
+
 static char *
 random_schedule (uint32_t seed)
 {
+  if (losses)
+    return loss_schedule (seed);
   GRand *rng = g_rand_new_with_seed (seed);
   GString *text = g_string_new (NULL);
   ScheduleKind kind = kind_of (seed);
@@ -282,14 +363,14 @@
   g_strfreev (lines);
 }
 
-/* Runs the schedules of the seeds FIRST to FIRST + N - 1, and prints the first that fails, shrunk.
- * Returns the number of failed schedules. */
+/* Runs N schedules of the seeds from FIRST on, each STEP after the one before, and prints the first
+ * that fails, shrunk. Returns the number of failed schedules. */
 static uint32_t
-run_schedules (uint32_t first, uint32_t n)
+run_schedules (uint32_t first, uint32_t n, uint32_t step)
 {
   ReplayOutcome sum = { 0 };
   uint32_t n_failed = 0;
-  for (uint32_t seed = first; seed < first + n; seed++)
+  for (uint32_t i = 0, seed = first; i < n; i++, seed += step)
     {
       ReplayOutcome outcome;
       char *reason = NULL;
@@ -324,7 +405,7 @@
 
 START_TEST (random_schedules_keep_the_invariants)
 {
-  ck_assert_uint_eq (run_schedules (1, N_SCHEDULES), 0);
+  ck_assert_uint_eq (run_schedules (1, N_SCHEDULES, 1), 0);
 }
 END_TEST
 
@@ -333,16 +414,23 @@
  *   FOLDER           the traces of test/FOLDER
  *   FIRST N          the random schedules of the seeds FIRST to FIRST + N - 1
  *   keyed FIRST N    the same with schedules of SCHEDULE_KEYED_PARTITION only
- *   restored FIRST N  the same with schedules of SCHEDULE_RESTORED only */
+ *   restored FIRST N  the same with schedules of SCHEDULE_RESTORED only
+ *   losses FIRST N STEP  N schedules of SCHEDULE_LOSSES from number FIRST on, each STEP after the
+ * one before; from 27,930 on, the same losses come at another pace */
 int
 main (int argc, char **argv)
 {
   restores = argc == 4 && strcmp (argv[1], "restored") == 0;
   keyed_partitions = argc == 4 && strcmp (argv[1], "keyed") == 0;
+  losses = argc == 5 && strcmp (argv[1], "losses") == 0;
   if (argc >= 3)
-    return run_schedules ((uint32_t) g_ascii_strtoull (argv[argc - 2], NULL, 10),
-                          (uint32_t) g_ascii_strtoull (argv[argc - 1], NULL, 10))
-           > 0;
+    {
+      int first = losses ? 2 : argc - 2;
+      return run_schedules ((uint32_t) g_ascii_strtoull (argv[first], NULL, 10),
+                            (uint32_t) g_ascii_strtoull (argv[first + 1], NULL, 10),
+                            losses ? (uint32_t) g_ascii_strtoull (argv[4], NULL, 10) : 1)
+             > 0;
+    }
   char *dir
       = g_build_filename (g_getenv ("DY_SOURCE"), "test", argc == 2 ? argv[1] : "traces", NULL);
   find_traces (dir);
