Blocked requests are read by the call that reads the blocked parts

Change: the objects of blocked requests have the kind of the blocked parts. Earlier builds ignore them, as their names are no ids of parts.

--- a/src/core/recovery.h
+++ b/src/core/recovery.h
@@ -70,8 +70,8 @@
 /* Takes the report of the router ORIGIN_ID: the holder charged CHARGED_TOKENS for that router's
  * requests and, as replicated to that router, REPLICATED_TOKENS for the holder's own. WAS_PRESENT
  * is whether that router was alive while the holder lived and saw no other router die recently;
- * otherwise the recovery becomes uncertain. IS_WITNESS is as in
- * the message. A second report of a router changes nothing. */
+ * otherwise the recovery becomes uncertain. IS_WITNESS is whether it may be a witness, see above. A
+ * second report of a router changes nothing. */
 void dy_recovery_report (DyRecovery *recovery,
                          uint64_t origin_id,
                          int64_t charged_tokens,
--- a/src/core/trial.h
+++ b/src/core/trial.h
@@ -8,8 +8,8 @@
  * DESCRIPTION
  *   What is refused because it crashed endpoints may have been innocent, so one request is let
  *   through now and then, by one router of the fleet. Users tolerate three such requests in all,
- * and each may crash an endpoint: the waits grow so that the fourth trial is most of a day away.
- * The number of trials outlives restarts, or each one would begin them anew.
+ *   and each may crash an endpoint: the waits grow so that the fourth trial is most of a day away.
+ *   The number of trials outlives restarts, or each one would begin them anew.
  */
 
 #include <glib.h>
--- a/src/services/block_records.c
+++ b/src/services/block_records.c
@@ -240,19 +240,13 @@
   return !record->wanted && !record->busy && now_us (ctx) - record->removed_us >= KEEP_REMOVED_US;
 }
 
+/* Takes the objects in REPLY, a list, that are of RECORDS. */
 static void
-on_listed (void *ctx, const DyPlatformReply *reply)
+take_list (DyBlockRecords *records, const DyPlatformReply *reply)
 {
-  DyBlockRecords *records = ctx;
   uint64_t id;
   uint32_t n_crashes;
   uint32_t n_trials;
-  if (reply->error)
-    {
-      ev_timer_set (&records->timer, LOAD_RETRY_S, 0.0);
-      ev_timer_start (records->kernel->loop, &records->timer);
-      return;
-    }
   for (uint32_t i = 0; i < reply->n_objects; i++)
     {
       const DyObject *object = &reply->objects[i];
@@ -267,6 +261,21 @@
   ev_timer_start (records->kernel->loop, &records->timer);
 }
 
+static void
+on_listed (void *ctx, const DyPlatformReply *reply)
+{
+  DyBlockRecords *records = ctx;
+  if (reply->error)
+    {
+      ev_timer_set (&records->timer, LOAD_RETRY_S, 0.0);
+      ev_timer_start (records->kernel->loop, &records->timer);
+      return;
+    }
+  take_list (records, reply);
+  if (records->listed_with)
+    take_list (records->listed_with, reply);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -305,6 +314,7 @@
 dy_block_records_start (DyBlockRecords *records,
                         DyKernel *kernel,
                         const char *prefix,
+                        DyBlockRecords *lister,
                         const DyBlockRecordsWatcher *watcher,
                         void *ctx)
 {
@@ -318,7 +328,10 @@
   dy_platform_watch_era (records->platform, on_era, records);
   ev_timer_init (&records->timer, on_timer, 0.0, 0.0);
   records->timer.data = records;
-  ev_timer_start (kernel->loop, &records->timer);
+  if (lister)
+    lister->listed_with = records;
+  else
+    ev_timer_start (kernel->loop, &records->timer);
 }
 
 void
--- a/src/services/block_records.h
+++ b/src/services/block_records.h
@@ -27,7 +27,7 @@
   void (*trial) (void *ctx, uint64_t id, uint32_t n_trials);
 } DyBlockRecordsWatcher;
 
-typedef struct
+typedef struct DyBlockRecords
 {
   DyKernel *kernel;
   DyPlatform *platform;
@@ -35,15 +35,18 @@
   const char *prefix;
   const DyBlockRecordsWatcher *watcher;
   void *ctx;
-  GHashTable *records; /* id to the state of its object */
-  bool loaded;         /* the store's objects were read */
-  ev_timer timer;      /* writes; before that, the next try to read the objects */
+  struct DyBlockRecords *listed_with; /* others, whose objects have the same kind; may be NULL */
+  GHashTable *records;                /* id to the state of its object */
+  bool loaded;                        /* the store's objects were read */
+  ev_timer timer;                     /* writes; before that, the next try to read the objects */
 } DyBlockRecords;
 
-/* PREFIX and WATCHER must outlive RECORDS. */
+/* PREFIX and WATCHER must outlive RECORDS. LISTER, if not NULL, has a prefix that PREFIX begins
+ * with: the objects of both are read by its call. */
 void dy_block_records_start (DyBlockRecords *records,
                              DyKernel *kernel,
                              const char *prefix,
+                             DyBlockRecords *lister,
                              const DyBlockRecordsWatcher *watcher,
                              void *ctx);
 void dy_block_records_stop (DyBlockRecords *records);
--- a/src/services/part_blocks.c
+++ b/src/services/part_blocks.c
@@ -218,7 +218,7 @@
   blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   dy_crash_cause_init (&blocks->cause, &dy_crash_cause_policy, &cause_watcher, blocks);
   dy_peers_watch (blocks->peers, &peers_watcher, blocks);
-  dy_block_records_start (&blocks->records, kernel, PARTS_PREFIX, &records_watcher, blocks);
+  dy_block_records_start (&blocks->records, kernel, PARTS_PREFIX, NULL, &records_watcher, blocks);
   ev_timer_init (&blocks->timer, on_timer, TICK_S, TICK_S);
   blocks->timer.data = blocks;
   ev_timer_start (kernel->loop, &blocks->timer);
--- a/src/services/request_blocks.c
+++ b/src/services/request_blocks.c
@@ -2,12 +2,14 @@
 
 #include "kernel/error.h"
 #include "kernel/log.h"
+#include "services/part_blocks.h"
 
 #include <jansson.h>
 #include <string.h>
 
 #define CRASHES_PREFIX "requestcrashes/"
-#define BLOCKS_PREFIX "crashingrequests/"
+/* Of the kind of the blocked parts, so that one call reads both. */
+#define BLOCKS_PREFIX "crashingparts/request-"
 #define HASH_FORMAT "%016" G_GINT64_MODIFIER "x"
 
 static const double TICK_S = 1.0;
@@ -261,11 +263,13 @@
 service_start (void *self, DyKernel *kernel)
 {
   DyRequestBlocks *blocks = self;
+  DyPartBlocks *parts = dy_kernel_find (kernel, DY_SERVICE_PART_BLOCKS);
   blocks->kernel = kernel;
   blocks->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
   blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   dy_crash_counts_init (&blocks->counts, &dy_crash_counts_policy);
-  dy_block_records_start (&blocks->records, kernel, BLOCKS_PREFIX, &records_watcher, blocks);
+  dy_block_records_start (&blocks->records, kernel, BLOCKS_PREFIX, &parts->records,
+                          &records_watcher, blocks);
   dy_peers_watch (blocks->peers, &peers_watcher, blocks);
   ev_timer_init (&blocks->timer, on_timer, TICK_S, TICK_S);
   blocks->timer.data = blocks;
--- a/src/services/request_blocks.h
+++ b/src/services/request_blocks.h
@@ -9,17 +9,19 @@
  *   Feeds core/crash_counts with the crashes and complete answers of this router's requests and
  *   exchanges them with the other routers, as objects sent by dy_peers_send_object():
  *
- *     requestcrashes/HASH    {"endpoint": id, "sent_ms": n, "withdrawn": bool}
- *       The endpoint crashed under the request, which was sent to it so long ago; or it is
- * withdrawn that it did, as nothing showed it. crashingrequests/HASH  {"crashes": n, "trials": n}
+ *     requestcrashes/HASH         {"endpoint": id, "sent_ms": n, "withdrawn": bool}
+ *       The endpoint crashed under the request, which was sent to it so long ago; or that is
+ *       withdrawn, as nothing showed it.
+ *
+ *     crashingparts/request-HASH  {"crashes": n, "trials": n}
  *       What is counted. Removed: the request had a complete answer.
  *
  *   A crash is also sent as DY_MESSAGE_CRASH, for routers of builds that do not know these objects.
  *
  *   A router whose connection to another one comes up sends that one what is blocked. Blocks
- * outlive a restart of all routers in the platform's store, as objects of the same key and value
- *   (services/block_records.h), and so do counts that may soon be blocks. The home of a request
- * lets it through now and then, as a trial.
+ *   outlive a restart of all routers in the platform's store, as objects of the same key and
+ *   value (services/block_records.h), and so do counts that may soon be blocks. The home of a
+ *   request lets it through now and then, as a trial.
  */
 
 #include "core/crash_counts.h"
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -116,7 +116,7 @@
   blocks->peers = &fixture->peers;
   blocks->records.kernel = &fixture->kernel;
   blocks->records.peers = &fixture->peers;
-  blocks->records.prefix = "crashingrequests/";
+  blocks->records.prefix = "crashingparts/request-";
   blocks->records.loaded = true;
   blocks->records.records = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
