--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -1,4 +1,4 @@
-#include "services/origins.h"
+#include "services/origins_private.h"
 
 #include "kernel/error.h"
 #include "kernel/log.h"
@@ -17,21 +17,6 @@
   RETRY_US = 500 * 1000,
   /* For streams read from the store: longer than callers resume them. */
   LOADED_STREAM_US = 15 * 1000 * 1000,
-  /* A router writes an origin later than it passes on the first event. */
-  SECOND_READ_US = 300 * 1000,
-  MAX_READS = 2,
-};
-
-struct DyOriginLookup
-{
-  char *service;
-  char *request_id; /* NULL: not stated */
-  DyOriginDone done;
-  void *ctx;
-  int64_t asked_us;     /* by dy_kernel_boot_us() */
-  uint32_t n_reads;     /* reads of the streams since it began */
-  int64_t next_read_us; /* no read for it before this time */
-  bool waiting;         /* a read that serves it is in progress */
 };
 
 /* The object that holds the versions of a service. */
@@ -62,15 +47,6 @@
   g_free (object);
 }
 
-static void
-free_lookup (gpointer data)
-{
-  DyOriginLookup *lookup = data;
-  g_free (lookup->service);
-  g_free (lookup->request_id);
-  g_free (lookup);
-}
-
 static ServiceObject *
 get_service (DyOrigins *origins, const char *service)
 {
@@ -84,8 +60,8 @@
   return object;
 }
 
-static void
-see_version (DyOrigins *origins, const char *service, const char *version)
+void
+dy_origins_see_version (DyOrigins *origins, const char *service, const char *version)
 {
   if (!dy_stream_origins_see (&origins->table, service, version, now_us (origins)))
     return;
@@ -104,9 +80,8 @@
   object->stored_era = MAX (object->stored_era, era);
 }
 
-/* Returns whether the store has the versions of SERVICE, written since it was last restored. */
-static bool
-is_stored (const DyOrigins *origins, const char *service)
+bool
+dy_origins_is_stored (const DyOrigins *origins, const char *service)
 {
   const ServiceObject *object = g_hash_table_lookup (origins->services, service);
   return object && object->stored && object->stored_era == origins->platform->era;
@@ -122,7 +97,7 @@
   json_array_foreach (json_object_get (root, "versions"), i, version)
   {
     if (json_is_string (version))
-      see_version (origins, service, json_string_value (version));
+      dy_origins_see_version (origins, service, json_string_value (version));
   }
   const json_t *era = json_object_get (root, "era");
   if (json_is_integer (era))
@@ -163,7 +138,7 @@
   if (object->synced || object->busy || !origins->versions_loaded
       || !dy_peers_members_known (origins->directory->peers)
       || now_us (origins) < object->next_try_us
-      || !(is_stored (origins, object->service)
+      || !(dy_origins_is_stored (origins, object->service)
            || dy_version_knowledge_may_write (&origins->knowledge, dy_kernel_boot_us ()))
       || dy_members_home_with_platform (members, object->service, NULL, now_us (origins)))
     return;
@@ -215,144 +190,6 @@
   json_decref (root);
 }
 
-/* Lookups. */
-
-/* Ends LOOKUP with VERSION (NULL: unknown). */
-static void
-end_lookup (DyOrigins *origins, DyOriginLookup *lookup, const char *version, const char *source)
-{
-  char *copy = g_strdup (version);
-  g_hash_table_steal (origins->lookups, lookup);
-  lookup->done (lookup->ctx, copy ? DY_OK : DY_ORIGIN_UNKNOWN, copy, source);
-  g_free (copy);
-  free_lookup (lookup);
-}
-
-/* Returns whether no router that may run reaches the store, so that no endpoint can have been
- * listed since it went away. */
-static bool
-are_all_cut_off (const DyOrigins *origins)
-{
-  const DyDirectory *directory = origins->directory;
-  return !dy_platform_answers (origins->platform) && directory->endpoints_watch.age.behind_us == 0
-         && dy_members_all_lack_platform (&directory->peers->members,
-                                          now_us (origins) - DY_VERSION_RETENTION_US,
-                                          now_us (origins));
-}
-
-static void
-see_listed (void *ctx, const char *service, const char *version)
-{
-  see_version (ctx, service, version);
-}
-
-/* Takes the versions that are listed, and until when they are known to be all. */
-static void
-update_knowledge (DyOrigins *origins)
-{
-  dy_placement_visit_versions (&origins->directory->placement, see_listed, origins);
-  dy_version_knowledge_extend (&origins->knowledge,
-                               origins->directory->endpoints_watch.age.confirmed_us);
-}
-
-/* Returns whether all versions that may have begun the stream of LOOKUP are known. */
-static DyVersionVerdict
-judge (const DyOrigins *origins, const DyOriginLookup *lookup)
-{
-  DyVersionEvidence evidence
-      = { .asked_us = lookup->asked_us,
-          .cut_off = dy_directory_endpoints_knowledge (origins->directory) == DY_KNOWLEDGE_BRIDGED,
-          .all_cut_off = are_all_cut_off (origins),
-          .restored = dy_platform_was_restored_within (origins->platform, DY_VERSIONS_REWRITE_US),
-          .stored = is_stored (origins, lookup->service) };
-  return dy_version_knowledge_judge (&origins->knowledge, &evidence, dy_kernel_boot_us ());
-}
-
-/* Ends LOOKUP if it is decided by what is known here. Returns whether it did. */
-static bool
-decide (DyOrigins *origins, DyOriginLookup *lookup)
-{
-  const char *service = lookup->service;
-  const char *id = lookup->request_id;
-  DyVersionVerdict verdict = judge (origins, lookup);
-  const char *source = "recorded";
-  const char *version = dy_stream_origins_find (&origins->table, service, id, false);
-  if (!version && verdict == DY_VERSIONS_COMPLETE)
-    {
-      source = "listed";
-      version = dy_stream_origins_find (&origins->table, service, id, true);
-    }
-  bool refuses = !version && verdict == DY_VERSIONS_UNKNOWN
-                 && dy_directory_endpoints_knowledge (origins->directory) == DY_KNOWLEDGE_BRIDGED;
-  if (!version && !refuses)
-    return false;
-  end_lookup (origins, lookup, version, refuses ? "cut_off" : source);
-  return true;
-}
-
-/* Ends the lookups that are decided. Returns whether one is left that waits for a confirmation. */
-static bool
-decide_lookups (DyOrigins *origins)
-{
-  GList *lookups = g_hash_table_get_keys (origins->lookups);
-  bool awaits = false;
-  update_knowledge (origins);
-  for (GList *l = lookups; l && origins->versions_loaded; l = l->next)
-    {
-      DyOriginLookup *lookup = l->data;
-      if (!g_hash_table_contains (origins->lookups, lookup) || lookup->waiting)
-        continue;
-      if (!decide (origins, lookup))
-        awaits = true;
-    }
-  g_list_free (lookups);
-  return awaits;
-}
-
-/* Asks for the endpoint records, which show whether there are versions that are not known. */
-static void
-confirm_records (DyOrigins *origins)
-{
-  uint32_t n_routers = dy_members_possible_count (&origins->directory->peers->members);
-  if (now_us (origins) - origins->confirm_us < dy_stream_origins_write_interval_us (n_routers))
-    return;
-  origins->confirm_us = now_us (origins);
-  dy_object_watch_confirm (&origins->directory->endpoints_watch);
-}
-
-/* Ends the lookups for which the streams were read, or could not be. */
-static void
-end_lookups (DyOrigins *origins, bool failed)
-{
-  GList *lookups = g_hash_table_get_keys (origins->lookups);
-  update_knowledge (origins);
-  for (GList *l = lookups; l; l = l->next)
-    {
-      DyOriginLookup *lookup = l->data;
-      if (!g_hash_table_contains (origins->lookups, lookup) || !lookup->waiting)
-        continue;
-      lookup->waiting = false;
-      lookup->n_reads++;
-      lookup->next_read_us = now_us (origins) + SECOND_READ_US;
-      bool ended = origins->versions_loaded && decide (origins, lookup);
-      if (!ended && (failed || !lookup->request_id || lookup->n_reads >= MAX_READS))
-        end_lookup (origins, lookup, NULL, failed ? "store_failed" : "unrecorded");
-    }
-  g_list_free (lookups);
-}
-
-/* Ends all lookups: without the store's versions none can be decided. */
-static void
-refuse_lookups (DyOrigins *origins)
-{
-  GHashTableIter iter;
-  gpointer key;
-  g_hash_table_iter_init (&iter, origins->lookups);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    ((DyOriginLookup *) key)->waiting = true;
-  end_lookups (origins, true);
-}
-
 static void
 on_versions (void *ctx, const DyPlatformReply *reply)
 {
@@ -361,14 +198,14 @@
   if (reply->error)
     {
       origins->retry_us = now_us (origins) + RETRY_US;
-      refuse_lookups (origins);
+      dy_origins_refuse_lookups (origins);
       return;
     }
   for (uint32_t i = 0; i < reply->n_objects; i++)
     load_versions (origins, &reply->objects[i]);
   origins->versions_loaded = true;
   dy_version_knowledge_record_read (&origins->knowledge, origins->versions_sent_us);
-  decide_lookups (origins);
+  dy_origins_decide_lookups (origins);
 }
 
 static void
@@ -397,36 +234,17 @@
     origins->retry_us = now_us (origins) + RETRY_US;
   else
     origins->streams_loaded = true;
-  end_lookups (origins, reply->error != DY_OK);
-}
-
-/* Returns whether LOOKUP needs the streams: not while what is known may soon show that there is
- * only one version. */
-static bool
-needs_streams (const DyOrigins *origins, const DyOriginLookup *lookup)
-{
-  return now_us (origins) >= lookup->next_read_us
-         && !(dy_stream_origins_has_one_version (&origins->table, lookup->service)
-              && judge (origins, lookup) == DY_VERSIONS_AWAITED);
+  dy_origins_end_lookups (origins, reply->error != DY_OK);
 }
 
 /* Reads the streams for the lookups that are due. */
 static void
 read_streams (DyOrigins *origins)
 {
-  GHashTableIter iter;
-  gpointer key;
   bool due = !origins->streams_loaded && now_us (origins) >= origins->retry_us;
   if (origins->reading_streams || !origins->versions_loaded)
     return;
-  g_hash_table_iter_init (&iter, origins->lookups);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      DyOriginLookup *lookup = key;
-      lookup->waiting = needs_streams (origins, lookup);
-      due = due || lookup->waiting;
-    }
-  if (!due)
+  if (!dy_origins_begin_read (origins) && !due)
     return;
   origins->reading_streams = true;
   dy_platform_list (origins->platform, STREAMS_PREFIX, 0, on_streams, origins);
@@ -512,7 +330,7 @@
 {
   GHashTableIter iter;
   gpointer value;
-  update_knowledge (origins);
+  dy_origins_update_knowledge (origins);
   if (now_us (origins) - origins->swept_us < SWEEP_INTERVAL_US)
     return;
   origins->swept_us = now_us (origins);
@@ -533,9 +351,9 @@
   DyOrigins *origins = w->data;
   (void) loop;
   (void) events;
-  bool awaits = decide_lookups (origins);
+  bool awaits = dy_origins_decide_lookups (origins);
   if (awaits)
-    confirm_records (origins);
+    dy_origins_confirm_records (origins);
   if (!origins->versions_loaded
       || (awaits && dy_version_knowledge_needs_read (&origins->knowledge, dy_kernel_boot_us ())))
     read_versions (origins);
@@ -559,7 +377,7 @@
 {
   (void) loop;
   (void) events;
-  decide_lookups (w->data);
+  dy_origins_decide_lookups (w->data);
 }
 
 /* Writes the objects again that the store may have lost. */
@@ -588,7 +406,7 @@
   origins->own_key = g_strconcat (STREAMS_PREFIX, kernel->settings->node_name, NULL);
   origins->own_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   origins->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
-  origins->lookups = g_hash_table_new_full (NULL, NULL, free_lookup, NULL);
+  origins->lookups = g_hash_table_new_full (NULL, NULL, dy_origins_free_lookup, NULL);
   dy_stream_origins_init (&origins->table);
   dy_version_knowledge_init (&origins->knowledge);
   dy_directory_watch_confirmations (origins->directory, on_confirmed, origins);
@@ -652,35 +470,6 @@
 {
   dy_stream_origins_add (&origins->table, origin);
   g_hash_table_add (origins->own_ids, g_strdup (origin->request_id));
-  see_version (origins, origin->service, origin->version);
+  dy_origins_see_version (origins, origin->service, origin->version);
   origins->dirty = origins->dirty || dy_stream_origins_is_mixed (&origins->table, origin->service);
 }
-
-DyOriginLookup *
-dy_origins_look_up (DyOrigins *origins,
-                    const char *service,
-                    const char *request_id,
-                    DyOriginDone done,
-                    void *ctx,
-                    const char **version)
-{
-  *version = dy_stream_origins_find (&origins->table, service, request_id, false);
-  if (*version)
-    return NULL;
-  DyOriginLookup *lookup = g_new0 (DyOriginLookup, 1);
-  lookup->service = g_strdup (service);
-  lookup->request_id = g_strdup (request_id);
-  lookup->done = done;
-  lookup->ctx = ctx;
-  lookup->asked_us = dy_kernel_boot_us ();
-  g_hash_table_add (origins->lookups, lookup);
-  if (dy_stream_origins_has_one_version (&origins->table, service))
-    confirm_records (origins);
-  return lookup;
-}
-
-void
-dy_origins_cancel (DyOrigins *origins, DyOriginLookup *lookup)
-{
-  g_hash_table_remove (origins->lookups, lookup);
-}
--- a/test/test_crash_cause.c
+++ b/test/test_crash_cause.c
@@ -162,7 +162,7 @@
   ck_assert (dy_crash_cause_block (&cause, 7, 3, DY_CAUSE_STORE, 0));
   ck_assert (!dy_crash_cause_block (&cause, 7, 3, DY_CAUSE_PEER, 0));
   const DyBlockedPart *part = dy_crash_cause_find (&cause, &(uint64_t){ 7 }, 1);
-  ck_assert_int_eq (part->trial_us, dy_trial_wait_us (0));
+  ck_assert_int_eq (part->trial_us, INT64_C (60) * 1000 * 1000);
   for (int64_t now_us = 0; now_us < INT64_C (1000000) * LONG_S; now_us += 1000000)
     if (now_us >= part->trial_us)
       {
