Routers of the own interface take only declarations from others

What operators saw, by reading: each connection between routers logged "declaration in force" for an object that is none, since a router says there that nothing was reserved; objects with a text counted as rejected declarations. Change: keys without the prefix of declarations are ignored. test_process passes.

--- a/src/services/config.c
+++ b/src/services/config.c
@@ -172,9 +172,12 @@
   dy_peers_reply (config->peers, link, &message);
 }
 
+/* Other objects that routers send each other are no declarations. */
 static void
 apply_peer_declaration (DyConfig *config, const DyMessage *message)
 {
+  if (!g_str_has_prefix (message->u.config.key, DY_CONFIG_PREFIX))
+    return;
   char *text = message->u.config.text ? g_strndup (message->u.config.text, message->u.config.n_text)
                                       : NULL;
   DyObject object
