The decision about trials is made in core and tested there again

Change: core/trial keeps the number, the time and the grant of trials for blocked parts and blocked requests; both services ask it. trials_of_a_blocked_part_grow_apart has the five checks of before, with the times as numbers and no longer taken from the policy, and further: a trial needs a grant, is used once, and there are three in twelve hours. request_that_is_sound_again_is_served_after_a_trial fails if the request is served before a minute is over.

Comments: those that told a story say what the code does.

--- a/src/core/crash_cause.c
+++ b/src/core/crash_cause.c
@@ -1,7 +1,5 @@
 #include "core/crash_cause.h"
 
-#include "core/trial.h"
-
 #include <string.h>
 
 enum
@@ -182,7 +180,7 @@
   part->source = source;
   part->n_crashes = n_crashes;
   part->blocked_us = now_us;
-  part->trial_us = now_us + dy_trial_wait_us (0);
+  dy_trials_init (&part->trials, 0, now_us);
   g_hash_table_insert (cause->blocked, &part->id, part);
   return part;
 }
@@ -209,15 +207,11 @@
   return NULL;
 }
 
-bool
-dy_crash_cause_record_trials (DyCrashCause *cause, uint64_t id, uint32_t n_trials, int64_t now_us)
+DyTrials *
+dy_crash_cause_trials (DyCrashCause *cause, uint64_t id)
 {
   DyBlockedPart *part = g_hash_table_lookup (cause->blocked, &id);
-  if (!part || n_trials <= part->n_trials)
-    return false;
-  part->n_trials = n_trials;
-  part->trial_us = now_us + dy_trial_wait_us (n_trials);
-  return true;
+  return part ? &part->trials : NULL;
 }
 
 static bool
--- a/src/core/crash_cause.h
+++ b/src/core/crash_cause.h
@@ -27,6 +27,8 @@
  *   Times are microseconds; the module reads no clock, the time is passed in as NOW_US.
  */
 
+#include "core/trial.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -63,8 +65,7 @@
   DyCauseSource source;
   uint32_t n_crashes;
   int64_t blocked_us;
-  uint32_t n_trials;
-  int64_t trial_us; /* time from which a request may be let through, see core/trial.h */
+  DyTrials trials;
 } DyBlockedPart;
 
 typedef struct
@@ -116,10 +117,8 @@
 const DyBlockedPart *
 dy_crash_cause_find (const DyCrashCause *cause, const uint64_t *ids, uint32_t n);
 
-/* Records that N_TRIALS requests with the part ID, if it is blocked, were let through or may be
- * now. Returns whether that is more than was known; the next one is postponed then. */
-bool
-dy_crash_cause_record_trials (DyCrashCause *cause, uint64_t id, uint32_t n_trials, int64_t now_us);
+/* Returns the trials of the part ID, or NULL if it is not blocked. */
+DyTrials *dy_crash_cause_trials (DyCrashCause *cause, uint64_t id);
 
 /* Decides on the parts of the crashes so far. */
 void dy_crash_cause_tick (DyCrashCause *cause, int64_t now_us);
--- a/src/core/crash_counts.c
+++ b/src/core/crash_counts.c
@@ -1,7 +1,5 @@
 #include "core/crash_counts.h"
 
-#include "core/trial.h"
-
 #include <string.h>
 
 enum
@@ -80,7 +78,7 @@
     return;
   count->blocked = true;
   count->blocked_us = now_us;
-  count->trial_us = now_us + dy_trial_wait_us (count->n_trials);
+  dy_trials_init (&count->trials, count->trials.n, now_us);
 }
 
 /* Returns whether CRASH, under a request that was sent at SENT_US, is one that is known as KNOWN.
@@ -122,7 +120,8 @@
         g_array_remove_index (count->crashes, i - 1);
         count->n_crashes--;
         count->blocked = count->n_crashes >= counts->policy.max_crashes;
-        if (count->n_crashes == 0 && count->n_trials == 0)
+        count->trials.granted = count->trials.granted && count->blocked;
+        if (count->n_crashes == 0 && count->trials.n == 0)
           g_hash_table_remove (counts->requests, &request);
         return true;
       }
@@ -138,14 +137,9 @@
                        int64_t now_us)
 {
   DyCrashCount *count = get_count (counts, request, now_us);
-  bool is_new = n_crashes > count->n_crashes || n_trials > count->n_trials;
-  if (!is_new)
+  bool has_trials = dy_trials_record (&count->trials, n_trials, now_us);
+  if (n_crashes <= count->n_crashes && !has_trials)
     return false;
-  if (n_trials > count->n_trials)
-    {
-      count->n_trials = n_trials;
-      count->trial_us = now_us + dy_trial_wait_us (n_trials);
-    }
   count->n_crashes = MAX (count->n_crashes, n_crashes);
   count->source = source;
   update_block (counts, count, now_us);
@@ -168,6 +162,13 @@
   return count;
 }
 
+DyTrials *
+dy_crash_counts_trials (DyCrashCounts *counts, uint64_t request)
+{
+  DyCrashCount *count = g_hash_table_lookup (counts->requests, &request);
+  return count && count->blocked ? &count->trials : NULL;
+}
+
 void
 dy_crash_counts_tick (DyCrashCounts *counts,
                       void (*removed) (void *ctx, uint64_t request),
--- a/src/core/crash_counts.h
+++ b/src/core/crash_counts.h
@@ -7,9 +7,8 @@
  *
  * DESCRIPTION
  *   Counts the crashes of endpoints under one request, which comes again unchanged, by a hash of
- *   it. From max_crashes on the request is blocked. It may have been innocent, so a complete
- *   answer clears it, and trials let it through now and then (core/trial.h). A block ends only by
- *   these, or when the request has not come for long.
+ *   it. From max_crashes on the request is blocked. A complete answer clears it, also
+ *   that of a trial (core/trial.h). A block has no other end while the request is still sent.
  *
  *   All requests that an endpoint held when it crashed end with it. Equal ones among them count
  *   once: those that were sent there before the first of them ended.
@@ -39,12 +38,11 @@
   uint64_t request; /* its hash */
   DyCauseSource source;
   uint32_t n_crashes;
-  uint32_t n_trials;
   GArray *crashes;    /* the latest ones, as the endpoint and the time of each */
   int64_t changed_us; /* latest crash or, if it is blocked, arrival */
   bool blocked;
   int64_t blocked_us;
-  int64_t trial_us; /* if it is blocked: time from which it may be tried */
+  DyTrials trials; /* its number is kept while the request is not blocked, too */
 } DyCrashCount;
 
 typedef struct
@@ -80,10 +78,13 @@
 /* Records that REQUEST had a complete answer. Returns whether crashes had been counted. */
 bool dy_crash_counts_clear (DyCrashCounts *counts, uint64_t request);
 
-/* Returns the count of REQUEST, which has come, if it must not be sent; else NULL. */
+/* Returns the count of REQUEST, which a caller has sent, if it must not run; else NULL. */
 const DyCrashCount *
 dy_crash_counts_refuse (DyCrashCounts *counts, uint64_t request, int64_t now_us);
 
+/* Returns the trials of REQUEST, or NULL if it is not blocked. */
+DyTrials *dy_crash_counts_trials (DyCrashCounts *counts, uint64_t request);
+
 /* Removes counts and blocks that are too old. Calls REMOVED for each. */
 void dy_crash_counts_tick (DyCrashCounts *counts,
                            void (*removed) (void *ctx, uint64_t request),
--- a/src/core/reservations.c
+++ b/src/core/reservations.c
@@ -363,7 +363,7 @@
 }
 
 static void
-say_unused (DyReservations *res, const char *name)
+send_unused (DyReservations *res, const char *name)
 {
   DyMessage message = { .type = DY_MESSAGE_CONFIG };
   message.u.config.version = res->policy.self_id;
@@ -380,7 +380,7 @@
   res->members_changed_us = now_us;
   res->joined_us = MIN (res->joined_us, now_us);
   if (!res->has_reserved)
-    say_unused (res, name);
+    send_unused (res, name);
   const DyMember *member = dy_members_find (res->members, name);
   if (member && g_hash_table_remove (res->lost_ids, &member->incarnation_id))
     res->parted_us = now_us;
--- a/src/core/trial.h
+++ b/src/core/trial.h
@@ -3,31 +3,44 @@
 
 /**
  * NAME
- *   trial - when what crashed endpoints is tried again
+ *   trial - when a request that is blocked, as it crashed endpoints, is let through as a test
  *
  * DESCRIPTION
- *   What is refused because it crashed endpoints may have been innocent, so one request is let
- *   through now and then, by one router of the fleet. Users tolerate three such requests in all,
- *   and each may crash an endpoint: the waits grow so that the fourth trial is most of a day away.
- *   The number of trials outlives restarts, or each one would begin them anew.
+ *   A block may be wrong, so one request is let through after a wait that grows with each trial. At
+ *   most three requests may reach endpoints after a block, and each may crash one: the fourth trial
+ *   is more than 18 hours after the block.
+ *
+ *   A trial that is due must first be recorded where all routers see it. The router that recorded
+ *   it is granted the trial and uses it for one request.
+ *
+ * UNITS
+ *   Times are microseconds; the module reads no clock, the time is passed in as NOW_US.
  */
 
-#include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
-/* Returns the microseconds from trial number N, or from the block if N is 0, to the next one. */
-static inline int64_t
-dy_trial_wait_us (uint32_t n)
+typedef struct
 {
-  enum
-  {
-    FACTOR = 10,
-    MAX_STEPS = 4,
-  };
-  int64_t wait_us = INT64_C (60) * 1000 * 1000;
-  for (uint32_t i = 0; i < MIN (n, MAX_STEPS); i++)
-    wait_us *= FACTOR;
-  return wait_us;
-}
+  uint32_t n;     /* trials that were recorded, by any router */
+  int64_t due_us; /* time from which the next one may be recorded */
+  bool granted;   /* this router recorded the latest one and has not used it */
+} DyTrials;
+
+/* Sets the state of a block that begins now and had N trials before. */
+void dy_trials_init (DyTrials *trials, uint32_t n, int64_t now_us);
+
+/* Takes that N trials were recorded. Returns whether that is more than was known; the next one is
+ * postponed then. */
+bool dy_trials_record (DyTrials *trials, uint32_t n, int64_t now_us);
+
+/* Takes that this router recorded trial number N, which it may use now. */
+void dy_trials_grant (DyTrials *trials, uint32_t n, int64_t now_us);
+
+/* Returns whether a trial is to be recorded. */
+bool dy_trials_is_due (const DyTrials *trials, int64_t now_us);
+
+/* Uses the trial that was granted. Returns false if there is none. */
+bool dy_trials_take (DyTrials *trials);
 
 #endif
--- a/src/core/version_knowledge.c
+++ b/src/core/version_knowledge.c
@@ -6,10 +6,10 @@
 
 enum
 {
-  /* Time without a confirmation in which no version can have come and gone: a record lives longer
-   * than this without renewals. */
+  /* Longest time between two confirmations. A record that is not renewed lives longer, so none can
+   * be added and removed within it. */
   MAX_GAP_US = 2000 * 1000,
-  /* Wait for a confirmation: other routers tell of theirs more often than this. */
+  /* Longest wait for a confirmation; other routers report theirs at shorter intervals. */
   MAX_WAIT_US = 1500 * 1000,
 };
 
@@ -43,7 +43,7 @@
   return knowledge->read_us >= knowledge->from_us - MAX_GAP_US;
 }
 
-/* Returns whether versions of before the time that is covered do not matter any more. */
+/* Returns whether no stream that began before FROM_US can still be resumed. */
 static bool
 covers_all (const DyVersionKnowledge *knowledge, int64_t now_us)
 {
--- a/src/core/version_knowledge.h
+++ b/src/core/version_knowledge.h
@@ -6,12 +6,12 @@
  *   version_knowledge - whether a router knows all software versions that may have begun a stream
  *
  * DESCRIPTION
- *   A stream of which no router recorded the origin can only be taken to be of the one version that
- *   is known if no other one can have served. A router learns of versions by the endpoints'
- *   records. What it knows covers the time from FROM_US to TO_US: no record that was listed then
- *   is missing. If nothing was confirmed for longer than a record lives, versions may have come and
- *   gone unseen, and the time that is covered begins anew. What came before it is known from the
- *   store, where the routers keep the versions of each service.
+ *   A stream without a recorded origin may be taken to be of the only known version if no other
+ *   one can have served. A router learns of versions from the endpoints' records. The interval from
+ *   FROM_US to TO_US is covered: all records that were listed in it are known. If two confirmations
+ *   are too far apart, a record may have been added and removed between them, so FROM_US is set to
+ *   the later one. Versions from before FROM_US are read from the store, where the routers keep
+ *   those of each service.
  *
  *   A stream began before its caller asks to resume it, so what is known must cover the time at
  *   which the caller asked. Only if neither this router nor any other one that may run reaches the
--- a/src/services/block_records.h
+++ b/src/services/block_records.h
@@ -23,7 +23,7 @@
 {
   /* The store has an object of ID, with these numbers. */
   void (*read) (void *ctx, uint64_t id, uint32_t n_crashes, uint32_t n_trials);
-  /* The trial N_TRIALS of ID, which this router asked for, is recorded. */
+  /* This router has recorded trial number N_TRIALS of ID, which it had asked for. */
   void (*trial) (void *ctx, uint64_t id, uint32_t n_trials);
 } DyBlockRecordsWatcher;
 
--- a/src/services/part_blocks.c
+++ b/src/services/part_blocks.c
@@ -43,7 +43,7 @@
 send_block (DyPartBlocks *blocks, const char *name, const DyBlockedPart *part)
 {
   char *key = dy_block_records_key (&blocks->records, part->id);
-  char *text = dy_block_records_encode (part->n_crashes, part->n_trials);
+  char *text = dy_block_records_encode (part->n_crashes, part->trials.n);
   dy_peers_send_object (blocks->peers, name, key, text);
   free (text);
   g_free (key);
@@ -68,11 +68,12 @@
           source_names[source]);
 }
 
-/* Takes that N_TRIALS requests with the blocked part ID were let through, or may be. */
+/* Takes that N_TRIALS trials of the part ID were recorded. */
 static void
 take_trials (DyPartBlocks *blocks, uint64_t id, uint32_t n_trials, bool in_store)
 {
-  if (!dy_crash_cause_record_trials (&blocks->cause, id, n_trials, now_us (blocks)))
+  DyTrials *trials = dy_crash_cause_trials (&blocks->cause, id);
+  if (!trials || !dy_trials_record (trials, n_trials, now_us (blocks)))
     return;
   const DyBlockedPart *part = dy_crash_cause_find (&blocks->cause, &id, 1);
   dy_block_records_put (&blocks->records, id, part->n_crashes, n_trials, in_store, 0);
@@ -93,7 +94,6 @@
 take_release (DyPartBlocks *blocks, uint64_t id, const char *reason)
 {
   dy_block_records_remove (&blocks->records, id);
-  g_hash_table_remove (blocks->trials, &id);
   count_blocked (blocks);
   dy_log (DY_EVENT_PART_RELEASED, "part=" ID_FORMAT " reason=%s", id, reason);
 }
@@ -121,17 +121,15 @@
   adopt_block (ctx, id, n_crashes, n_trials, DY_CAUSE_STORE);
 }
 
-/* The trial N_TRIALS is this router's: the next request with the part ID is let through. */
 static void
 on_trial (void *ctx, uint64_t id, uint32_t n_trials)
 {
   DyPartBlocks *blocks = ctx;
-  const DyBlockedPart *part = dy_crash_cause_find (&blocks->cause, &id, 1);
-  take_trials (blocks, id, n_trials, true);
-  if (!part)
+  DyTrials *trials = dy_crash_cause_trials (&blocks->cause, id);
+  if (!trials)
     return;
-  g_hash_table_add (blocks->trials, g_memdup2 (&id, sizeof id));
-  send_block (blocks, NULL, part);
+  dy_trials_grant (trials, n_trials, now_us (blocks));
+  send_block (blocks, NULL, dy_crash_cause_find (&blocks->cause, &id, 1));
 }
 
 static const DyBlockRecordsWatcher records_watcher = { .read = on_record_read, .trial = on_trial };
@@ -215,7 +213,6 @@
   DyPartBlocks *blocks = self;
   blocks->kernel = kernel;
   blocks->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
-  blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   dy_crash_cause_init (&blocks->cause, &dy_crash_cause_policy, &cause_watcher, blocks);
   dy_peers_watch (blocks->peers, &peers_watcher, blocks);
   dy_block_records_start (&blocks->records, kernel, PARTS_PREFIX, NULL, &records_watcher, blocks);
@@ -232,7 +229,6 @@
   ev_timer_stop (blocks->kernel->loop, &blocks->timer);
   dy_block_records_stop (&blocks->records);
   dy_crash_cause_finish (&blocks->cause);
-  g_hash_table_unref (blocks->trials);
 }
 
 static json_t *
@@ -250,7 +246,7 @@
       json_array_append_new (
           parts,
           json_pack ("{s:s, s:i, s:i, s:s, s:I}", "part", id, "crashes", (int) part->n_crashes,
-                     "trials", (int) part->n_trials, "source", source_names[part->source], "age_ms",
+                     "trials", (int) part->trials.n, "source", source_names[part->source], "age_ms",
                      (json_int_t) ((now_us (blocks) - part->blocked_us) / 1000)));
       g_free (id);
     }
@@ -327,12 +323,13 @@
   const DyBlockedPart *part = dy_crash_cause_find (&blocks->cause, ids, n);
   if (!part)
     return false;
-  bool tried = may_try && g_hash_table_remove (blocks->trials, &part->id);
-  if (!tried && may_try && now_us (blocks) >= part->trial_us)
+  DyTrials *trials = dy_crash_cause_trials (&blocks->cause, part->id);
+  bool tried = may_try && dy_trials_take (trials);
+  if (!tried && may_try && dy_trials_is_due (trials, now_us (blocks)))
     dy_block_records_ask_trial (&blocks->records, part->id);
   dy_log (tried ? DY_EVENT_REQUEST_TRIED : DY_EVENT_REQUEST_BLOCKED,
           "request=%s part=" ID_FORMAT " crashes=%u trials=%u source=%s age_ms=%" G_GINT64_FORMAT,
-          request_id, part->id, part->n_crashes, part->n_trials, source_names[part->source],
+          request_id, part->id, part->n_crashes, part->trials.n, source_names[part->source],
           (now_us (blocks) - part->blocked_us) / 1000);
   return !tried;
 }
--- a/src/services/part_blocks.h
+++ b/src/services/part_blocks.h
@@ -33,8 +33,7 @@
   DyPeers *peers;
   DyCrashCause cause;
   DyBlockRecords records;
-  GHashTable *trials; /* set of the parts of which a request may be let through now */
-  ev_timer timer;     /* decisions */
+  ev_timer timer; /* decisions */
 } DyPartBlocks;
 
 /* Adds the service "part_blocks", whose interface is a DyPartBlocks. */
--- a/src/services/request_blocks.c
+++ b/src/services/request_blocks.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #define CRASHES_PREFIX "requestcrashes/"
-/* Of the kind of the blocked parts, so that one call reads both. */
+/* The kind is that of the blocked parts, so that one call reads both. */
 #define BLOCKS_PREFIX "crashingparts/request-"
 #define HASH_FORMAT "%016" G_GINT64_MODIFIER "x"
 
@@ -35,7 +35,7 @@
 send_count (DyRequestBlocks *blocks, const char *name, const DyCrashCount *count)
 {
   char *key = dy_block_records_key (&blocks->records, count->request);
-  char *text = dy_block_records_encode (count->n_crashes, count->n_trials);
+  char *text = dy_block_records_encode (count->n_crashes, count->trials.n);
   dy_peers_send_object (blocks->peers, name, key, text);
   free (text);
   g_free (key);
@@ -56,7 +56,7 @@
   g_free (key);
 }
 
-/* For routers of earlier builds. */
+/* Sends the message that builds without these objects know. */
 static void
 send_message (DyRequestBlocks *blocks, uint64_t hash, bool cleared)
 {
@@ -78,13 +78,14 @@
   dy_counters_set (&blocks->kernel->counters, DY_COUNTER_BLOCKED_REQUESTS, n);
 }
 
-/* Takes up what has changed of the count of HASH, which WAS_BLOCKED before. */
+/* Updates the record, the counter and the log after a change of the count of HASH, which
+ * WAS_BLOCKED before it. */
 static void
 take_count (DyRequestBlocks *blocks, uint64_t hash, bool was_blocked, DyCauseSource source)
 {
   const DyCrashCount *count = dy_crash_counts_find (&blocks->counts, hash);
   if (count && count->n_crashes + 1 >= blocks->counts.policy.max_crashes)
-    dy_block_records_put (&blocks->records, hash, count->n_crashes, count->n_trials,
+    dy_block_records_put (&blocks->records, hash, count->n_crashes, count->trials.n,
                           source == DY_CAUSE_STORE, count->blocked ? 0 : WRITE_DELAY_US);
   else
     dy_block_records_remove (&blocks->records, hash);
@@ -92,7 +93,7 @@
   if (is_blocked && !was_blocked)
     dy_log (DY_EVENT_CRASHING_REQUEST_BLOCKED,
             "hash=" HASH_FORMAT " crashes=%u trials=%u source=%s", hash, count->n_crashes,
-            count->n_trials, source_names[source]);
+            count->trials.n, source_names[source]);
   else if (was_blocked && !is_blocked)
     dy_log (DY_EVENT_CRASHING_REQUEST_RELEASED, "hash=" HASH_FORMAT " source=%s", hash,
             source_names[source]);
@@ -137,7 +138,6 @@
   bool was_blocked = is_blocked (blocks, hash);
   if (!dy_crash_counts_clear (&blocks->counts, hash))
     return false;
-  g_hash_table_remove (blocks->trials, &hash);
   take_count (blocks, hash, was_blocked, source);
   return true;
 }
@@ -160,17 +160,15 @@
   adopt (ctx, id, n_crashes, n_trials, DY_CAUSE_STORE);
 }
 
-/* The trial N_TRIALS is this router's: the request is let through when it comes next. */
 static void
 on_trial (void *ctx, uint64_t id, uint32_t n_trials)
 {
   DyRequestBlocks *blocks = ctx;
-  const DyCrashCount *count = dy_crash_counts_find (&blocks->counts, id);
-  if (!count || !count->blocked)
+  DyTrials *trials = dy_crash_counts_trials (&blocks->counts, id);
+  if (!trials)
     return;
-  adopt (blocks, id, count->n_crashes, n_trials, DY_CAUSE_STORE);
-  g_hash_table_add (blocks->trials, g_memdup2 (&id, sizeof id));
-  send_count (blocks, NULL, count);
+  dy_trials_grant (trials, n_trials, now_us (blocks));
+  send_count (blocks, NULL, dy_crash_counts_find (&blocks->counts, id));
 }
 
 static const DyBlockRecordsWatcher records_watcher = { .read = on_record_read, .trial = on_trial };
@@ -266,7 +264,6 @@
   DyPartBlocks *parts = dy_kernel_find (kernel, DY_SERVICE_PART_BLOCKS);
   blocks->kernel = kernel;
   blocks->peers = dy_kernel_find (kernel, DY_SERVICE_PEERS);
-  blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   dy_crash_counts_init (&blocks->counts, &dy_crash_counts_policy);
   dy_block_records_start (&blocks->records, kernel, BLOCKS_PREFIX, &parts->records,
                           &records_watcher, blocks);
@@ -284,7 +281,6 @@
   ev_timer_stop (blocks->kernel->loop, &blocks->timer);
   dy_block_records_stop (&blocks->records);
   dy_crash_counts_finish (&blocks->counts);
-  g_hash_table_unref (blocks->trials);
 }
 
 static json_t *
@@ -303,7 +299,7 @@
         json_array_append_new (
             requests,
             json_pack ("{s:s, s:i, s:i, s:s, s:I}", "hash", hash, "crashes", (int) count->n_crashes,
-                       "trials", (int) count->n_trials, "source", source_names[count->source],
+                       "trials", (int) count->trials.n, "source", source_names[count->source],
                        "age_ms", (json_int_t) ((now_us (blocks) - count->blocked_us) / 1000)));
       g_free (hash);
     }
@@ -366,12 +362,13 @@
   const DyCrashCount *count = dy_crash_counts_refuse (&blocks->counts, hash, now_us (blocks));
   if (!count)
     return false;
-  bool tried = may_try && g_hash_table_remove (blocks->trials, &hash);
-  if (!tried && may_try && now_us (blocks) >= count->trial_us)
+  DyTrials *trials = dy_crash_counts_trials (&blocks->counts, hash);
+  bool tried = may_try && dy_trials_take (trials);
+  if (!tried && may_try && dy_trials_is_due (trials, now_us (blocks)))
     dy_block_records_ask_trial (&blocks->records, hash);
   dy_log (tried ? DY_EVENT_CRASHING_REQUEST_TRIED : DY_EVENT_CRASHING_REQUEST_REFUSED,
           "request=%s hash=" HASH_FORMAT " crashes=%u trials=%u source=%s age_ms=%" G_GINT64_FORMAT,
-          request_id, hash, count->n_crashes, count->n_trials, source_names[count->source],
+          request_id, hash, count->n_crashes, count->trials.n, source_names[count->source],
           (now_us (blocks) - count->blocked_us) / 1000);
   return !tried;
 }
--- a/src/services/request_blocks.h
+++ b/src/services/request_blocks.h
@@ -35,8 +35,7 @@
   DyPeers *peers;
   DyCrashCounts counts;
   DyBlockRecords records;
-  GHashTable *trials; /* set of the requests that may be let through once */
-  ev_timer timer;     /* removal of old counts */
+  ev_timer timer; /* removal of old counts */
 } DyRequestBlocks;
 
 /* Adds the service "request_blocks", whose interface is a DyRequestBlocks. */
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -107,7 +107,7 @@
   g_free (list);
 }
 
-/* Without records in a store. */
+/* No object is read from a store or written to it. */
 static void
 start_request_blocks (Fixture *fixture)
 {
@@ -119,7 +119,6 @@
   blocks->records.prefix = "crashingparts/request-";
   blocks->records.loaded = true;
   blocks->records.records = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  blocks->trials = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   dy_crash_counts_init (&blocks->counts, &dy_crash_counts_policy);
 }
 
@@ -203,7 +202,6 @@
   dy_stream_origins_finish (&fixture->origins.table);
   dy_http_client_finish (&gateway->client);
   dy_crash_counts_finish (&fixture->request_blocks.counts);
-  g_hash_table_unref (fixture->request_blocks.trials);
   g_hash_table_unref (fixture->request_blocks.records.records);
   dy_crash_cause_finish (&fixture->part_blocks.cause);
   dy_limit_shares_finish (&fixture->limits.shares);
--- a/test/support/replay_world.c
+++ b/test/support/replay_world.c
@@ -111,7 +111,7 @@
   delivery->from_generation = from->generation;
   delivery->message = *message;
   replay->outcome.messages++;
-  /* Not drawn for CONFIG, which came later: the delays of all other messages stay as they were. */
+  /* Fixed for CONFIG, so that these messages do not shift the random delays of the others. */
   int64_t delay_us = message->type == DY_MESSAGE_CONFIG
                          ? MAX_DELAY_US
                          : random_delay_us (replay, MIN_DELAY_US, MAX_DELAY_US);
--- a/test/test_crash_cause.c
+++ b/test/test_crash_cause.c
@@ -2,7 +2,6 @@
  * and fleets whose routers exchange what they see. */
 
 #include "core/crash_cause.h"
-#include "core/trial.h"
 #include "support/suite.h"
 
 #include <string.h>
@@ -156,28 +155,35 @@
     MAX_TRIALS = 3,
     LONG_S = 12 * 3600,
   };
-  uint32_t n_trials = 0;
+  const int64_t first_us = INT64_C (60) * 1000 * 1000;
+  const int64_t factor = 10;
   DyCrashCause cause;
   dy_crash_cause_init (&cause, &dy_crash_cause_policy, &ignoring_watcher, NULL);
   ck_assert (dy_crash_cause_block (&cause, 7, 3, DY_CAUSE_STORE, 0));
   ck_assert (!dy_crash_cause_block (&cause, 7, 3, DY_CAUSE_PEER, 0));
-  const DyBlockedPart *part = dy_crash_cause_find (&cause, &(uint64_t){ 7 }, 1);
-  ck_assert_int_eq (part->trial_us, INT64_C (60) * 1000 * 1000);
-  for (int64_t now_us = 0; now_us < INT64_C (1000000) * LONG_S; now_us += 1000000)
-    if (now_us >= part->trial_us)
-      {
-        ck_assert (dy_crash_cause_record_trials (&cause, 7, ++n_trials, now_us));
-        ck_assert (!dy_crash_cause_record_trials (&cause, 7, n_trials, now_us));
-        ck_assert_int_eq (part->trial_us, now_us + dy_trial_wait_us (n_trials));
-      }
-  ck_assert_uint_ge (n_trials, 1);
-  ck_assert_uint_le (n_trials, MAX_TRIALS);
-  /* A router that starts has the number of trials from the store. */
-  ck_assert (dy_crash_cause_block (&cause, 8, 3, DY_CAUSE_STORE, 0));
-  ck_assert (dy_crash_cause_record_trials (&cause, 8, 2, 0));
-  part = dy_crash_cause_find (&cause, &(uint64_t){ 8 }, 1);
-  ck_assert_int_eq (part->trial_us, dy_trial_wait_us (2));
-  ck_assert (!dy_crash_cause_record_trials (&cause, 9, 1, 0));
+  DyTrials *trials = dy_crash_cause_trials (&cause, 7);
+  ck_assert (!dy_trials_is_due (trials, first_us - 1));
+  ck_assert (dy_trials_is_due (trials, first_us));
+  /* A trial that is due is used only once it is recorded, for one request. */
+  ck_assert (!dy_trials_take (trials));
+  dy_trials_grant (trials, 1, first_us);
+  ck_assert (!dy_trials_is_due (trials, first_us));
+  ck_assert (dy_trials_take (trials));
+  ck_assert (!dy_trials_take (trials));
+  ck_assert (!dy_trials_is_due (trials, first_us));
+  ck_assert (!dy_trials_is_due (trials, first_us * factor));
+  ck_assert (!dy_trials_is_due (trials, first_us + first_us * factor - 1));
+  ck_assert (dy_trials_is_due (trials, first_us + first_us * factor));
+  /* One that another router recorded postpones the next one and is not granted here. */
+  ck_assert (dy_trials_record (trials, 2, first_us + first_us * factor));
+  ck_assert (!dy_trials_record (trials, 2, first_us + first_us * factor));
+  ck_assert (!dy_trials_take (trials));
+  ck_assert (!dy_trials_is_due (trials, first_us + first_us * factor * factor));
+  for (int64_t now_us = 0; now_us < INT64_C (1000000) * LONG_S; now_us += first_us)
+    if (dy_trials_is_due (trials, now_us))
+      dy_trials_record (trials, trials->n + 1, now_us);
+  ck_assert_uint_eq (trials->n, MAX_TRIALS);
+  ck_assert_ptr_null (dy_crash_cause_trials (&cause, 8));
   dy_crash_cause_finish (&cause);
 }
 END_TEST
--- a/test/test_crash_counts.c
+++ b/test/test_crash_counts.c
@@ -20,7 +20,7 @@
   SUCCESS,
   ADOPT,  /* N crashes that another router counted */
   TRIALS, /* N trials that are known to the store */
-  COMES,  /* the request comes */
+  COMES,  /* a caller sends the request */
 } StepKind;
 
 typedef struct
@@ -123,7 +123,7 @@
   ck_assert_uint_eq (request, REQUEST);
 }
 
-/* Guards against a count that is lost with time, or that is one too many. */
+/* Guards against a count that expires too early, or that counts one crash twice. */
 START_TEST (request_is_refused_after_three_crashes)
 {
   DyCrashCounts counts;
@@ -155,19 +155,26 @@
 }
 END_TEST
 
-/* Guards against trials that begin anew with a restart, or that a later crash brings forward. */
-START_TEST (trials_that_were_made_are_counted_over_a_restart)
+/* Guards against trials that start over after a restart, and against a trial of a request that is
+ * no longer blocked. */
+START_TEST (trials_are_counted_over_a_restart)
 {
+  const int64_t second_us = INT64_C (600) * 1000 * MS;
   DyCrashCounts counts;
   dy_crash_counts_init (&counts, &dy_crash_counts_policy);
   ck_assert (dy_crash_counts_adopt (&counts, REQUEST, 3, 1, DY_CAUSE_STORE, 0));
   ck_assert (!dy_crash_counts_adopt (&counts, REQUEST, 3, 1, DY_CAUSE_PEER, 5));
-  const DyCrashCount *count = dy_crash_counts_find (&counts, REQUEST);
-  ck_assert_int_eq (count->trial_us, dy_trial_wait_us (1));
+  DyTrials *trials = dy_crash_counts_trials (&counts, REQUEST);
+  ck_assert (!dy_trials_is_due (trials, second_us - 1));
+  ck_assert (dy_trials_is_due (trials, second_us));
   ck_assert (dy_crash_counts_add (&counts, REQUEST, "a", 100, 100));
-  ck_assert_int_eq (count->trial_us, dy_trial_wait_us (1));
-  ck_assert (dy_crash_counts_adopt (&counts, REQUEST, 3, 2, DY_CAUSE_STORE, 200));
-  ck_assert_int_eq (count->trial_us, 200 + dy_trial_wait_us (2));
+  ck_assert (dy_trials_is_due (trials, second_us));
+  dy_trials_grant (trials, 2, second_us);
+  ck_assert (dy_crash_counts_adopt (&counts, REQUEST, 5, 2, DY_CAUSE_PEER, second_us));
+  ck_assert (dy_trials_take (trials));
+  ck_assert (!dy_trials_take (trials));
+  ck_assert (dy_crash_counts_clear (&counts, REQUEST));
+  ck_assert_ptr_null (dy_crash_counts_trials (&counts, REQUEST));
   dy_crash_counts_finish (&counts);
 }
 END_TEST
@@ -177,6 +184,6 @@
 {
   TCase *tcase = tcase_create ("crash_counts");
   tcase_add_loop_test (tcase, request_is_refused_after_three_crashes, 0, G_N_ELEMENTS (cases));
-  tcase_add_test (tcase, trials_that_were_made_are_counted_over_a_restart);
+  tcase_add_test (tcase, trials_are_counted_over_a_restart);
   return suite_run ("crash_counts", tcase);
 }
--- a/test/test_crashing_requests.c
+++ b/test/test_crashing_requests.c
@@ -1,4 +1,4 @@
-/* A request that crashes the endpoints that run it comes again and again: real router processes. */
+/* Repeats of a request that crashes the endpoints which run it: real router processes. */
 
 #include "support/suite.h"
 #include "support/traffic.h"
@@ -95,7 +95,7 @@
     ck_assert (site_restart_routers (site));
 }
 
-/* Guards against a block that ends by itself, or with the process that knew it. */
+/* Guards against a block that expires while the request is still sent, or is lost in a restart. */
 START_TEST (request_that_crashed_endpoints_does_not_come_through_again)
 {
   int64_t run_ms[MAX_RUNS];
@@ -132,13 +132,14 @@
 }
 END_TEST
 
-/* Guards against a block of a request that was innocent: it must be served again, and by all. */
+/* Guards against a block without an end, and against a trial that is too early or made twice. */
 START_TEST (request_that_is_sound_again_is_served_after_a_trial)
 {
   enum
   {
     TRIAL_MS = 60000,
     SLACK_MS = 8000,
+    BLOCK_MS = 2000, /* the block began at most this long before the latest request ended */
     N_ROUTERS = 3,
     PAUSE_MS = 250,
   };
@@ -161,6 +162,7 @@
   fprintf (stderr, "served after %d ms\n", (int) (now_ms () - blocked_ms));
   ck_assert_uint_eq (status, 200);
   ck_assert_int_eq (n_runs, 1);
+  ck_assert_int_ge (now_ms () - blocked_ms, TRIAL_MS - BLOCK_MS);
   for (uint32_t i = 0; i < N_ROUTERS; i++)
     {
       send_crashing (&site, i, &status);
--- a/test/test_endless_answers.c
+++ b/test/test_endless_answers.c
@@ -1,5 +1,5 @@
-/* Bytes that come without end, in pieces of any size: a gateway in the test's own process, whose
- * loop serves other callers meanwhile. */
+/* Answers and requests without an end, in pieces of several sizes: a gateway in the test's process
+ * serves other callers at the same time. */
 
 #include "kernel/loop_monitor.h"
 #include "support/gateway_fixture.h"
@@ -20,7 +20,7 @@
   OTHERS_INTERVAL_MS = 50,
   N_OTHERS = 20,
   RUN_MS = 2500,
-  /* An event has to be passed on this long after the endpoint made it. */
+  /* Longest time in which an event has to be passed on. */
   MAX_TURN_US = 120 * 1000,
   MAX_WAIT_MS = 500,
   BLOCK_BYTES = 64 * 1024,
@@ -234,7 +234,7 @@
   fixture_finish (&run->fixture);
 }
 
-/* Guards against an endpoint that keeps a router from all other work by what it sends. */
+/* Guards against an endpoint whose answer delays the requests of other callers. */
 START_TEST (an_answer_without_end_does_not_hold_up_other_callers)
 {
   const Case *c = &cases[_i];
@@ -287,7 +287,7 @@
     }
 }
 
-/* Guards against a caller that does so. */
+/* Guards against a caller whose request delays those of others. */
 START_TEST (a_request_without_end_does_not_hold_up_other_callers)
 {
   const Case *c = &request_cases[_i];
--- a/test/test_version_knowledge.c
+++ b/test/test_version_knowledge.c
@@ -41,7 +41,7 @@
   { "all cut off", { 100, 1000, 2000 }, 90, 9000, 9005, 1, 1, 0, 1, DY_VERSIONS_COMPLETE },
   { "nothing known", { 0 }, 90, 3000, 3005, 0, 0, 0, 1, DY_VERSIONS_UNKNOWN },
   { "nothing known, all cut off", { 0 }, 90, 3000, 3005, 1, 1, 0, 1, DY_VERSIONS_UNKNOWN },
-  /* Versions may have come and gone between 100 and 2,101 ms. */
+  /* 2,001 ms between two confirmations, above the limit; the versions were read before. */
   { "after a gap", { 100, 2101, 3001 }, 90, 3000, 3005, 0, 0, 0, 1, DY_VERSIONS_AWAITED },
   { "after a gap, cut off again", { 100, 9000 }, 90, 8000, 9005, 1, 0, 0, 1, DY_VERSIONS_UNKNOWN },
   { "after a gap, read", { 100, 2101, 3001 }, 2950, 3000, 3005, 0, 0, 0, 1, DY_VERSIONS_COMPLETE },
