What endpoints say of themselves: in a file of its own in the directory

Change: the functions that take notices of endpoints are in directory_notices.c, no change of behaviour. Measured: test_directory and test_gateway pass.

--- a/src/services/endpoints/directory.c
+++ b/src/services/endpoints/directory.c
@@ -31,14 +31,6 @@
 /* Of a CONFIG_GET: the reply may be packed. Of a CONFIG: it is. */
 static const char PACKED_PREFIX[] = "packed/";
 
-typedef struct
-{
-  int64_t start_ms; /* Unix time; 0: not stated */
-  bool leaving;     /* by the record */
-  bool expiring;
-  int64_t remove_us; /* if expiring: monotonic time at which the endpoint is removed */
-} EndpointState;
-
 static int64_t
 now_us (const DyDirectory *directory)
 {
@@ -139,7 +131,7 @@
 static void
 remove_endpoint (DyDirectory *directory, const char *id, const char *reason)
 {
-  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
+  const DyEndpointState *state = g_hash_table_lookup (directory->endpoints, id);
   dy_log (DY_EVENT_ENDPOINT_REMOVED, "endpoint=%s reason=%s", id, reason);
   notify_end (directory, id);
   if (state)
@@ -152,7 +144,7 @@
 static void
 handle_unlisted_endpoint (DyDirectory *directory, const char *id)
 {
-  EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
+  DyEndpointState *state = g_hash_table_lookup (directory->endpoints, id);
   int64_t now = now_us (directory);
   if (!state)
     return;
@@ -194,12 +186,12 @@
       json_decref (document);
       return;
     }
-  EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
+  DyEndpointState *state = g_hash_table_lookup (directory->endpoints, id);
   dy_log (DY_EVENT_ENDPOINT_LISTED, "endpoint=%s service=%s address=%s leaving=%d known=%d", id,
           record.service, record.address, record.leaving, state != NULL);
   if (!state)
     {
-      state = g_new0 (EndpointState, 1);
+      state = g_new0 (DyEndpointState, 1);
       g_hash_table_insert (directory->endpoints, g_strdup (id), state);
     }
   else if (state->start_ms != record.start_ms)
@@ -279,7 +271,7 @@
   g_hash_table_iter_init (&iter, directory->endpoints);
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
-      const EndpointState *state = value;
+      const DyEndpointState *state = value;
       if (state->expiring && now >= state->remove_us)
         g_ptr_array_add (expired, g_strdup (id));
     }
@@ -529,49 +521,6 @@
   directory->confirm_watcher_ctx = ctx;
 }
 
-bool
-dy_directory_take_leaving (
-    DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, bool from_peer)
-{
-  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
-  if (!dy_notices_take_leaving (&directory->notices, id, start_ms, said_us, from_peer))
-    return false;
-  if (state && state->start_ms == start_ms)
-    {
-      dy_departures_add (&directory->departures, id, start_ms, now_us (directory));
-      dy_placement_set_leaving (&directory->placement, id, true);
-    }
-  return true;
-}
-
-void
-dy_directory_take_wait (
-    DyDirectory *directory, const char *id, int64_t start_ms, int64_t said_us, int64_t until_us)
-{
-  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
-  dy_notices_take_wait (&directory->notices, id, start_ms, said_us, until_us);
-  if (state && state->start_ms == start_ms)
-    dy_placement_set_wait (&directory->placement, id,
-                           dy_notices_wait_until_us (&directory->notices, id, start_ms));
-}
-
-void
-dy_directory_end_leaving (DyDirectory *directory, const char *id)
-{
-  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
-  if (!state || state->leaving)
-    return;
-  dy_departures_remove (&directory->departures, id);
-  dy_placement_set_leaving (&directory->placement, id, false);
-}
-
-int64_t
-dy_directory_start_ms (const DyDirectory *directory, const char *id)
-{
-  const EndpointState *state = g_hash_table_lookup (directory->endpoints, id);
-  return state ? state->start_ms : 0;
-}
-
 const char *
 dy_directory_health_path (const DyDirectory *directory, const DyPlacementEndpoint *endpoint)
 {
