An origin is recorded with the first event, not when the stream is sent

Cause: the origin was recorded and written when the stream was sent. Another router that read the store before the move kept the first version for 15 s and answered from it.

Evidence: event 7010 now names the router that recorded an origin and the time since this one learned of it.

Change: it is recorded when the first event is passed on. From then on it does not change, so what was read, also at a start or from an older copy of the store, is true. The first write after a pause is made at once. Objects have a format number; those of earlier builds are read again for each lookup. Two attempts beside each other may be of different versions, as neither is recorded before it wins.

--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -4,14 +4,18 @@
 
 enum
 {
-  MIN_WRITE_INTERVAL_US = 20 * 1000,
-  WRITE_INTERVAL_PER_ROUTER_US = 5 * 1000, /* 200 writes a second of all routers together */
+  MIN_WRITE_INTERVAL_US = 60 * 1000,
+  WRITE_INTERVAL_PER_ROUTER_US = 6250, /* 160 writes a second of all routers together */
+  MIN_CONFIRM_INTERVAL_US = 20 * 1000,
+  CONFIRM_INTERVAL_PER_ROUTER_US = 5 * 1000,
 };
 
 typedef struct
 {
   char *service;
   char *version;
+  char *router;
+  int64_t known_us;
   int64_t expires_us;
 } Stream;
 
@@ -21,6 +25,7 @@
   Stream *stream = data;
   g_free (stream->service);
   g_free (stream->version);
+  g_free (stream->router);
   g_free (stream);
 }
 
@@ -50,6 +55,8 @@
   Stream *stream = g_new0 (Stream, 1);
   stream->service = g_strdup (origin->service);
   stream->version = g_strdup (origin->version);
+  stream->router = g_strdup (origin->router);
+  stream->known_us = origin->known_us;
   stream->expires_us = origin->expires_us;
   g_hash_table_replace (origins->streams, g_strdup (origin->request_id), stream);
 }
@@ -90,6 +97,28 @@
   return versions && g_hash_table_size (versions) == 1;
 }
 
+static DyStreamOrigin
+origin_of (const char *request_id, const Stream *stream)
+{
+  return (DyStreamOrigin){ .request_id = request_id,
+                           .service = stream->service,
+                           .version = stream->version,
+                           .router = stream->router,
+                           .known_us = stream->known_us,
+                           .expires_us = stream->expires_us };
+}
+
+bool
+dy_stream_origins_get (const DyStreamOrigins *origins,
+                       const char *request_id,
+                       DyStreamOrigin *origin)
+{
+  const Stream *stream = request_id ? g_hash_table_lookup (origins->streams, request_id) : NULL;
+  if (stream)
+    *origin = origin_of (request_id, stream);
+  return stream != NULL;
+}
+
 const char *
 dy_stream_origins_find (const DyStreamOrigins *origins,
                         const char *service,
@@ -150,8 +179,7 @@
   g_hash_table_iter_init (&iter, origins->streams);
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
-      const Stream *stream = value;
-      DyStreamOrigin origin = { id, stream->service, stream->version, stream->expires_us };
+      DyStreamOrigin origin = origin_of (id, value);
       visit (ctx, &origin);
     }
 }
@@ -177,3 +205,9 @@
 {
   return MAX (MIN_WRITE_INTERVAL_US, (int64_t) n_routers * WRITE_INTERVAL_PER_ROUTER_US);
 }
+
+int64_t
+dy_stream_origins_confirm_interval_us (uint32_t n_routers)
+{
+  return MAX (MIN_CONFIRM_INTERVAL_US, (int64_t) n_routers * CONFIRM_INTERVAL_PER_ROUTER_US);
+}
--- a/src/core/stream_origins.h
+++ b/src/core/stream_origins.h
@@ -38,14 +38,16 @@
   const char *request_id;
   const char *service;
   const char *version;
+  const char *router; /* that passed the first event on; NULL: this one */
+  int64_t known_us;   /* time at which it was recorded here */
   int64_t expires_us;
 } DyStreamOrigin;
 
 void dy_stream_origins_init (DyStreamOrigins *origins);
 void dy_stream_origins_finish (DyStreamOrigins *origins);
 
-/* Records the origin of a stream, instead of an earlier one of the same request. Copies the
- * strings. */
+/* Records the origin of a stream, from the first event that is passed on: it does not change.
+ * Copies the strings. */
 void dy_stream_origins_add (DyStreamOrigins *origins, const DyStreamOrigin *origin);
 
 /* Records that VERSION of SERVICE is listed, or was until NOW_US. Returns whether it was not known.
@@ -58,6 +60,12 @@
 /* Returns whether streams of SERVICE may have been begun by more than one version. */
 bool dy_stream_origins_is_mixed (const DyStreamOrigins *origins, const char *service);
 
+/* Stores what is recorded of the stream REQUEST_ID (NULL: not stated) in ORIGIN, valid until the
+ * table changes. Returns whether there is anything. */
+bool dy_stream_origins_get (const DyStreamOrigins *origins,
+                            const char *request_id,
+                            DyStreamOrigin *origin);
+
 /* Returns the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE, or NULL if
  * that is not known here. COMPLETE is whether no version that may have begun it is missing here, so
  * that one which is not recorded was begun by the only version there is. */
@@ -82,7 +90,9 @@
                                        void (*visit) (void *ctx, const char *version),
                                        void *ctx);
 
-/* Returns the time between two writes of a router's origins when the fleet has N_ROUTERS. */
+/* Returns the least time between two writes of a router's origins, or between two confirmations
+ * that it asks for, when the fleet has N_ROUTERS. */
 int64_t dy_stream_origins_write_interval_us (uint32_t n_routers);
+int64_t dy_stream_origins_confirm_interval_us (uint32_t n_routers);
 
 #endif
--- a/src/services/gateway/gateway_admit.c
+++ b/src/services/gateway/gateway_admit.c
@@ -91,38 +91,40 @@
           home[0] ? home : "self");
 }
 
-/* Goes on with a resumed stream, whose VERSION is known, or NULL. */
+/* Goes on with a resumed stream, or refuses it if its version is not known. */
 static void
-take_origin (DyGatewayRequest *request, const char *version, const char *source)
+take_origin (DyGatewayRequest *request, const DyOriginAnswer *answer)
 {
   const char *resumes = request->plan.resumes_id;
   dy_log (DY_EVENT_ORIGIN_FOUND,
-          "request=%s resumes=%s service=%s version=%s source=%s ms=%" G_GINT64_FORMAT,
-          request->plan.id, resumes ? resumes : "-", request->plan.service, version ? version : "-",
-          source, (now_us (request) - request->plan.arrived_us) / 1000);
-  request->version = g_strdup (version);
-  if (!version)
+          "request=%s resumes=%s service=%s version=%s source=%s router=%s age_ms=%" G_GINT64_FORMAT
+          " ms=%" G_GINT64_FORMAT,
+          request->plan.id, resumes ? resumes : "-", request->plan.service,
+          answer->version ? answer->version : "-", answer->source,
+          answer->router ? answer->router : "-", answer->age_ms,
+          (now_us (request) - request->plan.arrived_us) / 1000);
+  request->version = g_strdup (answer->version);
+  if (!answer->version)
     dy_counters_add (&request->gateway->kernel->counters, DY_COUNTER_RESUMES_REFUSED, 1);
-  dy_gateway_take_event (request, version ? DY_COURSE_GRANTED : DY_COURSE_DENIED,
+  dy_gateway_take_event (request, answer->version ? DY_COURSE_GRANTED : DY_COURSE_DENIED,
                          DY_ORIGIN_UNKNOWN);
 }
 
 static void
-on_origin (void *ctx, int error, const char *version, const char *source)
+on_origin (void *ctx, const DyOriginAnswer *answer)
 {
   DyGatewayRequest *request = ctx;
-  (void) error;
   request->lookup = NULL;
-  take_origin (request, version, source);
+  take_origin (request, answer);
 }
 
 void
 dy_gateway_look_up_origin (DyGatewayRequest *request)
 {
-  const char *version;
+  DyOriginAnswer answer;
   dy_counters_add (&request->gateway->kernel->counters, DY_COUNTER_RESUMES, 1);
   request->lookup = dy_origins_look_up (request->gateway->origins, request->plan.service,
-                                        request->plan.resumes_id, on_origin, request, &version);
+                                        request->plan.resumes_id, on_origin, request, &answer);
   if (!request->lookup)
-    take_origin (request, version, "recorded");
+    take_origin (request, &answer);
 }
--- a/src/services/gateway/gateway_attempt.c
+++ b/src/services/gateway/gateway_attempt.c
@@ -433,7 +433,8 @@
   attempt->endpoint_id = g_strdup (endpoint_id);
   attempt->version = g_strdup (version);
   attempt->watcher->placed (attempt->ctx, endpoint_id);
-  attempt->watcher->ready (attempt->ctx);
+  if (attempt->watcher->ready)
+    attempt->watcher->ready (attempt->ctx);
 }
 
 /* The router that made the attempt tells all others, but this one passes the answer on and may not
--- a/src/services/gateway/gateway_attempt.h
+++ b/src/services/gateway/gateway_attempt.h
@@ -43,7 +43,7 @@
   /* Takes part of the answer's body. Returns false to pause; after dy_gateway_attempt_resume() the
    * same part is delivered again. */
   bool (*data) (void *ctx, const char *data, size_t n);
-  /* The attempt is about to be sent; it may have waited for a connection until now. */
+  /* The attempt is about to be sent; it may have waited for a connection until now. May be NULL. */
   void (*ready) (void *ctx);
   /* The router that makes a relayed attempt is not heard from. May be NULL. */
   void (*silent) (void *ctx);
--- a/src/services/gateway/gateway_replacement.c
+++ b/src/services/gateway/gateway_replacement.c
@@ -80,27 +80,12 @@
   dy_gateway_use_attempt (request, other_attempt (request));
 }
 
-/* Returns whether either attempt may still begin, or go on with, the answer. The origin of a stream
- * is recorded before it begins, so both need the same software version. */
-static bool
-may_keep_both (DyGatewayRequest *request)
-{
-  return request->plan.kind != DY_ROUTE_STREAM
-         || g_strcmp0 (request->attempt->version, other_attempt (request)->version) == 0;
-}
-
 /* The other attempt is about to be sent. */
 static void
 on_ready (void *ctx)
 {
   DyGatewayRequest *request = ctx;
   request->replacement_sent_us = now_us (request);
-  dy_gateway_record_origin (request, other_attempt (request));
-  if (!may_keep_both (request))
-    {
-      take_place (request);
-      return;
-    }
   ev_timer_set (&request->accept_timer, (double) ACCEPT_MS / 1000.0, 0.0);
   ev_timer_start (request->gateway->kernel->loop, &request->accept_timer);
 }
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -160,6 +160,7 @@
   if (request->stream_started)
     return;
   request->stream_started = true;
+  dy_gateway_record_origin (request);
   if (!request->version)
     request->version = g_strdup (request->attempt->version);
   copy_answer_headers (request);
@@ -332,13 +333,6 @@
   dy_gateway_take_event (request, event, DY_OK);
 }
 
-static void
-on_attempt_ready (void *ctx)
-{
-  DyGatewayRequest *request = ctx;
-  dy_gateway_record_origin (request, request->attempt);
-}
-
 /* A request that may be repeated does not wait for its read timeout. */
 static void
 on_attempt_silent (void *ctx)
@@ -349,7 +343,6 @@
 }
 
 static const DyGatewayAttemptWatcher attempt_watcher = { .placed = dy_gateway_take_placement,
-                                                         .ready = on_attempt_ready,
                                                          .data = on_attempt_data,
                                                          .silent = on_attempt_silent,
                                                          .done = on_attempt_done };
--- a/src/services/gateway/gateway_request_private.h
+++ b/src/services/gateway/gateway_request_private.h
@@ -76,8 +76,8 @@
 /* Records an endpoint that an attempt of the request CTX was placed at. */
 void dy_gateway_take_placement (void *ctx, const char *endpoint_id);
 
-/* Records that the endpoint of ATTEMPT may begin the stream. */
-void dy_gateway_record_origin (const DyGatewayRequest *request, const DyGatewayAttempt *attempt);
+/* Records that the attempt in use begins the stream: its first event is about to be passed on. */
+void dy_gateway_record_origin (const DyGatewayRequest *request);
 
 /* Returns the event that the end of ATTEMPT is. */
 DyCourseEvent dy_gateway_classify_end (const DyGatewayRequest *request,
--- a/src/services/gateway/gateway_send.c
+++ b/src/services/gateway/gateway_send.c
@@ -46,7 +46,7 @@
 }
 
 void
-dy_gateway_record_origin (const DyGatewayRequest *request, const DyGatewayAttempt *attempt)
+dy_gateway_record_origin (const DyGatewayRequest *request)
 {
   if (request->plan.kind != DY_ROUTE_STREAM || !request->plan.repeatable || request->version)
     return;
@@ -54,7 +54,8 @@
   DyStreamOrigin origin
       = { .request_id = request->plan.id,
           .service = request->plan.service,
-          .version = attempt->version,
+          .version = request->attempt->version,
+          .known_us = now_us (request),
           .expires_us = deadline_us == INT64_MAX ? now_us (request) + UNLIMITED_RESUME_US
                                                  : deadline_us + RESUME_MARGIN_US };
   dy_origins_record (request->gateway->origins, &origin);
@@ -92,17 +93,6 @@
   return true;
 }
 
-/* Returns the software version to choose for ATTEMPT first; NULL: any. A stream that has not begun
- * may begin at either of two attempts, if their versions are the same. */
-static const char *
-preferred_version (const DyGatewayRequest *request, const DyGatewayAttempt *attempt)
-{
-  bool beside = attempt != request->attempt;
-  if (request->version || !beside || request->plan.kind != DY_ROUTE_STREAM)
-    return request->version;
-  return request->attempt->version;
-}
-
 /* Chooses for an attempt beside a silent one: not the same endpoint, as two attempts there would be
  * of no more use than one. */
 static DyPlacementEndpoint *
@@ -111,15 +101,12 @@
   DyPlacement *placement = &request->gateway->directory->placement;
   const char *silent[] = { request->attempt->endpoint_id, NULL };
   const char *const *const avoid[] = { (const char *const *) request->tried->pdata, silent };
-  const char *versions[] = { query->version, request->version };
   DyPlacementEndpoint *endpoint = NULL;
-  for (size_t i = 0; i < G_N_ELEMENTS (versions) && !endpoint; i++)
-    for (size_t j = 0; j < G_N_ELEMENTS (avoid) && !endpoint; j++)
-      {
-        query->version = versions[i];
-        query->avoid = avoid[j];
-        endpoint = dy_placement_choose (placement, query, now_us (request), predicted_us);
-      }
+  for (size_t i = 0; i < G_N_ELEMENTS (avoid) && !endpoint; i++)
+    {
+      query->avoid = avoid[i];
+      endpoint = dy_placement_choose (placement, query, now_us (request), predicted_us);
+    }
   query->avoid = avoid[0];
   return endpoint;
 }
@@ -157,7 +144,7 @@
   DyPlacementQuery query = { .service = request->plan.service,
                              .work = request->plan.work,
                              .avoid = (const char *const *) request->tried->pdata,
-                             .version = preferred_version (request, attempt) };
+                             .version = request->version };
   int64_t predicted_us = 0;
   if (!dy_gateway_may_send (gateway, request->plan.id, "choice"))
     return false;
--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -17,6 +17,9 @@
   RETRY_US = 500 * 1000,
   /* For streams read from the store: longer than callers resume them. */
   LOADED_STREAM_US = 15 * 1000 * 1000,
+  /* Of the object of a router's streams. One without a number is of an earlier build, which lists a
+   * stream when it is sent: it may begin elsewhere. */
+  STREAMS_FORMAT = 2,
 };
 
 /* The object that holds the versions of a service. */
@@ -165,6 +168,9 @@
 {
   json_t *root = object->value ? json_loads (object->value, 0, NULL) : NULL;
   bool own = strcmp (object->key, origins->own_key) == 0;
+  bool begun = json_integer_value (json_object_get (root, "format")) >= STREAMS_FORMAT;
+  /* What another router may still change is read again for the next lookup. */
+  int64_t expires_us = now_us (origins) + (begun || own ? LOADED_STREAM_US : 0);
   const char *service;
   const char *version;
   json_t *versions;
@@ -180,7 +186,12 @@
         const char *id = json_string_value (item);
         if (!id || g_hash_table_contains (origins->table.streams, id))
           continue;
-        DyStreamOrigin origin = { id, service, version, now_us (origins) + LOADED_STREAM_US };
+        DyStreamOrigin origin = { .request_id = id,
+                                  .service = service,
+                                  .version = version,
+                                  .router = object->key + strlen (STREAMS_PREFIX),
+                                  .known_us = now_us (origins),
+                                  .expires_us = expires_us };
         dy_stream_origins_add (&origins->table, &origin);
         if (own)
           g_hash_table_add (origins->own_ids, g_strdup (id));
@@ -296,15 +307,16 @@
 }
 
 static void
-write_own (DyOrigins *origins)
+on_write_due (struct ev_loop *loop, ev_timer *w, int events)
 {
-  uint32_t n_routers = dy_members_possible_count (&origins->directory->peers->members);
-  if (!origins->dirty || origins->writing || !origins->streams_loaded
-      || now_us (origins) - origins->written_us < dy_stream_origins_write_interval_us (n_routers))
+  DyOrigins *origins = w->data;
+  (void) loop;
+  (void) events;
+  if (!origins->dirty || origins->writing || !origins->streams_loaded)
     return;
   Encoding encoding = { origins, json_object () };
   dy_stream_origins_visit (&origins->table, encode_stream, &encoding);
-  json_t *root = json_pack ("{s:o}", "streams", encoding.streams);
+  json_t *root = json_pack ("{s:i, s:o}", "format", STREAMS_FORMAT, "streams", encoding.streams);
   char *text = json_dumps (root, JSON_COMPACT);
   origins->dirty = false;
   origins->writing = true;
@@ -316,6 +328,19 @@
   json_decref (root);
 }
 
+/* The first write after a pause is made at once. */
+static void
+schedule_write (DyOrigins *origins)
+{
+  if (!origins->dirty || origins->writing || !origins->streams_loaded
+      || ev_is_active (&origins->write_timer))
+    return;
+  uint32_t n_routers = dy_members_possible_count (&origins->directory->peers->members);
+  int64_t due_us = origins->written_us + dy_stream_origins_write_interval_us (n_routers);
+  ev_timer_set (&origins->write_timer, (double) MAX (due_us - now_us (origins), 0) / 1e6, 0.0);
+  ev_timer_start (origins->kernel->loop, &origins->write_timer);
+}
+
 static gboolean
 is_forgotten (gpointer key, gpointer value, gpointer ctx)
 {
@@ -359,7 +384,7 @@
     read_versions (origins);
   sweep (origins);
   read_streams (origins);
-  write_own (origins);
+  schedule_write (origins);
 }
 
 /* The endpoint records were read. Not decided at once, as a request that goes on may ask for them
@@ -415,6 +440,8 @@
   dy_platform_watch_era (origins->platform, on_era, origins);
   ev_timer_init (&origins->timer, on_timer, 0.0, TICK_S);
   origins->timer.data = origins;
+  ev_timer_init (&origins->write_timer, on_write_due, 0.0, 0.0);
+  origins->write_timer.data = origins;
   ev_timer_start (kernel->loop, &origins->timer);
   return DY_OK;
 }
@@ -426,6 +453,7 @@
   dy_directory_watch_confirmations (origins->directory, NULL, NULL);
   ev_timer_stop (origins->kernel->loop, &origins->timer);
   ev_timer_stop (origins->kernel->loop, &origins->decision);
+  ev_timer_stop (origins->kernel->loop, &origins->write_timer);
   g_hash_table_unref (origins->lookups);
   g_hash_table_unref (origins->services);
   g_hash_table_unref (origins->own_ids);
@@ -472,4 +500,5 @@
   g_hash_table_add (origins->own_ids, g_strdup (origin->request_id));
   dy_origins_see_version (origins, origin->service, origin->version);
   origins->dirty = origins->dirty || dy_stream_origins_is_mixed (&origins->table, origin->service);
+  schedule_write (origins);
 }
--- a/src/services/origins.h
+++ b/src/services/origins.h
@@ -14,7 +14,8 @@
  *
  * FORMAT
  *   streams/NAME of the router NAME:
- *     {"streams": {service: {version: [request id, ...]}}}
+ *     {"format": 2, "streams": {service: {version: [request id, ...]}}}
+ *     A stream is listed once its first event has been passed on.
  *   stream-versions/SERVICE, written by the router that is the home of the service's name:
  *     {"versions": [version, ...], "era": number}
  *     The era is that of the store when it was written: after a restore, versions may be missing.
@@ -31,9 +32,17 @@
 
 typedef struct DyOriginLookup DyOriginLookup;
 
-/* Called once for a lookup, from the event loop. VERSION is NULL unless ERROR is DY_OK. SOURCE, for
- * logs, is where it is known from, or why it is not. */
-typedef void (*DyOriginDone) (void *ctx, int error, const char *version, const char *source);
+/* What is known of the origin of a stream. All but the version is for logs. */
+typedef struct
+{
+  const char *version; /* NULL: not known */
+  const char *source;  /* where it is known from, or why it is not */
+  const char *router;  /* which passed the first event on; NULL: not recorded */
+  int64_t age_ms;      /* time since that was recorded here; -1: it was not */
+} DyOriginAnswer;
+
+/* Called once for a lookup, from the event loop. */
+typedef void (*DyOriginDone) (void *ctx, const DyOriginAnswer *answer);
 
 typedef struct
 {
@@ -59,25 +68,26 @@
   int64_t retry_us;   /* no read of what is not loaded before this time */
   int64_t swept_us;
   ev_timer timer;
-  ev_timer decision; /* runs out after the endpoint records were confirmed */
+  ev_timer decision;    /* runs out after the endpoint records were confirmed */
+  ev_timer write_timer; /* runs out when the own object is to be written */
 } DyOrigins;
 
 /* Adds the service "origins", whose interface is a DyOrigins. */
 void dy_origins_add_service (DyKernel *kernel, DyOrigins *origins);
 
-/* Records that the stream REQUEST_ID of SERVICE was sent to an endpoint of VERSION; EXPIRES_US is
- * the time after which the caller no longer resumes it. */
+/* Records that an endpoint of VERSION began the stream REQUEST_ID of SERVICE; EXPIRES_US is the
+ * time after which the caller no longer resumes it. */
 void dy_origins_record (DyOrigins *origins, const DyStreamOrigin *origin);
 
 /* Looks up the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE. If it is
- * recorded here, stores it in VERSION, valid until the next call, and returns NULL. Otherwise DONE
+ * recorded here, stores it in ANSWER, valid until the next call, and returns NULL. Otherwise DONE
  * is called later, unless the lookup is cancelled. */
 DyOriginLookup *dy_origins_look_up (DyOrigins *origins,
                                     const char *service,
                                     const char *request_id,
                                     DyOriginDone done,
                                     void *ctx,
-                                    const char **version);
+                                    DyOriginAnswer *answer);
 void dy_origins_cancel (DyOrigins *origins, DyOriginLookup *lookup);
 
 #endif
--- a/src/services/origins_lookups.c
+++ b/src/services/origins_lookups.c
@@ -36,14 +36,34 @@
   g_free (lookup);
 }
 
+static DyOriginAnswer
+answer_of (const DyOrigins *origins,
+           const char *request_id,
+           const char *version,
+           const char *source)
+{
+  DyOriginAnswer answer = { .version = version, .source = source, .age_ms = -1 };
+  DyStreamOrigin origin;
+  if (!version || !dy_stream_origins_get (&origins->table, request_id, &origin))
+    return answer;
+  answer.router = origin.router ? origin.router : origins->kernel->settings->node_name;
+  answer.age_ms = (now_us (origins) - origin.known_us) / 1000;
+  return answer;
+}
+
 /* Ends LOOKUP with VERSION (NULL: unknown). */
 static void
 end_lookup (DyOrigins *origins, DyOriginLookup *lookup, const char *version, const char *source)
 {
+  DyOriginAnswer answer = answer_of (origins, lookup->request_id, version, source);
+  char *router = g_strdup (answer.router);
   char *copy = g_strdup (version);
+  answer.router = router;
+  answer.version = copy;
   g_hash_table_steal (origins->lookups, lookup);
-  lookup->done (lookup->ctx, copy ? DY_OK : DY_ORIGIN_UNKNOWN, copy, source);
+  lookup->done (lookup->ctx, &answer);
   g_free (copy);
+  g_free (router);
   dy_origins_free_lookup (lookup);
 }
 
@@ -130,7 +150,7 @@
 dy_origins_confirm_records (DyOrigins *origins)
 {
   uint32_t n_routers = dy_members_possible_count (&origins->directory->peers->members);
-  if (now_us (origins) - origins->confirm_us < dy_stream_origins_write_interval_us (n_routers))
+  if (now_us (origins) - origins->confirm_us < dy_stream_origins_confirm_interval_us (n_routers))
     return;
   origins->confirm_us = now_us (origins);
   dy_object_watch_confirm (&origins->directory->endpoints_watch);
@@ -199,10 +219,11 @@
                     const char *request_id,
                     DyOriginDone done,
                     void *ctx,
-                    const char **version)
+                    DyOriginAnswer *answer)
 {
-  *version = dy_stream_origins_find (&origins->table, service, request_id, false);
-  if (*version)
+  const char *version = dy_stream_origins_find (&origins->table, service, request_id, false);
+  *answer = answer_of (origins, request_id, version, "recorded");
+  if (version)
     return NULL;
   DyOriginLookup *lookup = g_new0 (DyOriginLookup, 1);
   lookup->service = g_strdup (service);
--- a/test/test_stream_origin_table.c
+++ b/test/test_stream_origin_table.c
@@ -37,7 +37,10 @@
   dy_stream_origins_init (&origins);
   if (cases[_i].recorded)
     {
-      DyStreamOrigin origin = { "request", "llm", cases[_i].recorded, 20 * S };
+      DyStreamOrigin origin = { .request_id = "request",
+                                .service = "llm",
+                                .version = cases[_i].recorded,
+                                .expires_us = 20 * S };
       dy_stream_origins_add (&origins, &origin);
     }
   for (int i = 0; i < MAX_SEEN && cases[_i].seen[i]; i++)
