Streams of a router that went go on though another version has come since

Cause: origins are written only while a service has several versions. A stream without a record had begun while there was one, or was not written yet, or its router could not write, and nothing told these apart.

Evidence: 7010 says unrecorded after two reads, and the store had received no write of streams/ before the router went. The same without a freeze: killed, stopped, restarted, all restarted, 3 and 9 routers.

Change: the only version before the others is the base, kept in stream-versions/SERVICE. A router begins streams at another version only once its object declares the service mixed; the same write lists its streams under way. Until then it places at the base, and holds a first event of another one. So what a router that does not declare it has not listed is of the base, alive or not.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -209,6 +209,11 @@
                                           int64_t now_us,
                                           int64_t *predicted_us);
 
+/* Returns whether an endpoint of SERVICE with VERSION is listed and has not said that it leaves. */
+bool dy_placement_serves_version (const DyPlacement *placement,
+                                  const char *service,
+                                  const char *version);
+
 /* Returns whether an endpoint with a closed breaker could be chosen for QUERY. */
 bool dy_placement_has_choice (const DyPlacement *placement,
                               const DyPlacementQuery *query,
--- a/src/core/placement_choice.c
+++ b/src/core/placement_choice.c
@@ -161,6 +161,19 @@
          && is_allowed_by (query, endpoint) && is_allowed (placement, endpoint, now_us);
 }
 
+bool
+dy_placement_serves_version (const DyPlacement *placement, const char *service, const char *version)
+{
+  const GPtrArray *list = g_hash_table_lookup (placement->by_service, service);
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      const DyPlacementEndpoint *endpoint = g_ptr_array_index (list, i);
+      if (!dy_placement_is_closed (endpoint) && strcmp (endpoint->version, version) == 0)
+        return true;
+    }
+  return false;
+}
+
 bool
 dy_placement_has_choice (const DyPlacement *placement,
                          const DyPlacementQuery *query,
--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -19,6 +19,13 @@
   int64_t expires_us;
 } Stream;
 
+typedef struct
+{
+  GHashTable *versions; /* version to when it was last listed */
+  char *base;           /* NULL: none was stated, nor known when a second version came */
+  int64_t base_from_us; /* an only version is the base from this time on */
+} Service;
+
 static void
 free_stream (gpointer data)
 {
@@ -30,16 +37,26 @@
 }
 
 static void
-free_table (gpointer table)
+free_service (gpointer data)
+{
+  Service *service = data;
+  g_hash_table_unref (service->versions);
+  g_free (service->base);
+  g_free (service);
+}
+
+static GHashTable *
+versions_of (const DyStreamOrigins *origins, const char *service)
 {
-  g_hash_table_unref (table);
+  const Service *entry = g_hash_table_lookup (origins->services, service);
+  return entry ? entry->versions : NULL;
 }
 
 void
 dy_stream_origins_init (DyStreamOrigins *origins)
 {
   origins->streams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_stream);
-  origins->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_table);
+  origins->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_service);
 }
 
 void
@@ -67,36 +84,92 @@
                        const char *version,
                        int64_t now_us)
 {
-  GHashTable *versions = g_hash_table_lookup (origins->services, service);
-  if (!versions)
+  Service *entry = g_hash_table_lookup (origins->services, service);
+  if (!entry)
     {
-      versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-      g_hash_table_insert (origins->services, g_strdup (service), versions);
+      entry = g_new0 (Service, 1);
+      entry->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      entry->base_from_us = now_us + DY_VERSION_BASE_US;
+      g_hash_table_insert (origins->services, g_strdup (service), entry);
     }
-  int64_t *seen_us = g_hash_table_lookup (versions, version);
+  int64_t *seen_us = g_hash_table_lookup (entry->versions, version);
   if (seen_us)
     {
       *seen_us = MAX (*seen_us, now_us);
       return false;
     }
-  g_hash_table_insert (versions, g_strdup (version), g_memdup2 (&now_us, sizeof now_us));
+  if (g_hash_table_size (entry->versions) == 1)
+    {
+      char *base = g_strdup (dy_stream_origins_base (origins, service, now_us));
+      g_free (entry->base);
+      entry->base = base;
+    }
+  g_hash_table_insert (entry->versions, g_strdup (version), g_memdup2 (&now_us, sizeof now_us));
   return true;
 }
 
 bool
 dy_stream_origins_is_mixed (const DyStreamOrigins *origins, const char *service)
 {
-  GHashTable *versions = g_hash_table_lookup (origins->services, service);
+  GHashTable *versions = versions_of (origins, service);
   return versions && g_hash_table_size (versions) > 1;
 }
 
 bool
 dy_stream_origins_has_one_version (const DyStreamOrigins *origins, const char *service)
 {
-  GHashTable *versions = g_hash_table_lookup (origins->services, service);
+  GHashTable *versions = versions_of (origins, service);
   return versions && g_hash_table_size (versions) == 1;
 }
 
+static const char *
+only_version (const Service *entry)
+{
+  GHashTableIter iter;
+  gpointer version = NULL;
+  g_hash_table_iter_init (&iter, entry->versions);
+  g_hash_table_iter_next (&iter, &version, NULL);
+  return version;
+}
+
+const char *
+dy_stream_origins_base (const DyStreamOrigins *origins, const char *service, int64_t now_us)
+{
+  const Service *entry = g_hash_table_lookup (origins->services, service);
+  if (!entry)
+    return NULL;
+  if (entry->base && g_hash_table_contains (entry->versions, entry->base))
+    return entry->base;
+  return g_hash_table_size (entry->versions) == 1 && now_us >= entry->base_from_us
+             ? only_version (entry)
+             : NULL;
+}
+
+void
+dy_stream_origins_set_base (DyStreamOrigins *origins, const char *service, const char *base)
+{
+  Service *entry = g_hash_table_lookup (origins->services, service);
+  if (!entry)
+    return;
+  char *copy = g_strdup (base);
+  g_free (entry->base);
+  entry->base = copy;
+}
+
+void
+dy_stream_origins_forget_bases (DyStreamOrigins *origins, int64_t from_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, origins->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Service *entry = value;
+      g_clear_pointer (&entry->base, g_free);
+      entry->base_from_us = from_us;
+    }
+}
+
 static DyStreamOrigin
 origin_of (const char *request_id, const Stream *stream)
 {
@@ -126,15 +199,11 @@
                         bool complete)
 {
   const Stream *stream = request_id ? g_hash_table_lookup (origins->streams, request_id) : NULL;
-  GHashTableIter iter;
-  gpointer version = NULL;
   if (stream)
     return strcmp (stream->service, service) == 0 ? stream->version : NULL;
   if (!complete || !dy_stream_origins_has_one_version (origins, service))
     return NULL;
-  g_hash_table_iter_init (&iter, g_hash_table_lookup (origins->services, service));
-  g_hash_table_iter_next (&iter, &version, NULL);
-  return version;
+  return only_version (g_hash_table_lookup (origins->services, service));
 }
 
 static gboolean
@@ -155,14 +224,18 @@
 dy_stream_origins_evict (DyStreamOrigins *origins, int64_t now_us)
 {
   GHashTableIter iter;
-  gpointer versions;
+  gpointer value;
   guint n_dropped = 0;
   g_hash_table_foreach_remove (origins->streams, is_expired, &now_us);
   g_hash_table_iter_init (&iter, origins->services);
-  while (g_hash_table_iter_next (&iter, NULL, &versions))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      n_dropped += g_hash_table_foreach_remove (versions, is_gone, &now_us);
-      if (g_hash_table_size (versions) == 0)
+      Service *entry = value;
+      guint n = g_hash_table_foreach_remove (entry->versions, is_gone, &now_us);
+      n_dropped += n;
+      if (n > 0 && g_hash_table_size (entry->versions) == 1)
+        entry->base_from_us = MAX (entry->base_from_us, now_us);
+      if (g_hash_table_size (entry->versions) == 0)
         g_hash_table_iter_remove (&iter);
     }
   return n_dropped > 0;
@@ -190,7 +263,7 @@
                                   void (*visit) (void *ctx, const char *version),
                                   void *ctx)
 {
-  GHashTable *versions = g_hash_table_lookup (origins->services, service);
+  GHashTable *versions = versions_of (origins, service);
   GHashTableIter iter;
   gpointer version;
   if (!versions)
--- a/src/core/stream_origins.h
+++ b/src/core/stream_origins.h
@@ -10,7 +10,8 @@
  *   version that began it. The table keeps the version of each stream until its caller can no
  *   longer resume it, and the versions of each service that were listed lately. If there is only
  *   one, and no other is missing here (core/version_knowledge.h), every stream of the service was
- *   begun by it. docs/ORIGINS.md says where else origins are kept.
+ *   begun by it. The base version of a service is the only one it had before the others came.
+ *   docs/ORIGINS.md says where else origins are kept.
  *
  * UNITS
  *   Times are microseconds; the module reads no clock, the time is passed in as NOW_US.
@@ -25,12 +26,14 @@
   /* Time after which a version that is no longer listed is dropped: longer than callers resume a
    * stream. */
   DY_VERSION_RETENTION_US = 20 * 1000 * 1000,
+  /* Time for which a version must have been the only one to be the base. */
+  DY_VERSION_BASE_US = 2 * 1000 * 1000,
 };
 
 typedef struct
 {
   GHashTable *streams;  /* request id to its origin */
-  GHashTable *services; /* service to a table of versions and when they were last listed */
+  GHashTable *services; /* service to its versions */
 } DyStreamOrigins;
 
 typedef struct
@@ -77,6 +80,17 @@
 /* Returns whether one version of SERVICE is known, and no other one. */
 bool dy_stream_origins_has_one_version (const DyStreamOrigins *origins, const char *service);
 
+/* Returns the base version of SERVICE, NULL if it is not known: several versions were known at
+ * first, or the base is no longer one of them. */
+const char *
+dy_stream_origins_base (const DyStreamOrigins *origins, const char *service, int64_t now_us);
+
+/* Sets the base version of SERVICE, which other routers know; NULL: they know none. */
+void dy_stream_origins_set_base (DyStreamOrigins *origins, const char *service, const char *base);
+
+/* Forgets all base versions. An only version is not one again before FROM_US. */
+void dy_stream_origins_forget_bases (DyStreamOrigins *origins, int64_t from_us);
+
 /* Drops expired streams, and versions that have not been listed for so long that no stream of
  * theirs can be resumed. Returns whether a version was dropped. */
 bool dy_stream_origins_evict (DyStreamOrigins *origins, int64_t now_us);
--- a/src/core/version_knowledge.c
+++ b/src/core/version_knowledge.c
@@ -81,3 +81,10 @@
              ? DY_VERSIONS_COMPLETE
              : DY_VERSIONS_UNKNOWN;
 }
+
+bool
+dy_version_knowledge_judge_unlisted (const DyUnlistedEvidence *evidence)
+{
+  return evidence->read && evidence->versions_known && !evidence->restored && !evidence->inherited
+         && !evidence->out_of_reach && evidence->n_asked == 0;
+}
--- a/src/core/version_knowledge.h
+++ b/src/core/version_knowledge.h
@@ -57,6 +57,23 @@
   DY_VERSIONS_UNKNOWN,
 } DyVersionVerdict;
 
+/* What is known of a stream that no router has recorded, in a service of several versions. A router
+ * begins streams at another version than the base only once its object in the store declares the
+ * service mixed, and that write lists all streams that it has begun. So the stream was begun at the
+ * base if every router that declares the service mixed says that it did not begin it. */
+typedef struct
+{
+  bool read;           /* the routers' objects were read after the caller asked */
+  bool versions_known; /* the base in the store was read, with no gap since */
+  bool restored;       /* the store was restored, and may lack a declaration */
+  bool inherited;      /* a process of this router that ended may have begun it */
+  bool out_of_reach;   /* a router that declares the service mixed cannot be asked */
+  uint32_t n_asked;    /* routers that were asked and have not answered */
+} DyUnlistedEvidence;
+
+/* Returns whether the stream was begun at the base version. */
+bool dy_version_knowledge_judge_unlisted (const DyUnlistedEvidence *evidence);
+
 void dy_version_knowledge_init (DyVersionKnowledge *knowledge);
 
 /* Records that all records listed up to CONFIRMED_US are known. */
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -94,6 +94,7 @@
   X (ENDPOINT_COLD, 6030, MESSAGE, "endpoint cold")                                                \
   X (ENDPOINT_WARM, 6031, MESSAGE, "endpoint warm")                                                \
   X (COLD_TIME_INVALID, 6032, WARNING, "cold time invalid")                                        \
+  X (VERSIONS_DECLARED, 6033, MESSAGE, "service declared mixed")                                   \
   X (REQUEST_REFUSED, 7001, INFO, "request refused")                                               \
   X (REQUEST_CANCELLED, 7002, INFO, "request cancelled by caller")                                 \
   X (REQUEST_PLACED, 7003, INFO, "request sent to endpoint")                                       \
@@ -115,6 +116,7 @@
   X (ENDPOINTS_EVACUATED, 7019, INFO, "endpoints passed over for an evacuation")                   \
   X (CRASHING_REQUEST_REFUSED, 7020, INFO, "request refused as it crashes endpoints")              \
   X (CRASHING_REQUEST_TRIED, 7021, WARNING, "request that crashed endpoints let through")          \
+  X (FIRST_EVENT_HELD, 7022, INFO, "first event waits for a declaration")                          \
   X (COLD_SHARE_APPLIED, 7030, INFO, "endpoint passed over as it is cold")                         \
   X (CALL_CUT, 8001, INFO, "call ended without a complete answer")                                 \
   X (ANSWER_DISCARDED, 8002, WARNING, "second answer to a call discarded")                         \
--- a/src/services/gateway/gateway.c
+++ b/src/services/gateway/gateway.c
@@ -274,6 +274,7 @@
   gateway->stop_check.data = gateway;
   dy_gateway_crashes_init (gateway);
   dy_directory_watch (gateway->directory, apply_routes, gateway);
+  dy_origins_watch (gateway->origins, dy_gateway_pass_held_events, gateway);
   gateway->directory->peers->is_within_share = is_within_share;
   gateway->directory->peers->is_within_share_ctx = gateway;
   gateway->shedding->measure = measure;
@@ -305,6 +306,7 @@
   ev_timer_stop (gateway->kernel->loop, &gateway->tick);
   ev_timer_stop (gateway->kernel->loop, &gateway->stop_check);
   gateway->shedding->measure = NULL;
+  dy_origins_watch (gateway->origins, NULL, NULL);
   dy_http_server_finish (&gateway->server);
   dy_http_server_finish (&gateway->ready_server);
   g_hash_table_unref (gateway->requests);
--- a/src/services/gateway/gateway.h
+++ b/src/services/gateway/gateway.h
@@ -47,6 +47,7 @@
   DyColdEndpoints *cold;
   DyEndpointNotices *notices;
   DyOrigins *origins;
+  bool holds_events; /* a request's first event waits for dy_origins_may_begin() */
   DyReachability *reachability;
   const DyRegistration *registration;
   DyShedding *shedding;
--- a/src/services/gateway/gateway_request.c
+++ b/src/services/gateway/gateway_request.c
@@ -244,6 +244,8 @@
         g_string_append_len (request->body, data, (gssize) n);
       return true;
     }
+  if (!request->stream_started && dy_gateway_holds_first_event (request))
+    return false;
   if (request->call
       && dy_http_call_unsent_bytes (request->call) >= request->gateway->server.buffer_bytes)
     return false;
--- a/src/services/gateway/gateway_request.h
+++ b/src/services/gateway/gateway_request.h
@@ -21,6 +21,9 @@
 /* Starts the request in CALL, whose body is complete. */
 void dy_gateway_request_start (DyGateway *gateway, DyHttpCall *call);
 
+/* Has the requests of the gateway CTX go on whose first events wait, if they may by now. */
+void dy_gateway_pass_held_events (void *ctx);
+
 /* Frees the request KEY, a member of the gateway's set, without an answer to its caller. An open
  * attempt is cancelled. */
 void dy_gateway_request_free (gpointer key);
--- a/src/services/gateway/gateway_request_private.h
+++ b/src/services/gateway/gateway_request_private.h
@@ -8,6 +8,7 @@
  * DESCRIPTION
  *   gateway_request.c  the request's events, answer and end
  *   gateway_admit.c    the origin of a resumed stream, and the reservation until it is settled
+ *   gateway_origin.c   the version at which a stream begins
  *   gateway_send.c     the start of its attempts, and whether another one may follow
  *   gateway_replacement.c  the attempt beside a silent one, until one of the two is over
  */
@@ -36,6 +37,7 @@
   bool waits_for_room;         /* for a place at an endpoint; counted in the gateway */
   GPtrArray *tried;            /* ids of the endpoints tried, NULL at the end */
   bool stream_started;
+  bool held;              /* the first event waits for dy_origins_may_begin() */
   char *version;          /* of the endpoint that began the stream; NULL: not begun */
   DyOriginLookup *lookup; /* of version, in progress; NULL: none */
   DyEventStream events;
@@ -76,6 +78,12 @@
 /* Records an endpoint that an attempt of the request CTX was placed at. */
 void dy_gateway_take_placement (void *ctx, const char *endpoint_id);
 
+/* Returns the only version at which the request may go on, or begin; NULL: any. */
+const char *dy_gateway_required_version (const DyGatewayRequest *request);
+
+/* Returns whether the first event of the attempt in use must not be passed on yet. */
+bool dy_gateway_holds_first_event (DyGatewayRequest *request);
+
 /* Records that the attempt in use begins the stream: its first event is about to be passed on. */
 void dy_gateway_record_origin (const DyGatewayRequest *request);
 
--- a/src/services/gateway/gateway_send.c
+++ b/src/services/gateway/gateway_send.c
@@ -5,10 +5,6 @@
 
 enum
 {
-  /* For streams without a time limit of the caller, the time for which they may be resumed; for
-   * others the time after the limit, as clocks are read at different places. */
-  UNLIMITED_RESUME_US = 60 * 1000 * 1000,
-  RESUME_MARGIN_US = 2 * 1000 * 1000,
   /* Time for which a request waits for a place at an endpoint: that in which its answer should
    * come, within these limits. */
   MIN_ROOM_WAIT_MS = 300,
@@ -45,22 +41,6 @@
   return MAX ((request->plan.caller_deadline_us - now_us (request)) / 1000, 1);
 }
 
-void
-dy_gateway_record_origin (const DyGatewayRequest *request)
-{
-  if (request->plan.kind != DY_ROUTE_STREAM || !request->plan.repeatable || request->version)
-    return;
-  int64_t deadline_us = request->plan.caller_deadline_us;
-  DyStreamOrigin origin
-      = { .request_id = request->plan.id,
-          .service = request->plan.service,
-          .version = request->attempt->version,
-          .known_us = now_us (request),
-          .expires_us = deadline_us == INT64_MAX ? now_us (request) + UNLIMITED_RESUME_US
-                                                 : deadline_us + RESUME_MARGIN_US };
-  dy_origins_record (request->gateway->origins, &origin);
-}
-
 void
 dy_gateway_take_placement (void *ctx, const char *endpoint_id)
 {
@@ -82,7 +62,7 @@
   const char *silent = beside ? dy_gateway_attempt_router (request->attempt) : NULL;
   DyGatewayRelay relay = { .peer = dy_reachability_choose_peer (gateway->reachability, silent),
                            .plan = &request->plan,
-                           .version = request->version,
+                           .version = dy_gateway_required_version (request),
                            .avoid = (const char *const *) request->tried->pdata,
                            .except = beside ? request->attempt->endpoint_id : NULL };
   if (!relay.peer
@@ -144,7 +124,7 @@
   DyPlacementQuery query = { .service = request->plan.service,
                              .work = request->plan.work,
                              .avoid = (const char *const *) request->tried->pdata,
-                             .version = request->version };
+                             .version = dy_gateway_required_version (request) };
   int64_t predicted_us = 0;
   if (!dy_gateway_may_send (gateway, request->plan.id, "choice"))
     return false;
@@ -248,7 +228,7 @@
   DyPlacementQuery query = { .service = request->plan.service,
                              .work = request->plan.work,
                              .avoid = silent,
-                             .version = request->version };
+                             .version = dy_gateway_required_version (request) };
   if (dy_reachability_is_out (gateway->reachability))
     return dy_reachability_choose_peer (gateway->reachability, NULL) != NULL;
   return dy_placement_has_choice (&gateway->directory->placement, &query, now_us (request));
--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -7,14 +7,12 @@
 #include <string.h>
 
 #define STREAMS_PREFIX "streams/"
-#define VERSIONS_PREFIX "stream-versions/" /* the platform has a kind "versions" of its own */
 
 static const double TICK_S = 0.05;
 
 enum
 {
   SWEEP_INTERVAL_US = 250 * 1000,
-  RETRY_US = 500 * 1000,
   /* For streams read from the store: longer than callers resume them. */
   LOADED_STREAM_US = 15 * 1000 * 1000,
   /* Of the object of a router's streams. One without a number is of an earlier build, which lists a
@@ -22,160 +20,37 @@
   STREAMS_FORMAT = 2,
 };
 
-/* The object that holds the versions of a service. */
-typedef struct
-{
-  DyOrigins *origins;
-  char *service;
-  uint64_t stored_version; /* of the object; 0: not known */
-  bool stored;             /* the store has it, of STORED_ERA */
-  uint64_t stored_era;
-  uint64_t sent_era; /* of the write in progress */
-  bool synced;       /* the store has the versions that are known here */
-  bool busy;
-  int64_t next_try_us;
-} ServiceObject;
-
 static int64_t
 now_us (const DyOrigins *origins)
 {
   return dy_kernel_now_us (origins->kernel);
 }
 
-static void
-free_service (gpointer data)
-{
-  ServiceObject *object = data;
-  g_free (object->service);
-  g_free (object);
-}
-
-static ServiceObject *
-get_service (DyOrigins *origins, const char *service)
-{
-  ServiceObject *object = g_hash_table_lookup (origins->services, service);
-  if (object)
-    return object;
-  object = g_new0 (ServiceObject, 1);
-  object->origins = origins;
-  object->service = g_strdup (service);
-  g_hash_table_insert (origins->services, object->service, object);
-  return object;
-}
-
 void
 dy_origins_see_version (DyOrigins *origins, const char *service, const char *version)
 {
   if (!dy_stream_origins_see (&origins->table, service, version, now_us (origins)))
     return;
   bool mixed = dy_stream_origins_is_mixed (&origins->table, service);
-  get_service (origins, service)->synced = false;
+  dy_origins_get_service (origins, service)->synced = false;
   origins->dirty = origins->dirty || mixed;
   dy_log (DY_EVENT_VERSION_SEEN, "service=%s version=%s mixed=%d", service, version, mixed);
 }
 
-/* Versions that the store has. */
-
-static void
-record_stored (ServiceObject *object, uint64_t era)
-{
-  object->stored = true;
-  object->stored_era = MAX (object->stored_era, era);
-}
-
-bool
-dy_origins_is_stored (const DyOrigins *origins, const char *service)
-{
-  const ServiceObject *object = g_hash_table_lookup (origins->services, service);
-  return object && object->stored && object->stored_era == origins->platform->era;
-}
-
-static void
-load_versions (DyOrigins *origins, const DyObject *object)
-{
-  const char *service = object->key + strlen (VERSIONS_PREFIX);
-  json_t *root = object->value ? json_loads (object->value, 0, NULL) : NULL;
-  const json_t *version;
-  size_t i;
-  json_array_foreach (json_object_get (root, "versions"), i, version)
-  {
-    if (json_is_string (version))
-      dy_origins_see_version (origins, service, json_string_value (version));
-  }
-  const json_t *era = json_object_get (root, "era");
-  if (json_is_integer (era))
-    record_stored (get_service (origins, service), (uint64_t) json_integer_value (era));
-  json_decref (root);
-}
-
-static void
-collect_version (void *ctx, const char *version)
-{
-  json_array_append_new (ctx, json_string (version));
-}
-
-static void
-on_service_written (void *ctx, const DyPlatformReply *reply)
-{
-  ServiceObject *object = ctx;
-  object->busy = false;
-  if (reply->error == DY_OK || (reply->error == DY_CONFLICT && reply->version))
-    object->stored_version = reply->version;
-  if (reply->error == DY_OK)
-    {
-      record_stored (object, object->sent_era);
-      return;
-    }
-  object->synced = false;
-  if (reply->error != DY_CONFLICT || !reply->version)
-    {
-      object->stored_version = 0;
-      object->next_try_us = now_us (object->origins) + RETRY_US;
-    }
-}
-
-static void
-sync_service (DyOrigins *origins, ServiceObject *object)
-{
-  const DyMembers *members = &origins->directory->peers->members;
-  if (object->synced || object->busy || !origins->versions_loaded
-      || !dy_peers_members_known (origins->directory->peers)
-      || now_us (origins) < object->next_try_us
-      || !(dy_origins_is_stored (origins, object->service)
-           || dy_version_knowledge_may_write (&origins->knowledge, dy_kernel_boot_us ()))
-      || dy_members_home_with_platform (members, object->service, NULL, now_us (origins)))
-    return;
-  char *key = g_strconcat (VERSIONS_PREFIX, object->service, NULL);
-  json_t *versions = json_array ();
-  dy_stream_origins_visit_versions (&origins->table, object->service, collect_version, versions);
-  object->sent_era = origins->platform->era;
-  json_t *root
-      = json_pack ("{s:o, s:I}", "versions", versions, "era", (json_int_t) object->sent_era);
-  char *text = json_dumps (root, JSON_COMPACT);
-  object->synced = true;
-  object->busy = true;
-  dy_platform_put (origins->platform, key, text, object->stored_version, on_service_written,
-                   object);
-  free (text);
-  json_decref (root);
-  g_free (key);
-}
-
 /* Streams that the store has. */
 
-static void
-load_streams (DyOrigins *origins, const DyObject *object)
+void
+dy_origins_load_streams (DyOrigins *origins,
+                         const json_t *streams,
+                         const char *router,
+                         int64_t expires_us)
 {
-  json_t *root = object->value ? json_loads (object->value, 0, NULL) : NULL;
-  bool own = strcmp (object->key, origins->own_key) == 0;
-  bool begun = json_integer_value (json_object_get (root, "format")) >= STREAMS_FORMAT;
-  /* What another router may still change is read again for the next lookup. */
-  int64_t expires_us = now_us (origins) + (begun || own ? LOADED_STREAM_US : 0);
+  bool own = strcmp (router, origins->kernel->settings->node_name) == 0;
   const char *service;
   const char *version;
   json_t *versions;
   json_t *ids;
-  json_object_foreach (json_object_get (root, "streams"), service, versions)
+  json_object_foreach ((json_t *) streams, service, versions)
   {
     json_object_foreach (versions, version, ids)
     {
@@ -189,7 +64,7 @@
         DyStreamOrigin origin = { .request_id = id,
                                   .service = service,
                                   .version = version,
-                                  .router = object->key + strlen (STREAMS_PREFIX),
+                                  .router = own ? NULL : router,
                                   .known_us = now_us (origins),
                                   .expires_us = expires_us };
         dy_stream_origins_add (&origins->table, &origin);
@@ -198,6 +73,46 @@
       }
     }
   }
+}
+
+void
+dy_origins_record_declaration (DyOrigins *origins,
+                               const char *router,
+                               const char *service,
+                               const char *base)
+{
+  GHashTable *services = g_hash_table_lookup (origins->declarations, router);
+  if (!services)
+    {
+      services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      g_hash_table_insert (origins->declarations, g_strdup (router), services);
+    }
+  g_hash_table_insert (services, g_strdup (service), g_strdup (base));
+}
+
+static void
+load_object (DyOrigins *origins, const DyObject *object)
+{
+  const char *router = object->key + strlen (STREAMS_PREFIX);
+  json_t *root = object->value ? json_loads (object->value, 0, NULL) : NULL;
+  const json_t *streams = json_object_get (root, "streams");
+  bool own = strcmp (object->key, origins->own_key) == 0;
+  bool begun = json_integer_value (json_object_get (root, "format")) >= STREAMS_FORMAT;
+  /* What another router may still change is read again for the next lookup. */
+  int64_t expires_us = now_us (origins) + (begun || own ? LOADED_STREAM_US : 0);
+  dy_origins_load_streams (origins, streams, router, expires_us);
+  /* An earlier build lists streams of mixed services only, and states no base. */
+  const json_t *mixed = begun ? json_object_get (root, "mixed") : streams;
+  const char *service;
+  json_t *base;
+  json_object_foreach ((json_t *) mixed, service, base)
+  {
+    const char *text = json_is_string (base) ? json_string_value (base) : "";
+    if (!own)
+      dy_origins_record_declaration (origins, router, service, text);
+    else if (!origins->streams_loaded)
+      dy_origins_inherit_declaration (origins, service, begun ? text : NULL);
+  }
   json_decref (root);
 }
 
@@ -208,12 +123,12 @@
   origins->reading_versions = false;
   if (reply->error)
     {
-      origins->retry_us = now_us (origins) + RETRY_US;
+      origins->retry_us = now_us (origins) + DY_ORIGINS_RETRY_US;
       dy_origins_refuse_lookups (origins);
       return;
     }
   for (uint32_t i = 0; i < reply->n_objects; i++)
-    load_versions (origins, &reply->objects[i]);
+    dy_origins_load_versions (origins, &reply->objects[i]);
   origins->versions_loaded = true;
   dy_version_knowledge_record_read (&origins->knowledge, origins->versions_sent_us);
   dy_origins_decide_lookups (origins);
@@ -226,7 +141,7 @@
     return;
   origins->reading_versions = true;
   origins->versions_sent_us = dy_kernel_boot_us ();
-  dy_platform_list (origins->platform, VERSIONS_PREFIX, 0, on_versions, origins);
+  dy_platform_list (origins->platform, DY_VERSIONS_PREFIX, 0, on_versions, origins);
 }
 
 static void
@@ -234,15 +149,17 @@
 {
   DyOrigins *origins = ctx;
   origins->reading_streams = false;
+  if (!reply->error)
+    g_hash_table_remove_all (origins->declarations);
   for (uint32_t i = 0; !reply->error && i < reply->n_objects; i++)
     {
       const DyObject *object = &reply->objects[i];
-      load_streams (origins, object);
+      load_object (origins, object);
       if (strcmp (object->key, origins->own_key) == 0)
         origins->own_version = object->version;
     }
   if (reply->error)
-    origins->retry_us = now_us (origins) + RETRY_US;
+    origins->retry_us = now_us (origins) + DY_ORIGINS_RETRY_US;
   else
     origins->streams_loaded = true;
   dy_origins_end_lookups (origins, reply->error != DY_OK);
@@ -266,6 +183,7 @@
 typedef struct
 {
   const DyOrigins *origins;
+  const json_t *mixed;
   json_t *streams;
 } Encoding;
 
@@ -275,7 +193,7 @@
   const Encoding *encoding = ctx;
   const DyOrigins *origins = encoding->origins;
   if (!g_hash_table_contains (origins->own_ids, origin->request_id)
-      || !dy_stream_origins_is_mixed (&origins->table, origin->service))
+      || !json_object_get (encoding->mixed, origin->service))
     return;
   json_t *versions = json_object_get (encoding->streams, origin->service);
   if (!versions)
@@ -299,6 +217,7 @@
   origins->writing = false;
   if (reply->error == DY_OK || reply->error == DY_CONFLICT)
     origins->own_version = reply->version;
+  dy_origins_end_declarations (origins, reply->error == DY_OK);
   if (reply->error == DY_OK)
     return;
   origins->dirty = true;
@@ -314,9 +233,11 @@
   (void) events;
   if (!origins->dirty || origins->writing || !origins->streams_loaded)
     return;
-  Encoding encoding = { origins, json_object () };
+  json_t *mixed = dy_origins_begin_declarations (origins);
+  Encoding encoding = { origins, mixed, json_object () };
   dy_stream_origins_visit (&origins->table, encode_stream, &encoding);
-  json_t *root = json_pack ("{s:i, s:o}", "format", STREAMS_FORMAT, "streams", encoding.streams);
+  json_t *root = json_pack ("{s:i, s:o, s:o}", "format", STREAMS_FORMAT, "mixed", mixed, "streams",
+                            encoding.streams);
   char *text = json_dumps (root, JSON_COMPACT);
   origins->dirty = false;
   origins->writing = true;
@@ -353,21 +274,13 @@
 static void
 sweep (DyOrigins *origins)
 {
-  GHashTableIter iter;
-  gpointer value;
   dy_origins_update_knowledge (origins);
   if (now_us (origins) - origins->swept_us < SWEEP_INTERVAL_US)
     return;
   origins->swept_us = now_us (origins);
   bool dropped = dy_stream_origins_evict (&origins->table, now_us (origins));
   g_hash_table_foreach_remove (origins->own_ids, is_forgotten, origins);
-  g_hash_table_iter_init (&iter, origins->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      ServiceObject *object = value;
-      object->synced = object->synced && !dropped;
-      sync_service (origins, object);
-    }
+  dy_origins_sync_services (origins, dropped);
 }
 
 static void
@@ -380,11 +293,14 @@
   if (awaits)
     dy_origins_confirm_records (origins);
   if (!origins->versions_loaded
-      || (awaits && dy_version_knowledge_needs_read (&origins->knowledge, dy_kernel_boot_us ())))
+      || ((awaits || dy_origins_awaits_base (origins))
+          && dy_version_knowledge_needs_read (&origins->knowledge, dy_kernel_boot_us ())))
     read_versions (origins);
   sweep (origins);
+  origins->dirty = origins->dirty || dy_origins_declarations_differ (origins);
   read_streams (origins);
   schedule_write (origins);
+  dy_origins_report_declared (origins);
 }
 
 /* The endpoint records were read. Not decided at once, as a request that goes on may ask for them
@@ -410,15 +326,12 @@
 on_era (void *ctx, uint64_t era, bool restored)
 {
   DyOrigins *origins = ctx;
-  GHashTableIter iter;
-  gpointer value;
   (void) era;
   if (!restored)
     return;
-  origins->dirty = g_hash_table_size (origins->own_ids) > 0;
-  g_hash_table_iter_init (&iter, origins->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((ServiceObject *) value)->synced = false;
+  origins->dirty = true;
+  dy_stream_origins_forget_bases (&origins->table, now_us (origins) + DY_VERSION_RETENTION_US);
+  dy_origins_withdraw_services (origins);
 }
 
 static int
@@ -430,7 +343,10 @@
   origins->platform = dy_kernel_find (kernel, DY_SERVICE_PLATFORM);
   origins->own_key = g_strconcat (STREAMS_PREFIX, kernel->settings->node_name, NULL);
   origins->own_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  origins->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+  origins->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dy_origins_free_service);
+  origins->declarations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                                 (GDestroyNotify) g_hash_table_unref);
   origins->lookups = g_hash_table_new_full (NULL, NULL, dy_origins_free_lookup, NULL);
   dy_stream_origins_init (&origins->table);
   dy_version_knowledge_init (&origins->knowledge);
@@ -438,6 +354,7 @@
   ev_timer_init (&origins->decision, on_decision, 0.0, 0.0);
   origins->decision.data = origins;
   dy_platform_watch_era (origins->platform, on_era, origins);
+  dy_origins_start_questions (origins);
   ev_timer_init (&origins->timer, on_timer, 0.0, TICK_S);
   origins->timer.data = origins;
   ev_timer_init (&origins->write_timer, on_write_due, 0.0, 0.0);
@@ -456,6 +373,7 @@
   ev_timer_stop (origins->kernel->loop, &origins->write_timer);
   g_hash_table_unref (origins->lookups);
   g_hash_table_unref (origins->services);
+  g_hash_table_unref (origins->declarations);
   g_hash_table_unref (origins->own_ids);
   dy_stream_origins_finish (&origins->table);
   g_free (origins->own_key);
@@ -472,7 +390,8 @@
   while (g_hash_table_iter_next (&iter, &service, NULL))
     {
       json_t *versions = json_array ();
-      dy_stream_origins_visit_versions (&origins->table, service, collect_version, versions);
+      dy_stream_origins_visit_versions (&origins->table, service, dy_origins_collect_version,
+                                        versions);
       json_object_set_new (services, service, versions);
     }
   return json_pack ("{s:b, s:b, s:i, s:i, s:i, s:o}", "versions_loaded", origins->versions_loaded,
--- a/src/services/origins.h
+++ b/src/services/origins.h
@@ -14,11 +14,19 @@
  *
  * FORMAT
  *   streams/NAME of the router NAME:
- *     {"format": 2, "streams": {service: {version: [request id, ...]}}}
- *     A stream is listed once its first event has been passed on.
+ *     {"format": 2, "mixed": {service: base version}, "streams": {service: {version: [request
+ * id]}}} A stream is listed once its first event has been passed on. Of a service that is not in
+ *     "mixed", the router has begun streams at the base version only, unless they are listed.
  *   stream-versions/SERVICE, written by the router that is the home of the service's name:
- *     {"versions": [version, ...], "era": number}
+ *     {"versions": [version, ...], "era": number, "base": version}
  *     The era is that of the store when it was written: after a restore, versions may be missing.
+ *     The base is the only version that the service had before the others; it may be missing.
+ *   Objects sent by dy_peers_send_object():
+ *     stream-origins/ask   {"streams": {service: [request id, ...]}}
+ *       Which of these streams did you begin?
+ *     stream-origins/tell  {"router": name, "streams": as above, "denied": {service: [request id]}}
+ *       The reply: those whose origin it knows, and those that it did not begin. It says nothing of
+ *       streams that a process before it may have begun.
  *
  * ERRORS
  *   DY_ORIGIN_UNKNOWN  the version that began the stream is not known, or cannot be looked up now
@@ -52,7 +60,9 @@
   DyStreamOrigins table;
   DyVersionKnowledge knowledge; /* times by dy_kernel_boot_us() */
   GHashTable *own_ids;          /* set of the ids of the streams to be written by this router */
-  GHashTable *services;         /* service to the state of its object of versions */
+  GHashTable *services;         /* service to its DyOriginService */
+  GHashTable *declarations;     /* other router to a table of the services that its object declares
+                                   mixed, and their bases, as of the latest read */
   GHashTable *lookups;          /* set of DyOriginLookup */
   char *own_key;
   uint64_t own_version; /* of the own object; 0: not known */
@@ -68,8 +78,10 @@
   int64_t retry_us;   /* no read of what is not loaded before this time */
   int64_t swept_us;
   ev_timer timer;
-  ev_timer decision;    /* runs out after the endpoint records were confirmed */
-  ev_timer write_timer; /* runs out when the own object is to be written */
+  ev_timer decision;           /* runs out after the endpoint records were confirmed */
+  ev_timer write_timer;        /* runs out when the own object is to be written */
+  void (*watcher) (void *ctx); /* see dy_origins_watch(); may be NULL */
+  void *watcher_ctx;
 } DyOrigins;
 
 /* Adds the service "origins", whose interface is a DyOrigins. */
@@ -79,6 +91,16 @@
  * time after which the caller no longer resumes it. */
 void dy_origins_record (DyOrigins *origins, const DyStreamOrigin *origin);
 
+/* Returns the only version at which this router may begin streams of SERVICE now, NULL if there is
+ * none: until its object declares the service mixed, that is the base version, if it is served. */
+const char *dy_origins_required_version (const DyOrigins *origins, const char *service);
+
+/* Returns whether the first event of a stream of SERVICE at VERSION may be passed on now. */
+bool dy_origins_may_begin (DyOrigins *origins, const char *service, const char *version);
+
+/* Sets the function to be called when dy_origins_may_begin() may return something else. */
+void dy_origins_watch (DyOrigins *origins, void (*watcher) (void *ctx), void *ctx);
+
 /* Looks up the version that began the stream REQUEST_ID (NULL: not stated) of SERVICE. If it is
  * recorded here, stores it in ANSWER, valid until the next call, and returns NULL. Otherwise DONE
  * is called later, unless the lookup is cancelled. */
--- a/src/services/origins_lookups.c
+++ b/src/services/origins_lookups.c
@@ -6,6 +6,8 @@
 {
   /* A router writes an origin later than it passes on the first event. */
   SECOND_READ_US = 300 * 1000,
+  /* The same while other routers are asked, which may be late. */
+  ASKED_READ_US = 700 * 1000,
   MAX_READS = 2,
 };
 
@@ -19,6 +21,9 @@
   uint32_t n_reads;     /* reads of the streams since it began */
   int64_t next_read_us; /* no read for it before this time */
   bool waiting;         /* a read that serves it is in progress */
+  bool asked;           /* ROUTERS and OUT_OF_REACH are set */
+  GHashTable *routers;  /* set of the names of those that are asked and have not answered */
+  bool out_of_reach;    /* one that may have begun the stream cannot be asked */
 };
 
 static int64_t
@@ -33,6 +38,7 @@
   DyOriginLookup *lookup = data;
   g_free (lookup->service);
   g_free (lookup->request_id);
+  g_hash_table_unref (lookup->routers);
   g_free (lookup);
 }
 
@@ -106,6 +112,68 @@
   return dy_version_knowledge_judge (&origins->knowledge, &evidence, dy_kernel_boot_us ());
 }
 
+/* Returns the base version of the service of LOOKUP if that began the stream, as no router can have
+ * begun it at another version; NULL: that is not known. */
+static const char *
+find_base (const DyOrigins *origins, const DyOriginLookup *lookup)
+{
+  const DyOriginService *entry = g_hash_table_lookup (origins->services, lookup->service);
+  DyUnlistedEvidence evidence
+      = { .read = lookup->asked,
+          .versions_known
+          = origins->versions_loaded
+            && !dy_version_knowledge_needs_read (&origins->knowledge, dy_kernel_boot_us ()),
+          .restored = dy_platform_was_restored_within (origins->platform, DY_VERSION_RETENTION_US),
+          .inherited = entry && now_us (origins) < entry->inherited_until_us,
+          .out_of_reach = lookup->out_of_reach,
+          .n_asked = g_hash_table_size (lookup->routers) };
+  return dy_version_knowledge_judge_unlisted (&evidence)
+             ? dy_stream_origins_base (&origins->table, lookup->service, now_us (origins))
+             : NULL;
+}
+
+/* Adds the routers to QUESTIONS that may have begun the stream of LOOKUP without listing it: those
+ * that declare the service mixed. */
+static void
+ask (DyOrigins *origins, DyOriginLookup *lookup, DyOriginQuestions *questions)
+{
+  const char *base = dy_stream_origins_base (&origins->table, lookup->service, now_us (origins));
+  GHashTableIter iter;
+  gpointer router;
+  gpointer services;
+  lookup->asked = true;
+  g_hash_table_iter_init (&iter, origins->declarations);
+  while (g_hash_table_iter_next (&iter, &router, &services))
+    {
+      const char *declared = g_hash_table_lookup (services, lookup->service);
+      /* A declaration with another base is from before that one was the only version. */
+      if (!declared || (base && declared[0] && strcmp (declared, base) != 0))
+        continue;
+      if (dy_origins_questions_add (questions, origins, router, lookup->service,
+                                    lookup->request_id))
+        g_hash_table_add (lookup->routers, g_strdup (router));
+      else
+        lookup->out_of_reach = true;
+    }
+}
+
+void
+dy_origins_take_denial (DyOrigins *origins,
+                        const char *router,
+                        const char *service,
+                        const char *request_id)
+{
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, origins->lookups);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const DyOriginLookup *lookup = key;
+      if (g_strcmp0 (lookup->request_id, request_id) == 0 && strcmp (lookup->service, service) == 0)
+        g_hash_table_remove (lookup->routers, router);
+    }
+}
+
 /* Ends LOOKUP if it is decided by what is known here. Returns whether it did. */
 static bool
 decide (DyOrigins *origins, DyOriginLookup *lookup)
@@ -120,6 +188,11 @@
       source = "listed";
       version = dy_stream_origins_find (&origins->table, service, id, true);
     }
+  if (!version)
+    {
+      source = "unlisted";
+      version = find_base (origins, lookup);
+    }
   bool refuses = !version && verdict == DY_VERSIONS_UNKNOWN
                  && dy_directory_endpoints_knowledge (origins->directory) == DY_KNOWLEDGE_BRIDGED;
   if (!version && !refuses)
@@ -160,6 +233,8 @@
 dy_origins_end_lookups (DyOrigins *origins, bool failed)
 {
   GList *lookups = g_hash_table_get_keys (origins->lookups);
+  DyOriginQuestions questions;
+  dy_origins_questions_init (&questions);
   dy_origins_update_knowledge (origins);
   for (GList *l = lookups; l; l = l->next)
     {
@@ -168,12 +243,19 @@
         continue;
       lookup->waiting = false;
       lookup->n_reads++;
-      lookup->next_read_us = now_us (origins) + SECOND_READ_US;
+      if (!failed && lookup->request_id && !lookup->asked
+          && !dy_stream_origins_get (&origins->table, lookup->request_id, &(DyStreamOrigin){ 0 }))
+        ask (origins, lookup, &questions);
+      bool asks = g_hash_table_size (lookup->routers) > 0;
+      lookup->next_read_us = now_us (origins) + (asks ? ASKED_READ_US : SECOND_READ_US);
       bool ended = origins->versions_loaded && decide (origins, lookup);
       if (!ended && (failed || !lookup->request_id || lookup->n_reads >= MAX_READS))
-        end_lookup (origins, lookup, NULL, failed ? "store_failed" : "unrecorded");
+        end_lookup (origins, lookup, NULL,
+                    failed ? "store_failed"
+                           : (lookup->out_of_reach ? "out_of_reach" : "unrecorded"));
     }
   g_list_free (lookups);
+  dy_origins_questions_send (&questions, origins);
 }
 
 void
@@ -231,6 +313,7 @@
   lookup->done = done;
   lookup->ctx = ctx;
   lookup->asked_us = dy_kernel_boot_us ();
+  lookup->routers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_hash_table_add (origins->lookups, lookup);
   if (dy_stream_origins_has_one_version (&origins->table, service))
     dy_origins_confirm_records (origins);
--- a/test/support/gateway_fixture.c
+++ b/test/support/gateway_fixture.c
@@ -1,4 +1,5 @@
 #include "support/gateway_fixture.h"
+#include "services/origins_private.h"
 
 #include "kernel/error.h"
 #include "platform/dialect.h"
@@ -157,6 +158,13 @@
   dy_stream_origins_init (&fixture->origins.table);
   dy_stream_origins_see (&fixture->origins.table, "app", "1", dy_kernel_now_us (&fixture->kernel));
   fixture->origins.kernel = &fixture->kernel;
+  fixture->origins.directory = &fixture->directory;
+  fixture->origins.platform = &fixture->platform;
+  fixture->origins.services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dy_origins_free_service);
+  fixture->origins.versions_loaded = true;
+  dy_version_knowledge_init (&fixture->origins.knowledge);
+  dy_version_knowledge_record_read (&fixture->origins.knowledge, dy_kernel_boot_us ());
   fixture->origins.own_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gateway->origins = &fixture->origins;
   dy_resend_budget_init (&gateway->resend_budget, 0.2, 100.0, RESEND_WINDOW_US);
@@ -199,6 +207,7 @@
   dy_gateway_crashes_finish (gateway);
   dy_reach_finish (&fixture->reachability.reach);
   g_hash_table_unref (fixture->origins.own_ids);
+  g_hash_table_unref (fixture->origins.services);
   dy_stream_origins_finish (&fixture->origins.table);
   dy_http_client_finish (&gateway->client);
   dy_crash_counts_finish (&fixture->request_blocks.counts);
--- a/test/test_moved_streams.c
+++ b/test/test_moved_streams.c
@@ -3,7 +3,7 @@
 
 #include "net/http_client.h"
 #include "support/suite.h"
-#include "support/traffic.h"
+#include "support/versions.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -12,9 +12,8 @@
 enum
 {
   N_STREAMS = 24,
-  READER = 0,       /* router at which the streams are resumed */
-  SENDER = 1,       /* router that sends them */
-  FIRST_WORKER = 2, /* of those of service "llm" */
+  READER = 0, /* router at which the streams are resumed */
+  SENDER = 1, /* router that sends them */
   N_WORKERS = 5,
   PREPAID = 1000000,
   NOTICE_MS = 2500,  /* the routers have read the records, and written which versions there are */
@@ -45,9 +44,9 @@
 {
   const char *name;
   uint32_t n_routers;
-  const char *versions[N_WORKERS - FIRST_WORKER]; /* NULL: the endpoint is not listed */
-  int64_t read_ms;                                /* from the streams to the reading */
-  int64_t crash_ms;                               /* from there to the crash of endpoint 0 */
+  const char *versions[N_WORKERS - VERSIONS_FIRST_WORKER]; /* NULL: the endpoint is not listed */
+  int64_t read_ms;                                         /* from the streams to the reading */
+  int64_t crash_ms;   /* from there to the crash of endpoint 0 */
   int64_t crash_1_ms; /* from there to that of endpoint 1; 0: it does not crash */
   Reading reading;
   Leaving leaving;
@@ -133,58 +132,6 @@
   return true;
 }
 
-static void
-post (Site *site, uint32_t worker, const char *path, const char *body)
-{
-  FleetRequest request
-      = { .method = "POST", .address = site->workers[worker], .path = path, .body = body };
-  ck_assert_uint_eq (fleet_request (&site->fleet, &request, NULL), 200);
-}
-
-/* Lists the endpoint, whose events are labelled with its version. */
-static void
-list_endpoint (Site *site, uint32_t i, const char *version)
-{
-  uint32_t worker = FIRST_WORKER + i;
-  char *spec = g_strdup_printf (
-      "{\"service\":\"llm\",\"address\":\"%s\",\"zone\":\"dc-a\",\"slots\":40,\"state\":\"ready\","
-      "\"sequence\":1,\"version\":\"%s\"}",
-      site->worker_relays[worker], version);
-  char *label = g_strdup_printf ("{\"label\":\"@%s\"}", version);
-  ck_assert (site_put_worker (site, worker, "ready", spec));
-  post (site, worker, "/admin/label", label);
-  g_free (label);
-  g_free (spec);
-}
-
-/* Returns the version that made all events of BODY; NULL: there is none, or there are several. */
-static const char *
-version_of (const char *body)
-{
-  static const char *const versions[] = { "v1", "v2", "v3" };
-  const char *found = NULL;
-  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
-    {
-      char label[] = { '@', versions[i][0], versions[i][1], 0 };
-      if (strstr (body, label) && found)
-        return NULL;
-      if (strstr (body, label))
-        found = versions[i];
-    }
-  return found;
-}
-
-static void
-resume (Site *site, const char *id, SiteAnswer *answer)
-{
-  char *resumes = g_strdup_printf ("Resumes: %s", id);
-  const char *const headers[] = { "Last-Event-Id: 2", resumes, NULL };
-  SiteRequest request
-      = { .method = "POST", .target = "/s/x/stream", .headers = headers, .body = "x" };
-  site_send (site, READER, &request, answer);
-  g_free (resumes);
-}
-
 /* Has the reader read the origins in the store. */
 static void
 read_origins (Site *site, Reading reading)
@@ -194,14 +141,14 @@
     ck_assert (site_start_router (site, READER) && site_wait_ready (site, READER, 200));
   if (reading != READS_FOR_LOOKUP)
     return;
-  resume (site, "request-of-nobody", &answer);
+  versions_resume (site, READER, "request-of-nobody", &answer);
   site_answer_finish (&answer);
 }
 
 static void
 crash_endpoint (Site *site, uint32_t i)
 {
-  fleet_kill (&site->worker_process[FIRST_WORKER + i]);
+  fleet_kill (&site->worker_process[VERSIONS_FIRST_WORKER + i]);
 }
 
 static void
@@ -233,14 +180,14 @@
   for (uint32_t i = 0; i < G_N_ELEMENTS (cases[_i].versions); i++)
     {
       if (cases[_i].versions[i])
-        list_endpoint (&site, i, cases[_i].versions[i]);
+        versions_list_endpoint (&site, i, cases[_i].versions[i]);
       else
-        ck_assert (site_remove_worker (&site, FIRST_WORKER + i));
+        versions_remove_endpoint (&site, i);
     }
   char *silence = g_strdup_printf ("{\"ms\":%d}", SILENCE_MS);
-  post (&site, FIRST_WORKER, "/admin/silence", silence);
+  versions_post (&site, 0, "/admin/silence", silence);
   if (cases[_i].crash_1_ms)
-    post (&site, FIRST_WORKER + 1, "/admin/silence", silence);
+    versions_post (&site, 1, "/admin/silence", silence);
   g_free (silence);
   site_run_for (&site, NOTICE_MS);
   dy_http_client_init (&client, site.fleet.loop);
@@ -260,19 +207,19 @@
   end_sender (&site, cases[_i].leaving);
   for (uint32_t i = 0; i < (cases[_i].crash_1_ms ? 2 : 1); i++)
     {
-      ck_assert (site_start_worker (&site, FIRST_WORKER + i));
-      list_endpoint (&site, i, cases[_i].versions[i]);
+      ck_assert (site_start_worker (&site, VERSIONS_FIRST_WORKER + i));
+      versions_list_endpoint (&site, i, cases[_i].versions[i]);
     }
   for (int i = 0; i < N_STREAMS; i++)
     {
-      const char *version = version_of (streams[i].body->str);
+      const char *version = versions_of_events (streams[i].body->str);
       SiteAnswer answer;
       if (streams[i].status == 200 && version)
         {
           n_begun++;
-          resume (&site, streams[i].id, &answer);
+          versions_resume (&site, READER, streams[i].id, &answer);
           n_resumed += answer.status == 200;
-          ck_assert_msg (answer.status != 200 || version_of (answer.body->str) == version,
+          ck_assert_msg (answer.status != 200 || versions_of_events (answer.body->str) == version,
                          "%s: %s began at %s, goes on with: %s", cases[_i].name, streams[i].id,
                          version, answer.body->str);
           site_answer_finish (&answer);
--- a/test/test_version_knowledge.c
+++ b/test/test_version_knowledge.c
@@ -78,6 +78,31 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  DyUnlistedEvidence evidence;
+  bool is_base;
+} unlisted[] = {
+  { "nobody can have begun it elsewhere", { 1, 1, 0, 0, 0, 0 }, true },
+  { "not read since", { 0, 1, 0, 0, 0, 0 }, false },
+  { "base not read", { 1, 0, 0, 0, 0, 0 }, false },
+  { "restored", { 1, 1, 1, 0, 0, 0 }, false },
+  { "an earlier process of this router may", { 1, 1, 0, 1, 0, 0 }, false },
+  { "a router out of reach may", { 1, 1, 0, 0, 1, 0 }, false },
+  { "a router has not answered", { 1, 1, 0, 0, 0, 1 }, false },
+};
+
+/* Guards against a stream that is taken to be of the base version while a router may have begun it
+ * at another one. */
+START_TEST (an_unlisted_stream_is_of_the_base_only_if_no_router_may_have_begun_it_elsewhere)
+{
+  ck_assert_msg (dy_version_knowledge_judge_unlisted (&unlisted[_i].evidence)
+                     == unlisted[_i].is_base,
+                 "%s", unlisted[_i].name);
+}
+END_TEST
+
 /* What a router knows of two others. */
 static const struct
 {
@@ -125,6 +150,9 @@
 main (void)
 {
   TCase *tcase = tcase_create ("version_knowledge");
+  tcase_add_loop_test (
+      tcase, an_unlisted_stream_is_of_the_base_only_if_no_router_may_have_begun_it_elsewhere, 0,
+      G_N_ELEMENTS (unlisted));
   tcase_add_loop_test (tcase, versions_are_complete_only_if_what_is_known_covers_the_stream, 0,
                        G_N_ELEMENTS (cases));
   tcase_add_loop_test (tcase, all_routers_lack_the_platform_only_if_none_is_silent, 0,
