The soak has endpoints of a second software version, and callers that resume

Now every second endpoint of the streamed service has another version, whose endpoints come and go, also beside a router that stands still or is killed, or all of them; an endpoint crashes beside restarts of routers; callers resume a broken stream once, at another router. Checked: events of two versions in at most two streams, the users' bound. Every third seed has an ample budget. Streams are longer (paced) and begin later (long) in place of some of the quick ones; all checks are as before, for the events that the caller lacks.

--- a/test/fakes/fake_worker.c
+++ b/test/fakes/fake_worker.c
@@ -27,7 +27,8 @@
  *
  * With a second argument, the request id of each run is appended to the file of that name, which
  * remains when the process ends. With a third one, a line "TIME ID TARGET RAN" is appended to that
- * file for each request that has an id: monotonic milliseconds, and 1 if it ran, else 0.
+ * file for each request that has an id: monotonic milliseconds, and 1 if it ran, else 0. A fourth
+ * one is the label of events, as of /admin/label.
  *
  * GET /admin/stats returns {"runs": {request id: n}, "last": {header: value}, "cancelled": n,
  * "crashing": requests that came with the part "bad0", "falls": n,
@@ -734,12 +735,14 @@
 main (int argc, char **argv)
 {
   Worker worker = { .runs = json_object (), .last = json_object (), .limited_ms = json_array () };
-  if (argc < 2 || argc > 4)
+  if (argc < 2 || argc > 5)
     return 2;
   if (argc >= 3)
     worker.run_log = fopen (argv[2], "a");
-  if (argc == 4)
+  if (argc >= 4)
     worker.arrival_log = fopen (argv[3], "a");
+  if (argc == 5)
+    label = g_strdup (argv[4]);
   worker.rng = g_rand_new_with_seed ((guint32) g_str_hash (argv[1]));
   signal (SIGPIPE, SIG_IGN);
   worker.loop = ev_default_loop (EVFLAG_AUTO);
--- a/test/soak.c
+++ b/test/soak.c
@@ -1,9 +1,10 @@
 /* Randomized soak test. Routers, store and endpoints run as processes on loopback; signals, relays
  * and settings of the store inject faults while callers send requests, data centres are evacuated,
- * and endpoints refuse some of the requests, some of the refusals twice. Then endpoints only fall
- * silent and go on, beside changes of the routes and reloads, while one data centre is evacuated.
- * Afterwards the invariants that callers rely on are checked for each request, the bound on resends
- * for each service, and that on requests to the evacuated data centre.
+ * and endpoints refuse some of the requests, some of the refusals twice. Endpoints of a second
+ * software version come and go; callers resume streams that break, at another router. Then
+ * endpoints only fall silent and go on, beside changes of the routes and reloads, while one data
+ * centre is evacuated. Afterwards the invariants that callers rely on are checked for each request,
+ * the bound on resends for each service, and that on requests to the evacuated data centre.
  *
  * Endpoints of one service become cold at times. While endpoints only fall silent, what all routers
  * send to a cold one in a second is checked against its bound.
@@ -24,6 +25,7 @@
   N_ROUTERS = 3, /* unless said otherwise */
   CALLERS_PER_ROUTER = 4,
   PAID_TOKENS = 4000,
+  AMPLE_TOKENS = 400000,  /* of every third seed: no request is refused for want of tokens */
   SOUND_TOKENS = 1000000, /* paid in addition while endpoints only fall silent */
   CALL_TIMEOUT_MS = 8000,
   DEADLINE_MS = 2000,
@@ -40,7 +42,7 @@
   { "POST",
     "/s/",
     "",
-    { "stream", "stream", "stream", "stream", "tear-once", "tear-once" },
+    { "stream", "paced", "paced", "long", "tear-once", "tear-once" },
     "paced",
     MAX_ATTEMPTS },
   { "POST",
@@ -55,6 +57,7 @@
 {
   Soak *soak;
   SoakRecord *record;
+  const SoakRecord *broken; /* whose stream is to be resumed; NULL: none */
   ev_timer pause;
 } Caller;
 
@@ -83,6 +86,37 @@
   start_call (w->data);
 }
 
+/* Takes the versions out of the events of RECORD. */
+static void
+take_versions (SoakRecord *record)
+{
+  GString *text = g_string_new (NULL);
+  for (const char *p = record->body->str; *p; p++)
+    {
+      if (*p != '@')
+        {
+          g_string_append_c (text, *p);
+          continue;
+        }
+      /* The last event may be cut off anywhere. */
+      if (p[1] == 'v' && g_ascii_isdigit (p[2]))
+        record->versions |= 1U << (unsigned) (p[2] - '0');
+      for (int i = 0; i < 2 && p[1]; i++)
+        p++;
+    }
+  g_string_assign (record->body, text->str);
+  g_string_free (text, TRUE);
+}
+
+static uint32_t
+count_events (const SoakRecord *record)
+{
+  uint32_t n = 0;
+  for (const char *p = record->body->str; (p = strstr (p, "\n\n")); p++)
+    n++;
+  return n;
+}
+
 static void
 on_done (void *ctx, const DyHttpResult *result)
 {
@@ -93,6 +127,11 @@
   caller->record->sent = result->connected;
   caller->record->reused = result->reused;
   caller->record->ended_ms = soak_now_ms ();
+  if (caller->record->kind >= KIND_STREAM)
+    take_versions (caller->record);
+  bool resumes = caller->record->kind == KIND_STREAM && result->status == 200 && result->error
+                 && !caller->record->begun && count_events (caller->record) > 0;
+  caller->broken = resumes ? caller->record : NULL;
   soak->n_open--;
   if (!soak->sending)
     return;
@@ -107,18 +146,22 @@
   ev_timer_start (soak->site.fleet.loop, &caller->pause);
 }
 
+/* BEGUN: as in the record. */
 static SoakRecord *
-new_record (Soak *soak)
+new_record (Soak *soak, const SoakRecord *begun)
 {
   SoakRecord *record = g_new0 (SoakRecord, 1);
-  record->kind = (SoakKind) g_rand_int_range (soak->rng, 0, N_KINDS);
+  record->kind = begun ? begun->kind : (SoakKind) g_rand_int_range (soak->rng, 0, N_KINDS);
+  record->begun = begun;
+  record->n_before = begun ? count_events (begun) : 0;
   g_snprintf (record->id, sizeof record->id, "soak-%u-%u", soak->seed, soak->records->len);
   const SoakKindInfo *info = &soak_kinds[record->kind];
   const char *behaviour = info->behaviours[g_rand_int_range (soak->rng, 0, N_BEHAVIOURS)];
   record->sound = soak->sound;
   record->sent_ms = soak_now_ms ();
-  record->target = g_strdup_printf ("%sn%u/%s", info->prefix, soak->records->len,
-                                    record->sound ? info->sound : behaviour);
+  record->target = begun ? g_strdup (begun->target)
+                         : g_strdup_printf ("%sn%u/%s", info->prefix, soak->records->len,
+                                            record->sound ? info->sound : behaviour);
   record->body = g_string_new (NULL);
   g_ptr_array_add (soak->records, record);
   return record;
@@ -129,18 +172,22 @@
 {
   static const DyHttpTransferWatcher watcher = { .data = on_data, .done = on_done };
   Soak *soak = caller->soak;
-  caller->record = new_record (soak);
+  caller->record = new_record (soak, caller->broken);
   const SoakKindInfo *info = &soak_kinds[caller->record->kind];
   gint32 router = g_rand_int_range (soak->rng, 0, (gint32) soak->site.n_routers);
   char *url = g_strdup_printf ("http://%s%s", soak->site.callers[router], caller->record->target);
   char *id = g_strdup_printf ("X-Request-Id: %s", caller->record->id);
-  char *counts = g_strdup_printf ("X-Token-Counts: %d,%d", PROMPT_TOKENS,
-                                  soak->sound ? SOUND_EVENTS : OUTPUT_TOKENS);
+  char *counts
+      = g_strdup_printf ("X-Token-Counts: %d,%u", PROMPT_TOKENS, soak_count_whole (caller->record));
   char *deadline
       = g_strdup_printf ("X-Deadline-Ms: %d", soak->sound ? SOUND_DEADLINE_MS : DEADLINE_MS);
+  const SoakRecord *begun = caller->record->begun;
+  char *resumes = g_strdup_printf ("Resumes: %s", begun ? begun->id : "");
+  char *after = g_strdup_printf ("Last-Event-Id: %u", caller->record->n_before);
   bool is_stream = caller->record->kind >= KIND_STREAM;
   const char *headers[] = {
-    "Host: h.example", "Authorization: Bearer k1", deadline, id, is_stream ? counts : NULL, NULL
+    "Host: h.example",      "Authorization: Bearer k1", deadline, id, is_stream ? counts : NULL,
+    begun ? resumes : NULL, begun ? after : NULL,       NULL
   };
   DyHttpSpec spec = { .method = info->method,
                       .url = url,
@@ -155,6 +202,8 @@
   g_free (id);
   g_free (counts);
   g_free (deadline);
+  g_free (resumes);
+  g_free (after);
 }
 
 static void
@@ -246,7 +295,7 @@
   Soak soak
       = { .seed = seed,
           .version = 1,
-          .paid_tokens = PAID_TOKENS,
+          .paid_tokens = seed % 3 == 0 ? AMPLE_TOKENS : PAID_TOKENS,
           .n_callers = size->n_routers * (slow ? SLOW_CALLERS_PER_ROUTER : CALLERS_PER_ROUTER),
           .pause_ms = slow ? SLOW_PAUSE_MS : 0 };
   soak.rng = g_rand_new_with_seed (seed);
@@ -256,11 +305,14 @@
   printf ("seed %u: ", seed);
   fflush (stdout);
   if (!site_init_soak (&soak.site, size->n_routers, size->n_workers, size->cold, EVACUATION_MS,
-                       PAID_TOKENS))
+                       soak.paid_tokens))
     soak.n_violations++;
   dy_http_client_init (&soak.client, soak.site.fleet.loop);
+  soak_set_versions (&soak);
+  site_run_for (&soak.site, RECOVERED_MS);
   run_load (&soak, size->seconds);
   soak_check_recovery (&soak);
+  soak_list_versions (&soak);
   soak.sound = true;
   soak.paid_tokens += SOUND_TOKENS;
   soak_change_routes (&soak, 0);
--- a/test/soak.h
+++ b/test/soak.h
@@ -47,7 +47,7 @@
 
 extern const SoakKindInfo soak_kinds[N_KINDS];
 
-typedef struct
+typedef struct SoakRecord
 {
   char id[32];
   SoakKind kind;
@@ -60,6 +60,9 @@
   bool sent;       /* a router accepted the connection */
   bool reused;     /* sent on a connection that had been used before */
   GString *body;
+  const struct SoakRecord *begun; /* whose stream it resumes; NULL: none */
+  uint32_t n_before;              /* events of that one */
+  uint32_t versions;              /* set of the software versions that made its events, by number */
 } SoakRecord;
 
 typedef struct Soak
@@ -86,16 +89,26 @@
   GPtrArray *repairs;              /* pending ones */
   bool starting[SITE_MAX_ROUTERS]; /* soak_start_router() waits for the router */
   bool starting_worker[SITE_MAX_WORKERS];
+  bool released;                       /* the endpoints of the second version are listed */
   pid_t terminating[SITE_MAX_ROUTERS]; /* process that got SIGTERM last; 0: none */
   int n_violations;                    /* violated invariants and failed recoveries */
 } Soak;
 
 int64_t soak_now_ms (void);
 
+/* Returns the number of events of the whole stream of RECORD, from its first one on. */
+uint32_t soak_count_whole (const SoakRecord *record);
+
 /* Starts a router or a worker unless it runs. */
 void soak_start_router (Soak *soak, uint32_t i);
 void soak_start_worker (Soak *soak, uint32_t i);
 
+/* Gives every second endpoint of "llm" another software version, and lists those no longer. */
+void soak_set_versions (Soak *soak);
+
+/* Lists the endpoints of the second version. */
+void soak_list_versions (Soak *soak);
+
 /* Writes the next version of the route table. */
 void soak_change_routes (Soak *soak, uint32_t i);
 
--- a/test/soak_checks.c
+++ b/test/soak_checks.c
@@ -8,6 +8,7 @@
 enum
 {
   LATE_MS = 500, /* requests end this time after their deadline */
+  MAX_MIXED = 2, /* streams with events of several versions: the users' bound */
 };
 
 static const struct
@@ -59,13 +60,19 @@
   return PROMPT_TOKENS + events;
 }
 
-/* Returns the events of the complete stream, to be freed with g_free(). */
+uint32_t
+soak_count_whole (const SoakRecord *record)
+{
+  return g_str_has_suffix (record->target, "/paced") ? SOUND_EVENTS : OUTPUT_TOKENS;
+}
+
+/* Returns the events that the caller of RECORD lacks, to be freed with g_free(). */
 static char *
 complete_stream (const SoakRecord *record)
 {
   GString *text = g_string_new (NULL);
-  for (int i = 1; i <= (record->sound ? SOUND_EVENTS : OUTPUT_TOKENS); i++)
-    g_string_append_printf (text, "id: %d\ndata: piece-%d\n\n", i, i);
+  for (uint32_t i = record->n_before + 1; i <= soak_count_whole (record); i++)
+    g_string_append_printf (text, "id: %u\ndata: piece-%u\n\n", i, i);
   return g_string_free (text, FALSE);
 }
 
@@ -156,6 +163,32 @@
   return most;
 }
 
+/* Checks that streams go on at the software version that began them, and prints how many do. */
+static void
+check_versions (Soak *soak)
+{
+  uint32_t n_mixed = 0;
+  uint32_t n_resumed = 0;
+  uint32_t n_went_on = 0;
+  for (guint i = 0; i < soak->records->len; i++)
+    {
+      const SoakRecord *record = g_ptr_array_index (soak->records, i);
+      uint32_t versions = record->versions | (record->begun ? record->begun->versions : 0);
+      bool mixed = (versions & (versions - 1)) != 0;
+      n_resumed += record->begun != NULL;
+      n_went_on += record->begun && record->versions != 0;
+      n_mixed += mixed;
+      if (mixed)
+        fprintf (stderr, "%s resumes %s, of two versions: %s\n", record->id,
+                 record->begun ? record->begun->id : "-", record->body->str);
+    }
+  printf ("resumed %u went on %u mixed %u ", n_resumed, n_went_on, n_mixed);
+  if (n_mixed <= MAX_MIXED)
+    return;
+  soak->n_violations++;
+  fprintf (stderr, "%u streams of two software versions\n", n_mixed);
+}
+
 void
 soak_check_invariants (Soak *soak)
 {
@@ -174,6 +207,7 @@
       n_answered += record->status == 200 && record->complete;
       n_reused += record->reused;
     }
+  check_versions (soak);
   uint32_t n_resends = check_resends (soak);
   int64_t n_cold = check_cold (soak);
   for (uint32_t i = 0; i < soak->site.n_workers; i++)
--- a/test/soak_faults.c
+++ b/test/soak_faults.c
@@ -24,6 +24,9 @@
 /* Longer than the peer_timeout_ms of support/site.c. */
 static const double MIN_SEPARATION_S = 1.2;
 static const double MAX_SEPARATION_S = 3.0;
+/* Longer than endpoints' records live that are not renewed. */
+static const double MIN_RELEASE_S = 2.2;
+static const double MAX_RELEASE_S = 4.0;
 static const double MIN_REFUSALS_S = 0.3;
 static const double MAX_REFUSALS_S = 1.2;
 
@@ -392,6 +395,84 @@
   repair_later (soak, restore_instance, i);
 }
 
+/* --- software versions --- */
+
+static bool
+is_second_version (const Soak *soak, uint32_t i)
+{
+  return g_strcmp0 (soak->site.versions[i], "v2") == 0;
+}
+
+void
+soak_set_versions (Soak *soak)
+{
+  for (uint32_t i = SITE_N_WORKERS / 2; i < soak->site.n_workers; i++)
+    {
+      soak->site.versions[i] = i % 2 == 0 ? "v1" : "v2";
+      soak->n_violations += !site_start_worker (&soak->site, i);
+      if (is_second_version (soak, i))
+        site_remove_worker (&soak->site, i);
+    }
+}
+
+void
+soak_list_versions (Soak *soak)
+{
+  for (uint32_t i = 0; i < soak->site.n_workers; i++)
+    if (is_second_version (soak, i))
+      site_put_worker (&soak->site, i, "ready", NULL);
+  soak->released = true;
+}
+
+static void
+end_release (Soak *soak, uint32_t i)
+{
+  (void) i;
+  soak->released = false;
+  for (uint32_t w = 0; w < soak->site.n_workers; w++)
+    if (is_second_version (soak, w))
+      site_remove_worker (&soak->site, w);
+}
+
+static void
+release (Soak *soak, uint32_t i)
+{
+  (void) i;
+  if (soak->released)
+    return;
+  soak_list_versions (soak);
+  repair_between (soak, end_release, 0, MIN_RELEASE_S, MAX_RELEASE_S);
+}
+
+static void
+release_beside_pause (Soak *soak, uint32_t i)
+{
+  pause_router (soak, i);
+  release (soak, i);
+}
+
+static void
+release_beside_kill (Soak *soak, uint32_t i)
+{
+  kill_router (soak, i);
+  release (soak, i);
+}
+
+static void
+release_beside_kills (Soak *soak, uint32_t i)
+{
+  kill_all_routers (soak, i);
+  release (soak, i);
+}
+
+/* Streams that wait for their first event are moved while routers start. */
+static void
+crash_beside_restarts (Soak *soak, uint32_t i)
+{
+  end_in_turn (soak, 0);
+  kill_worker (soak, MAX (i, SITE_N_WORKERS / 2));
+}
+
 /* --- evacuations --- */
 
 static const char UNKNOWN_DATA_CENTRE[] = "nowhere";
@@ -496,21 +577,41 @@
 } Fault;
 
 static const Fault faults[] = {
-  { kill_router, TARGET_ROUTER },        { stop_router, TARGET_ROUTER },
-  { pause_router, TARGET_ROUTER },       { reload_router, TARGET_ROUTER },
-  { kill_all_routers, TARGET_NONE },     { stop_all_routers, TARGET_NONE },
-  { end_in_turn, TARGET_NONE },          { leave_beside_kills, TARGET_ROUTER },
-  { stop_paused_router, TARGET_ROUTER }, { change_beside_kills, TARGET_NONE },
-  { reload_all_routers, TARGET_NONE },   { disturb_peer, TARGET_ROUTER },
-  { separate_routers, TARGET_NONE },     { disturb_store, TARGET_ROUTER },
-  { disturb_all_stores, TARGET_NONE },   { lose_writes, TARGET_NONE },
-  { delay_writes, TARGET_NONE },         { drop_history, TARGET_NONE },
-  { disturb_worker, TARGET_WORKER },     { reset_worker, TARGET_WORKER },
-  { kill_worker, TARGET_WORKER },        { change_instance, TARGET_WORKER },
-  { soak_change_routes, TARGET_NONE },   { silence_worker, TARGET_WORKER },
-  { silence_all_workers, TARGET_NONE },  { cool_worker, TARGET_WORKER },
-  { silence_all_workers, TARGET_NONE },  { evacuate, TARGET_NONE },
-  { evacuate_all, TARGET_NONE },         { evacuate_beside_kills, TARGET_NONE },
+  { kill_router, TARGET_ROUTER },
+  { stop_router, TARGET_ROUTER },
+  { pause_router, TARGET_ROUTER },
+  { reload_router, TARGET_ROUTER },
+  { kill_all_routers, TARGET_NONE },
+  { stop_all_routers, TARGET_NONE },
+  { end_in_turn, TARGET_NONE },
+  { leave_beside_kills, TARGET_ROUTER },
+  { stop_paused_router, TARGET_ROUTER },
+  { change_beside_kills, TARGET_NONE },
+  { reload_all_routers, TARGET_NONE },
+  { disturb_peer, TARGET_ROUTER },
+  { separate_routers, TARGET_NONE },
+  { disturb_store, TARGET_ROUTER },
+  { disturb_all_stores, TARGET_NONE },
+  { lose_writes, TARGET_NONE },
+  { delay_writes, TARGET_NONE },
+  { drop_history, TARGET_NONE },
+  { disturb_worker, TARGET_WORKER },
+  { reset_worker, TARGET_WORKER },
+  { kill_worker, TARGET_WORKER },
+  { change_instance, TARGET_WORKER },
+  { soak_change_routes, TARGET_NONE },
+  { silence_worker, TARGET_WORKER },
+  { silence_all_workers, TARGET_NONE },
+  { cool_worker, TARGET_WORKER },
+  { silence_all_workers, TARGET_NONE },
+  { evacuate, TARGET_NONE },
+  { evacuate_all, TARGET_NONE },
+  { evacuate_beside_kills, TARGET_NONE },
+  { release, TARGET_NONE },
+  { release_beside_pause, TARGET_ROUTER },
+  { release_beside_kill, TARGET_ROUTER },
+  { release_beside_kills, TARGET_NONE },
+  { crash_beside_restarts, TARGET_WORKER },
 };
 
 static const Fault silences[] = {
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -84,15 +84,22 @@
   return ok;
 }
 
+static const char *
+version_of (const Site *site, uint32_t i)
+{
+  return site->versions[i] ? site->versions[i] : "v1";
+}
+
 bool
 site_put_worker (Site *site, uint32_t i, const char *state, const char *spec)
 {
   char *name = g_strdup_printf ("i-%u", i);
-  char *text = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-      "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"v1\"%s}",
-      service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
-      data_centre_of (site, i), state, site->cold ? ",\"coldRemainingMs\":0" : "");
+  char *text
+      = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+                         "\"slots\":6,\"state\":\"%s\",\"sequence\":1,\"version\":\"%s\"%s}",
+                         service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
+                         data_centre_of (site, i), state, version_of (site, i),
+                         site->cold ? ",\"coldRemainingMs\":0" : "");
   bool ok = put_object (site, "servers", name, spec ? spec : text);
   g_free (text);
   g_free (name);
@@ -104,9 +111,9 @@
 {
   char *spec = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":6,\"state\":\"ready\","
-      "\"sequence\":2,\"version\":\"v1\",\"coldRemainingMs\":%" G_GINT64_FORMAT "}",
+      "\"sequence\":2,\"version\":\"%s\",\"coldRemainingMs\":%" G_GINT64_FORMAT "}",
       service_of (i), site->relayed ? site->worker_relays[i] : site->workers[i],
-      data_centre_of (site, i), cold_ms);
+      data_centre_of (site, i), version_of (site, i), cold_ms);
   bool ok = site_put_worker (site, i, "ready", spec);
   g_free (spec);
   return ok;
@@ -393,12 +400,18 @@
 {
   char *worker = fleet_program ("fake_worker");
   char name[16];
-  char *argv[] = { worker, site->workers[i], site->run_log ? site->run_log : "/dev/null",
-                   site->arrival_log, NULL };
+  char *label = site->versions[i] ? g_strconcat ("@", site->versions[i], NULL) : NULL;
+  char *argv[] = { worker,
+                   site->workers[i],
+                   site->run_log ? site->run_log : "/dev/null",
+                   site->arrival_log ? site->arrival_log : "/dev/null",
+                   label,
+                   NULL };
   g_snprintf (name, sizeof name, "worker%u", i);
   fleet_kill (&site->worker_process[i]);
   bool ok = fleet_spawn (&site->fleet, &site->worker_process[i], name, argv)
             && fleet_wait_line (&site->worker_process[i], "ready");
+  g_free (label);
   g_free (worker);
   return ok;
 }
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -60,8 +60,11 @@
   bool separate;       /* routers reject each other's connections */
   int evacuation_ms;   /* bound with which routers watch evacuations; 0: they don't */
   bool logs_json;      /* routers log all lines, as JSON */
-  bool cold;           /* endpoints of "llm" are cold for SITE_COLD_MS after their start */
-  bool sheds;          /* routers have shed_load = yes and cpu_percent below */
+  /* Software versions that the records of workers state and with which their events end, as
+   * "@VERSION"; NULL: "v1", and events have no such end. */
+  const char *versions[SITE_MAX_WORKERS];
+  bool cold;  /* endpoints of "llm" are cold for SITE_COLD_MS after their start */
+  bool sheds; /* routers have shed_load = yes and cpu_percent below */
   int cpu_percent[SITE_MAX_ROUTERS];
   FleetProcess store_process;
   FleetProcess router_process[SITE_MAX_ROUTERS];
