--- a/src/services/origins.c
+++ b/src/services/origins.c
@@ -26,17 +26,6 @@
   return dy_kernel_now_us (origins->kernel);
 }
 
-void
-dy_origins_see_version (DyOrigins *origins, const char *service, const char *version)
-{
-  if (!dy_stream_origins_see (&origins->table, service, version, now_us (origins)))
-    return;
-  bool mixed = dy_stream_origins_is_mixed (&origins->table, service);
-  dy_origins_get_service (origins, service)->synced = false;
-  origins->dirty = origins->dirty || mixed;
-  dy_log (DY_EVENT_VERSION_SEEN, "service=%s version=%s mixed=%d", service, version, mixed);
-}
-
 /* Streams that the store has. */
 
 void
--- a/src/services/origins.h
+++ b/src/services/origins.h
@@ -9,24 +9,26 @@
  *   While a service has endpoints of several versions, this router keeps the origins of the streams
  *   that it passes on in the platform's store, in one object, so that a caller can resume them at
  *   any router. A stream that is not recorded is of the only version of its service, once the
- *   endpoint records show that there is no other. docs/ORIGINS.md explains what is kept where, how
- *   long, and what is refused.
+ *   endpoint records show that there is no other, or of the base version, once no router can have
+ *   begun it at another one. docs/ORIGINS.md explains what is kept where, how long, and what is
+ *   refused.
  *
  * FORMAT
  *   streams/NAME of the router NAME:
- *     {"format": 2, "mixed": {service: base version}, "streams": {service: {version: [request
- * id]}}} A stream is listed once its first event has been passed on. Of a service that is not in
+ *     {"format": 2, "mixed": {service: base},
+ *      "streams": {service: {version: [request id, ...]}}}
+ *     A stream is listed once its first event has been passed on. Of a service that is not in
  *     "mixed", the router has begun streams at the base version only, unless they are listed.
  *   stream-versions/SERVICE, written by the router that is the home of the service's name:
  *     {"versions": [version, ...], "era": number, "base": version}
  *     The era is that of the store when it was written: after a restore, versions may be missing.
- *     The base is the only version that the service had before the others; it may be missing.
+ *     The base is the only version that the service had before the others came; it may be missing.
  *   Objects sent by dy_peers_send_object():
  *     stream-origins/ask   {"streams": {service: [request id, ...]}}
- *       Which of these streams did you begin?
+ *       Asks which of these streams the receiver began.
  *     stream-origins/tell  {"router": name, "streams": as above, "denied": {service: [request id]}}
- *       The reply: those whose origin it knows, and those that it did not begin. It says nothing of
- *       streams that a process before it may have begun.
+ *       The reply: those that it began, and those that it did not. It has none of those that a
+ *       process before it may have begun.
  *
  * ERRORS
  *   DY_ORIGIN_UNKNOWN  the version that began the stream is not known, or cannot be looked up now
--- a/src/services/origins_questions.c
+++ b/src/services/origins_questions.c
@@ -107,16 +107,17 @@
 answer_for (
     const DyOrigins *origins, const char *service, const char *id, json_t *begun, json_t *denied)
 {
-  const char *version = dy_stream_origins_find (&origins->table, service, id, false);
-  if (!version)
+  DyStreamOrigin origin;
+  bool known = dy_stream_origins_get (&origins->table, id, &origin);
+  if (!known || origin.router || strcmp (origin.service, service) != 0)
     {
       if (knows_all (origins, service))
         json_array_append_new (denied, json_string (id));
       return;
     }
-  if (!json_object_get (begun, version))
-    json_object_set_new (begun, version, json_array ());
-  json_array_append_new (json_object_get (begun, version), json_string (id));
+  if (!json_object_get (begun, origin.version))
+    json_object_set_new (begun, origin.version, json_array ());
+  json_array_append_new (json_object_get (begun, origin.version), json_string (id));
 }
 
 static void
--- a/test/support/versions.c
+++ b/test/support/versions.c
@@ -2,8 +2,36 @@
 
 #include "support/suite.h"
 
+#include <signal.h>
 #include <string.h>
 
+void
+versions_end_router (Site *site, uint32_t router, RouterEnd end)
+{
+  FleetProcess *process = &site->router_process[router];
+  switch (end)
+    {
+    case ROUTER_RUNS_ON:
+      break;
+    case ROUTER_STOPS:
+      fleet_signal (process, SIGTERM);
+      ck_assert (fleet_wait_exit (process));
+      break;
+    case ROUTER_IS_KILLED:
+      fleet_kill (process);
+      break;
+    case ROUTER_FREEZES:
+      fleet_signal (process, SIGSTOP);
+      break;
+    case ROUTER_RESTARTS:
+      ck_assert (site_start_router (site, router) && site_wait_ready (site, router, 200));
+      break;
+    case ALL_ROUTERS_RESTART:
+      ck_assert (site_restart_routers (site));
+      break;
+    }
+}
+
 void
 versions_post (Site *site, uint32_t i, const char *path, const char *body)
 {
--- a/test/support/versions.h
+++ b/test/support/versions.h
@@ -17,6 +17,20 @@
   VERSIONS_FIRST_WORKER = 2,
 };
 
+/* How a router goes. */
+typedef enum
+{
+  ROUTER_RUNS_ON,
+  ROUTER_STOPS, /* SIGTERM */
+  ROUTER_IS_KILLED,
+  ROUTER_FREEZES,
+  ROUTER_RESTARTS, /* it is killed and started again */
+  ALL_ROUTERS_RESTART,
+} RouterEnd;
+
+/* Has ROUTER go, and waits until it has. */
+void versions_end_router (Site *site, uint32_t router, RouterEnd end);
+
 /* Writes the record of endpoint I, which has VERSION, or removes it. */
 void versions_list_endpoint (Site *site, uint32_t i, const char *version);
 void versions_remove_endpoint (Site *site, uint32_t i);
--- a/test/test_moved_streams.c
+++ b/test/test_moved_streams.c
@@ -5,7 +5,6 @@
 #include "support/suite.h"
 #include "support/versions.h"
 
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -23,15 +22,6 @@
   MIN_BEGUN = N_STREAMS * 3 / 4,
 };
 
-typedef enum
-{
-  LEAVES_NOT,
-  LEAVES_STOPPED, /* SIGTERM */
-  LEAVES_KILLED,
-  LEAVES_FROZEN,
-  ALL_KILLED, /* and started again */
-} Leaving;
-
 typedef enum
 {
   READS_AT_START,   /* the reader is started again */
@@ -49,22 +39,22 @@
   int64_t crash_ms;   /* from there to the crash of endpoint 0 */
   int64_t crash_1_ms; /* from there to that of endpoint 1; 0: it does not crash */
   Reading reading;
-  Leaving leaving;
+  RouterEnd end;
 } cases[] = {
-  { "stop", 2, { "v1", "v2" }, 200, 300, 0, READS_AT_START, LEAVES_STOPPED },
-  { "kill", 2, { "v1", "v2" }, 200, 300, 0, READS_AT_START, LEAVES_KILLED },
-  { "freeze", 3, { "v1", "v2" }, 200, 300, 0, READS_AT_START, LEAVES_FROZEN },
-  { "all killed", 3, { "v1", "v2" }, 200, 300, 0, READS_AT_START, ALL_KILLED },
-  { "all run on", 2, { "v1", "v2" }, 200, 300, 0, READS_AT_START, LEAVES_NOT },
-  { "lookup, stop", 2, { "v1", "v2" }, 200, 300, 0, READS_FOR_LOOKUP, LEAVES_STOPPED },
-  { "lookup, run on", 9, { "v1", "v2" }, 300, 300, 0, READS_FOR_LOOKUP, LEAVES_NOT },
-  { "quick", 2, { "v1", "v2" }, 60, 20, 0, READS_FOR_LOOKUP, LEAVES_KILLED },
-  { "slow", 2, { "v1", "v2" }, 600, 400, 0, READS_FOR_LOOKUP, LEAVES_KILLED },
-  { "three versions", 2, { "v1", "v2", "v3" }, 200, 300, 0, READS_AT_START, LEAVES_STOPPED },
-  { "there and back", 2, { "v1", "v2", "v1" }, 200, 150, 200, READS_FOR_LOOKUP, LEAVES_KILLED },
-  { "moved again", 2, { "v1", "v2", "v3" }, 200, 150, 200, READS_FOR_LOOKUP, LEAVES_STOPPED },
-  { "one version", 2, { "v1", "v1" }, 200, 300, 0, READS_AT_START, LEAVES_KILLED },
-  { "read late", 2, { "v1", "v2" }, 200, 300, 0, READS_LATE, LEAVES_KILLED },
+  { "stop", 2, { "v1", "v2" }, 200, 300, 0, READS_AT_START, ROUTER_STOPS },
+  { "kill", 2, { "v1", "v2" }, 200, 300, 0, READS_AT_START, ROUTER_IS_KILLED },
+  { "freeze", 3, { "v1", "v2" }, 200, 300, 0, READS_AT_START, ROUTER_FREEZES },
+  { "all killed", 3, { "v1", "v2" }, 200, 300, 0, READS_AT_START, ALL_ROUTERS_RESTART },
+  { "all run on", 2, { "v1", "v2" }, 200, 300, 0, READS_AT_START, ROUTER_RUNS_ON },
+  { "lookup, stop", 2, { "v1", "v2" }, 200, 300, 0, READS_FOR_LOOKUP, ROUTER_STOPS },
+  { "lookup, run on", 9, { "v1", "v2" }, 300, 300, 0, READS_FOR_LOOKUP, ROUTER_RUNS_ON },
+  { "quick", 2, { "v1", "v2" }, 60, 20, 0, READS_FOR_LOOKUP, ROUTER_IS_KILLED },
+  { "slow", 2, { "v1", "v2" }, 600, 400, 0, READS_FOR_LOOKUP, ROUTER_IS_KILLED },
+  { "three versions", 2, { "v1", "v2", "v3" }, 200, 300, 0, READS_AT_START, ROUTER_STOPS },
+  { "there and back", 2, { "v1", "v2", "v1" }, 200, 150, 200, READS_FOR_LOOKUP, ROUTER_IS_KILLED },
+  { "moved again", 2, { "v1", "v2", "v3" }, 200, 150, 200, READS_FOR_LOOKUP, ROUTER_STOPS },
+  { "one version", 2, { "v1", "v1" }, 200, 300, 0, READS_AT_START, ROUTER_IS_KILLED },
+  { "read late", 2, { "v1", "v2" }, 200, 300, 0, READS_LATE, ROUTER_IS_KILLED },
 };
 
 typedef struct
@@ -151,23 +141,6 @@
   fleet_kill (&site->worker_process[VERSIONS_FIRST_WORKER + i]);
 }
 
-static void
-end_sender (Site *site, Leaving leaving)
-{
-  FleetProcess *process = &site->router_process[SENDER];
-  if (leaving == LEAVES_STOPPED)
-    {
-      fleet_signal (process, SIGTERM);
-      ck_assert (fleet_wait_exit (process));
-    }
-  else if (leaving == LEAVES_KILLED)
-    fleet_kill (process);
-  else if (leaving == LEAVES_FROZEN)
-    fleet_signal (process, SIGSTOP);
-  else if (leaving == ALL_KILLED)
-    ck_assert (site_restart_routers (site));
-}
-
 /* Guards against taking the endpoint that a stream was sent to for the one that began it. */
 START_TEST (a_stream_that_was_moved_before_its_first_event_goes_on_where_it_began)
 {
@@ -204,7 +177,7 @@
     }
   ck_assert (fleet_wait_until (&site.fleet, are_done, streams));
   site_run_for (&site, DRAIN_MS);
-  end_sender (&site, cases[_i].leaving);
+  versions_end_router (&site, SENDER, cases[_i].end);
   for (uint32_t i = 0; i < (cases[_i].crash_1_ms ? 2 : 1); i++)
     {
       ck_assert (site_start_worker (&site, VERSIONS_FIRST_WORKER + i));
--- a/test/test_unlisted_streams.c
+++ b/test/test_unlisted_streams.c
@@ -4,7 +4,6 @@
 #include "support/suite.h"
 #include "support/versions.h"
 
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -19,15 +18,6 @@
   NOTICE_MS = 2500,
 };
 
-typedef enum
-{
-  GOES_STOPPED, /* SIGTERM */
-  GOES_KILLED,
-  GOES_FROZEN,
-  GOES_RESTARTED, /* killed and started again */
-  ALL_RESTARTED,
-} Going;
-
 /* Endpoint 0 has version v1 and serves from the start. Streams begin at the sender then. After
  * before_ms, if that is not 0, endpoint 1 of v2 is listed, and other streams begin early_ms later.
  * The sender goes settle_ms after the last stream. After after_ms the endpoints of the versions
@@ -39,7 +29,7 @@
   int64_t before_ms;
   int64_t early_ms;
   int64_t settle_ms;
-  Going going;
+  RouterEnd end;
   int64_t after_ms;
   const char *after[N_ENDPOINTS]; /* versions of endpoints 1 and 2; NULL: not listed then */
   int64_t return_ms;
@@ -48,34 +38,46 @@
   bool version_leaves; /* endpoint 1 is no longer listed when the sender goes */
   int min_resumed;     /* of all */
 } cases[] = {
-  { "freeze", 3, 0, 0, 300, GOES_FROZEN, 300, { "v2" }, 1500, 0, 0, 0, 24 },
-  { "kill", 3, 0, 0, 300, GOES_KILLED, 300, { "v2" }, 1500, 0, 0, 0, 24 },
-  { "stop", 3, 0, 0, 300, GOES_STOPPED, 300, { "v2" }, 1500, 0, 0, 0, 24 },
-  { "restart", 3, 0, 0, 300, GOES_RESTARTED, 300, { "v2" }, 1500, 0, 0, 0, 24 },
-  { "all restart", 3, 0, 0, 300, ALL_RESTARTED, 300, { "v2" }, 1500, 0, 0, 0, 24 },
-  { "all restart, 9 routers", 9, 0, 0, 300, ALL_RESTARTED, 100, { "v2" }, 1500, 0, 0, 0, 24 },
-  { "freeze, at once", 3, 0, 0, 0, GOES_FROZEN, 0, { "v2" }, 300, 0, 0, 0, 24 },
-  { "kill, at once", 2, 0, 0, 0, GOES_KILLED, 0, { "v2" }, 100, 0, 0, 0, 24 },
-  { "freeze, late return", 2, 0, 0, 300, GOES_FROZEN, 300, { "v2" }, 6000, 0, 0, 0, 24 },
-  { "freeze, 9 routers", 9, 0, 0, 300, GOES_FROZEN, 300, { "v2" }, 1500, 0, 0, 0, 24 },
-  { "freeze, two come", 3, 0, 0, 300, GOES_FROZEN, 300, { "v2", "v3" }, 1500, 0, 0, 0, 24 },
-  { "none comes", 3, 0, 0, 300, GOES_FROZEN, 300, { NULL }, 1500, 0, 0, 0, 24 },
+  { "freeze", 3, 0, 0, 300, ROUTER_FREEZES, 300, { "v2" }, 1500, 0, 0, 0, 24 },
+  { "kill", 3, 0, 0, 300, ROUTER_IS_KILLED, 300, { "v2" }, 1500, 0, 0, 0, 24 },
+  { "stop", 3, 0, 0, 300, ROUTER_STOPS, 300, { "v2" }, 1500, 0, 0, 0, 24 },
+  { "restart", 3, 0, 0, 300, ROUTER_RESTARTS, 300, { "v2" }, 1500, 0, 0, 0, 24 },
+  { "all restart", 3, 0, 0, 300, ALL_ROUTERS_RESTART, 300, { "v2" }, 1500, 0, 0, 0, 24 },
+  { "all restart, 9 routers", 9, 0, 0, 300, ALL_ROUTERS_RESTART, 100, { "v2" }, 1500, 0, 0, 0, 24 },
+  { "freeze, at once", 3, 0, 0, 0, ROUTER_FREEZES, 0, { "v2" }, 300, 0, 0, 0, 24 },
+  { "kill, at once", 2, 0, 0, 0, ROUTER_IS_KILLED, 0, { "v2" }, 100, 0, 0, 0, 24 },
+  { "freeze, late return", 2, 0, 0, 300, ROUTER_FREEZES, 300, { "v2" }, 6000, 0, 0, 0, 24 },
+  { "freeze, 9 routers", 9, 0, 0, 300, ROUTER_FREEZES, 300, { "v2" }, 1500, 0, 0, 0, 24 },
+  { "freeze, two come", 3, 0, 0, 300, ROUTER_FREEZES, 300, { "v2", "v3" }, 1500, 0, 0, 0, 24 },
+  { "none comes", 3, 0, 0, 300, ROUTER_FREEZES, 300, { NULL }, 1500, 0, 0, 0, 24 },
   /* Both kinds. */
-  { "both, kill", 3, 200, 1000, 500, GOES_KILLED, 0, { NULL }, 500, 0, 0, 0, 48 },
-  { "both, freeze", 3, 200, 1000, 500, GOES_FROZEN, 0, { NULL }, 500, 0, 0, 0, 48 },
-  { "both, stop", 3, 200, 1000, 500, GOES_STOPPED, 0, { NULL }, 500, 0, 0, 0, 48 },
-  { "both, all restart", 3, 200, 1000, 500, ALL_RESTARTED, 0, { NULL }, 500, 0, 0, 0, 48 },
-  { "both, 9 routers", 9, 200, 1000, 500, GOES_KILLED, 0, { NULL }, 500, 0, 0, 0, 48 },
-  { "both, early", 3, 200, 60, 500, GOES_KILLED, 0, { NULL }, 500, 0, 0, 0, 48 },
+  { "both, kill", 3, 200, 1000, 500, ROUTER_IS_KILLED, 0, { NULL }, 500, 0, 0, 0, 48 },
+  { "both, freeze", 3, 200, 1000, 500, ROUTER_FREEZES, 0, { NULL }, 500, 0, 0, 0, 48 },
+  { "both, stop", 3, 200, 1000, 500, ROUTER_STOPS, 0, { NULL }, 500, 0, 0, 0, 48 },
+  { "both, all restart", 3, 200, 1000, 500, ALL_ROUTERS_RESTART, 0, { NULL }, 500, 0, 0, 0, 48 },
+  { "both, 9 routers", 9, 200, 1000, 500, ROUTER_IS_KILLED, 0, { NULL }, 500, 0, 0, 0, 48 },
+  { "both, early", 3, 200, 60, 500, ROUTER_IS_KILLED, 0, { NULL }, 500, 0, 0, 0, 48 },
   /* Streams of the last write interval may not be listed; the rule asks for half. */
-  { "both, at once", 3, 200, 1000, 0, GOES_KILLED, 0, { NULL }, 0, 0, 0, 0, 24 },
-  { "both, a third comes", 3, 200, 1000, 500, GOES_FROZEN, 300, { "v2", "v3" }, 1500, 0, 0, 0, 48 },
+  { "both, at once", 3, 200, 1000, 0, ROUTER_IS_KILLED, 0, { NULL }, 0, 0, 0, 0, 24 },
+  { "both, a third comes",
+    3,
+    200,
+    1000,
+    500,
+    ROUTER_FREEZES,
+    300,
+    { "v2", "v3" },
+    1500,
+    0,
+    0,
+    0,
+    48 },
   { "both, v2 leaves and returns",
     3,
     200,
     1000,
     500,
-    GOES_FROZEN,
+    ROUTER_FREEZES,
     1000,
     { "v2" },
     1500,
@@ -84,9 +86,9 @@
     1,
     48 },
   /* Without the store nothing can be declared: all streams begin at v1. */
-  { "both, store cut", 3, 500, 1500, 300, GOES_KILLED, 300, { NULL }, 1500, 1, 0, 0, 48 },
+  { "both, store cut", 3, 500, 1500, 300, ROUTER_IS_KILLED, 300, { NULL }, 1500, 1, 0, 0, 48 },
   /* The other router may have begun any of them. */
-  { "two go", 3, 0, 0, 300, GOES_FROZEN, 300, { "v2" }, 1500, 0, 1, 0, 0 },
+  { "two go", 3, 0, 0, 300, ROUTER_FREEZES, 300, { "v2" }, 1500, 0, 1, 0, 0 },
 };
 
 typedef struct
@@ -111,25 +113,6 @@
     }
 }
 
-static void
-end_sender (Site *site, Going going)
-{
-  FleetProcess *process = &site->router_process[SENDER];
-  if (going == GOES_STOPPED)
-    {
-      fleet_signal (process, SIGTERM);
-      ck_assert (fleet_wait_exit (process));
-    }
-  else if (going == GOES_KILLED)
-    fleet_kill (process);
-  else if (going == GOES_FROZEN)
-    fleet_signal (process, SIGSTOP);
-  else if (going == GOES_RESTARTED)
-    ck_assert (site_start_router (site, SENDER) && site_wait_ready (site, SENDER, 200));
-  else
-    ck_assert (site_restart_routers (site));
-}
-
 /* Returns how many of the N streams go on, each at the version that began it. */
 static int
 resume_streams (Site *site, const Stream *streams, int n, const char *name)
@@ -173,7 +156,7 @@
       n += N_STREAMS;
     }
   site_run_for (&site, cases[_i].settle_ms);
-  end_sender (&site, cases[_i].going);
+  versions_end_router (&site, SENDER, cases[_i].end);
   if (cases[_i].version_leaves)
     versions_remove_endpoint (&site, 1);
   site_run_for (&site, cases[_i].after_ms);
